--- /dev/null
+++ b/cmake/targets.cmake
@@ -0,0 +1,39 @@
+# One function per kind of target, so that every folder's CMakeLists stays a list of names.
+
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(cpprestsdk REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(GTest REQUIRED)
+
+add_library(vg_flags INTERFACE)
+target_compile_options(vg_flags INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast
+                                          -Woverloaded-virtual -Werror)
+target_include_directories(vg_flags INTERFACE ${PROJECT_SOURCE_DIR}/src)
+target_link_libraries(vg_flags INTERFACE Threads::Threads)
+if(VG_SANITIZE)
+  target_compile_options(vg_flags INTERFACE -fsanitize=${VG_SANITIZE} -fno-omit-frame-pointer)
+  target_link_options(vg_flags INTERFACE -fsanitize=${VG_SANITIZE})
+endif()
+
+# vg_library(NAME DEPENDENCIES...): every source of the folder, with the strict warnings.
+function(vg_library name)
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp internal/*.cpp)
+  add_library(vg_${name} STATIC ${sources})
+  target_link_libraries(vg_${name} PUBLIC vg_flags ${ARGN})
+endfunction()
+
+# vg_program(NAME DEPENDENCIES...): every source of the folder, linked to one binary.
+function(vg_program name)
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  add_executable(${name} ${sources})
+  target_link_libraries(${name} PRIVATE vg_flags ${ARGN})
+endfunction()
+
+# vg_test(NAME DEPENDENCIES...): every source of the folder as one GoogleTest program.
+function(vg_test name)
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  add_executable(${name}_tests ${sources})
+  target_link_libraries(${name}_tests PRIVATE vg_flags GTest::gtest GTest::gmock GTest::gtest_main ${ARGN})
+  add_test(NAME ${name} COMMAND ${name}_tests)
+endfunction()
--- /dev/null
+++ b/src/base/clock.cpp
@@ -0,0 +1,13 @@
+#include "base/clock.hpp"
+
+namespace vanillagauge {
+
+milliseconds remaining(time_point from, time_point to)
+{
+    if (to <= from) {
+        return milliseconds{0};
+    }
+    return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
+} // namespace vanillagauge
--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,9 @@
+/// Settings of the programs, specs of the operators' objects, and the replica of the configuration.
+#ifndef VANILLAGAUGE_CONFIG_CONFIG_HPP
+#define VANILLAGAUGE_CONFIG_CONFIG_HPP
+
+#include "config/replica.hpp"
+#include "config/settings.hpp"
+#include "config/specs.hpp"
+
+#endif
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,133 @@
+#include "config/settings.hpp"
+
+#include "config/internal/schema_check.hpp"
+
+#include <fstream>
+#include <sstream>
+
+namespace vanillagauge::config {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* settings_schema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["vm", "failure_domain", "platform", "tokens", "keeper"],
+  "definitions": {
+    "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+:[0-9]{1,5}$"},
+    "token": {"type": "string", "minLength": 8},
+    "listen": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "http_listen": {"$ref": "#/definitions/address"},
+        "peer_listen": {"$ref": "#/definitions/address"}
+      }
+    }
+  },
+  "properties": {
+    "vm": {"type": "string", "minLength": 1},
+    "failure_domain": {"type": "string", "minLength": 1},
+    "data_folder": {"type": "string"},
+    "log_level": {"enum": ["debug", "info", "warning", "error"]},
+    "span_file": {"type": "string"},
+    "http_threads": {"type": "integer", "minimum": 2, "maximum": 64},
+    "drain_time_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
+    "platform": {"$ref": "#/definitions/address"},
+    "tokens": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["caller", "trainer", "operator", "peer"],
+      "properties": {
+        "caller": {"$ref": "#/definitions/token"},
+        "trainer": {"$ref": "#/definitions/token"},
+        "operator": {"$ref": "#/definitions/token"},
+        "peer": {"$ref": "#/definitions/token"}
+      }
+    },
+    "keeper": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["address"],
+      "properties": {
+        "peer_listen": {"$ref": "#/definitions/address"},
+        "operator_listen": {"$ref": "#/definitions/address"},
+        "address": {"$ref": "#/definitions/address"},
+        "seeds": {"type": "array", "items": {"$ref": "#/definitions/address"}}
+      }
+    },
+    "entry": {"$ref": "#/definitions/listen"},
+    "rollout": {"$ref": "#/definitions/listen"}
+  }
+})json";
+
+template <class Value>
+void read(const json& from, const char* key, Value& into)
+{
+    const auto found = from.find(key);
+    if (found != from.end()) {
+        found->get_to(into);
+    }
+}
+
+listen_settings parse_listen(const json& all, const char* key)
+{
+    listen_settings parsed;
+    const auto found = all.find(key);
+    if (found != all.end()) {
+        read(*found, "http_listen", parsed.http_listen);
+        read(*found, "peer_listen", parsed.peer_listen);
+    }
+    return parsed;
+}
+
+settings fill(const json& all)
+{
+    settings parsed;
+    read(all, "vm", parsed.vm);
+    read(all, "failure_domain", parsed.failure_domain);
+    read(all, "data_folder", parsed.data_folder);
+    read(all, "log_level", parsed.log_level);
+    read(all, "span_file", parsed.span_file);
+    read(all, "http_threads", parsed.http_threads);
+    read(all, "platform", parsed.platform);
+    parsed.drain_time = milliseconds{all.value("drain_time_ms", parsed.drain_time.count())};
+    const auto& tokens = all.at("tokens");
+    read(tokens, "caller", parsed.tokens.caller);
+    read(tokens, "trainer", parsed.tokens.trainer);
+    read(tokens, "operator", parsed.tokens.operators);
+    read(tokens, "peer", parsed.tokens.peer);
+    const auto& keeper = all.at("keeper");
+    read(keeper, "peer_listen", parsed.keeper.peer_listen);
+    read(keeper, "operator_listen", parsed.keeper.operator_listen);
+    read(keeper, "address", parsed.keeper.address);
+    read(keeper, "seeds", parsed.keeper.seeds);
+    parsed.entry = parse_listen(all, "entry");
+    parsed.rollout = parse_listen(all, "rollout");
+    return parsed;
+}
+
+} // namespace
+
+result<settings> load_settings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return error{error_code::not_found, run_state::not_run, path + ": expected a readable settings file"};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parse_settings(text.str(), path);
+}
+
+result<settings> parse_settings(const std::string& text, const std::string& origin)
+{
+    const auto parsed = internal::parse_checked(text, settings_schema, origin);
+    if (!ok(parsed)) {
+        return failure(parsed);
+    }
+    return fill(value(parsed));
+}
+
+} // namespace vanillagauge::config
--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,54 @@
+/// The settings file of one VM, shared by its programs.
+#ifndef VANILLAGAUGE_CONFIG_SETTINGS_HPP
+#define VANILLAGAUGE_CONFIG_SETTINGS_HPP
+
+#include "base/base.hpp"
+
+#include <string>
+#include <vector>
+
+namespace vanillagauge::config {
+
+struct token_settings {
+    std::string caller;
+    std::string trainer;
+    std::string operators;
+    std::string peer;
+};
+
+struct keeper_settings {
+    std::string peer_listen = "127.0.0.1:0";
+    std::string operator_listen = "127.0.0.1:0";
+    std::string address; ///< where the programs of this VM reach their keeper
+    std::vector<std::string> seeds;
+};
+
+struct listen_settings {
+    std::string http_listen = "127.0.0.1:0";
+    std::string peer_listen = "127.0.0.1:0";
+};
+
+struct settings {
+    std::string vm;
+    std::string failure_domain;
+    std::string data_folder; ///< empty: this VM keeps nothing
+    std::string log_level = "info";
+    std::string span_file; ///< empty: spans are off
+    int http_threads = 8;
+    milliseconds drain_time{6000}; ///< how long a stopping entry serves after it left the address advice
+    std::string platform;          ///< address of the platform's APIs
+    token_settings tokens;
+    keeper_settings keeper;
+    listen_settings entry;
+    listen_settings rollout;
+};
+
+/// Reads and checks a settings file. An error names the file, the path in it, what was expected and what was
+/// found.
+result<settings> load_settings(const std::string& path);
+/// The same for text; `origin` stands for the file's name in errors.
+result<settings> parse_settings(const std::string& text, const std::string& origin);
+
+} // namespace vanillagauge::config
+
+#endif
--- /dev/null
+++ b/src/entry/locate.hpp
@@ -0,0 +1,27 @@
+/// Address advice for callers: which entry processes to use, and under which pair to mint call keys.
+#ifndef VANILLAGAUGE_ENTRY_LOCATE_HPP
+#define VANILLAGAUGE_ENTRY_LOCATE_HPP
+
+#include "node/keeper_link.hpp"
+
+#include <string>
+#include <vector>
+
+namespace vanillagauge::entry {
+
+/// How long a caller may keep an answer: a VM that stops serves at least this long after it left the advice.
+constexpr milliseconds advice_life{5000};
+/// How long keys of an answer may be used.
+constexpr milliseconds key_life{60000};
+
+struct location {
+    std::vector<std::string> addresses; ///< in the order to try them
+    std::string key_prefix;             ///< empty while only one entry process is known
+};
+
+/// `unavailable` where no entry process is known to be alive.
+result<location> locate(const node::view& view, const std::string& near_domain, std::int64_t wall_ms);
+
+} // namespace vanillagauge::entry
+
+#endif
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,64 @@
+/// vg-entry: the callers' front of one VM.
+
+#include "entry/entry_service.hpp"
+#include "node/node.hpp"
+#include "observe/observe.hpp"
+#include "wire/wire.hpp"
+
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace vanillagauge;
+
+int run(const config::settings& settings)
+{
+    wire::event_loop loop;
+    observe::metrics metrics;
+    node::keeper_link keeper(loop, settings);
+    auto targets = node::http_channels(loop);
+    node::target_directory directory;
+    keeper.on_change([&] { directory.update(*keeper.current()); });
+    const auto incarnation = node::new_incarnation();
+    entry::entry_service service({settings, loop, keeper, targets, directory, metrics, incarnation});
+    wire::dispatcher calls(node::access_of(settings.tokens));
+    calls.mount(service, wire::role::caller);
+    wire::http_server http(calls, {}, {{"/metrics", [&metrics] { return metrics.page(); }}});
+    wire::dispatcher peer_calls(node::access_of(settings.tokens));
+    wire::peer_server peers(loop, peer_calls);
+
+    const auto http_address = http.open(settings.entry.http_listen);
+    const auto peer_address = peers.open(settings.entry.peer_listen);
+    for (const auto* address : {&http_address, &peer_address}) {
+        if (!ok(*address)) {
+            std::cerr << describe(failure(*address)) << "\n";
+            return node::exit_failure;
+        }
+    }
+    keeper.follow({"entry", incarnation, value(http_address), value(peer_address), false, 0});
+    node::print_ready("vg-entry",
+                      {{"http_address", value(http_address)}, {"peer_address", value(peer_address)}});
+    node::wait_for_stop();
+
+    // Callers keep address advice for a while, so the process leaves the advice first and serves on until
+    // every kept answer has run out; then it waits for what is in flight.
+    keeper.announce([](fleet::process& self) { self.draining = true; });
+    std::this_thread::sleep_for(settings.drain_time);
+    http.close();
+    keeper.stop();
+    peers.close();
+    loop.stop();
+    return node::exit_success;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto started = vanillagauge::node::start("vg-entry", argc, argv);
+    if (const auto* end = std::get_if<vanillagauge::node::exit_now>(&started)) {
+        return end->code;
+    }
+    return run(std::get<vanillagauge::config::settings>(started));
+}
--- /dev/null
+++ b/src/entry/streamed_generate.hpp
@@ -0,0 +1,49 @@
+/// One caller's generation on an engine, streamed through with its version labels.
+#ifndef VANILLAGAUGE_ENTRY_STREAMED_GENERATE_HPP
+#define VANILLAGAUGE_ENTRY_STREAMED_GENERATE_HPP
+
+#include "entry/entry_service.hpp"
+#include "observe/trace.hpp"
+
+#include "target.pb.h"
+
+#include <functional>
+#include <memory>
+
+namespace vanillagauge::entry {
+
+class streamed_generate : public std::enable_shared_from_this<streamed_generate> {
+public:
+    using on_chunk = std::function<void(const v1::GenerateChunk&)>;
+    using completion = std::function<void(result<done>)>;
+
+    streamed_generate(const entry_context& context, std::shared_ptr<node::target_group> group,
+                      v1::GenerateRequest request, time_point deadline, const observe::trace_context& trace,
+                      on_chunk chunk, completion on_done);
+
+    void start() { attempt(); }
+
+private:
+    entry_context context_;
+    std::shared_ptr<node::target_group> group_;
+    v1::GenerateRequest request_;
+    time_point deadline_;
+    observe::span span_;
+    on_chunk chunk_;
+    completion on_done_;
+    std::set<std::string> tried_;
+    std::string text_;
+    int tokens_ = 0;
+    int next_sequence_ = 0;
+    bool whole_ = false;
+    bool crossed_ = false;
+
+    void attempt();
+    void take(const target::v1::GenerateChunk& chunk);
+    void on_end(const result<done>& outcome);
+    void finish(const result<done>& outcome);
+};
+
+} // namespace vanillagauge::entry
+
+#endif
--- /dev/null
+++ b/src/keeper/main.cpp
@@ -0,0 +1,71 @@
+/// vg-keeper: one per VM. Membership, the configuration, and all traffic with the Object API.
+
+#include "keeper/config_feed.hpp"
+#include "keeper/gossip.hpp"
+#include "keeper/services.hpp"
+#include "node/node.hpp"
+#include "observe/observe.hpp"
+#include "wire/wire.hpp"
+
+#include <iostream>
+
+namespace {
+
+using namespace vanillagauge;
+
+int run(const config::settings& settings)
+{
+    wire::event_loop loop;
+    wire::http_channel store_link(loop, settings.platform);
+    platform::object_client store(store_link, loop);
+
+    fleet::node self;
+    self.vm = settings.vm;
+    self.failure_domain = settings.failure_domain;
+    self.incarnation = node::new_incarnation();
+    wire::dispatcher peer_calls(node::access_of(settings.tokens));
+    wire::dispatcher operator_calls(node::access_of(settings.tokens));
+    wire::peer_server peers(loop, peer_calls);
+    wire::http_server operators(operator_calls, {});
+
+    keeper::keeper_state state(self, steady::now());
+    keeper::gossip exchange(state, loop, settings);
+    keeper::config_feed feed(state, store, loop);
+    keeper::peer_service peer_service(exchange);
+    keeper::local_service local_service(state, store, loop);
+    keeper::operator_service operator_service(state, store);
+    peer_calls.mount(peer_service, wire::role::peer);
+    peer_calls.mount(local_service, wire::role::peer);
+    operator_calls.mount(operator_service, wire::role::operators);
+    state.on_change([&local_service] { local_service.wake(); });
+
+    const auto peer_address = peers.open(settings.keeper.peer_listen);
+    const auto operator_address = operators.open(settings.keeper.operator_listen);
+    for (const auto* address : {&peer_address, &operator_address}) {
+        if (!ok(*address)) {
+            std::cerr << describe(failure(*address)) << "\n";
+            return node::exit_failure;
+        }
+    }
+    state.set_addresses(value(peer_address), value(operator_address));
+    feed.start();
+    exchange.start();
+    node::print_ready("vg-keeper",
+                      {{"peer_address", value(peer_address)}, {"operator_address", value(operator_address)}});
+    node::wait_for_stop();
+    operators.close();
+    peers.close();
+    loop.stop();
+    return node::exit_success;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto started = vanillagauge::node::start("vg-keeper", argc, argv);
+    if (const auto* end = std::get_if<vanillagauge::node::exit_now>(&started)) {
+        return end->code;
+    }
+    return run(std::get<vanillagauge::config::settings>(started));
+}
--- /dev/null
+++ b/src/keeper/operator_service.cpp
@@ -0,0 +1,208 @@
+#include "keeper/config_feed.hpp"
+#include "keeper/services.hpp"
+
+#include "node/convert.hpp"
+#include "wire/codec.hpp"
+#include "wire/controller.hpp"
+
+#include <google/protobuf/util/json_util.h>
+
+namespace vanillagauge::keeper {
+namespace {
+
+std::string to_json(const google::protobuf::Struct& spec)
+{
+    std::string text;
+    const auto status = google::protobuf::util::MessageToJsonString(spec, &text);
+    return status.ok() ? text : "{}";
+}
+
+v1::Object to_operator_object(const config::object& item)
+{
+    v1::Object object;
+    object.set_kind(item.kind);
+    object.set_name(item.name);
+    object.set_version(item.version);
+    object.set_deleted(item.deleted);
+    const auto status = google::protobuf::util::JsonStringToMessage(item.spec_json, object.mutable_spec());
+    if (!status.ok()) {
+        object.clear_spec();
+    }
+    return object;
+}
+
+error version_conflict(const platform::write_conflict& conflict, std::uint64_t expected)
+{
+    const auto& current = conflict.current;
+    std::string found =
+        current.version == 0 || current.deleted ? "none" : "version " + std::to_string(current.version);
+    const std::string wanted = expected == 0 ? "none" : "version " + std::to_string(expected);
+    return {error_code::conflict, run_state::not_run,
+            "expected " + wanted + " of " + current.kind + "/" + current.name + ", found " + found +
+                ": get it, make the change again and apply"};
+}
+
+error not_found(const std::string& kind, const std::string& name)
+{
+    return {error_code::not_found, run_state::not_run, "no object " + kind + "/" + name};
+}
+
+} // namespace
+
+void operator_service::Apply(google::protobuf::RpcController* control, const v1::ApplyRequest* request,
+                             v1::ApplyReply* reply, google::protobuf::Closure* done)
+{
+    const auto& wanted = request->object();
+    const std::string spec = to_json(wanted.spec());
+    const auto checked = config::check_object(wanted.kind(), wanted.name(), spec);
+    if (!ok(checked)) {
+        wire::from(control).fail(failure(checked));
+        done->Run();
+        return;
+    }
+    const platform::write change{wanted.kind(), wanted.name(), spec, wanted.version()};
+    store_.write_object(change, [this, control, reply, done, change](const platform::write_outcome& outcome) {
+        if (const auto* stored = std::get_if<platform::written>(&outcome)) {
+            const config::object accepted{change.kind, change.name, stored->version, change.value, false};
+            state_.merge_config({accepted});
+            *reply->mutable_object() = to_operator_object(accepted);
+        }
+        else if (const auto* conflict = std::get_if<platform::write_conflict>(&outcome)) {
+            wire::from(control).fail(version_conflict(*conflict, change.expected_version));
+        }
+        else {
+            wire::from(control).fail(std::get<error>(outcome));
+        }
+        done->Run();
+    });
+}
+
+void operator_service::Delete(google::protobuf::RpcController* control, const v1::DeleteRequest* request,
+                              v1::DeleteReply* reply, google::protobuf::Closure* done)
+{
+    const platform::write change{request->kind(), request->name(), "{}", request->version(), true};
+    if (!is_config_kind(request->kind())) {
+        wire::from(control).fail(not_found(request->kind(), request->name()));
+        done->Run();
+        return;
+    }
+    store_.write_object(change, [this, control, reply, done, change](const platform::write_outcome& outcome) {
+        if (const auto* stored = std::get_if<platform::written>(&outcome)) {
+            state_.merge_config({{change.kind, change.name, stored->version, change.value, true}});
+            reply->set_version(stored->version);
+        }
+        else if (const auto* conflict = std::get_if<platform::write_conflict>(&outcome)) {
+            wire::from(control).fail(version_conflict(*conflict, change.expected_version));
+        }
+        else {
+            wire::from(control).fail(std::get<error>(outcome));
+        }
+        done->Run();
+    });
+}
+
+void operator_service::Get(google::protobuf::RpcController* control, const v1::GetRequest* request,
+                           v1::GetReply* reply, google::protobuf::Closure* done)
+{
+    const auto found = state_.config_find(request->kind(), request->name());
+    if (found) {
+        *reply->mutable_object() = to_operator_object(*found);
+    }
+    else {
+        wire::from(control).fail(not_found(request->kind(), request->name()));
+    }
+    done->Run();
+}
+
+void operator_service::List(google::protobuf::RpcController* /*control*/, const v1::ListRequest* request,
+                            v1::ListReply* reply, google::protobuf::Closure* done)
+{
+    for (const auto& kind : config_kinds()) {
+        if (!request->kind().empty() && request->kind() != kind) {
+            continue;
+        }
+        for (const auto& item : state_.config_list(kind)) {
+            *reply->add_objects() = to_operator_object(item);
+        }
+    }
+    reply->set_revision(state_.config_revision());
+    done->Run();
+}
+
+void operator_service::Watch(google::protobuf::RpcController* /*control*/, const v1::WatchRequest* request,
+                             v1::WatchReply* reply, google::protobuf::Closure* done)
+{
+    for (const auto& item : state_.config_since(request->since_revision())) {
+        if (request->kind().empty() || request->kind() == item.kind) {
+            *reply->add_objects() = to_operator_object(item);
+        }
+    }
+    reply->set_revision(state_.config_revision());
+    done->Run();
+}
+
+void operator_service::Status(google::protobuf::RpcController* /*control*/,
+                              const v1::StatusRequest* /*request*/, v1::StatusReply* reply,
+                              google::protobuf::Closure* done)
+{
+    reply->set_vm(state_.self().vm);
+    for (const auto& member : state_.members()) {
+        *reply->add_nodes() = node::to_message(member);
+    }
+    reply->set_config_revision(state_.config_revision());
+    reply->set_store(state_.store_up() ? "up" : "down");
+    done->Run();
+}
+
+void operator_service::Explain(google::protobuf::RpcController* control, const v1::ExplainRequest* request,
+                               v1::ExplainReply* reply, google::protobuf::Closure* done)
+{
+    const auto slash = request->subject().find('/');
+    const std::string kind = request->subject().substr(0, slash);
+    const std::string object_name = slash == std::string::npos ? "" : request->subject().substr(slash + 1);
+    const auto found = state_.config_find(kind, object_name);
+    if (!found) {
+        wire::from(control).fail(not_found(kind, object_name));
+        done->Run();
+        return;
+    }
+    reply->add_lines(request->subject() + " is at version " + std::to_string(found->version));
+    if (kind == "job") {
+        std::vector<std::string> able;
+        for (const auto& member : state_.members()) {
+            if (member.state == fleet::member_state::alive && !member.info.draining) {
+                able.push_back(member.info.vm);
+            }
+        }
+        const auto owners = fleet::ranked_owners(request->subject(), able);
+        for (const auto& vm : owners) {
+            reply->add_lines((vm == owners.front() ? "owner: " : "successor: ") + vm);
+        }
+    }
+    done->Run();
+}
+
+void operator_service::Drain(google::protobuf::RpcController* control, const v1::DrainRequest* request,
+                             v1::DrainReply* /*reply*/, google::protobuf::Closure* done)
+{
+    const auto held = state_.config_find("drain", request->vm());
+    if (held) {
+        done->Run();
+        return;
+    }
+    const platform::write change{"drain", request->vm(), "{}", 0};
+    store_.write_object(change, [this, control, done, change](const platform::write_outcome& outcome) {
+        if (const auto* stored = std::get_if<platform::written>(&outcome)) {
+            state_.merge_config({{change.kind, change.name, stored->version, change.value, false}});
+        }
+        else if (const auto* conflict = std::get_if<platform::write_conflict>(&outcome)) {
+            wire::from(control).fail(version_conflict(*conflict, 0));
+        }
+        else {
+            wire::from(control).fail(std::get<error>(outcome));
+        }
+        done->Run();
+    });
+}
+
+} // namespace vanillagauge::keeper
--- /dev/null
+++ b/src/keeper/services.hpp
@@ -0,0 +1,89 @@
+/// The keeper's services: for the programs of its VM, for other keepers, and for operators.
+#ifndef VANILLAGAUGE_KEEPER_SERVICES_HPP
+#define VANILLAGAUGE_KEEPER_SERVICES_HPP
+
+#include "keeper/gossip.hpp"
+#include "keeper/keeper_state.hpp"
+#include "platform/object_client.hpp"
+
+#include "vanillagauge.pb.h"
+
+#include <list>
+#include <mutex>
+
+namespace vanillagauge::keeper {
+
+class peer_service final : public v1::KeeperPeer {
+public:
+    explicit peer_service(gossip& exchange) : gossip_(exchange) {}
+
+    void Exchange(google::protobuf::RpcController* control, const v1::ExchangeRequest* request,
+                  v1::ExchangeReply* reply, google::protobuf::Closure* done) override;
+
+private:
+    gossip& gossip_;
+};
+
+class local_service final : public v1::KeeperLocal {
+public:
+    local_service(keeper_state& state, platform::object_client& store, wire::event_loop& loop)
+        : state_(state), store_(store), loop_(loop)
+    {
+    }
+
+    void Follow(google::protobuf::RpcController* control, const v1::FollowRequest* request,
+                v1::FollowReply* reply, google::protobuf::Closure* done) override;
+    void Store(google::protobuf::RpcController* control, const v1::StoreRequest* request,
+               v1::StoreReply* reply, google::protobuf::Closure* done) override;
+    void Load(google::protobuf::RpcController* control, const v1::LoadRequest* request, v1::LoadReply* reply,
+              google::protobuf::Closure* done) override;
+
+    /// Answers every follower that waits.
+    void wake();
+
+private:
+    struct waiting {
+        std::uint64_t since = 0;
+        v1::FollowReply* reply = nullptr;
+        google::protobuf::Closure* done = nullptr;
+    };
+    keeper_state& state_;
+    platform::object_client& store_;
+    wire::event_loop& loop_;
+    std::mutex mutex_;
+    std::map<std::uint64_t, waiting> waiting_;
+    std::uint64_t next_ticket_ = 0;
+
+    void answer(const waiting& follower) const;
+    void expire(std::uint64_t ticket);
+};
+
+class operator_service final : public v1::Operator {
+public:
+    operator_service(keeper_state& state, platform::object_client& store) : state_(state), store_(store) {}
+
+    void Apply(google::protobuf::RpcController* control, const v1::ApplyRequest* request,
+               v1::ApplyReply* reply, google::protobuf::Closure* done) override;
+    void Get(google::protobuf::RpcController* control, const v1::GetRequest* request, v1::GetReply* reply,
+             google::protobuf::Closure* done) override;
+    void List(google::protobuf::RpcController* control, const v1::ListRequest* request, v1::ListReply* reply,
+              google::protobuf::Closure* done) override;
+    void Watch(google::protobuf::RpcController* control, const v1::WatchRequest* request,
+               v1::WatchReply* reply, google::protobuf::Closure* done) override;
+    void Delete(google::protobuf::RpcController* control, const v1::DeleteRequest* request,
+                v1::DeleteReply* reply, google::protobuf::Closure* done) override;
+    void Status(google::protobuf::RpcController* control, const v1::StatusRequest* request,
+                v1::StatusReply* reply, google::protobuf::Closure* done) override;
+    void Explain(google::protobuf::RpcController* control, const v1::ExplainRequest* request,
+                 v1::ExplainReply* reply, google::protobuf::Closure* done) override;
+    void Drain(google::protobuf::RpcController* control, const v1::DrainRequest* request,
+               v1::DrainReply* reply, google::protobuf::Closure* done) override;
+
+private:
+    keeper_state& state_;
+    platform::object_client& store_;
+};
+
+} // namespace vanillagauge::keeper
+
+#endif
--- /dev/null
+++ b/src/node/convert.hpp
@@ -0,0 +1,23 @@
+/// Between the schema's messages and the types of the pure libraries.
+#ifndef VANILLAGAUGE_NODE_CONVERT_HPP
+#define VANILLAGAUGE_NODE_CONVERT_HPP
+
+#include "config/replica.hpp"
+#include "fleet/membership.hpp"
+
+#include "vanillagauge.pb.h"
+
+namespace vanillagauge::node {
+
+v1::ProcessInfo to_message(const fleet::process& item);
+fleet::process from_message(const v1::ProcessInfo& message);
+v1::NodeInfo to_message(const fleet::node& item);
+fleet::node from_message(const v1::NodeInfo& message);
+v1::NodeStatus to_message(const fleet::member& item);
+fleet::member from_message(const v1::NodeStatus& message);
+v1::ConfigEntry to_message(const config::object& item);
+config::object from_message(const v1::ConfigEntry& message);
+
+} // namespace vanillagauge::node
+
+#endif
--- /dev/null
+++ b/src/node/keeper_link.cpp
@@ -0,0 +1,105 @@
+#include "node/keeper_link.hpp"
+
+#include "node/convert.hpp"
+#include "wire/call.hpp"
+
+namespace vanillagauge::node {
+namespace {
+
+/// The keeper counts a program as gone after a few of these without a request.
+constexpr milliseconds follow_wait{500};
+constexpr milliseconds follow_timeout{2500};
+constexpr milliseconds retry_pause{200};
+constexpr milliseconds pace{20};
+
+std::shared_ptr<view> next_view(const view& before, const v1::FollowReply& reply)
+{
+    auto next = std::make_shared<view>(before);
+    for (const auto& entry : reply.entries()) {
+        next->config.merge(from_message(entry));
+    }
+    next->nodes.clear();
+    for (const auto& status : reply.nodes()) {
+        next->nodes.push_back(from_message(status));
+    }
+    next->draining = reply.draining();
+    next->updated = steady::now();
+    next->connected = true;
+    return next;
+}
+
+} // namespace
+
+keeper_link::keeper_link(wire::event_loop& loop, const config::settings& settings)
+    : loop_(loop), channel_(loop, settings.keeper.address), token_(settings.tokens.peer)
+{
+}
+
+void keeper_link::follow(fleet::process self)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        self_ = std::move(self);
+    }
+    ask();
+}
+
+void keeper_link::announce(std::function<void(fleet::process&)> change)
+{
+    const std::lock_guard lock(mutex_);
+    change(self_);
+}
+
+void keeper_link::stop()
+{
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+}
+
+std::shared_ptr<const view> keeper_link::current() const
+{
+    const std::lock_guard lock(mutex_);
+    return view_;
+}
+
+void keeper_link::ask_later(milliseconds pause)
+{
+    loop_.after(pause, [this] { ask(); });
+}
+
+void keeper_link::ask()
+{
+    v1::FollowRequest request;
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopped_) {
+            return;
+        }
+        *request.mutable_self() = to_message(self_);
+        request.set_since_revision(revision_);
+        request.set_keeper_incarnation(keeper_incarnation_);
+    }
+    request.set_wait_ms(follow_wait.count());
+    wire::call_options options;
+    options.timeout = follow_timeout;
+    options.token = token_;
+    wire::call<v1::FollowReply>(channel_, wire::method<v1::KeeperLocal>("Follow"), request, options,
+                                [this](const result<v1::FollowReply>& reply) {
+                                    if (!ok(reply)) {
+                                        ask_later(retry_pause);
+                                        return;
+                                    }
+                                    {
+                                        const std::lock_guard lock(mutex_);
+                                        view_ = next_view(*view_, value(reply));
+                                        revision_ = value(reply).revision();
+                                        keeper_incarnation_ = value(reply).keeper_incarnation();
+                                    }
+                                    if (handler_) {
+                                        handler_();
+                                    }
+                                    ask_later(pace);
+                                });
+}
+
+} // namespace vanillagauge::node
--- /dev/null
+++ b/src/node/keeper_link.hpp
@@ -0,0 +1,64 @@
+/// A program's link to the keeper of its VM: it announces itself and follows configuration and membership.
+#ifndef VANILLAGAUGE_NODE_KEEPER_LINK_HPP
+#define VANILLAGAUGE_NODE_KEEPER_LINK_HPP
+
+#include "config/replica.hpp"
+#include "config/settings.hpp"
+#include "fleet/membership.hpp"
+#include "wire/event_loop.hpp"
+#include "wire/peer_channel.hpp"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace vanillagauge::node {
+
+/// What a program knows of the fleet. Without its keeper a program goes on with the last view.
+struct view {
+    config::replica config;
+    std::vector<fleet::member> nodes;
+    bool draining = false;  ///< this VM is to stop
+    time_point updated;     ///< when the keeper last answered
+    bool connected = false; ///< the keeper has answered at least once
+};
+
+class keeper_link {
+public:
+    keeper_link(wire::event_loop& loop, const config::settings& settings);
+
+    /// Called after each change of the view, on the loop's thread or a channel's.
+    void on_change(std::function<void()> handler) { handler_ = std::move(handler); }
+    /// Starts to follow, with what the program says of itself.
+    void follow(fleet::process self);
+    /// Changes what the program says of itself, from the next request on.
+    void announce(std::function<void(fleet::process&)> change);
+    /// Ends following; the keeper forgets the program once it is silent.
+    void stop();
+
+    std::shared_ptr<const view> current() const;
+    wire::channel& channel() { return channel_; }
+    const std::string& token() const { return token_; }
+
+private:
+    wire::event_loop& loop_;
+    wire::peer_channel channel_;
+    std::string token_;
+    std::function<void()> handler_;
+    mutable std::mutex mutex_;
+    fleet::process self_;
+    std::shared_ptr<const view> view_ = std::make_shared<view>();
+    std::uint64_t revision_ = 0;
+    std::uint64_t keeper_incarnation_ = 0;
+    bool stopped_ = false;
+
+    void ask();
+    void ask_later(milliseconds pause);
+};
+
+} // namespace vanillagauge::node
+
+#endif
--- /dev/null
+++ b/src/node/node.hpp
@@ -0,0 +1,11 @@
+/// What every program of a VM shares: start and stop, the link to the keeper, channels to targets.
+#ifndef VANILLAGAUGE_NODE_NODE_HPP
+#define VANILLAGAUGE_NODE_NODE_HPP
+
+#include "node/channel_pool.hpp"
+#include "node/convert.hpp"
+#include "node/keeper_link.hpp"
+#include "node/program.hpp"
+#include "node/target_directory.hpp"
+
+#endif
--- /dev/null
+++ b/src/node/program.cpp
@@ -0,0 +1,130 @@
+#include "node/program.hpp"
+
+#include "observe/json_text.hpp"
+#include "observe/log.hpp"
+#include "observe/trace.hpp"
+#include "wire/http_server.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace vanillagauge::node {
+namespace {
+
+constexpr const char* version_text = "0.1.0";
+
+struct arguments {
+    std::string settings_file;
+    bool check = false;
+};
+
+std::variant<arguments, exit_now> parse_arguments(const std::string& program, int argc, char** argv)
+{
+    try {
+        TCLAP::CmdLine line(program + " of vanillagauge; see docs/settings.md", ' ', version_text);
+        line.setExceptionHandling(false);
+        const TCLAP::ValueArg<std::string> file("s", "settings", "The VM's settings file", true, "", "FILE",
+                                                line);
+        const TCLAP::SwitchArg check("c", "check", "Check the settings and exit", line);
+        line.parse(argc, argv);
+        return arguments{file.getValue(), check.getValue()};
+    }
+    catch (const TCLAP::ExitException& end) {
+        return exit_now{end.getExitStatus() == 0 ? exit_success : exit_usage};
+    }
+    catch (const TCLAP::ArgException& wrong) {
+        std::cerr << program << ": " << wrong.error() << " " << wrong.argId() << " (try --help)\n";
+        return exit_now{exit_usage};
+    }
+}
+
+observe::log_level to_level(const std::string& text)
+{
+    if (text == "debug") {
+        return observe::log_level::debug;
+    }
+    if (text == "warning") {
+        return observe::log_level::warning;
+    }
+    return text == "error" ? observe::log_level::error : observe::log_level::info;
+}
+
+sigset_t stop_signals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    return set;
+}
+
+} // namespace
+
+std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv)
+{
+    auto parsed = parse_arguments(program, argc, argv);
+    if (const auto* end = std::get_if<exit_now>(&parsed)) {
+        return *end;
+    }
+    const auto& chosen = std::get<arguments>(parsed);
+    auto loaded = config::load_settings(chosen.settings_file);
+    if (!ok(loaded)) {
+        std::cerr << program << ": " << failure(loaded).detail << "\n";
+        return exit_now{exit_settings};
+    }
+    if (chosen.check) {
+        std::cout << chosen.settings_file << ": settings are valid\n";
+        return exit_now{exit_success};
+    }
+    block_stop_signals();
+    auto& settings = value(loaded);
+    observe::start_log(program, settings.vm, to_level(settings.log_level));
+    observe::start_spans(settings.span_file, program, settings.vm);
+    wire::set_http_threads(static_cast<std::size_t>(settings.http_threads));
+    return std::move(settings);
+}
+
+void block_stop_signals()
+{
+    const auto set = stop_signals();
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void print_ready(const std::string& program,
+                 std::initializer_list<std::pair<const char*, std::string>> fields)
+{
+    std::string line = R"({"ready":true,"program":)" + observe::json_text(program);
+    for (const auto& [key, text] : fields) {
+        line += "," + observe::json_text(key) + ":" + observe::json_text(text);
+    }
+    std::cout << line << "}" << std::endl;
+}
+
+void wait_for_stop()
+{
+    const auto set = stop_signals();
+    int received = 0;
+    sigwait(&set, &received);
+    observe::log(observe::log_level::info, "stop_requested", {{"signal", std::int64_t{received}}});
+}
+
+wire::access_table access_of(const config::token_settings& tokens)
+{
+    wire::access_table table;
+    table.tokens[wire::role::caller] = tokens.caller;
+    table.tokens[wire::role::trainer] = tokens.trainer;
+    table.tokens[wire::role::operators] = tokens.operators;
+    table.tokens[wire::role::peer] = tokens.peer;
+    return table;
+}
+
+std::uint64_t new_incarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+} // namespace vanillagauge::node
--- /dev/null
+++ b/src/node/program.hpp
@@ -0,0 +1,47 @@
+/// Start and stop of a program: command line, settings, logs, the ready line and signals.
+#ifndef VANILLAGAUGE_NODE_PROGRAM_HPP
+#define VANILLAGAUGE_NODE_PROGRAM_HPP
+
+#include "config/settings.hpp"
+#include "wire/access.hpp"
+
+#include <initializer_list>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace vanillagauge::node {
+
+/// Exit codes of every program.
+constexpr int exit_success = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+constexpr int exit_settings = 3;
+
+/// The program is to end at once with this code (--help, --version, --check, or an error already printed).
+struct exit_now {
+    int code = exit_success;
+};
+
+/// Reads the command line and the settings, then starts logs and spans. Blocks SIGTERM and SIGINT for this
+/// thread and all that it starts, so call it first.
+std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv);
+
+/// Blocks SIGTERM and SIGINT and ignores SIGPIPE, for programs with a command line of their own.
+void block_stop_signals();
+
+/// Prints the one line that says the program is up, as JSON with the given fields.
+void print_ready(const std::string& program,
+                 std::initializer_list<std::pair<const char*, std::string>> fields);
+
+/// Waits for SIGTERM or SIGINT.
+void wait_for_stop();
+
+wire::access_table access_of(const config::token_settings& tokens);
+
+/// A number that grows with each start of a process.
+std::uint64_t new_incarnation();
+
+} // namespace vanillagauge::node
+
+#endif
--- /dev/null
+++ b/src/observe/log.cpp
@@ -0,0 +1,100 @@
+#include "observe/log.hpp"
+
+#include "observe/json_text.hpp"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <chrono>
+
+namespace vanillagauge::observe {
+namespace {
+
+std::string& fixed_fields()
+{
+    static std::string fields;
+    return fields;
+}
+
+log4cxx::LoggerPtr logger()
+{
+    static const log4cxx::LoggerPtr shared = log4cxx::Logger::getLogger("vanillagauge");
+    return shared;
+}
+
+log4cxx::LevelPtr to_level(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return log4cxx::Level::getDebug();
+    case log_level::info:
+        return log4cxx::Level::getInfo();
+    case log_level::warning:
+        return log4cxx::Level::getWarn();
+    case log_level::error:
+        break;
+    }
+    return log4cxx::Level::getError();
+}
+
+std::string_view level_name(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return "debug";
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        break;
+    }
+    return "error";
+}
+
+std::int64_t wall_milliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace
+
+void start_log(std::string_view program, std::string_view vm, log_level least)
+{
+    fixed_fields() = ",\"program\":" + json_text(program) + ",\"vm\":" + json_text(vm);
+    auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+    logger()->addAppender(appender);
+    logger()->setAdditivity(false);
+    logger()->setLevel(to_level(least));
+}
+
+void log(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    const auto log4cxx_level = to_level(level);
+    if (!logger()->isEnabledFor(log4cxx_level)) {
+        return;
+    }
+    std::string line = "{\"time_ms\":" + std::to_string(wall_milliseconds());
+    line += ",\"level\":" + json_text(level_name(level));
+    line += fixed_fields();
+    line += ",\"event\":" + json_text(event);
+    for (const auto& field : fields) {
+        line += "," + json_text(field.name) + ":";
+        if (const auto* text = std::get_if<std::string>(&field.value)) {
+            line += json_text(*text);
+        }
+        else if (const auto* whole = std::get_if<std::int64_t>(&field.value)) {
+            line += std::to_string(*whole);
+        }
+        else {
+            line += std::to_string(std::get<double>(field.value));
+        }
+    }
+    line += "}";
+    logger()->forcedLog(log4cxx_level, line);
+}
+
+} // namespace vanillagauge::observe
--- /dev/null
+++ b/src/observe/log.hpp
@@ -0,0 +1,28 @@
+/// Structured logs: one JSON object a line, through log4cxx.
+#ifndef VANILLAGAUGE_OBSERVE_LOG_HPP
+#define VANILLAGAUGE_OBSERVE_LOG_HPP
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace vanillagauge::observe {
+
+enum class log_level { debug, info, warning, error };
+
+struct log_field {
+    std::string_view name;
+    std::variant<std::int64_t, double, std::string> value;
+};
+
+/// Starts the log of this process; lines go to standard error. Call once, before other threads start.
+void start_log(std::string_view program, std::string_view vm, log_level least);
+
+/// Writes one event. An event's name, level and field names are constants of the code.
+void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+
+} // namespace vanillagauge::observe
+
+#endif
--- /dev/null
+++ b/src/observe/observe.hpp
@@ -0,0 +1,9 @@
+/// Logs, metrics and spans of the programs.
+#ifndef VANILLAGAUGE_OBSERVE_OBSERVE_HPP
+#define VANILLAGAUGE_OBSERVE_OBSERVE_HPP
+
+#include "observe/log.hpp"
+#include "observe/metrics.hpp"
+#include "observe/trace.hpp"
+
+#endif
--- /dev/null
+++ b/src/platform/object_client.cpp
@@ -0,0 +1,178 @@
+#include "platform/object_client.hpp"
+
+#include "platform.pb.h"
+#include "wire/call.hpp"
+
+#include <random>
+
+namespace vanillagauge::platform {
+namespace {
+
+namespace pb = ::platform::v1;
+
+constexpr milliseconds call_timeout{2000};
+constexpr milliseconds watch_slack{2000};
+constexpr milliseconds read_back_pause{200};
+constexpr int read_back_attempts = 5;
+
+wire::call_options options(milliseconds timeout)
+{
+    wire::call_options chosen;
+    chosen.timeout = timeout;
+    return chosen;
+}
+
+stored_object from_pb(const pb::Object& item)
+{
+    return {item.kind(), item.name(), item.version(), item.value(), item.operation_id(), item.deleted()};
+}
+
+std::vector<stored_object> from_pb(const google::protobuf::RepeatedPtrField<pb::Object>& items)
+{
+    std::vector<stored_object> list;
+    list.reserve(static_cast<std::size_t>(items.size()));
+    for (const auto& item : items) {
+        list.push_back(from_pb(item));
+    }
+    return list;
+}
+
+std::string new_operation_id()
+{
+    thread_local std::mt19937_64 random{std::random_device{}()};
+    return hex(random()) + hex(random());
+}
+
+pb::WriteRequest to_pb(const write& change, const std::string& operation_id)
+{
+    pb::WriteRequest request;
+    request.set_kind(change.kind);
+    request.set_name(change.name);
+    request.set_value(change.value);
+    request.set_expected_version(change.expected_version);
+    request.set_operation_id(operation_id);
+    request.set_remove(change.remove);
+    return request;
+}
+
+write_outcome outcome_of(const pb::WriteReply& reply)
+{
+    if (reply.applied()) {
+        return written{reply.object().version()};
+    }
+    return write_conflict{from_pb(reply.object())};
+}
+
+} // namespace
+
+object_client::object_client(wire::channel& link, wire::event_loop& loop) : link_(link), loop_(loop) {}
+
+void object_client::read(const std::string& kind, const std::string& name,
+                         std::function<void(result<std::optional<stored_object>>)> on_done)
+{
+    pb::ReadRequest request;
+    request.set_kind(kind);
+    request.set_name(name);
+    wire::call<pb::ReadReply>(link_, wire::method<pb::ObjectApi>("Read"), request, options(call_timeout),
+                              [on_done = std::move(on_done)](const result<pb::ReadReply>& reply) {
+                                  if (!ok(reply)) {
+                                      on_done(failure(reply));
+                                      return;
+                                  }
+                                  std::optional<stored_object> found;
+                                  if (value(reply).found()) {
+                                      found = from_pb(value(reply).object());
+                                  }
+                                  on_done(std::move(found));
+                              });
+}
+
+void object_client::write_object(const write& change, std::function<void(write_outcome)> on_done)
+{
+    const std::string operation_id = new_operation_id();
+    wire::call<pb::WriteReply>(link_, wire::method<pb::ObjectApi>("Write"), to_pb(change, operation_id),
+                               options(call_timeout),
+                               [this, change, operation_id,
+                                on_done = std::move(on_done)](const result<pb::WriteReply>& reply) mutable {
+                                   if (ok(reply)) {
+                                       on_done(outcome_of(value(reply)));
+                                       return;
+                                   }
+                                   if (failure(reply).ran == run_state::not_run) {
+                                       on_done(failure(reply));
+                                       return;
+                                   }
+                                   resolve(change, operation_id, read_back_attempts, std::move(on_done));
+                               });
+}
+
+// A write can take effect while its reply is lost. Sending it again would meet its own version as a conflict,
+// and calling it failed would let an operator's change come into force after all. The object names the
+// operation that made it, so reading it back tells. An object still at the expected version may yet change:
+// the lost write can be under way, so it is read again before the outcome is called unknown.
+void object_client::resolve(const write& change, const std::string& operation_id, int attempts_left,
+                            std::function<void(write_outcome)> on_done)
+{
+    read(change.kind, change.name,
+         [this, change, operation_id, attempts_left,
+          on_done = std::move(on_done)](const result<std::optional<stored_object>>& found) mutable {
+             if (ok(found) && value(found)) {
+                 const auto& current = *value(found);
+                 if (current.operation_id == operation_id) {
+                     on_done(written{current.version});
+                     return;
+                 }
+                 if (current.version > change.expected_version) {
+                     on_done(write_conflict{current});
+                     return;
+                 }
+             }
+             if (attempts_left == 0) {
+                 on_done(error{error_code::unavailable, run_state::in_doubt,
+                               "the store did not say whether the write to " + change.kind + "/" +
+                                   change.name + " took effect"});
+                 return;
+             }
+             loop_.after(read_back_pause,
+                         [this, change, operation_id, attempts_left, on_done = std::move(on_done)]() mutable {
+                             resolve(change, operation_id, attempts_left - 1, std::move(on_done));
+                         });
+         });
+}
+
+void object_client::list(const std::string& kind, std::function<void(result<listing>)> on_done)
+{
+    pb::ListRequest request;
+    request.set_kind(kind);
+    wire::call<pb::ListReply>(link_, wire::method<pb::ObjectApi>("List"), request, options(call_timeout),
+                              [on_done = std::move(on_done)](const result<pb::ListReply>& reply) {
+                                  if (!ok(reply)) {
+                                      on_done(failure(reply));
+                                      return;
+                                  }
+                                  on_done(listing{from_pb(value(reply).objects()), value(reply).revision()});
+                              });
+}
+
+void object_client::watch(const std::vector<std::string>& kinds, std::uint64_t since, milliseconds wait,
+                          std::function<void(result<watch_events>)> on_done)
+{
+    pb::WatchRequest request;
+    for (const auto& kind : kinds) {
+        request.add_kinds(kind);
+    }
+    request.set_since_revision(since);
+    request.set_wait_ms(wait.count());
+    wire::call<pb::WatchReply>(link_, wire::method<pb::ObjectApi>("Watch"), request,
+                               options(wait + watch_slack),
+                               [on_done = std::move(on_done)](const result<pb::WatchReply>& reply) {
+                                   if (!ok(reply)) {
+                                       on_done(failure(reply));
+                                       return;
+                                   }
+                                   on_done(watch_events{from_pb(value(reply).objects()),
+                                                        value(reply).revision(), value(reply).compacted()});
+                               });
+}
+
+} // namespace vanillagauge::platform
--- /dev/null
+++ b/src/platform/object_client.hpp
@@ -0,0 +1,81 @@
+/// The Object API's client: conditional writes whose outcome is always known or said to be unknown.
+#ifndef VANILLAGAUGE_PLATFORM_OBJECT_CLIENT_HPP
+#define VANILLAGAUGE_PLATFORM_OBJECT_CLIENT_HPP
+
+#include "base/base.hpp"
+#include "wire/channel.hpp"
+#include "wire/event_loop.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace vanillagauge::platform {
+
+struct stored_object {
+    std::string kind;
+    std::string name;
+    std::uint64_t version = 0;
+    std::string value;
+    std::string operation_id;
+    bool deleted = false;
+};
+
+struct write {
+    std::string kind;
+    std::string name;
+    std::string value;
+    std::uint64_t expected_version = 0; ///< 0: the object must not exist
+    bool remove = false;
+};
+
+/// The condition failed: somebody else's version stands.
+struct write_conflict {
+    stored_object current;
+};
+
+struct written {
+    std::uint64_t version = 0;
+};
+
+using write_outcome = std::variant<written, write_conflict, error>;
+
+struct watch_events {
+    std::vector<stored_object> objects;
+    std::uint64_t revision = 0;
+    bool compacted = false; ///< the asked revision is too old: list again
+};
+
+struct listing {
+    std::vector<stored_object> objects;
+    std::uint64_t revision = 0;
+};
+
+class object_client {
+public:
+    /// Both must outlive the client and its calls.
+    object_client(wire::channel& link, wire::event_loop& loop);
+
+    void read(const std::string& kind, const std::string& name,
+              std::function<void(result<std::optional<stored_object>>)> on_done);
+    /// An unknown outcome is resolved by reading back the operation id; `in_doubt` where that fails too.
+    void write_object(const write& change, std::function<void(write_outcome)> on_done);
+    void list(const std::string& kind, std::function<void(result<listing>)> on_done);
+    /// Waits on the platform's side until something changes or `wait` is over.
+    void watch(const std::vector<std::string>& kinds, std::uint64_t since, milliseconds wait,
+               std::function<void(result<watch_events>)> on_done);
+
+private:
+    wire::channel& link_;
+    wire::event_loop& loop_;
+
+    void resolve(const write& change, const std::string& operation_id, int attempts_left,
+                 std::function<void(write_outcome)> on_done);
+};
+
+} // namespace vanillagauge::platform
+
+#endif
--- /dev/null
+++ b/src/rollout/context.hpp
@@ -0,0 +1,22 @@
+/// What the parts of vg-rollout share.
+#ifndef VANILLAGAUGE_ROLLOUT_CONTEXT_HPP
+#define VANILLAGAUGE_ROLLOUT_CONTEXT_HPP
+
+#include "node/node.hpp"
+#include "observe/metrics.hpp"
+
+namespace vanillagauge::rollout {
+
+/// All members outlive whoever holds the context.
+struct context {
+    const config::settings& settings;
+    wire::event_loop& loop;
+    node::keeper_link& keeper;
+    node::channel_pool& targets;
+    node::target_directory& directory;
+    observe::metrics& metrics;
+};
+
+} // namespace vanillagauge::rollout
+
+#endif
--- /dev/null
+++ b/src/rollout/main.cpp
@@ -0,0 +1,60 @@
+/// vg-rollout: jobs, weight versions and trainers' pulls on one VM.
+
+#include "node/node.hpp"
+#include "observe/observe.hpp"
+#include "rollout/rollout_service.hpp"
+#include "wire/wire.hpp"
+
+#include <iostream>
+
+namespace {
+
+using namespace vanillagauge;
+
+constexpr milliseconds tick_every{200};
+
+void tick_forever(wire::event_loop& loop, rollout::rollout_service& service)
+{
+    service.tick();
+    loop.after(tick_every, [&loop, &service] { tick_forever(loop, service); });
+}
+
+int run(const config::settings& settings)
+{
+    wire::event_loop loop;
+    observe::metrics metrics;
+    node::keeper_link keeper(loop, settings);
+    auto targets = node::http_channels(loop);
+    node::target_directory directory;
+    keeper.on_change([&] { directory.update(*keeper.current()); });
+    rollout::rollout_service service({settings, loop, keeper, targets, directory, metrics});
+    wire::dispatcher calls(node::access_of(settings.tokens));
+    calls.mount(service, wire::role::trainer);
+    wire::http_server http(calls, {}, {{"/metrics", [&metrics] { return metrics.page(); }}});
+    const auto http_address = http.open(settings.rollout.http_listen);
+    if (!ok(http_address)) {
+        std::cerr << describe(failure(http_address)) << "\n";
+        return node::exit_failure;
+    }
+    keeper.follow({"rollout", node::new_incarnation(), value(http_address), "", false, 0});
+    tick_forever(loop, service);
+    node::print_ready("vg-rollout", {{"http_address", value(http_address)}});
+    node::wait_for_stop();
+    keeper.announce([](fleet::process& self) { self.draining = true; });
+    service.stop();
+    http.close();
+    keeper.stop();
+    loop.stop();
+    return node::exit_success;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto started = vanillagauge::node::start("vg-rollout", argc, argv);
+    if (const auto* end = std::get_if<vanillagauge::node::exit_now>(&started)) {
+        return end->code;
+    }
+    return run(std::get<vanillagauge::config::settings>(started));
+}
--- /dev/null
+++ b/src/rollout/rollout_service.hpp
@@ -0,0 +1,41 @@
+/// The trainers' service: pulls go to the job's owner, others are redirected.
+#ifndef VANILLAGAUGE_ROLLOUT_ROLLOUT_SERVICE_HPP
+#define VANILLAGAUGE_ROLLOUT_ROLLOUT_SERVICE_HPP
+
+#include "rollout/job_runner.hpp"
+#include "rollout/weight_rollout.hpp"
+
+#include "vanillagauge.pb.h"
+
+namespace vanillagauge::rollout {
+
+class rollout_service final : public v1::Rollout {
+public:
+    explicit rollout_service(const context& shared)
+        : context_(shared), weights_(std::make_shared<weight_rollout>(shared))
+    {
+    }
+
+    void Pull(google::protobuf::RpcController* control, const v1::PullRequest* request, v1::PullReply* reply,
+              google::protobuf::Closure* done) override;
+    void JobStatus(google::protobuf::RpcController* control, const v1::JobStatusRequest* request,
+                   v1::JobStatusReply* reply, google::protobuf::Closure* done) override;
+
+    /// Starts and stops runners as the view says; orders weights that are due.
+    void tick();
+    /// Ends all runners.
+    void stop();
+
+private:
+    context context_;
+    std::shared_ptr<weight_rollout> weights_;
+    std::mutex mutex_;
+    std::map<std::string, std::shared_ptr<job_runner>> runners_;
+    bool stopped_ = false;
+
+    result<std::shared_ptr<job_runner>> runner(const std::string& job);
+};
+
+} // namespace vanillagauge::rollout
+
+#endif
--- /dev/null
+++ b/src/samples/labels.hpp
@@ -0,0 +1,38 @@
+/// Which weight versions produced a sample, token span by token span, as the engines' streams tell it.
+#ifndef VANILLAGAUGE_SAMPLES_LABELS_HPP
+#define VANILLAGAUGE_SAMPLES_LABELS_HPP
+
+#include <cstdint>
+#include <vector>
+
+namespace vanillagauge::samples {
+
+struct version_span {
+    std::uint64_t version = 0;
+    int tokens = 0;
+
+    friend bool operator==(const version_span&, const version_span&) = default;
+};
+
+class labels {
+public:
+    /// Adds a chunk's tokens. Version 0 is an engine's missing label: it makes the sample void for good.
+    void add(std::uint64_t version, int tokens);
+
+    const std::vector<version_span>& spans() const { return spans_; }
+    /// 0 where nothing was added.
+    std::uint64_t oldest() const;
+    int tokens() const;
+    bool unlabelled() const { return unlabelled_; }
+
+private:
+    std::vector<version_span> spans_;
+    bool unlabelled_ = false;
+};
+
+/// True where a sample whose oldest span is `oldest` may still go to a trainer at `trainer_version`.
+bool fresh(std::uint64_t oldest, std::uint64_t trainer_version, int max_staleness);
+
+} // namespace vanillagauge::samples
+
+#endif
--- /dev/null
+++ b/src/samples/samples.hpp
@@ -0,0 +1,8 @@
+/// Samples of a job's steps: slots, the cursor that is the ledger, version labels and staleness.
+#ifndef VANILLAGAUGE_SAMPLES_SAMPLES_HPP
+#define VANILLAGAUGE_SAMPLES_SAMPLES_HPP
+
+#include "samples/cursor.hpp"
+#include "samples/labels.hpp"
+
+#endif
--- /dev/null
+++ b/src/wire/codec.hpp
@@ -0,0 +1,57 @@
+/// Encodings of the schema's messages: JSON and protobuf, alone or framed in a stream.
+#ifndef VANILLAGAUGE_WIRE_CODEC_HPP
+#define VANILLAGAUGE_WIRE_CODEC_HPP
+
+#include "base/result.hpp"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace google::protobuf {
+class Message;
+}
+
+namespace vanillagauge::v1 {
+class Error;
+}
+
+namespace vanillagauge::wire {
+
+enum class codec { json, protobuf };
+
+std::string_view content_type(codec encoding, bool streamed);
+/// JSON for an empty type; unknown types are refused.
+result<codec> parse_content_type(std::string_view type);
+
+std::string encode(codec encoding, const google::protobuf::Message& message);
+/// `invalid_argument` with the parser's reason; unknown JSON fields are refused.
+result<done> decode(codec encoding, std::string_view body, google::protobuf::Message& message);
+
+v1::Error to_message(const error& failure);
+error from_message(const v1::Error& message);
+
+/// Frames of a stream: a JSON line each, or a flag byte, four length bytes and a protobuf message.
+std::string frame(codec encoding, std::string_view encoded);
+std::string error_frame(codec encoding, const error& failure);
+
+/// Takes a stream's bytes as they come and hands out whole frames.
+class frame_reader {
+public:
+    explicit frame_reader(codec encoding) : encoding_(encoding) {}
+
+    /// Calls `on_frame` for each whole frame. The error that ended the stream is returned where there is one.
+    result<done> feed(std::string_view bytes, const std::function<void(std::string_view)>& on_frame);
+    /// True where no frame is half read.
+    bool at_boundary() const { return pending_.empty(); }
+
+private:
+    codec encoding_;
+    std::string pending_;
+    result<done> feed_lines(const std::function<void(std::string_view)>& on_frame);
+    result<done> feed_frames(const std::function<void(std::string_view)>& on_frame);
+};
+
+} // namespace vanillagauge::wire
+
+#endif
--- /dev/null
+++ b/src/wire/dispatcher.cpp
@@ -0,0 +1,82 @@
+#include "wire/dispatcher.hpp"
+
+#include <google/protobuf/descriptor.h>
+#include <google/protobuf/message.h>
+
+#include <memory>
+
+namespace vanillagauge::wire {
+namespace {
+
+/// One call from its decoding to its answer; the closure owns it.
+struct running_call {
+    std::unique_ptr<google::protobuf::Message> request;
+    std::unique_ptr<google::protobuf::Message> response;
+    std::unique_ptr<controller> control;
+    reply_sink sink;
+    codec encoding = codec::json;
+    bool streamed = false;
+};
+
+void complete(running_call* raw)
+{
+    const std::unique_ptr<running_call> call(raw);
+    if (call->control->failure()) {
+        call->sink.finish(*call->control->failure());
+        return;
+    }
+    call->sink.finish(call->streamed ? std::string() : encode(call->encoding, *call->response));
+}
+
+} // namespace
+
+void dispatcher::mount(google::protobuf::Service& service, role needed)
+{
+    const auto* description = service.GetDescriptor();
+    for (int place = 0; place < description->method_count(); ++place) {
+        const auto* method = description->method(place);
+        const std::string path = "/" + description->full_name() + "/" + method->name();
+        routes_[path] = {&service, method, needed};
+    }
+}
+
+bool dispatcher::streams(const std::string& path) const
+{
+    const auto found = routes_.find(path);
+    return found != routes_.end() && found->second.method->server_streaming();
+}
+
+void dispatcher::dispatch(incoming_call call, codec encoding, const std::string& body, reply_sink sink) const
+{
+    const auto found = routes_.find(call.path);
+    if (found == routes_.end()) {
+        sink.finish(error{error_code::unimplemented, run_state::not_run, "no method at " + call.path});
+        return;
+    }
+    const route& target = found->second;
+    if (!admits(access_, target.needed, call.authorization)) {
+        sink.finish(error{error_code::unauthenticated, run_state::not_run,
+                          "expected the bearer token of the role " + std::string(name(target.needed))});
+        return;
+    }
+    auto running = std::make_unique<running_call>();
+    running->request.reset(target.service->GetRequestPrototype(target.method).New());
+    const auto decoded = decode(encoding, body, *running->request);
+    if (!ok(decoded)) {
+        sink.finish(failure(decoded));
+        return;
+    }
+    running->response.reset(target.service->GetResponsePrototype(target.method).New());
+    running->encoding = encoding;
+    running->streamed = target.method->server_streaming();
+    running->sink = std::move(sink);
+    auto* raw = running.release();
+    const auto write = [raw](const google::protobuf::Message& message) {
+        raw->sink.chunk(encode(raw->encoding, message));
+    };
+    raw->control = std::make_unique<controller>(std::move(call), write);
+    target.service->CallMethod(target.method, raw->control.get(), raw->request.get(), raw->response.get(),
+                               google::protobuf::NewCallback(&complete, raw));
+}
+
+} // namespace vanillagauge::wire
--- /dev/null
+++ b/src/wire/event_loop.cpp
@@ -0,0 +1,63 @@
+#include "wire/event_loop.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <thread>
+
+namespace vanillagauge::wire {
+
+struct event_loop::state {
+    boost::asio::io_context context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
+    std::thread thread{[this] { context.run(); }};
+};
+
+event_loop::event_loop() : state_(std::make_unique<state>()) {}
+
+event_loop::~event_loop()
+{
+    stop();
+}
+
+void event_loop::post(std::function<void()> work)
+{
+    boost::asio::post(state_->context, std::move(work));
+}
+
+timer_cancel event_loop::after(milliseconds delay, std::function<void()> work)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(state_->context);
+    timer->expires_after(delay);
+    timer->async_wait([timer, work = std::move(work)](const boost::system::error_code& failure) {
+        if (!failure) {
+            work();
+        }
+    });
+    std::weak_ptr<boost::asio::steady_timer> weak = timer;
+    // A timer is no object for two threads, so its cancellation is posted to the thread that runs it.
+    return [weak, this] {
+        boost::asio::post(state_->context, [weak] {
+            if (const auto alive = weak.lock()) {
+                alive->cancel();
+            }
+        });
+    };
+}
+
+void event_loop::stop()
+{
+    state_->context.stop();
+    if (state_->thread.joinable() && state_->thread.get_id() != std::this_thread::get_id()) {
+        state_->thread.join();
+    }
+}
+
+boost::asio::io_context& event_loop::context()
+{
+    return state_->context;
+}
+
+} // namespace vanillagauge::wire
--- /dev/null
+++ b/src/wire/http_channel.cpp
@@ -0,0 +1,280 @@
+#include "wire/http_channel.hpp"
+
+#include "vanillagauge.pb.h"
+
+#include <cpprest/http_client.h>
+
+#include <atomic>
+#include <mutex>
+#include <vector>
+
+namespace vanillagauge::wire {
+namespace {
+
+using web::http::http_request;
+using web::http::http_response;
+using web::http::client::http_client;
+using web::http::client::http_client_config;
+
+constexpr std::size_t read_block = 16U << 10U;
+/// The library's own timer must never fire first: it cannot tell a deadline from a silence.
+constexpr std::chrono::hours library_timeout{24};
+
+http_client_config client_config()
+{
+    http_client_config config;
+    config.set_timeout(library_timeout);
+    return config;
+}
+
+/// One call from its start to its completion.
+class http_call : public std::enable_shared_from_this<http_call> {
+public:
+    http_call(event_loop& loop, codec encoding, const call_options& options, channel::on_chunk chunk,
+              channel::on_done done)
+        : loop_(loop), encoding_(encoding), options_(options), chunk_(std::move(chunk)),
+          done_(std::move(done)), reader_(encoding), block_(chunk_ ? read_block : 0)
+    {
+    }
+
+    void start(const std::shared_ptr<http_client>& client, const http_request& request)
+    {
+        client_ = client;
+        auto self = shared_from_this();
+        last_progress_ = steady::now();
+        arm_deadline();
+        if (chunk_ && options_.progress_timeout.count() > 0) {
+            watch_progress();
+        }
+        client->request(request, stop_.get_token()).then([self](const pplx::task<http_response>& answer) {
+            self->on_head(answer);
+        });
+    }
+
+    void cancel() { abandon({error_code::cancelled, run_state::in_doubt, "the call was cancelled"}); }
+
+private:
+    event_loop& loop_;
+    codec encoding_;
+    call_options options_;
+    channel::on_chunk chunk_;
+    channel::on_done done_;
+    std::shared_ptr<http_client> client_;
+    pplx::cancellation_token_source stop_;
+    std::atomic<bool> finished_{false};
+    std::mutex mutex_;
+    timer_cancel deadline_;
+    time_point last_progress_;
+    http_response response_;
+    frame_reader reader_;
+    std::vector<std::uint8_t> block_;
+
+    void finish(result<std::string> outcome)
+    {
+        if (finished_.exchange(true)) {
+            return;
+        }
+        timer_cancel deadline;
+        {
+            const std::lock_guard lock(mutex_);
+            deadline = std::exchange(deadline_, {});
+        }
+        if (deadline) {
+            deadline();
+        }
+        done_(std::move(outcome));
+    }
+
+    /// The answer goes out first: the library may take its time to let go of a silent connection.
+    void abandon(error failure)
+    {
+        finish(std::move(failure));
+        stop_.cancel();
+    }
+
+    void arm_deadline()
+    {
+        auto self = shared_from_this();
+        auto timer = loop_.after(options_.timeout, [self] {
+            self->abandon(
+                {error_code::deadline_exceeded, run_state::in_doubt, "no whole answer within the timeout"});
+        });
+        const std::lock_guard lock(mutex_);
+        deadline_ = std::move(timer);
+    }
+
+    /// An open connection can go silent for good: without this check the stream would hold its slot until the
+    /// deadline. Silence is counted from the last byte, so a slow but living stream is left alone.
+    void watch_progress()
+    {
+        auto self = shared_from_this();
+        loop_.after(options_.progress_timeout, [self] {
+            if (self->finished_) {
+                return;
+            }
+            if (steady::now() - self->progress() >= self->options_.progress_timeout) {
+                self->abandon({error_code::unavailable, run_state::in_doubt, "the stream went silent"});
+                return;
+            }
+            self->watch_progress();
+        });
+    }
+
+    time_point progress()
+    {
+        const std::lock_guard lock(mutex_);
+        return last_progress_;
+    }
+
+    void note_progress()
+    {
+        const std::lock_guard lock(mutex_);
+        last_progress_ = steady::now();
+    }
+
+    void on_head(const pplx::task<http_response>& answer)
+    {
+        try {
+            response_ = answer.get();
+            note_progress();
+            const bool succeeded = response_.status_code() == web::http::status_codes::OK;
+            if (succeeded && chunk_) {
+                read_some();
+                return;
+            }
+            read_whole(succeeded);
+        }
+        catch (const web::http::http_exception& broken) {
+            finish(transport_error(broken));
+        }
+        catch (const std::exception& broken) {
+            finish(error{error_code::unavailable, run_state::in_doubt, broken.what()});
+        }
+    }
+
+    /// The library reports a refused connection as host_unreachable; only then was nothing sent.
+    static error transport_error(const web::http::http_exception& broken)
+    {
+        const bool never_sent = broken.error_code() == std::errc::host_unreachable ||
+                                broken.error_code() == std::errc::connection_refused;
+        return {error_code::unavailable, never_sent ? run_state::not_run : run_state::in_doubt,
+                broken.what()};
+    }
+
+    void read_whole(bool succeeded)
+    {
+        auto self = shared_from_this();
+        response_.extract_vector().then(
+            [self, succeeded](const pplx::task<std::vector<unsigned char>>& read) {
+                try {
+                    const auto bytes = read.get();
+                    std::string body(bytes.begin(), bytes.end());
+                    self->finish(succeeded ? result<std::string>(std::move(body)) : self->refusal(body));
+                }
+                catch (const std::exception& broken) {
+                    self->finish(error{error_code::incomplete, run_state::in_doubt, broken.what()});
+                }
+            });
+    }
+
+    result<std::string> refusal(const std::string& body) const
+    {
+        v1::Error message;
+        if (!ok(decode(encoding_, body, message)) || message.code().empty()) {
+            return error{error_code::internal, run_state::in_doubt,
+                         "HTTP status " + std::to_string(response_.status_code())};
+        }
+        return from_message(message);
+    }
+
+    /// Takes one byte, then whatever else has arrived: the library's reads wait until they are satisfied.
+    void read_some()
+    {
+        auto self = shared_from_this();
+        auto buffer = response_.body().streambuf();
+        buffer.getn(block_.data(), 1).then([self, buffer](const pplx::task<std::size_t>& first) mutable {
+            try {
+                std::size_t count = first.get();
+                if (count == 0) {
+                    self->end_stream();
+                    return;
+                }
+                const std::size_t more = std::min(buffer.in_avail(), read_block - 1);
+                if (more > 0) {
+                    count += buffer.getn(self->block_.data() + 1, more).get();
+                }
+                self->on_bytes(count);
+            }
+            catch (const std::exception& broken) {
+                self->finish(error{error_code::incomplete, run_state::in_doubt, broken.what()});
+            }
+        });
+    }
+
+    void on_bytes(std::size_t count)
+    {
+        if (finished_) {
+            return;
+        }
+        note_progress();
+        const std::string_view bytes(reinterpret_cast<const char*>(block_.data()), count);
+        const auto fed = reader_.feed(bytes, chunk_);
+        if (!ok(fed)) {
+            abandon(failure(fed));
+            return;
+        }
+        read_some();
+    }
+
+    void end_stream()
+    {
+        if (reader_.at_boundary()) {
+            finish(std::string());
+            return;
+        }
+        finish(error{error_code::incomplete, run_state::in_doubt, "the stream ended within a message"});
+    }
+};
+
+} // namespace
+
+struct http_channel::pooled_client {
+    std::shared_ptr<http_client> client;
+};
+
+http_channel::http_channel(event_loop& loop, std::string address, codec encoding)
+    : loop_(loop), address_(std::move(address)), encoding_(encoding),
+      client_(std::make_unique<pooled_client>(
+          pooled_client{std::make_shared<http_client>("http://" + address_, client_config())}))
+{
+}
+
+http_channel::~http_channel() = default;
+
+call_cancel http_channel::start(const std::string& path, std::string body, const call_options& options,
+                                on_chunk chunk, on_done done)
+{
+    http_request request(web::http::methods::POST);
+    request.set_request_uri(path);
+    request.headers().add("X-Timeout-Ms", std::to_string(options.timeout.count()));
+    if (!options.trace.trace_id.empty()) {
+        request.headers().add("traceparent", observe::traceparent(options.trace));
+    }
+    if (!options.token.empty()) {
+        request.headers().add("Authorization", "Bearer " + options.token);
+    }
+    request.set_body(std::move(body), std::string(content_type(encoding_, false)));
+    auto client = options.fresh_connection
+                      ? std::make_shared<http_client>("http://" + address_, client_config())
+                      : client_->client;
+    auto running = std::make_shared<http_call>(loop_, encoding_, options, std::move(chunk), std::move(done));
+    running->start(client, request);
+    std::weak_ptr<http_call> weak = running;
+    return [weak] {
+        if (const auto alive = weak.lock()) {
+            alive->cancel();
+        }
+    };
+}
+
+} // namespace vanillagauge::wire
--- /dev/null
+++ b/src/wire/http_channel.hpp
@@ -0,0 +1,33 @@
+/// Calls over HTTP/1.1, on cpprestsdk's client.
+#ifndef VANILLAGAUGE_WIRE_HTTP_CHANNEL_HPP
+#define VANILLAGAUGE_WIRE_HTTP_CHANNEL_HPP
+
+#include "wire/channel.hpp"
+#include "wire/event_loop.hpp"
+
+#include <memory>
+#include <string>
+
+namespace vanillagauge::wire {
+
+class http_channel final : public channel {
+public:
+    /// `address` is host:port. The loop must outlive the channel; calls in flight outlive it.
+    http_channel(event_loop& loop, std::string address, codec encoding = codec::json);
+    ~http_channel() override;
+
+    codec encoding() const override { return encoding_; }
+    call_cancel start(const std::string& path, std::string body, const call_options& options, on_chunk chunk,
+                      on_done done) override;
+
+private:
+    struct pooled_client;
+    event_loop& loop_;
+    std::string address_;
+    codec encoding_;
+    std::unique_ptr<pooled_client> client_;
+};
+
+} // namespace vanillagauge::wire
+
+#endif
--- /dev/null
+++ b/src/wire/internal/http2_session.hpp
@@ -0,0 +1,78 @@
+/// One HTTP/2 connection: nghttp2 for the frames, Boost.Asio for the socket. Used on its loop's thread only.
+#ifndef VANILLAGAUGE_WIRE_INTERNAL_HTTP2_SESSION_HPP
+#define VANILLAGAUGE_WIRE_INTERNAL_HTTP2_SESSION_HPP
+
+#include "base/base.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <nghttp2/nghttp2.h>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace vanillagauge::wire::internal {
+
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+/// What one side has received on a stream so far.
+struct http2_stream {
+    std::map<std::string, std::string> headers;
+    std::string received;
+    std::string outgoing;
+    std::size_t sent = 0;
+};
+
+class http2_session : public std::enable_shared_from_this<http2_session> {
+public:
+    enum class side { client, server };
+
+    struct events {
+        std::function<void(std::int32_t stream)> on_message; ///< the other side ended its half of the stream
+        std::function<void(std::int32_t stream)> on_stream_close;
+        std::function<void()> on_close; ///< the connection is gone; called once
+    };
+
+    http2_session(boost::asio::ip::tcp::socket socket, side which, events handlers);
+    ~http2_session();
+    http2_session(const http2_session&) = delete;
+    http2_session& operator=(const http2_session&) = delete;
+
+    /// Sends the preface and starts to read.
+    void start();
+    /// Returns the new stream's id; negative where the connection takes no more.
+    std::int32_t submit_request(const header_list& headers, std::string body);
+    void submit_response(std::int32_t stream, const header_list& headers, std::string body);
+    void reset(std::int32_t stream);
+    void ping();
+    void close();
+
+    http2_stream* find(std::int32_t stream);
+    time_point last_received() const { return last_received_; }
+
+private:
+    static constexpr std::size_t read_block = 16U << 10U;
+    boost::asio::ip::tcp::socket socket_;
+    side side_;
+    events events_;
+    nghttp2_session* session_ = nullptr;
+    std::map<std::int32_t, http2_stream> streams_;
+    std::array<std::uint8_t, read_block> block_{};
+    std::string write_buffer_;
+    bool writing_ = false;
+    bool closed_ = false;
+    time_point last_received_ = steady::now();
+
+    friend struct http2_callbacks;
+    void read();
+    void flush();
+};
+
+} // namespace vanillagauge::wire::internal
+
+#endif
--- /dev/null
+++ b/src/wire/peer_server.cpp
@@ -0,0 +1,175 @@
+#include "wire/peer_server.hpp"
+
+#include "vanillagauge.pb.h"
+#include "wire/internal/address.hpp"
+#include "wire/internal/http2_session.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <future>
+#include <set>
+
+namespace vanillagauge::wire {
+namespace {
+
+using boost::asio::ip::tcp;
+using internal::http2_session;
+
+milliseconds timeout_header(const std::map<std::string, std::string>& headers)
+{
+    const auto found = headers.find("x-timeout-ms");
+    if (found == headers.end() || found->second.size() > 9) {
+        return milliseconds{0};
+    }
+    return milliseconds{std::strtol(found->second.c_str(), nullptr, 10)};
+}
+
+std::string text_header(const std::map<std::string, std::string>& headers, const char* key)
+{
+    const auto found = headers.find(key);
+    return found == headers.end() ? std::string() : found->second;
+}
+
+} // namespace
+
+struct peer_server::state : std::enable_shared_from_this<peer_server::state> {
+    event_loop& loop;
+    const dispatcher& calls;
+    tcp::acceptor acceptor;
+    std::set<std::shared_ptr<http2_session>> sessions;
+
+    state(event_loop& shared_loop, const dispatcher& served)
+        : loop(shared_loop), calls(served), acceptor(shared_loop.context())
+    {
+    }
+
+    void accept()
+    {
+        auto self = shared_from_this();
+        acceptor.async_accept([self](const boost::system::error_code& refused, tcp::socket socket) {
+            if (refused) {
+                return;
+            }
+            self->adopt(std::move(socket));
+            self->accept();
+        });
+    }
+
+    void adopt(tcp::socket socket)
+    {
+        auto slot = std::make_shared<std::weak_ptr<http2_session>>();
+        std::weak_ptr<state> weak = shared_from_this();
+        http2_session::events handlers;
+        handlers.on_message = [weak, slot](std::int32_t stream) {
+            const auto alive = weak.lock();
+            const auto session = slot->lock();
+            if (alive && session) {
+                alive->serve(session, stream);
+            }
+        };
+        handlers.on_stream_close = [](std::int32_t) {};
+        handlers.on_close = [weak, slot] {
+            if (const auto alive = weak.lock()) {
+                alive->sessions.erase(slot->lock());
+            }
+        };
+        auto session = std::make_shared<http2_session>(std::move(socket), http2_session::side::server,
+                                                       std::move(handlers));
+        *slot = session;
+        sessions.insert(session);
+        session->start();
+    }
+
+    void serve(const std::shared_ptr<http2_session>& session, std::int32_t stream)
+    {
+        auto* received = session->find(stream);
+        if (received == nullptr) {
+            return;
+        }
+        incoming_call call;
+        call.path = text_header(received->headers, ":path");
+        call.authorization = text_header(received->headers, "authorization");
+        call.trace = observe::parse_traceparent(text_header(received->headers, "traceparent"));
+        call.timeout = timeout_header(received->headers);
+        const std::string body = std::move(received->received);
+        std::weak_ptr<http2_session> weak = session;
+        reply_sink sink;
+        sink.finish = [this, weak, stream](const result<std::string>& outcome) {
+            answer(weak, stream, outcome);
+        };
+        calls.dispatch(std::move(call), codec::protobuf, body, std::move(sink));
+    }
+
+    /// Handlers answer from any thread; the session is touched on the loop's thread only.
+    void answer(const std::weak_ptr<http2_session>& weak, std::int32_t stream,
+                const result<std::string>& outcome) const
+    {
+        std::string status = "200";
+        std::string body;
+        if (ok(outcome)) {
+            body = value(outcome);
+        }
+        else {
+            status = "500";
+            body = encode(codec::protobuf, to_message(failure(outcome)));
+        }
+        loop.post([weak, stream, status, body = std::move(body)] {
+            if (const auto session = weak.lock()) {
+                session->submit_response(stream, {{":status", status}}, body);
+            }
+        });
+    }
+};
+
+peer_server::peer_server(event_loop& loop, const dispatcher& calls)
+    : state_(std::make_shared<state>(loop, calls))
+{
+}
+
+peer_server::~peer_server()
+{
+    close();
+}
+
+result<std::string> peer_server::open(const std::string& address)
+{
+    const auto parsed = internal::parse_endpoint(address);
+    if (!ok(parsed)) {
+        return failure(parsed);
+    }
+    const auto& [host, port] = value(parsed);
+    const tcp::endpoint local(boost::asio::ip::make_address(host), port);
+    boost::system::error_code refused;
+    state_->acceptor.open(local.protocol(), refused);
+    state_->acceptor.set_option(tcp::acceptor::reuse_address(true), refused);
+    state_->acceptor.bind(local, refused);
+    if (!refused) {
+        state_->acceptor.listen(boost::asio::socket_base::max_listen_connections, refused);
+    }
+    if (refused) {
+        return error{error_code::unavailable, run_state::not_run,
+                     "cannot listen on " + address + ": " + refused.message()};
+    }
+    const auto bound = host + ":" + std::to_string(state_->acceptor.local_endpoint().port());
+    state_->loop.post([shared = state_] { shared->accept(); });
+    return bound;
+}
+
+void peer_server::close()
+{
+    auto closed = std::make_shared<std::promise<void>>();
+    auto future = closed->get_future();
+    state_->loop.post([shared = state_, closed] {
+        boost::system::error_code ignored;
+        shared->acceptor.close(ignored);
+        const auto open_sessions = shared->sessions;
+        for (const auto& session : open_sessions) {
+            session->close();
+        }
+        closed->set_value();
+    });
+    // A loop that has stopped runs nothing any more, and holds no session that could call back.
+    future.wait_for(std::chrono::seconds{1});
+}
+
+} // namespace vanillagauge::wire
--- /dev/null
+++ b/tests/wire/call_tests.cpp
@@ -0,0 +1,216 @@
+#include "wire/wire.hpp"
+
+#include "target.pb.h"
+
+#include <gtest/gtest.h>
+
+namespace vanillagauge::wire {
+namespace {
+
+class echo_service final : public target::v1::PlainService {
+public:
+    void Call(google::protobuf::RpcController* base, const target::v1::CallRequest* request,
+              target::v1::CallReply* reply, google::protobuf::Closure* done) override
+    {
+        if (request->body() == "fail") {
+            from(base).fail({error_code::overloaded, run_state::not_run, "asked to", milliseconds{250}});
+        }
+        reply->set_request_id(request->request_id());
+        reply->set_body(request->body());
+        done->Run();
+    }
+};
+
+class counting_engine final : public target::v1::Engine {
+public:
+    void Generate(google::protobuf::RpcController* base, const target::v1::GenerateRequest* request,
+                  target::v1::GenerateChunk* /*unused*/, google::protobuf::Closure* done) override
+    {
+        for (int place = 0; place < request->max_tokens(); ++place) {
+            target::v1::GenerateChunk chunk;
+            chunk.set_sequence(place);
+            from(base).write(chunk);
+        }
+        if (request->prompt() == "break") {
+            from(base).fail({error_code::unavailable, run_state::ran, "broke"});
+        }
+        done->Run();
+    }
+};
+
+struct served {
+    event_loop loop;
+    echo_service echo;
+    counting_engine engine;
+    dispatcher calls{access_table{{{role::caller, "secret"}}}};
+    http_server http{calls, {}};
+    peer_server peers{loop, calls};
+    std::string http_address;
+    std::string peer_address;
+
+    served()
+    {
+        calls.mount(echo, role::caller);
+        calls.mount(engine, role::anyone);
+        http_address = value(http.open("127.0.0.1:0"));
+        peer_address = value(peers.open("127.0.0.1:0"));
+    }
+};
+
+target::v1::CallRequest request_with(const std::string& body)
+{
+    target::v1::CallRequest request;
+    request.set_request_id("r1");
+    request.set_body(body);
+    return request;
+}
+
+call_options with_token(const std::string& token)
+{
+    call_options options;
+    options.token = token;
+    return options;
+}
+
+const std::string call_path = method<target::v1::PlainService>("Call");
+
+TEST(http_call, the_answer_belongs_to_the_request)
+{
+    served server;
+    http_channel link(server.loop, server.http_address);
+    const auto reply =
+        call_and_wait<target::v1::CallReply>(link, call_path, request_with("hello"), with_token("secret"));
+    ASSERT_TRUE(ok(reply)) << describe(failure(reply));
+    EXPECT_EQ(value(reply).body(), "hello");
+}
+
+TEST(http_call, a_wrong_token_is_refused_as_not_run)
+{
+    served server;
+    http_channel link(server.loop, server.http_address);
+    const auto reply =
+        call_and_wait<target::v1::CallReply>(link, call_path, request_with("x"), with_token("wrong!"));
+    ASSERT_FALSE(ok(reply));
+    EXPECT_EQ(failure(reply).code, error_code::unauthenticated);
+    EXPECT_EQ(failure(reply).ran, run_state::not_run);
+}
+
+TEST(http_call, a_typed_error_keeps_its_code_run_state_and_advice)
+{
+    served server;
+    http_channel link(server.loop, server.http_address);
+    const auto reply =
+        call_and_wait<target::v1::CallReply>(link, call_path, request_with("fail"), with_token("secret"));
+    ASSERT_FALSE(ok(reply));
+    EXPECT_EQ(failure(reply).code, error_code::overloaded);
+    EXPECT_EQ(failure(reply).ran, run_state::not_run);
+    EXPECT_EQ(failure(reply).retry_after, milliseconds{250});
+}
+
+TEST(http_call, a_refused_connection_is_known_not_to_have_run)
+{
+    event_loop loop;
+    http_channel link(loop, "127.0.0.1:1");
+    const auto reply = call_and_wait<target::v1::CallReply>(link, call_path, request_with("x"), {});
+    ASSERT_FALSE(ok(reply));
+    EXPECT_EQ(failure(reply).ran, run_state::not_run);
+}
+
+struct collected {
+    std::vector<int> sequences;
+    result<done> outcome = done{};
+};
+
+collected collect(channel& link, const std::string& prompt, int count)
+{
+    target::v1::GenerateRequest request;
+    request.set_prompt(prompt);
+    request.set_max_tokens(count);
+    collected seen;
+    std::promise<void> finished;
+    stream<target::v1::GenerateChunk>(
+        link, method<target::v1::Engine>("Generate"), request, {},
+        [&seen](const target::v1::GenerateChunk& chunk) { seen.sequences.push_back(chunk.sequence()); },
+        [&](const result<done>& outcome) {
+            seen.outcome = outcome;
+            finished.set_value();
+        });
+    finished.get_future().wait();
+    return seen;
+}
+
+class streamed_answer : public testing::TestWithParam<codec> {};
+
+TEST_P(streamed_answer, arrives_whole_and_in_order)
+{
+    served server;
+    http_channel link(server.loop, server.http_address, GetParam());
+    const auto seen = collect(link, "go", 50);
+    ASSERT_TRUE(ok(seen.outcome)) << describe(failure(seen.outcome));
+    ASSERT_EQ(seen.sequences.size(), 50U);
+    EXPECT_EQ(seen.sequences.back(), 49);
+}
+
+TEST_P(streamed_answer, that_breaks_off_ends_with_the_typed_error)
+{
+    served server;
+    http_channel link(server.loop, server.http_address, GetParam());
+    const auto seen = collect(link, "break", 3);
+    EXPECT_EQ(seen.sequences.size(), 3U);
+    ASSERT_FALSE(ok(seen.outcome));
+    EXPECT_EQ(failure(seen.outcome).code, error_code::unavailable);
+    EXPECT_EQ(failure(seen.outcome).ran, run_state::ran);
+}
+
+INSTANTIATE_TEST_SUITE_P(both_codecs, streamed_answer, testing::Values(codec::json, codec::protobuf));
+
+TEST(peer_call, many_calls_share_one_connection_and_keep_their_answers)
+{
+    served server;
+    peer_channel link(server.loop, server.peer_address);
+    constexpr int count = 200;
+    std::vector<std::promise<std::string>> answers(count);
+    for (int place = 0; place < count; ++place) {
+        call<target::v1::CallReply>(link, call_path, request_with(std::to_string(place)),
+                                    with_token("secret"),
+                                    [&answers, place](result<target::v1::CallReply> reply) {
+                                        answers[place].set_value(ok(reply) ? value(reply).body() : "failed");
+                                    });
+    }
+    for (int place = 0; place < count; ++place) {
+        EXPECT_EQ(answers[place].get_future().get(), std::to_string(place));
+    }
+}
+
+TEST(peer_call, a_large_message_arrives_whole)
+{
+    served server;
+    peer_channel link(server.loop, server.peer_address);
+    const std::string large(9U << 20U, 'x');
+    const auto reply =
+        call_and_wait<target::v1::CallReply>(link, call_path, request_with(large), with_token("secret"));
+    ASSERT_TRUE(ok(reply)) << describe(failure(reply));
+    EXPECT_EQ(value(reply).body().size(), large.size());
+}
+
+TEST(peer_call, a_dead_peer_is_known_not_to_have_run_the_call)
+{
+    event_loop loop;
+    peer_channel link(loop, "127.0.0.1:1");
+    const auto reply = call_and_wait<target::v1::CallReply>(link, call_path, request_with("x"), {});
+    ASSERT_FALSE(ok(reply));
+    EXPECT_EQ(failure(reply).ran, run_state::not_run);
+}
+
+TEST(peer_call, a_typed_error_keeps_its_code)
+{
+    served server;
+    peer_channel link(server.loop, server.peer_address);
+    const auto reply =
+        call_and_wait<target::v1::CallReply>(link, call_path, request_with("fail"), with_token("secret"));
+    ASSERT_FALSE(ok(reply));
+    EXPECT_EQ(failure(reply).code, error_code::overloaded);
+}
+
+} // namespace
+} // namespace vanillagauge::wire
