--- /dev/null
+++ b/src/samples/job_state.cpp
@@ -0,0 +1,359 @@
+#include "samples/job_state.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::samples {
+namespace {
+
+error stale(std::string detail)
+{
+    return {error_code::stale_cursor, run_state::not_run, std::move(detail)};
+}
+
+std::uint64_t less_by(std::uint64_t version, std::int64_t versions)
+{
+    const auto by = static_cast<std::uint64_t>(std::max<std::int64_t>(versions, 0));
+    return version > by ? version - by : 0;
+}
+
+int own_tokens(const attempt& stream)
+{
+    return stream.so_far.spans.tokens() - stream.resumed_tokens;
+}
+
+} // namespace
+
+job_state::job_state(job_shape shape) : shape_(std::move(shape))
+{
+    open_window();
+}
+
+void job_state::open_window()
+{
+    for (std::int64_t step = step_; step <= step_ + shape_.lookahead; ++step) {
+        steps_.try_emplace(step, step_slots(shape_.slots()));
+    }
+}
+
+job_state::slot_state* job_state::slot_at(const slot_key& key)
+{
+    const auto found = steps_.find(key.step);
+    return found == steps_.end() || key.place >= found->second.size() ? nullptr : &found->second[key.place];
+}
+
+result<cursor> job_state::locate(const cursor& presented) const
+{
+    if (presented.job != shape_.job || presented.taken.size() != shape_.slots()) {
+        return stale("the cursor belongs to another job or to an earlier form of this one");
+    }
+    cursor position = presented;
+    if (complete(position)) {
+        position = step_start(shape_.job, presented.step + 1, shape_.slots());
+    }
+    if (position.step < step_) {
+        return stale("expected a cursor of step " + std::to_string(step_) + ", found step " +
+                     std::to_string(position.step));
+    }
+    return position;
+}
+
+std::vector<attempt> job_state::on_pull(const cursor& position, std::uint64_t trainer_version)
+{
+    std::vector<attempt> ended;
+    trainer_version_ = std::max(trainer_version_, trainer_version);
+    if (position.step > step_) {
+        ended = close_steps_before(position.step);
+        step_ = position.step;
+        open_window();
+    }
+    discard_stale();
+    for (auto& more : {acknowledge(position), cancel_hopeless()}) {
+        ended.insert(ended.end(), more.begin(), more.end());
+    }
+    return ended;
+}
+
+std::vector<attempt> job_state::cancel(const std::vector<attempt_id>& streams)
+{
+    std::vector<attempt> ended;
+    for (const auto id : streams) {
+        ended.push_back(take_out(id));
+        waste(own_tokens(ended.back()));
+        ++counts_.cancelled;
+    }
+    return ended;
+}
+
+// The cursor has moved past these steps, so no slot of theirs is ever to be delivered by this owner.
+std::vector<attempt> job_state::close_steps_before(std::int64_t step)
+{
+    std::vector<attempt_id> past;
+    for (const auto& [id, stream] : attempts_) {
+        if (stream.slot.step < step) {
+            past.push_back(id);
+        }
+    }
+    auto ended = cancel(past);
+    const auto last = steps_.lower_bound(step);
+    for (auto closed = steps_.begin(); closed != last; ++closed) {
+        for (const auto& slot : closed->second) {
+            waste(slot.ready && !slot.served ? slot.ready->spans.tokens() : 0);
+            waste(slot.partial.spans.tokens());
+        }
+    }
+    steps_.erase(steps_.begin(), last);
+    return ended;
+}
+
+// Only the cursor says what the trainer holds. An owner that has just taken over learns here which slots its
+// predecessor delivered, and generates the others alone; a cursor that lacks a slot, whatever this owner
+// remembers of serving it, gets it again.
+std::vector<attempt> job_state::acknowledge(const cursor& position)
+{
+    std::vector<attempt_id> needless;
+    auto& slots = steps_[position.step];
+    for (std::size_t place = 0; place < slots.size(); ++place) {
+        slots[place].acknowledged = position.taken[place];
+    }
+    for (const auto& [id, stream] : attempts_) {
+        if (stream.slot.step == position.step && position.taken[stream.slot.place]) {
+            needless.push_back(id);
+        }
+    }
+    return cancel(needless);
+}
+
+// The trainer publishes about one version a step, so a sample of k steps ahead is pulled by a trainer k
+// versions on. What is too old for that already would be thrown away at the pull after costing all its
+// tokens.
+bool job_state::can_make_it(const product& sample, std::int64_t step) const
+{
+    const auto oldest = sample.spans.oldest();
+    if (oldest == 0) {
+        return true;
+    }
+    const auto ahead = static_cast<std::uint64_t>(std::max<std::int64_t>(step - step_, 0));
+    return fresh(oldest, trainer_version_ + ahead, shape_.max_staleness);
+}
+
+std::vector<attempt> job_state::cancel_hopeless()
+{
+    std::vector<attempt_id> hopeless;
+    for (const auto& [id, stream] : attempts_) {
+        if (!can_make_it(stream.so_far, stream.slot.step)) {
+            waste(stream.resumed_tokens);
+            hopeless.push_back(id);
+        }
+    }
+    return cancel(hopeless);
+}
+
+void job_state::discard_stale()
+{
+    for (auto& [step, slots] : steps_) {
+        for (auto& slot : slots) {
+            if (slot.ready && !slot.acknowledged && !can_make_it(*slot.ready, step)) {
+                ++counts_.discarded_stale;
+                waste(slot.ready->spans.tokens());
+                slot.served = false;
+                slot.ready.reset();
+            }
+            if (!can_make_it(slot.partial, step)) {
+                waste(slot.partial.spans.tokens());
+                slot.partial = {};
+            }
+        }
+    }
+}
+
+delivery job_state::collect(const cursor& position, std::uint64_t trainer_version, std::size_t most)
+{
+    delivery found;
+    found.next = position;
+    const auto step = steps_.find(position.step);
+    const bool held_back = shape_.whole_steps && filled(position.step) < shape_.slots();
+    if (step == steps_.end() || held_back) {
+        return found;
+    }
+    for (std::size_t place = 0; place < step->second.size() && found.samples.size() < most; ++place) {
+        auto& slot = step->second[place];
+        const bool wanted = slot.ready && !position.taken[place];
+        if (wanted && fresh(slot.ready->spans.oldest(), trainer_version, shape_.max_staleness)) {
+            found.samples.push_back({{position.step, place}, *slot.ready});
+            found.next.taken[place] = true;
+            slot.served = true;
+            ++counts_.delivered;
+        }
+    }
+    found.step_complete = complete(found.next);
+    return found;
+}
+
+attempt job_state::add_attempt(const slot_key& slot, const std::string& engine, product from, time_point now)
+{
+    attempt stream;
+    stream.id = next_attempt_++;
+    stream.slot = slot;
+    stream.engine = engine;
+    stream.resumed_tokens = from.spans.tokens();
+    stream.so_far = std::move(from);
+    stream.started = now;
+    stream.moved = now;
+    ++slot_at(slot)->streams;
+    attempts_[stream.id] = stream;
+    return stream;
+}
+
+attempt job_state::begin(const slot_key& slot, const std::string& engine, time_point now)
+{
+    product from = std::move(slot_at(slot)->partial);
+    slot_at(slot)->partial = {};
+    counts_.resumed += from.spans.tokens() > 0 ? 1 : 0;
+    return add_attempt(slot, engine, std::move(from), now);
+}
+
+std::optional<attempt> job_state::race(const slot_key& slot, const std::string& engine, time_point now)
+{
+    const auto first = std::find_if(attempts_.begin(), attempts_.end(), [&](const auto& entry) {
+        return entry.second.slot == slot && !entry.second.generated;
+    });
+    const auto* state = slot_at(slot);
+    if (first == attempts_.end() || state == nullptr || state->streams != 1) {
+        return std::nullopt;
+    }
+    ++counts_.raced;
+    return add_attempt(slot, engine, first->second.so_far, now);
+}
+
+attempt job_state::take_out(attempt_id id)
+{
+    const auto found = attempts_.find(id);
+    attempt stream = std::move(found->second);
+    attempts_.erase(found);
+    if (auto* slot = slot_at(stream.slot)) {
+        --slot->streams;
+    }
+    return stream;
+}
+
+std::optional<attempt> job_state::interrupt(attempt_id id)
+{
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end() || found->second.generated) {
+        return std::nullopt;
+    }
+    const attempt stream = found->second;
+    on_broken(id, true);
+    return stream;
+}
+
+bool job_state::on_chunk(attempt_id id, const std::string& text, std::uint64_t version, int tokens,
+                         time_point now)
+{
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) {
+        return false;
+    }
+    found->second.so_far.text += text;
+    found->second.so_far.spans.add(version, tokens);
+    found->second.moved = now;
+    return true;
+}
+
+// First whole answer wins: from here no other stream can fill the slot, and the losers' tokens are the price.
+std::optional<product> job_state::on_generated(attempt_id id, std::vector<attempt>& losers)
+{
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) {
+        return std::nullopt;
+    }
+    found->second.generated = true;
+    std::vector<attempt_id> others;
+    for (const auto& [other, stream] : attempts_) {
+        if (other != id && stream.slot == found->second.slot) {
+            others.push_back(other);
+        }
+    }
+    for (const auto other : others) {
+        losers.push_back(take_out(other));
+        const bool winner_used_it = losers.back().resumed_tokens < found->second.resumed_tokens;
+        waste(own_tokens(losers.back()) - (winner_used_it ? found->second.resumed_tokens : 0));
+        ++counts_.cancelled;
+    }
+    return found->second.so_far;
+}
+
+void job_state::on_ready(attempt_id id, product sample)
+{
+    if (!attempts_.contains(id)) {
+        return;
+    }
+    const attempt stream = take_out(id);
+    if (auto* slot = slot_at(stream.slot)) {
+        slot->ready = std::move(sample);
+        slot->partial = {};
+    }
+    discard_stale();
+}
+
+// While a racing stream still runs, the slot goes on with that one.
+void job_state::on_broken(attempt_id id, bool keep)
+{
+    if (!attempts_.contains(id)) {
+        return;
+    }
+    attempt stream = take_out(id);
+    auto* slot = slot_at(stream.slot);
+    if (slot == nullptr || slot->streams > 0) {
+        waste(own_tokens(stream));
+        return;
+    }
+    if (!keep || !can_make_it(stream.so_far, stream.slot.step)) {
+        waste(stream.so_far.spans.tokens());
+        return;
+    }
+    slot->partial = std::move(stream.so_far);
+}
+
+std::optional<candidate_slot> job_state::next_slot() const
+{
+    for (const auto& [step, slots] : steps_) {
+        const auto ahead = step - step_;
+        const auto bound = ahead == 0 ? shape_.max_staleness : shape_.planned_staleness;
+        for (std::size_t place = 0; place < slots.size(); ++place) {
+            if (!slots[place].filled() && slots[place].streams == 0) {
+                return candidate_slot{{step, place}, less_by(trainer_version_ + std::uint64_t(ahead), bound)};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<attempt> job_state::running() const
+{
+    std::vector<attempt> all;
+    all.reserve(attempts_.size());
+    for (const auto& [id, stream] : attempts_) {
+        all.push_back(stream);
+    }
+    return all;
+}
+
+std::optional<attempt> job_state::find(attempt_id id) const
+{
+    const auto found = attempts_.find(id);
+    return found == attempts_.end() ? std::nullopt : std::optional<attempt>(found->second);
+}
+
+std::size_t job_state::filled(std::int64_t step) const
+{
+    const auto found = steps_.find(step);
+    if (found == steps_.end()) {
+        return 0;
+    }
+    const auto& slots = found->second;
+    return static_cast<std::size_t>(
+        std::count_if(slots.begin(), slots.end(), [](const auto& slot) { return slot.filled(); }));
+}
+
+} // namespace vanillagauge::samples
--- a/src/samples/samples.hpp
+++ b/src/samples/samples.hpp
@@ -2,7 +2,11 @@
 #ifndef VANILLAGAUGE_SAMPLES_SAMPLES_HPP
 #define VANILLAGAUGE_SAMPLES_SAMPLES_HPP
 
+#include "samples/checkpoint.hpp"
 #include "samples/cursor.hpp"
+#include "samples/job_state.hpp"
 #include "samples/labels.hpp"
+#include "samples/product.hpp"
+#include "samples/stream_check.hpp"
 
 #endif
