Decide placement of steps, stragglers, weight waves and order fencing in pure code

A step's samples went to the less loaded of two engines whatever prompt they share, nothing looked at the end of a step, waves were a fixed quarter and no order carried a fencing number. Each decision is now a function of what is seen and the time: groups keep to an engine within a load bound, silent streams resume and slow ones race, waves follow the operator's weight, and a fence tells right before each order whether this process may give it.

--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -3,5 +3,9 @@
 #define VANILLAGAUGE_POLICY_POLICY_HPP
 
 #include "policy/placement.hpp"
+#include "policy/step_placement.hpp"
+#include "policy/straggler.hpp"
+#include "policy/wave_fence.hpp"
+#include "policy/wave_plan.hpp"
 
 #endif
--- /dev/null
+++ b/src/policy/wave_plan.cpp
@@ -0,0 +1,119 @@
+#include "policy/wave_plan.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::policy {
+namespace {
+
+constexpr std::size_t staleness_share = 2;
+constexpr std::size_t idle_share = 8;
+constexpr milliseconds first_retry{250};
+constexpr int most_doublings = 5;
+
+bool behind(const wave_engine& engine, std::uint64_t announced)
+{
+    return engine.version < announced && !engine.leaving;
+}
+
+bool backing_off(const wave_engine& engine, time_point now)
+{
+    if (engine.failures == 0) {
+        return false;
+    }
+    return now < engine.failed_at + first_retry * (1 << std::min(engine.failures - 1, most_doublings));
+}
+
+/// Those whose work loses least come first; among equals the oldest weights.
+void sort_by_cost(std::vector<const wave_engine*>& waiting)
+{
+    std::stable_sort(waiting.begin(), waiting.end(), [](const wave_engine* left, const wave_engine* right) {
+        return left->in_flight != right->in_flight ? left->in_flight < right->in_flight
+                                                   : left->version < right->version;
+    });
+}
+
+void sort_by_age(std::vector<const wave_engine*>& waiting)
+{
+    std::stable_sort(waiting.begin(), waiting.end(), [](const wave_engine* left, const wave_engine* right) {
+        return left->version < right->version;
+    });
+}
+
+std::vector<std::string> to_fetch(const std::vector<wave_engine>& engines, std::uint64_t announced)
+{
+    std::vector<std::string> chosen;
+    for (const auto& engine : engines) {
+        if (behind(engine, announced) && !engine.fetched && !engine.fetching) {
+            chosen.push_back(engine.id);
+        }
+    }
+    return chosen;
+}
+
+std::vector<std::string> drain_then_all(const std::vector<wave_engine>& engines, std::uint64_t announced,
+                                        time_point now)
+{
+    std::vector<std::string> chosen;
+    for (const auto& engine : engines) {
+        if (!engine.leaving && engine.in_flight > 0) {
+            return {};
+        }
+        if (behind(engine, announced) && engine.fetched && !engine.ordering && !backing_off(engine, now)) {
+            chosen.push_back(engine.id);
+        }
+    }
+    return chosen;
+}
+
+} // namespace
+
+std::size_t most_loading(std::size_t able, wave_weight weight)
+{
+    const std::size_t share = weight == wave_weight::staleness ? staleness_share : idle_share;
+    return std::max<std::size_t>(1, able / share);
+}
+
+// Load pattern: a new version every step, an engine that loads serves nothing, and the weight store grants a
+// few fetches a second. All at once leaves the step without engines and queues at the store; one by one, the
+// last engine makes stale samples until the next version is out. The weight store is asked ahead of the
+// order, so a wave never waits for it while engines stand still. `staleness` loads half at once, oldest
+// first: fewer than half stretches the time in which stale samples are made, more leaves the current step too
+// few engines. `idle` loads an eighth, the least busy first: a load costs the streams it interrupts, and an
+// eighth fewer engines is about what a step's tail leaves unused. A failed load is tried again after 250 ms,
+// doubled up to 8 s, so one broken engine neither blocks its wave nor floods the store. The target is always
+// the newest announced version, so orders only go up, and an engine that reports older weights than ordered
+// is behind again, whatever an earlier order answered.
+wave_actions plan_wave(const std::vector<wave_engine>& engines, std::uint64_t announced, wave_weight weight,
+                       time_point now)
+{
+    wave_actions actions;
+    actions.fetch = to_fetch(engines, announced);
+    if (weight == wave_weight::drain_all) {
+        actions.hold_new_work = std::any_of(engines.begin(), engines.end(), [&](const wave_engine& engine) {
+            return behind(engine, announced) && engine.reachable;
+        });
+        actions.order = drain_then_all(engines, announced, now);
+        return actions;
+    }
+    std::size_t able = 0;
+    std::size_t loading = 0;
+    std::vector<const wave_engine*> waiting;
+    for (const auto& engine : engines) {
+        able += !engine.leaving && engine.reachable ? 1 : 0;
+        loading += engine.ordering ? 1 : 0;
+        const bool due = behind(engine, announced) && engine.fetched && !engine.ordering;
+        if (due && engine.reachable && !backing_off(engine, now)) {
+            waiting.push_back(&engine);
+        }
+    }
+    weight == wave_weight::idle ? sort_by_cost(waiting) : sort_by_age(waiting);
+    const std::size_t most = most_loading(able, weight);
+    for (const auto* engine : waiting) {
+        if (loading + actions.order.size() < most) {
+            actions.order.push_back(engine->id);
+        }
+    }
+    return actions;
+}
+
+} // namespace vanillagauge::policy
--- /dev/null
+++ b/tests/policy/wave_fence_tests.cpp
@@ -0,0 +1,121 @@
+#include "policy/policy.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillagauge::policy {
+namespace {
+
+constexpr time_point start{seconds{1000}};
+
+fence_settings settings(const std::string& self, bool enforced)
+{
+    return {self, enforced, seconds{3}, seconds{5}};
+}
+
+/// Takes the lease as the first of all.
+wave_fence holder(bool enforced)
+{
+    wave_fence fence(settings("a", enforced));
+    fence.on_view(true, start, start);
+    EXPECT_EQ(fence.next(start), fence_action::read);
+    fence.on_read("", 0, start);
+    EXPECT_EQ(fence.next(start), fence_action::write);
+    fence.on_written(1, start);
+    return fence;
+}
+
+TEST(wave_fence, lets_the_first_holder_order_at_once_with_the_number_of_its_write)
+{
+    for (const bool enforced : {false, true}) {
+        EXPECT_EQ(holder(enforced).may_order(start), 1U);
+    }
+}
+
+TEST(wave_fence, is_closed_to_a_process_that_the_view_does_not_name)
+{
+    auto fence = holder(true);
+    fence.on_view(false, start, start);
+    EXPECT_FALSE(fence.may_order(start).has_value());
+    EXPECT_EQ(fence.next(start + seconds{1}), fence_action::none);
+}
+
+// The holder is paused for longer than its lease and wakes in the middle of a wave. Its engines ignore
+// fencing numbers, so nothing but its own clock keeps it from loading weights that its successor has
+// replaced.
+TEST(wave_fence, stops_a_holder_that_wakes_after_its_lease)
+{
+    auto paused = holder(false);
+    EXPECT_TRUE(paused.may_order(start + milliseconds{2999}).has_value());
+    EXPECT_FALSE(paused.may_order(start + seconds{3}).has_value());
+    const auto woken = start + seconds{20};
+    paused.on_view(true, woken, woken);
+    EXPECT_FALSE(paused.may_order(woken).has_value());
+    ASSERT_EQ(paused.next(woken), fence_action::write);
+    paused.on_conflict();
+    EXPECT_FALSE(paused.may_order(woken).has_value());
+}
+
+// The lease begins when the write was asked for. Counted from the answer, a pause between the two would let
+// the holder outlive what its successor waits for.
+TEST(wave_fence, counts_the_lease_from_the_moment_the_write_was_asked)
+{
+    wave_fence fence(settings("a", false));
+    fence.on_view(true, start, start);
+    fence.next(start);
+    fence.on_read("", 0, start);
+    fence.next(start);
+    fence.on_written(1, start);
+    fence.on_view(true, start + seconds{4}, start + seconds{4});
+    EXPECT_FALSE(fence.may_order(start + seconds{4}).has_value());
+}
+
+TEST(wave_fence, makes_a_successor_wait_for_lease_and_longest_order_where_numbers_are_ignored)
+{
+    wave_fence next(settings("b", false));
+    next.on_view(true, start, start);
+    next.next(start);
+    next.on_read("a", 7, start);
+    EXPECT_EQ(next.next(start + seconds{7}), fence_action::none);
+    const auto after = start + seconds{8};
+    next.on_view(true, after, after);
+    ASSERT_EQ(next.next(after), fence_action::write);
+    next.on_written(8, after);
+    EXPECT_EQ(next.may_order(after), 8U);
+}
+
+TEST(wave_fence, lets_a_successor_order_at_once_where_numbers_are_enforced)
+{
+    wave_fence next(settings("b", true));
+    next.on_view(true, start, start);
+    next.next(start);
+    next.on_read("a", 7, start);
+    ASSERT_EQ(next.next(start), fence_action::write);
+    next.on_written(8, start);
+    EXPECT_EQ(next.may_order(start), 8U);
+}
+
+// The store is down for long: no lease can be renewed. Without orders the trainers' versions would leave the
+// engines behind until no sample is fresh enough, so the holder goes on with the number it remembers as long
+// as the view is fresh, and a successor after the wait with the highest number an engine has told.
+TEST(wave_fence, goes_on_through_an_outage_with_the_number_remembered)
+{
+    auto fence = holder(false);
+    const auto later = start + seconds{9};
+    fence.on_view(true, later, later);
+    fence.next(later);
+    fence.on_failed(later);
+    EXPECT_EQ(fence.may_order(later), 1U);
+    EXPECT_FALSE(fence.may_order(later + seconds{3}).has_value());
+
+    wave_fence next(settings("b", true));
+    next.on_view(true, start, start);
+    next.next(start);
+    next.on_failed(start);
+    next.on_number(9);
+    next.on_view(true, later, later);
+    EXPECT_FALSE(next.may_order(start + seconds{2}).has_value());
+    EXPECT_EQ(next.may_order(later), 9U);
+}
+
+} // namespace
+} // namespace vanillagauge::policy
