--- a/src/config/specs.cpp
+++ b/src/config/specs.cpp
@@ -47,6 +47,7 @@
     "max_tokens": {"type": "integer", "minimum": 1, "maximum": 1000000},
     "weight": {"type": "integer", "minimum": 1, "maximum": 1000},
     "preference": {"enum": ["staleness", "idle"]},
+    "plain": {"type": "boolean"},
     "prompts": {"type": "array", "minItems": 1, "items": {"type": "string"}}
   }
 })json";
@@ -120,6 +121,7 @@
     spec.weight = all.value("weight", spec.weight);
     spec.preference =
         all.value("preference", "staleness") == "idle" ? job_preference::idle : job_preference::staleness;
+    spec.plain = all.value("plain", spec.plain);
     all.at("prompts").get_to(spec.prompts);
     return spec;
 }
--- /dev/null
+++ b/src/rollout/checkpoint_store.cpp
@@ -0,0 +1,139 @@
+#include "rollout/checkpoint_store.hpp"
+
+#include "wire/call.hpp"
+
+#include "vanillagauge.pb.h"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillagauge::rollout {
+namespace {
+
+constexpr const char* kind = "checkpoint";
+constexpr milliseconds store_timeout{4000};
+
+wire::call_options options_of(const node::keeper_link& keeper)
+{
+    wire::call_options options;
+    options.timeout = store_timeout;
+    options.token = keeper.token();
+    return options;
+}
+
+std::string to_text(const samples::checkpoint& record)
+{
+    return nlohmann::json{{"step", record.step}, {"trainer_version", record.trainer_version}}.dump();
+}
+
+std::optional<samples::checkpoint> parse(const std::string& text)
+{
+    const auto all = nlohmann::json::parse(text, nullptr, false);
+    const bool sound = all.is_object() && all.contains("step") && all["step"].is_number_integer() &&
+                       all.contains("trainer_version") && all["trainer_version"].is_number_integer();
+    if (!sound) {
+        return std::nullopt;
+    }
+    return samples::checkpoint{all["step"].get<std::int64_t>(), all["trainer_version"].get<std::uint64_t>()};
+}
+
+} // namespace
+
+void checkpoint_store::reach(const samples::checkpoint& record)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        writer_.reach(record);
+    }
+    tick();
+}
+
+void checkpoint_store::tick()
+{
+    bool must_read = false;
+    std::optional<samples::checkpoint_write> change;
+    {
+        const std::lock_guard lock(mutex_);
+        must_read = writer_.must_read(steady::now());
+        change = writer_.next(steady::now());
+    }
+    if (change) {
+        write(*change);
+    }
+    if (must_read) {
+        load([self = shared_from_this()](const result<stored>& found) {
+            const std::lock_guard lock(self->mutex_);
+            if (ok(found)) {
+                self->writer_.on_read(value(found).record, value(found).version);
+            }
+            else {
+                self->writer_.on_failed(steady::now());
+            }
+        });
+    }
+}
+
+void checkpoint_store::read(read_done on_done)
+{
+    load([on_done = std::move(on_done)](const result<stored>& found) {
+        if (!ok(found)) {
+            on_done(failure(found));
+            return;
+        }
+        on_done(value(found).record);
+    });
+}
+
+void checkpoint_store::load(std::function<void(result<stored>)> on_done)
+{
+    v1::LoadRequest request;
+    request.set_kind(kind);
+    request.set_name(job_);
+    wire::call<v1::LoadReply>(context_.keeper.channel(), wire::method<v1::KeeperLocal>("Load"), request,
+                              options_of(context_.keeper),
+                              [on_done = std::move(on_done)](const result<v1::LoadReply>& reply) {
+                                  if (!ok(reply)) {
+                                      on_done(failure(reply));
+                                      return;
+                                  }
+                                  const auto& entry = value(reply).entry();
+                                  stored found{std::nullopt, entry.version()};
+                                  if (entry.version() > 0 && !entry.deleted()) {
+                                      found.record = parse(entry.spec_json());
+                                      if (!found.record) {
+                                          on_done(error{error_code::internal, run_state::not_run,
+                                                        "the stored checkpoint cannot be read"});
+                                          return;
+                                      }
+                                  }
+                                  on_done(found);
+                              });
+}
+
+// A conflict and an unknown outcome are both settled by the read that follows.
+void checkpoint_store::write(const samples::checkpoint_write& change)
+{
+    v1::StoreRequest request;
+    request.set_kind(kind);
+    request.set_name(job_);
+    request.set_spec_json(to_text(change.record));
+    request.set_expected_version(change.expected_version);
+    wire::call<v1::StoreReply>(context_.keeper.channel(), wire::method<v1::KeeperLocal>("Store"), request,
+                               options_of(context_.keeper),
+                               [self = shared_from_this()](const result<v1::StoreReply>& reply) {
+                                   const std::lock_guard lock(self->mutex_);
+                                   if (ok(reply)) {
+                                       self->writer_.on_written(value(reply).version());
+                                   }
+                                   else {
+                                       self->writer_.on_failed(steady::now());
+                                   }
+                               });
+}
+
+std::int64_t checkpoint_store::recorded_step() const
+{
+    const std::lock_guard lock(mutex_);
+    return writer_.recorded_step();
+}
+
+} // namespace vanillagauge::rollout
--- a/src/rollout/context.hpp
+++ b/src/rollout/context.hpp
@@ -4,6 +4,7 @@
 
 #include "node/node.hpp"
 #include "observe/metrics.hpp"
+#include "rollout/engine_pool.hpp"
 
 namespace vanillagauge::rollout {
 
@@ -14,6 +15,7 @@
     node::keeper_link& keeper;
     node::channel_pool& targets;
     node::target_directory& directory;
+    engine_directory& engines;
     observe::metrics& metrics;
 };
 
--- /dev/null
+++ b/src/rollout/engine_pool.hpp
@@ -0,0 +1,95 @@
+/// What this process knows of each deployment's engines, and what it has in flight at each.
+#ifndef VANILLAGAUGE_ROLLOUT_ENGINE_POOL_HPP
+#define VANILLAGAUGE_ROLLOUT_ENGINE_POOL_HPP
+
+#include "config/specs.hpp"
+#include "node/keeper_link.hpp"
+#include "policy/policy.hpp"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace vanillagauge::rollout {
+
+struct engine_place {
+    std::string engine;
+    std::string address;
+};
+
+/// An engine's own word on itself.
+struct engine_report {
+    int capacity = 0; ///< 0: not told
+    std::uint64_t version = 0;
+};
+
+/// One deployment's shard, under its own lock.
+class engine_pool {
+public:
+    // Commands.
+    void update(const config::deployment_spec& spec);
+    /// A place at an engine; give it back with `release`. `in_turn` places as the plain baseline does.
+    std::optional<engine_place> acquire(const policy::sample_view& sample, bool in_turn, time_point now);
+    void release(const std::string& engine);
+    void note_version(const std::string& engine, std::uint64_t version);
+    /// `asked`: when the report was asked for. One from before the last order says nothing new.
+    void note_report(const std::string& engine, const engine_report& report, time_point asked);
+    /// The engine or the way to it failed; it gets nothing for a while that grows with each failure in a row.
+    void note_failure(const std::string& engine, time_point now);
+    void note_success(const std::string& engine);
+    void hold_new_work(bool hold);
+    void set_fetch(const std::string& engine, bool asking, std::uint64_t granted_version);
+    void begin_order(const std::string& engine);
+    void end_order(const std::string& engine, std::optional<std::uint64_t> in_force, time_point now);
+
+    // Queries.
+    config::deployment_spec spec() const;
+    std::vector<policy::wave_engine> wave_view(std::uint64_t announced, time_point now) const;
+    std::vector<engine_place> places() const;
+    /// Streams that all usable engines together may have.
+    int capacity(time_point now) const;
+    std::size_t free_places(std::uint64_t least_version, time_point now) const;
+    std::optional<std::string> address(const std::string& engine) const;
+
+private:
+    struct engine_state {
+        int in_flight = 0;
+        int limit = 16; ///< until it has told its capacity
+        std::uint64_t version = 0;
+        int failures = 0;
+        time_point not_before{};
+        bool asking_fetch = false;
+        std::uint64_t fetched_version = 0;
+        bool ordering = false;
+        int order_failures = 0;
+        time_point order_failed{};
+        time_point ordered{};
+    };
+    mutable std::mutex mutex_;
+    config::deployment_spec spec_;
+    std::map<std::string, engine_state> engines_;
+    std::size_t turn_ = 0;
+    bool held_ = false;
+
+    std::vector<policy::engine_view> views(time_point now) const;
+    static bool usable(const engine_state& state, time_point now);
+};
+
+class engine_directory {
+public:
+    /// Takes over the engine deployments of a new view.
+    void update(const node::view& view);
+    std::shared_ptr<engine_pool> find(const std::string& deployment) const;
+    std::map<std::string, std::shared_ptr<engine_pool>> all() const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::string, std::shared_ptr<engine_pool>> pools_;
+};
+
+} // namespace vanillagauge::rollout
+
+#endif
--- a/src/rollout/job_runner.cpp
+++ b/src/rollout/job_runner.cpp
@@ -1,6 +1,10 @@
 #include "rollout/job_runner.hpp"
 
 #include "observe/log.hpp"
+#include "rollout/sample_message.hpp"
+#include "rollout/scoring.hpp"
+
+#include <algorithm>
 
 namespace vanillagauge::rollout {
 namespace {
@@ -9,178 +13,184 @@
 constexpr milliseconds retry_pause{100};
 constexpr std::size_t default_pull = 64;
 
-v1::Sample to_message(const generated& product, const std::string& id, std::int64_t step, int group,
-                      int index)
+policy::step_view step_view_of(const samples::job_state& state, std::size_t free_places, time_point now)
 {
-    v1::Sample sample;
-    sample.set_id(id);
-    sample.set_step(step);
-    sample.set_group(group);
-    sample.set_index(index);
-    sample.set_text(product.text);
-    for (const auto& part : product.labels.spans()) {
-        auto* span = sample.add_spans();
-        span->set_version(part.version);
-        span->set_tokens(part.tokens);
-    }
-    sample.set_oldest_version(product.labels.oldest());
-    sample.set_score(product.score);
-    return sample;
+    policy::step_view step{state.shape().slots(), state.filled(state.step()), free_places, {}};
+    const auto running = state.running();
+    for (const auto& stream : running) {
+        if (stream.slot.step != state.step()) {
+            continue;
+        }
+        const auto streams = std::count_if(running.begin(), running.end(),
+                                           [&](const auto& other) { return other.slot == stream.slot; });
+        step.streams.push_back({stream.id, stream.so_far.spans.tokens() - stream.resumed_tokens,
+                                now - stream.started, now - stream.moved, streams > 1, stream.generated});
+    }
+    return step;
 }
 
 } // namespace
 
+// The trainer publishes a version about once a step, so a step generated k steps ahead is k versions old at
+// its pull. `idle` plans up to the whole bound: the trainer finds samples ready, some of which are then too
+// old. `staleness` plans half of it, rounded up, and no more than one step ahead.
+samples::job_shape shape_of(const config::job_spec& spec)
+{
+    const bool idle = spec.preference == config::job_preference::idle;
+    samples::job_shape shape;
+    shape.job = spec.name;
+    shape.group_size = static_cast<std::size_t>(spec.group_size);
+    shape.groups = static_cast<std::size_t>(spec.groups_per_step);
+    shape.max_staleness = spec.max_staleness;
+    shape.planned_staleness = idle ? spec.max_staleness : (spec.max_staleness + 1) / 2;
+    shape.lookahead = idle ? spec.max_staleness : std::min(spec.max_staleness, 1);
+    if (spec.plain) {
+        shape.lookahead = 0;
+        shape.whole_steps = true;
+    }
+    return shape;
+}
+
 job_runner::job_runner(const context& shared, config::job_spec spec)
-    : context_(shared), spec_(std::move(spec))
+    : context_(shared), spec_(std::move(spec)),
+      stream_prefix_(shared.settings.vm + "-" + hex(node::new_incarnation())),
+      checkpoint_(std::make_shared<checkpoint_store>(shared, spec_.name)), state_(shape_of(spec_))
 {
-    slots_.resize(static_cast<std::size_t>(spec_.group_size) *
-                  static_cast<std::size_t>(spec_.groups_per_step));
 }
 
-std::string job_runner::sample_id(std::int64_t step, std::size_t place) const
+std::string job_runner::sample_id(const samples::slot_key& slot) const
 {
     const auto size = static_cast<std::size_t>(spec_.group_size);
-    return spec_.name + "/" + std::to_string(step) + "/" + std::to_string(place / size) + "/" +
-           std::to_string(place % size);
+    return spec_.name + "/" + std::to_string(slot.step) + "/" + std::to_string(slot.place / size) + "/" +
+           std::to_string(slot.place % size);
 }
 
-const std::string& job_runner::prompt(std::int64_t step, std::size_t place) const
+const std::string& job_runner::prompt(const samples::slot_key& slot) const
 {
-    const auto group = place / static_cast<std::size_t>(spec_.group_size);
+    const auto group = slot.place / static_cast<std::size_t>(spec_.group_size);
     const auto groups = static_cast<std::size_t>(spec_.groups_per_step);
-    return spec_.prompts[(static_cast<std::size_t>(step) * groups + group) % spec_.prompts.size()];
+    return spec_.prompts[(static_cast<std::size_t>(slot.step) * groups + group) % spec_.prompts.size()];
 }
 
-result<samples::cursor> job_runner::position_of(const v1::PullRequest& request) const
+// ---- The trainer's side ----
+
+void job_runner::pull(const v1::PullRequest& request, pull_done on_done)
 {
+    pull_terms terms;
+    terms.trainer_version = request.trainer_version();
+    terms.most = request.max_samples() > 0 ? static_cast<std::size_t>(request.max_samples()) : default_pull;
+    terms.wait = std::min(milliseconds{request.wait_ms()}, longest_wait);
     if (request.cursor().empty()) {
-        return samples::step_start(spec_.name, step_, slots_.size());
+        find_lost_cursor(request, terms, std::move(on_done));
+        return;
     }
-    auto opened = samples::open_cursor(request.cursor(), context_.settings.tokens.peer);
+    const auto opened = samples::open_cursor(request.cursor(), context_.settings.tokens.peer);
     if (!ok(opened)) {
-        return opened;
+        on_done(failure(opened));
+        return;
     }
-    auto& position = value(opened);
-    if (position.job != spec_.name || position.taken.size() != slots_.size()) {
-        return error{error_code::stale_cursor, run_state::not_run,
-                     "the cursor belongs to another job or to an earlier form of this one"};
+    pull_at(value(opened), terms, std::move(on_done));
+}
+
+void job_runner::find_lost_cursor(const v1::PullRequest& request, const pull_terms& terms, pull_done on_done)
+{
+    samples::lost_cursor_facts facts{request.trainer_version(), std::nullopt, {}, {}};
+    if (request.has_begin_step()) {
+        facts.begin_step = request.begin_step();
     }
-    if (samples::complete(position)) {
-        position = samples::step_start(spec_.name, position.step + 1, slots_.size());
+    {
+        const std::lock_guard lock(mutex_);
+        facts.known = {state_.step(), state_.trainer_version()};
     }
-    if (position.step < step_) {
-        return error{error_code::stale_cursor, run_state::not_run,
-                     "expected a cursor of step " + std::to_string(step_) + ", found step " +
-                         std::to_string(position.step)};
+    auto settle = [self = shared_from_this(), facts, terms,
+                   on_done = std::move(on_done)](result<std::optional<samples::checkpoint>> stored) mutable {
+        facts.stored = std::move(stored);
+        const auto step = samples::step_for_lost_cursor(facts);
+        if (!ok(step)) {
+            on_done(failure(step));
+            return;
+        }
+        auto restart = terms;
+        restart.restarted = value(step) > 0 || facts.known.trainer_version > 0;
+        self->pull_at(samples::step_start(self->spec_.name, value(step), self->state_.shape().slots()),
+                      restart, std::move(on_done));
+    };
+    if (facts.begin_step) {
+        settle(std::optional<samples::checkpoint>());
+        return;
     }
-    return opened;
+    checkpoint_->read(std::move(settle));
 }
 
-void job_runner::pull(const v1::PullRequest& request, pull_done on_done)
+void job_runner::pull_at(const samples::cursor& presented, const pull_terms& terms, pull_done on_done)
 {
-    std::optional<v1::PullReply> reply;
-    std::optional<error> refused;
+    std::optional<result<v1::PullReply>> reply;
+    std::vector<samples::attempt> ended;
     std::uint64_t ticket = 0;
+    samples::checkpoint reached;
     {
         const std::lock_guard lock(mutex_);
-        const auto position = position_of(request);
-        if (!ok(position)) {
-            refused = failure(position);
+        const auto position = state_.locate(presented);
+        if (stopped_) {
+            reply = error{error_code::draining, run_state::not_run, "the job moves to another node",
+                          milliseconds{200}};
+        }
+        else if (!ok(position)) {
+            reply = failure(position);
         }
         else {
-            advance_to(value(position).step);
-            trainer_version_ = std::max(trainer_version_, request.trainer_version());
-            discard_stale();
-            const auto most =
-                request.max_samples() > 0 ? static_cast<std::size_t>(request.max_samples()) : default_pull;
-            auto ready = collect(value(position), most);
-            if (ready.samples_size() > 0 || request.wait_ms() == 0) {
+            ended = state_.on_pull(value(position), terms.trainer_version);
+            auto ready = collect(value(position), terms);
+            reached = {state_.step(), state_.trainer_version()};
+            if (ready.samples_size() > 0 || terms.wait == milliseconds{0}) {
                 reply = std::move(ready);
             }
             else {
                 ticket = ++next_ticket_;
-                waiting_.push_back({ticket, value(position), most, on_done});
+                waiting_.push_back({ticket, value(position), terms, on_done});
             }
         }
     }
-    if (refused) {
-        on_done(*refused);
-        return;
-    }
     if (reply) {
         on_done(std::move(*reply));
     }
     else {
-        const auto wait = std::min(milliseconds{request.wait_ms()}, longest_wait);
-        context_.loop.after(wait, [self = shared_from_this(), ticket] { self->expire(ticket); });
+        context_.loop.after(terms.wait, [self = shared_from_this(), ticket] { self->expire(ticket); });
     }
+    cancel_streams(ended);
+    checkpoint_->reach(reached);
     pump();
 }
 
-void job_runner::advance_to(std::int64_t step)
-{
-    if (step <= step_) {
-        return;
-    }
-    for (auto& entry : slots_) {
-        if (entry.running) {
-            entry.running->cancel();
-        }
-        entry = slot{};
-    }
-    step_ = step;
-}
-
-// Staleness is judged at the pull, by the oldest span, against the version that the trainer states in this
-// very request: judged any earlier, a weight change between the check and the delivery would let an old
-// sample through.
-void job_runner::discard_stale()
-{
-    for (auto& entry : slots_) {
-        const bool ready = entry.state == slot_state::ready;
-        if (ready && !samples::fresh(entry.product.labels.oldest(), trainer_version_, spec_.max_staleness)) {
-            ++discarded_;
-            wasted_tokens_ += entry.product.labels.tokens();
-            entry = slot{};
-        }
-    }
-}
-
-v1::PullReply job_runner::collect(const samples::cursor& position, std::size_t most)
+v1::PullReply job_runner::collect(const samples::cursor& position, const pull_terms& terms)
 {
+    const auto found = state_.collect(position, terms.trainer_version, terms.most);
     v1::PullReply reply;
-    samples::cursor next = position;
-    const auto size = static_cast<std::size_t>(spec_.group_size);
-    for (std::size_t place = 0; place < slots_.size(); ++place) {
-        const bool wanted = slots_[place].state == slot_state::ready && !next.taken[place];
-        if (!wanted || static_cast<std::size_t>(reply.samples_size()) >= most) {
-            continue;
-        }
-        auto sample = to_message(slots_[place].product, sample_id(step_, place), step_,
-                                 static_cast<int>(place / size), static_cast<int>(place % size));
-        sample.set_prompt(prompt(step_, place));
-        *reply.add_samples() = std::move(sample);
-        next.taken[place] = true;
-        ++delivered_;
-    }
-    reply.set_cursor(samples::seal(next, context_.settings.tokens.peer));
-    reply.set_step(next.step);
-    reply.set_step_complete(samples::complete(next));
-    reply.set_discarded_stale(discarded_);
+    for (const auto& item : found.samples) {
+        *reply.add_samples() = to_message(item, spec_, sample_id(item.slot), prompt(item.slot));
+    }
+    reply.set_cursor(samples::seal(found.next, context_.settings.tokens.peer));
+    reply.set_step(position.step);
+    reply.set_step_complete(found.step_complete);
+    reply.set_discarded_stale(state_.counts().discarded_stale);
+    reply.set_restarted(terms.restarted);
     return reply;
 }
 
+// A pull that waits at a step which another pull has closed gets its answer now; it would wait in vain.
 void job_runner::answer_waiting()
 {
-    std::vector<std::pair<pull_done, v1::PullReply>> answers;
+    std::vector<answer> answers;
     {
         const std::lock_guard lock(mutex_);
         for (auto it = waiting_.begin(); it != waiting_.end();) {
-            if (it->position.step != step_) {
+            const auto position = state_.locate(it->position);
+            if (!ok(position)) {
+                answers.emplace_back(std::move(it->on_done), failure(position));
                 it = waiting_.erase(it);
                 continue;
             }
-            auto reply = collect(it->position, it->most);
+            auto reply = collect(it->position, it->terms);
             if (reply.samples_size() == 0) {
                 ++it;
                 continue;
@@ -197,114 +207,274 @@
 void job_runner::expire(std::uint64_t ticket)
 {
     std::optional<waiting_pull> found;
-    std::optional<v1::PullReply> reply;
+    v1::PullReply reply;
     {
         const std::lock_guard lock(mutex_);
         for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
             if (it->ticket == ticket) {
                 found = std::move(*it);
                 waiting_.erase(it);
-                reply = collect(found->position, found->most);
+                reply = collect(found->position, found->terms);
                 break;
             }
         }
     }
     if (found) {
-        found->on_done(std::move(*reply));
+        found->on_done(std::move(reply));
     }
 }
 
+// ---- The engines' side ----
+
+void job_runner::tick()
+{
+    rescue_stragglers();
+    pump();
+    checkpoint_->tick();
+}
+
+int job_runner::share_of(engine_pool& engines) const
+{
+    const auto view = context_.keeper.current();
+    int weights = 0;
+    for (const auto& item : view->config.list("job")) {
+        const auto other = config::parse_job(item.name, item.spec_json);
+        weights += ok(other) && value(other).deployment == spec_.deployment ? value(other).weight : 0;
+    }
+    return policy::job_share(engines.capacity(steady::now()), spec_.weight, weights);
+}
+
+policy::sample_view job_runner::view_of(const samples::slot_key& slot, std::uint64_t least_version) const
+{
+    return {hash64(prompt(slot)), least_version, {}};
+}
+
 void job_runner::pump()
 {
-    const auto engines = context_.directory.find(spec_.deployment);
+    const auto engines = context_.engines.find(spec_.deployment);
     if (!engines) {
         return;
     }
+    const int share = share_of(*engines);
     std::vector<start_order> orders;
     {
         const std::lock_guard lock(mutex_);
-        for (std::size_t place = 0; place < slots_.size() && !stopped_; ++place) {
-            if (slots_[place].state != slot_state::idle) {
-                continue;
-            }
-            auto order = prepare(place, *engines);
+        while (!stopped_) {
+            auto order = start_next(*engines, share);
             if (!order) {
                 break;
             }
             orders.push_back(std::move(*order));
         }
     }
-    for (const auto& order : orders) {
-        order.generation->start(order.address);
+    launch(orders);
+}
+
+std::optional<job_runner::start_order> job_runner::start_next(engine_pool& engines, int share)
+{
+    const auto next = state_.next_slot();
+    if (!next || state_.in_flight() >= static_cast<std::size_t>(share)) {
+        return std::nullopt;
     }
+    const auto now = steady::now();
+    const auto place = engines.acquire(view_of(next->slot, next->least_version), spec_.plain, now);
+    if (!place) {
+        return std::nullopt;
+    }
+    return make_stream(state_.begin(next->slot, place->engine, now), *place);
 }
 
-std::optional<job_runner::start_order> job_runner::prepare(std::size_t place, node::target_group& engines)
+std::optional<job_runner::start_order> job_runner::start_race(engine_pool& engines,
+                                                              const samples::attempt& first)
 {
-    const auto taken = engines.acquire(context_.settings.failure_domain, {});
-    if (!taken) {
+    const auto now = steady::now();
+    auto wanted = view_of(first.slot, 0);
+    wanted.avoid = first.engine;
+    const auto place = engines.acquire(wanted, spec_.plain, now);
+    if (!place) {
+        return std::nullopt;
+    }
+    const auto second = state_.race(first.slot, place->engine, now);
+    if (!second) {
+        engines.release(place->engine);
         return std::nullopt;
     }
+    return make_stream(*second, *place);
+}
+
+job_runner::start_order job_runner::make_stream(const samples::attempt& stream, const engine_place& place)
+{
     generation_request request;
-    request.sample_id = sample_id(step_, place);
-    request.prompt = prompt(step_, place);
+    request.request_id = sample_id(stream.slot) + "#" + stream_prefix_ + "-" + std::to_string(stream.id);
+    request.prompt = prompt(stream.slot);
     request.max_tokens = spec_.max_tokens;
-    request.scorer = spec_.scorer;
+    request.resume_text = stream.so_far.text;
+    request.resume_tokens = stream.so_far.spans.tokens();
     auto self = shared_from_this();
-    const auto engines_again = context_.directory.find(spec_.deployment);
-    auto finish = [self, engines_again, id = taken->id, step = step_, place](result<generated> outcome) {
-        engines_again->release(id);
-        self->on_generated(step, place, std::move(outcome));
-    };
-    auto generation = std::make_shared<slot_generation>(context_, std::move(request), std::move(finish));
-    slots_[place].state = slot_state::running;
-    slots_[place].running = generation;
-    return start_order{generation, taken->address};
+    auto generation = std::make_shared<slot_generation>(
+        context_, std::move(request),
+        [self, id = stream.id, engine = place.engine](const samples::chunk_facts& chunk,
+                                                      const std::string& text) {
+            self->on_chunk(id, engine, chunk, text);
+        },
+        [self, id = stream.id, engine = place.engine](generation_end end, const std::string& detail) {
+            self->on_end(id, engine, end, detail);
+        });
+    streams_[stream.id] = generation;
+    return {std::move(generation), place.address};
 }
 
-void job_runner::on_generated(std::int64_t step, std::size_t place, result<generated> outcome)
+void job_runner::launch(const std::vector<start_order>& orders)
 {
-    bool failed = false;
+    for (const auto& order : orders) {
+        order.generation->start(order.address);
+    }
+}
+
+void job_runner::cancel_streams(const std::vector<samples::attempt>& ended)
+{
+    for (const auto& stream : ended) {
+        std::shared_ptr<slot_generation> generation;
+        {
+            const std::lock_guard lock(mutex_);
+            const auto found = streams_.find(stream.id);
+            generation = found == streams_.end() ? nullptr : found->second;
+        }
+        if (generation) {
+            generation->cancel();
+        }
+    }
+}
+
+void job_runner::rescue_stragglers()
+{
+    const auto engines = context_.engines.find(spec_.deployment);
+    if (!engines || spec_.plain) {
+        return;
+    }
+    std::vector<start_order> races;
+    std::vector<samples::attempt> ended;
     {
         const std::lock_guard lock(mutex_);
-        if (step != step_ || slots_[place].state != slot_state::running) {
-            return;
-        }
-        auto& entry = slots_[place];
-        entry.running.reset();
-        if (ok(outcome)) {
-            entry.state = slot_state::ready;
-            entry.product = value(std::move(outcome));
-            discard_stale();
+        const auto now = steady::now();
+        const auto step = step_view_of(state_, engines->free_places(0, now), now);
+        for (const auto& decision : policy::stragglers(step)) {
+            if (decision.action == policy::straggler_action::resume) {
+                if (auto left = state_.interrupt(decision.attempt)) {
+                    ended.push_back(std::move(*left));
+                }
+                continue;
+            }
+            const auto first = state_.find(decision.attempt);
+            auto race = first ? start_race(*engines, *first) : std::nullopt;
+            if (race) {
+                races.push_back(std::move(*race));
+            }
         }
-        else {
-            failed = true;
-            entry.state = slot_state::idle;
-            observe::log(observe::log_level::warning, "sample_failed",
-                         {{"sample", sample_id(step, place)}, {"detail", describe(failure(outcome))}});
+    }
+    for (const auto& stream : ended) {
+        engines->note_failure(stream.engine, steady::now());
+    }
+    cancel_streams(ended);
+    launch(races);
+}
+
+void job_runner::on_chunk(samples::attempt_id id, const std::string& engine,
+                          const samples::chunk_facts& chunk, const std::string& text)
+{
+    if (const auto engines = context_.engines.find(spec_.deployment)) {
+        engines->note_version(engine, chunk.version);
+    }
+    const std::lock_guard lock(mutex_);
+    state_.on_chunk(id, text, chunk.version, chunk.tokens, steady::now());
+}
+
+void job_runner::on_end(samples::attempt_id id, const std::string& engine, generation_end end,
+                        const std::string& detail)
+{
+    const auto engines = context_.engines.find(spec_.deployment);
+    bool ours = false;
+    {
+        const std::lock_guard lock(mutex_);
+        streams_.erase(id);
+        ours = state_.find(id).has_value();
+        if (end != generation_end::whole) {
+            state_.on_broken(id, end == generation_end::broken);
         }
     }
-    if (failed) {
-        context_.loop.after(retry_pause, [self = shared_from_this()] { self->pump(); });
+    if (engines) {
+        engines->release(engine);
+    }
+    if (end == generation_end::whole) {
+        engines ? engines->note_success(engine) : void();
+        on_whole(id);
         return;
     }
-    answer_waiting();
+    if (ours) {
+        engines ? engines->note_failure(engine, steady::now()) : void();
+        observe::log(observe::log_level::warning, "stream_failed", {{"engine", engine}, {"detail", detail}});
+    }
+    context_.loop.after(ours ? retry_pause : milliseconds{0}, [self = shared_from_this()] { self->pump(); });
+}
+
+void job_runner::on_whole(samples::attempt_id id)
+{
+    std::optional<samples::product> sample;
+    std::vector<samples::attempt> losers;
+    samples::slot_key slot;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto stream = state_.find(id);
+        sample = state_.on_generated(id, losers);
+        slot = stream ? stream->slot : slot;
+    }
+    cancel_streams(losers);
+    if (sample && !spec_.scorer.empty()) {
+        score(id, slot, std::move(*sample));
+    }
+    else if (sample) {
+        on_sample(id, std::move(*sample));
+    }
     pump();
 }
 
+void job_runner::score(samples::attempt_id id, const samples::slot_key& slot, samples::product sample)
+{
+    score_request request{spec_.scorer, sample_id(slot), prompt(slot), sample.text};
+    auto job = std::make_shared<scoring>(
+        context_, std::move(request),
+        [self = shared_from_this(), id, sample = std::move(sample)](const result<double>& score) mutable {
+            if (ok(score)) {
+                sample.score = value(score);
+            }
+            else {
+                sample.unscored = describe(failure(score));
+            }
+            self->on_sample(id, std::move(sample));
+        });
+    job->start();
+}
+
+void job_runner::on_sample(samples::attempt_id id, samples::product sample)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        state_.on_ready(id, std::move(sample));
+    }
+    answer_waiting();
+}
+
 void job_runner::stop()
 {
     std::deque<waiting_pull> waiting;
+    std::vector<samples::attempt> ended;
     {
         const std::lock_guard lock(mutex_);
         stopped_ = true;
-        for (auto& entry : slots_) {
-            if (entry.running) {
-                entry.running->cancel();
-            }
-        }
+        ended = state_.running();
         waiting.swap(waiting_);
     }
+    cancel_streams(ended);
     for (const auto& pull : waiting) {
         pull.on_done(error{error_code::draining, run_state::not_run, "the job moves to another node",
                            milliseconds{200}});
@@ -314,24 +484,22 @@
 v1::JobStatusReply job_runner::status() const
 {
     const std::lock_guard lock(mutex_);
+    const auto& counts = state_.counts();
     v1::JobStatusReply reply;
     reply.set_job(spec_.name);
     reply.set_owner(context_.settings.vm);
-    reply.set_step(step_);
-    for (const auto& entry : slots_) {
-        reply.set_ready(reply.ready() + (entry.state == slot_state::ready ? 1 : 0));
-        reply.set_running(reply.running() + (entry.state == slot_state::running ? 1 : 0));
-    }
-    reply.set_announced_version(trainer_version_);
-    reply.set_wasted_tokens(wasted_tokens_);
-    reply.set_delivered(delivered_);
+    reply.set_step(state_.step());
+    reply.set_ready(static_cast<int>(state_.filled(state_.step())));
+    reply.set_running(static_cast<int>(state_.in_flight()));
+    reply.set_announced_version(state_.trainer_version());
+    reply.set_wasted_tokens(counts.wasted_tokens);
+    reply.set_delivered(counts.delivered);
+    reply.set_discarded_stale(counts.discarded_stale);
+    reply.set_cancelled(counts.cancelled);
+    reply.set_resumed(counts.resumed);
+    reply.set_raced(counts.raced);
+    reply.set_checkpoint_step(checkpoint_->recorded_step());
     return reply;
 }
 
-std::uint64_t job_runner::announced_version() const
-{
-    const std::lock_guard lock(mutex_);
-    return trainer_version_;
-}
-
 } // namespace vanillagauge::rollout
--- a/src/rollout/job_runner.hpp
+++ b/src/rollout/job_runner.hpp
@@ -1,7 +1,8 @@
-/// One job at its owner: fills the slots of the current step and answers the trainer's pulls.
+/// One job at its owner: wires the job's state to engines, scorers, the checkpoint and the trainer's pulls.
 #ifndef VANILLAGAUGE_ROLLOUT_JOB_RUNNER_HPP
 #define VANILLAGAUGE_ROLLOUT_JOB_RUNNER_HPP
 
+#include "rollout/checkpoint_store.hpp"
 #include "rollout/context.hpp"
 #include "rollout/slot_generation.hpp"
 #include "samples/samples.hpp"
@@ -10,12 +11,16 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <vector>
 
 namespace vanillagauge::rollout {
 
+/// How the operator's choices in the job shape its state.
+samples::job_shape shape_of(const config::job_spec& spec);
+
 class job_runner : public std::enable_shared_from_this<job_runner> {
 public:
     using pull_done = std::function<void(result<v1::PullReply>)>;
@@ -26,55 +31,68 @@
     void pull(const v1::PullRequest& request, pull_done on_done);
     /// Cancels what is running; waiting pulls are sent elsewhere.
     void stop();
-    /// Starts whatever an engine has room for.
-    void pump();
+    /// Starts whatever an engine has room for, rescues stragglers, records the step.
+    void tick();
 
     // Queries.
     v1::JobStatusReply status() const;
     const config::job_spec& spec() const { return spec_; }
-    std::uint64_t announced_version() const;
 
 private:
-    enum class slot_state { idle, running, ready };
-    struct slot {
-        slot_state state = slot_state::idle;
-        generated product;
-        std::shared_ptr<slot_generation> running;
+    struct pull_terms {
+        std::uint64_t trainer_version = 0;
+        std::size_t most = 0;
+        milliseconds wait{0};
+        bool restarted = false;
     };
     struct waiting_pull {
         std::uint64_t ticket = 0;
         samples::cursor position;
-        std::size_t most = 0;
+        pull_terms terms;
         pull_done on_done;
     };
     struct start_order {
         std::shared_ptr<slot_generation> generation;
         std::string address;
     };
+    using answer = std::pair<pull_done, result<v1::PullReply>>;
 
     context context_;
     const config::job_spec spec_;
+    const std::string stream_prefix_; ///< tells this owner's streams from another's for the same sample
+    std::shared_ptr<checkpoint_store> checkpoint_;
     mutable std::mutex mutex_;
-    std::int64_t step_ = 0;
-    std::vector<slot> slots_;
+    samples::job_state state_;
+    std::map<samples::attempt_id, std::shared_ptr<slot_generation>> streams_;
     std::deque<waiting_pull> waiting_;
     std::uint64_t next_ticket_ = 0;
-    std::uint64_t trainer_version_ = 0;
-    std::int64_t discarded_ = 0;
-    std::int64_t wasted_tokens_ = 0;
-    std::int64_t delivered_ = 0;
     bool stopped_ = false;
 
-    result<samples::cursor> position_of(const v1::PullRequest& request) const;
-    void advance_to(std::int64_t step);
-    void discard_stale();
-    v1::PullReply collect(const samples::cursor& position, std::size_t most);
+    void find_lost_cursor(const v1::PullRequest& request, const pull_terms& terms, pull_done on_done);
+    void pull_at(const samples::cursor& presented, const pull_terms& terms, pull_done on_done);
+    v1::PullReply collect(const samples::cursor& position, const pull_terms& terms);
     void answer_waiting();
     void expire(std::uint64_t ticket);
-    std::optional<start_order> prepare(std::size_t place, node::target_group& engines);
-    void on_generated(std::int64_t step, std::size_t place, result<generated> outcome);
-    std::string sample_id(std::int64_t step, std::size_t place) const;
-    const std::string& prompt(std::int64_t step, std::size_t place) const;
+
+    void pump();
+    void rescue_stragglers();
+    std::optional<start_order> start_next(engine_pool& engines, int share);
+    std::optional<start_order> start_race(engine_pool& engines, const samples::attempt& first);
+    start_order make_stream(const samples::attempt& stream, const engine_place& place);
+    void launch(const std::vector<start_order>& orders);
+    void cancel_streams(const std::vector<samples::attempt>& ended);
+    int share_of(engine_pool& engines) const;
+    policy::sample_view view_of(const samples::slot_key& slot, std::uint64_t least_version) const;
+
+    void on_chunk(samples::attempt_id id, const std::string& engine, const samples::chunk_facts& chunk,
+                  const std::string& text);
+    void on_end(samples::attempt_id id, const std::string& engine, generation_end end,
+                const std::string& detail);
+    void on_whole(samples::attempt_id id);
+    void score(samples::attempt_id id, const samples::slot_key& slot, samples::product sample);
+    void on_sample(samples::attempt_id id, samples::product sample);
+    std::string sample_id(const samples::slot_key& slot) const;
+    const std::string& prompt(const samples::slot_key& slot) const;
 };
 
 } // namespace vanillagauge::rollout
--- a/src/rollout/main.cpp
+++ b/src/rollout/main.cpp
@@ -11,7 +11,7 @@
 
 using namespace vanillagauge;
 
-constexpr milliseconds tick_every{200};
+constexpr milliseconds tick_every{50};
 
 void tick_forever(wire::event_loop& loop, rollout::rollout_service& service)
 {
@@ -26,8 +26,12 @@
     node::keeper_link keeper(loop, settings);
     auto targets = node::http_channels(loop);
     node::target_directory directory;
-    keeper.on_change([&] { directory.update(*keeper.current()); });
-    rollout::rollout_service service({settings, loop, keeper, targets, directory, metrics});
+    rollout::engine_directory engines;
+    keeper.on_change([&] {
+        directory.update(*keeper.current());
+        engines.update(*keeper.current());
+    });
+    rollout::rollout_service service({settings, loop, keeper, targets, directory, engines, metrics});
     wire::dispatcher calls(node::access_of(settings.tokens));
     calls.mount(service, wire::role::trainer);
     wire::http_server http(calls, {}, {{"/metrics", [&metrics] { return metrics.page(); }}});
--- /dev/null
+++ b/src/rollout/ownership.hpp
@@ -0,0 +1,25 @@
+/// Which rollout process a job, or a deployment's weights, belongs to in a view.
+#ifndef VANILLAGAUGE_ROLLOUT_OWNERSHIP_HPP
+#define VANILLAGAUGE_ROLLOUT_OWNERSHIP_HPP
+
+#include "node/keeper_link.hpp"
+
+#include <optional>
+#include <string>
+
+namespace vanillagauge::rollout {
+
+struct owner {
+    std::string vm;
+    std::string http_address;
+};
+
+/// None where no rollout process is alive.
+std::optional<owner> owner_of(const node::view& view, const std::string& subject);
+
+std::string job_subject(const std::string& job);
+std::string deployment_subject(const std::string& deployment);
+
+} // namespace vanillagauge::rollout
+
+#endif
--- a/src/rollout/rollout_service.cpp
+++ b/src/rollout/rollout_service.cpp
@@ -1,41 +1,9 @@
 #include "rollout/rollout_service.hpp"
 
-#include "fleet/rendezvous.hpp"
+#include "rollout/ownership.hpp"
 #include "wire/controller.hpp"
 
 namespace vanillagauge::rollout {
-namespace {
-
-struct owner {
-    std::string vm;
-    std::string http_address;
-};
-
-/// The VM that owns the job in this view; none where no rollout process is alive.
-std::optional<owner> owner_of(const node::view& view, const std::string& job)
-{
-    std::map<std::string, std::string> addresses;
-    std::vector<std::string> able;
-    for (const auto& member : view.nodes) {
-        if (member.state != fleet::member_state::alive || member.info.draining) {
-            continue;
-        }
-        for (const auto& process : member.info.processes) {
-            if (process.role == "rollout" && !process.draining) {
-                able.push_back(member.info.vm);
-                addresses[member.info.vm] = process.http_address;
-            }
-        }
-    }
-    const auto ranked = fleet::ranked_owners("job/" + job, able);
-    if (ranked.empty()) {
-        return std::nullopt;
-    }
-    return owner{ranked.front(), addresses[ranked.front()]};
-}
-
-} // namespace
-
 result<std::shared_ptr<job_runner>> rollout_service::runner(const std::string& job)
 {
     const auto view = context_.keeper.current();
@@ -43,7 +11,7 @@
     if (!item) {
         return error{error_code::not_found, run_state::not_run, "no job \"" + job + "\""};
     }
-    const auto found = owner_of(*view, job);
+    const auto found = owner_of(*view, job_subject(job));
     if (!found) {
         return error{error_code::unavailable, run_state::not_run, "no rollout process is known to be alive",
                      milliseconds{500}};
@@ -77,7 +45,7 @@
         return;
     }
     const auto& job = value(found);
-    weights_->announce(job->spec().deployment, request->trainer_version());
+    weights_->announce(job->spec().deployment, request->trainer_version(), weight_of(job->spec()));
     job->pull(*request, [control, reply, done](result<v1::PullReply> outcome) {
         if (ok(outcome)) {
             *reply = value(std::move(outcome));
@@ -102,6 +70,21 @@
     done->Run();
 }
 
+void rollout_service::Announce(google::protobuf::RpcController* control, const v1::AnnounceRequest* request,
+                               v1::AnnounceReply* /*reply*/, google::protobuf::Closure* done)
+{
+    const int weight = request->weight();
+    if (weight < 0 || weight > static_cast<int>(policy::wave_weight::drain_all)) {
+        wire::from(control).fail({error_code::invalid_argument, run_state::not_run,
+                                  "expected a weight of 0 to 2, found " + std::to_string(weight)});
+    }
+    else {
+        weights_->announce(request->deployment(), request->version(),
+                           static_cast<policy::wave_weight>(weight));
+    }
+    done->Run();
+}
+
 void rollout_service::tick()
 {
     const auto view = context_.keeper.current();
@@ -110,7 +93,7 @@
     {
         const std::lock_guard lock(mutex_);
         for (auto it = runners_.begin(); it != runners_.end();) {
-            const auto found = owner_of(*view, it->first);
+            const auto found = owner_of(*view, job_subject(it->first));
             const bool ours =
                 view->config.find("job", it->first) && found && found->vm == context_.settings.vm;
             if (ours) {
@@ -126,7 +109,7 @@
         job->stop();
     }
     for (const auto& job : running) {
-        job->pump();
+        job->tick();
     }
     weights_->tick();
 }
--- a/src/rollout/rollout_service.hpp
+++ b/src/rollout/rollout_service.hpp
@@ -20,6 +20,8 @@
               google::protobuf::Closure* done) override;
     void JobStatus(google::protobuf::RpcController* control, const v1::JobStatusRequest* request,
                    v1::JobStatusReply* reply, google::protobuf::Closure* done) override;
+    void Announce(google::protobuf::RpcController* control, const v1::AnnounceRequest* request,
+                  v1::AnnounceReply* reply, google::protobuf::Closure* done) override;
 
     /// Starts and stops runners as the view says; orders weights that are due.
     void tick();
--- a/src/rollout/slot_generation.cpp
+++ b/src/rollout/slot_generation.cpp
@@ -6,103 +6,96 @@
 namespace {
 
 constexpr milliseconds progress_timeout{5000};
-constexpr milliseconds score_timeout{5000};
+constexpr milliseconds cancel_timeout{2000};
 
 } // namespace
 
-slot_generation::slot_generation(const context& shared, generation_request request, completion on_done)
-    : context_(shared), request_(std::move(request)), on_done_(std::move(on_done))
+slot_generation::slot_generation(const context& shared, generation_request request, chunk_handler on_chunk,
+                                 end_handler on_end)
+    : context_(shared), request_(std::move(request)), on_chunk_(std::move(on_chunk)),
+      on_end_(std::move(on_end)), check_(request_.request_id)
 {
 }
 
 void slot_generation::start(const std::string& engine_address)
 {
     target::v1::GenerateRequest forward;
-    forward.set_request_id(request_.sample_id);
+    forward.set_request_id(request_.request_id);
     forward.set_prompt(request_.prompt);
     forward.set_max_tokens(request_.max_tokens);
+    forward.set_resume_text(request_.resume_text);
+    forward.set_resume_tokens(request_.resume_tokens);
     wire::call_options options;
     options.timeout = request_.deadline;
     options.progress_timeout = progress_timeout;
     auto self = shared_from_this();
-    cancel_ = wire::stream<target::v1::GenerateChunk>(
+    auto stop = wire::stream<target::v1::GenerateChunk>(
         *context_.targets.at(engine_address), wire::method<target::v1::Engine>("Generate"), forward, options,
         [self](const target::v1::GenerateChunk& chunk) { self->take(chunk); },
-        [self](const result<done>& outcome) { self->on_end(outcome); });
+        [self](const result<done>& outcome) { self->finish(outcome); });
+    bool late = false;
+    {
+        const std::lock_guard lock(mutex_);
+        address_ = engine_address;
+        late = cancelled_;
+        cancel_ = stop;
+    }
+    if (late) {
+        cancel();
+    }
 }
 
+// Closing the stream alone may leave the engine at work until it writes next; the order to cancel frees its
+// place at once.
 void slot_generation::cancel()
 {
-    if (cancel_) {
-        cancel_();
+    wire::call_cancel stop;
+    std::string address;
+    {
+        const std::lock_guard lock(mutex_);
+        cancelled_ = true;
+        stop = cancel_;
+        address = address_;
     }
+    if (!stop) {
+        return;
+    }
+    target::v1::CancelRequest request;
+    request.set_request_id(request_.request_id);
+    wire::call_options options;
+    options.timeout = cancel_timeout;
+    wire::call<target::v1::CancelReply>(*context_.targets.at(address),
+                                        wire::method<target::v1::Engine>("Cancel"), request, options,
+                                        [](const result<target::v1::CancelReply>&) {});
+    stop();
 }
 
 void slot_generation::take(const target::v1::GenerateChunk& chunk)
 {
-    const bool expected =
-        chunk.request_id() == request_.sample_id && chunk.sequence() == next_sequence_ && !whole_;
-    if (!expected || crossed_) {
-        crossed_ = true;
-        return;
-    }
-    ++next_sequence_;
-    product_.text += chunk.text();
-    product_.labels.add(chunk.version(), chunk.tokens());
-    if (chunk.done()) {
-        whole_ = chunk.total_tokens() == product_.labels.tokens();
-        crossed_ = !whole_;
+    const samples::chunk_facts facts{chunk.request_id(), chunk.sequence(), chunk.tokens(),
+                                     chunk.version(),    chunk.done(),     chunk.total_tokens()};
+    if (check_.take(facts) == samples::chunk_verdict::accepted) {
+        on_chunk_(facts, chunk.text());
     }
 }
 
-void slot_generation::on_end(const result<done>& outcome)
+void slot_generation::finish(const result<done>& outcome)
 {
-    if (crossed_ || (ok(outcome) && !whole_)) {
-        on_done_(error{error_code::incomplete, run_state::ran, "the engine's stream is not whole"});
+    switch (check_.state()) {
+    case samples::chunk_verdict::crossed:
+        on_end_(generation_end::untrusted, "a chunk of another stream came");
         return;
-    }
-    if (!ok(outcome)) {
-        on_done_(failure(outcome));
+    case samples::chunk_verdict::unlabelled:
+        on_end_(generation_end::untrusted, "a chunk without a version label voids the sample");
         return;
+    case samples::chunk_verdict::accepted:
+        break;
     }
-    if (product_.labels.unlabelled()) {
-        on_done_(error{error_code::incomplete, run_state::ran,
-                       "a chunk without a version label voids the sample"});
-        return;
-    }
-    if (request_.scorer.empty()) {
-        on_done_(std::move(product_));
-        return;
-    }
-    score();
-}
-
-void slot_generation::score()
-{
-    const auto group = context_.directory.find(request_.scorer);
-    const auto slot = group ? group->acquire(context_.settings.failure_domain, {}) : std::nullopt;
-    if (!slot) {
-        on_done_(error{error_code::unavailable, run_state::not_run, "no scorer is free"});
+    if (!ok(outcome)) {
+        on_end_(generation_end::broken, describe(failure(outcome)));
         return;
     }
-    target::v1::ScoreRequest request;
-    request.set_sample_id(request_.sample_id);
-    request.set_prompt(request_.prompt);
-    request.set_text(product_.text);
-    wire::call_options options;
-    options.timeout = score_timeout;
-    auto self = shared_from_this();
-    wire::call<target::v1::ScoreReply>(
-        *context_.targets.at(slot->address), wire::method<target::v1::PlainService>("Score"), request,
-        options, [self, group, id = slot->id](const result<target::v1::ScoreReply>& reply) {
-            group->release(id);
-            if (!ok(reply)) {
-                self->on_done_(failure(reply));
-                return;
-            }
-            self->product_.score = value(reply).score();
-            self->on_done_(std::move(self->product_));
-        });
+    on_end_(check_.whole() ? generation_end::whole : generation_end::broken, "the stream is not whole");
 }
 
 } // namespace vanillagauge::rollout
--- a/src/rollout/slot_generation.hpp
+++ b/src/rollout/slot_generation.hpp
@@ -1,4 +1,4 @@
-/// One sample on its way: generated on an engine with its labels, then scored.
+/// One stream of an engine for one sample.
 #ifndef VANILLAGAUGE_ROLLOUT_SLOT_GENERATION_HPP
 #define VANILLAGAUGE_ROLLOUT_SLOT_GENERATION_HPP
 
@@ -9,47 +9,51 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace vanillagauge::rollout {
 
 struct generation_request {
-    std::string sample_id;
+    std::string request_id; ///< unlike that of any other stream, also of another owner's for the same sample
     std::string prompt;
     int max_tokens = 0;
-    std::string scorer; ///< empty: not scored
+    std::string resume_text;
+    int resume_tokens = 0;
     milliseconds deadline{60000};
 };
 
-struct generated {
-    std::string text;
-    samples::labels labels;
-    double score = 0;
+enum class generation_end {
+    whole,
+    broken,    ///< what came so far is sound
+    untrusted, ///< crossed or unlabelled: nothing of it may be used
 };
 
 class slot_generation : public std::enable_shared_from_this<slot_generation> {
 public:
-    using completion = std::function<void(result<generated>)>;
+    using chunk_handler = std::function<void(const samples::chunk_facts&, const std::string& text)>;
+    using end_handler = std::function<void(generation_end, const std::string& detail)>;
 
-    slot_generation(const context& shared, generation_request request, completion on_done);
+    slot_generation(const context& shared, generation_request request, chunk_handler on_chunk,
+                    end_handler on_end);
 
-    /// Streams from the engine at this address.
     void start(const std::string& engine_address);
+    /// Ends the stream and tells the engine; the end handler runs as `broken`.
     void cancel();
 
 private:
     context context_;
     generation_request request_;
-    completion on_done_;
-    generated product_;
-    int next_sequence_ = 0;
-    bool whole_ = false;
-    bool crossed_ = false;
+    chunk_handler on_chunk_;
+    end_handler on_end_;
+    samples::stream_check check_;
+    std::mutex mutex_;
+    std::string address_;
     wire::call_cancel cancel_;
+    bool cancelled_ = false;
 
     void take(const target::v1::GenerateChunk& chunk);
-    void on_end(const result<done>& outcome);
-    void score();
+    void finish(const result<done>& outcome);
 };
 
 } // namespace vanillagauge::rollout
--- a/src/rollout/weight_rollout.cpp
+++ b/src/rollout/weight_rollout.cpp
@@ -1,8 +1,10 @@
 #include "rollout/weight_rollout.hpp"
 
 #include "observe/log.hpp"
+#include "rollout/ownership.hpp"
 #include "wire/call.hpp"
 
+#include "platform.pb.h"
 #include "target.pb.h"
 
 #include <algorithm>
@@ -10,81 +12,232 @@
 namespace vanillagauge::rollout {
 namespace {
 
-constexpr milliseconds order_timeout{10000};
-/// One engine in this many loads at a time, so that the others keep serving.
-constexpr std::size_t wave_share = 4;
+constexpr milliseconds report_every{500};
+constexpr milliseconds report_timeout{1000};
+constexpr milliseconds fetch_timeout{1000};
+constexpr milliseconds least_fetch_pause{50};
+constexpr milliseconds tell_every{500};
+constexpr milliseconds tell_timeout{1000};
+
+bool all_at(const std::vector<policy::wave_engine>& engines, std::uint64_t version)
+{
+    return std::all_of(engines.begin(), engines.end(), [version](const policy::wave_engine& engine) {
+        return engine.leaving || engine.version >= version;
+    });
+}
 
 } // namespace
 
-void weight_rollout::announce(const std::string& deployment, std::uint64_t version)
+policy::wave_weight weight_of(const config::job_spec& job)
 {
-    const std::lock_guard lock(mutex_);
-    auto& state = deployments_[deployment];
-    state.announced = std::max(state.announced, version);
+    if (job.plain) {
+        return policy::wave_weight::drain_all;
+    }
+    return job.preference == config::job_preference::idle ? policy::wave_weight::idle
+                                                          : policy::wave_weight::staleness;
 }
 
-std::vector<std::pair<std::string, std::string>> weight_rollout::due(const config::deployment_spec& spec)
+weight_rollout::weight_rollout(const context& shared)
+    : context_(shared), peers_(node::http_channels(shared.loop))
 {
-    auto& state = deployments_[spec.name];
-    const auto ordering = std::count_if(state.engines.begin(), state.engines.end(),
-                                        [](const auto& entry) { return entry.second.ordering; });
-    const std::size_t wave = std::max<std::size_t>(1, spec.targets.size() / wave_share);
-    std::vector<std::pair<std::string, std::string>> chosen;
-    for (const auto& target : spec.targets) {
-        auto& engine = state.engines[target.id];
-        const bool behind = engine.version < state.announced && !engine.ordering && !target.leaving;
-        if (behind && static_cast<std::size_t>(ordering) + chosen.size() < wave) {
-            engine.ordering = true;
-            chosen.emplace_back(target.id, target.address);
+}
+
+void weight_rollout::announce(const std::string& deployment, std::uint64_t version,
+                              policy::wave_weight weight)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        auto& state = deployments_[deployment];
+        if (version <= state.announced) {
+            return;
         }
+        state.announced = version;
+        state.weight = weight;
+        state.announced_at = steady::now();
+        state.converged = false;
+        next_tell_ = {};
     }
-    return chosen;
+    context_.loop.post([self = shared_from_this()] { self->tick(); });
 }
 
 void weight_rollout::tick()
 {
     const auto view = context_.keeper.current();
-    for (const auto& item : view->config.list("deployment")) {
-        const auto spec = config::parse_deployment(item.name, item.spec_json);
-        if (!ok(spec) || value(spec).kind != config::target_kind::engine) {
-            continue;
-        }
-        std::vector<std::pair<std::string, std::string>> chosen;
-        std::uint64_t version = 0;
-        {
-            const std::lock_guard lock(mutex_);
-            chosen = due(value(spec));
-            version = deployments_[item.name].announced;
+    const auto now = steady::now();
+    bool reports = false;
+    {
+        const std::lock_guard lock(mutex_);
+        reports = now >= next_reports_;
+        next_reports_ = reports ? now + report_every : next_reports_;
+    }
+    for (const auto& [deployment, engines] : context_.engines.all()) {
+        advance(deployment, engines, *view);
+        if (reports) {
+            ask_reports(engines);
         }
-        for (const auto& [engine, address] : chosen) {
-            order(item.name, engine, address, version);
+    }
+}
+
+void weight_rollout::advance(const std::string& deployment, const pool& engines, const node::view& view)
+{
+    const auto found = owner_of(view, deployment_subject(deployment));
+    const bool ours = found && found->vm == context_.settings.vm;
+    const auto now = steady::now();
+    std::shared_ptr<order_fence> fence;
+    std::uint64_t announced = 0;
+    policy::wave_weight weight{};
+    bool tell_now = false;
+    {
+        const std::lock_guard lock(mutex_);
+        auto& state = deployments_[deployment];
+        if (!state.fence) {
+            state.fence = std::make_shared<order_fence>(context_, engines->spec());
         }
+        fence = state.fence;
+        announced = state.announced;
+        weight = state.weight;
+        tell_now = !ours && found && announced > 0 && now >= next_tell_;
+        next_tell_ = tell_now ? now + tell_every : next_tell_;
+    }
+    fence->tick(ours, view.updated);
+    if (tell_now) {
+        tell(deployment, found->http_address, announced, weight);
+    }
+    const auto engine_states = engines->wave_view(announced, now);
+    note_convergence(deployment, engine_states);
+    const auto actions = policy::plan_wave(engine_states, announced, weight, now);
+    engines->hold_new_work(actions.hold_new_work);
+    if (!ours || announced == 0) {
+        return;
+    }
+    for (const auto& engine : actions.fetch) {
+        fetch(deployment, engines, engine, announced);
+    }
+    for (const auto& engine : actions.order) {
+        order(deployment, engines, engine, announced);
+    }
+}
+
+void weight_rollout::note_convergence(const std::string& deployment,
+                                      const std::vector<policy::wave_engine>& engines)
+{
+    const std::lock_guard lock(mutex_);
+    auto& state = deployments_[deployment];
+    if (state.converged || !all_at(engines, state.announced)) {
+        return;
     }
+    state.converged = true;
+    context_.metrics.record("vanillagauge_weights_converged", steady::now() - state.announced_at);
+}
+
+// The deployment's owner orders for all jobs, and a job's owner may be another process. Telling it again and
+// again also informs its successor.
+void weight_rollout::tell(const std::string& deployment, const std::string& address, std::uint64_t version,
+                          policy::wave_weight weight)
+{
+    v1::AnnounceRequest request;
+    request.set_deployment(deployment);
+    request.set_version(version);
+    request.set_weight(static_cast<int>(weight));
+    wire::call_options options;
+    options.timeout = tell_timeout;
+    options.token = context_.settings.tokens.trainer;
+    wire::call<v1::AnnounceReply>(*peers_.at(address), wire::method<v1::Rollout>("Announce"), request,
+                                  options, [](const result<v1::AnnounceReply>&) {});
+}
+
+// A store that refuses says when to come back. One that does not answer must not keep the engines on old
+// weights: they fetch for themselves, and their own answer to the order tells whether they could.
+void weight_rollout::fetch(const std::string& deployment, const pool& engines, const std::string& engine,
+                           std::uint64_t version)
+{
+    engines->set_fetch(engine, true, 0);
+    platform::v1::FetchRequest request;
+    request.set_model(deployment);
+    request.set_version(version);
+    request.set_reader(engine);
+    wire::call_options options;
+    options.timeout = fetch_timeout;
+    wire::call<platform::v1::FetchReply>(
+        *context_.targets.at(context_.settings.platform), wire::method<platform::v1::WeightStore>("Fetch"),
+        request, options,
+        [self = shared_from_this(), engines, engine, version](const result<platform::v1::FetchReply>& reply) {
+            if (!ok(reply) || value(reply).granted()) {
+                engines->set_fetch(engine, false, version);
+                self->tick();
+                return;
+            }
+            const auto pause = std::max(least_fetch_pause, milliseconds{value(reply).retry_after_ms()});
+            self->context_.loop.after(pause, [self, engines, engine] {
+                engines->set_fetch(engine, false, 0);
+                self->tick();
+            });
+        });
 }
 
-void weight_rollout::order(const std::string& deployment, const std::string& engine,
-                           const std::string& address, std::uint64_t version)
+void weight_rollout::order(const std::string& deployment, const pool& engines, const std::string& engine,
+                           std::uint64_t version)
 {
+    std::shared_ptr<order_fence> fence;
+    {
+        const std::lock_guard lock(mutex_);
+        fence = deployments_[deployment].fence;
+    }
+    const auto address = engines->address(engine);
+    // Asked right before each order: a pause since the last check shows here.
+    const auto number = fence->may_order();
+    if (!address || !number) {
+        return;
+    }
+    engines->begin_order(engine);
     target::v1::OrderRequest request;
     request.set_operation("load_version");
     request.set_version(version);
+    request.set_fencing(*number);
     wire::call_options options;
-    options.timeout = order_timeout;
-    auto self = shared_from_this();
+    options.timeout = longest_order;
     wire::call<target::v1::OrderReply>(
-        *context_.targets.at(address), wire::method<target::v1::Engine>("Order"), request, options,
-        [self, deployment, engine](const result<target::v1::OrderReply>& reply) {
-            const std::lock_guard lock(self->mutex_);
-            auto& state = self->deployments_[deployment].engines[engine];
-            state.ordering = false;
-            if (ok(reply) && value(reply).accepted()) {
-                state.version = value(reply).version();
+        *context_.targets.at(*address), wire::method<target::v1::Engine>("Order"), request, options,
+        [self = shared_from_this(), deployment, engines, engine,
+         fence](const result<target::v1::OrderReply>& reply) {
+            if (!ok(reply)) {
+                self->on_ordered(deployment, engines, engine, describe(failure(reply)), std::nullopt);
                 return;
             }
-            const std::string detail = ok(reply) ? value(reply).detail() : describe(failure(reply));
-            observe::log(observe::log_level::warning, "order_failed",
-                         {{"engine", engine}, {"detail", detail}});
+            fence->on_number(value(reply).fencing());
+            const auto& answer = value(reply);
+            self->on_ordered(deployment, engines, engine, answer.detail(),
+                             answer.accepted() ? std::optional(answer.version()) : std::nullopt);
         });
 }
 
+void weight_rollout::on_ordered(const std::string& deployment, const pool& engines, const std::string& engine,
+                                const std::string& problem, std::optional<std::uint64_t> in_force)
+{
+    engines->end_order(engine, in_force, steady::now());
+    if (!in_force) {
+        observe::log(observe::log_level::warning, "order_failed",
+                     {{"deployment", deployment}, {"engine", engine}, {"detail", problem}});
+    }
+    tick();
+}
+
+// What an engine reports stands above what an order answered: one that restarts comes back with old weights.
+void weight_rollout::ask_reports(const pool& engines)
+{
+    for (const auto& place : engines->places()) {
+        wire::call_options options;
+        options.timeout = report_timeout;
+        wire::call<target::v1::LoadReply>(
+            *context_.targets.at(place.address), wire::method<target::v1::Engine>("Load"),
+            target::v1::LoadRequest{}, options,
+            [engines, engine = place.engine,
+             asked = steady::now()](const result<target::v1::LoadReply>& reply) {
+                if (ok(reply)) {
+                    engines->note_report(engine, {value(reply).capacity(), value(reply).version()}, asked);
+                }
+            });
+    }
+}
+
 } // namespace vanillagauge::rollout
--- a/src/rollout/weight_rollout.hpp
+++ b/src/rollout/weight_rollout.hpp
@@ -1,8 +1,11 @@
-/// Brings a deployment's engines to the newest announced weights, a few at a time.
+/// Brings each deployment's engines to the newest announced weights, wave by wave.
 #ifndef VANILLAGAUGE_ROLLOUT_WEIGHT_ROLLOUT_HPP
 #define VANILLAGAUGE_ROLLOUT_WEIGHT_ROLLOUT_HPP
 
 #include "rollout/context.hpp"
+#include "rollout/order_fence.hpp"
+
+#include "vanillagauge.pb.h"
 
 #include <map>
 #include <memory>
@@ -11,31 +14,47 @@
 
 namespace vanillagauge::rollout {
 
+/// How a job weighs the swap of its deployment's weights.
+policy::wave_weight weight_of(const config::job_spec& job);
+
 class weight_rollout : public std::enable_shared_from_this<weight_rollout> {
 public:
-    explicit weight_rollout(const context& shared) : context_(shared) {}
+    explicit weight_rollout(const context& shared);
 
     /// The version is a maximum: announcing an older one changes nothing.
-    void announce(const std::string& deployment, std::uint64_t version);
-    /// Orders what is due.
+    void announce(const std::string& deployment, std::uint64_t version, policy::wave_weight weight);
+    /// Orders what is due here, tells the deployments' other owners what was announced here, and asks engines
+    /// how they are.
     void tick();
 
 private:
-    struct engine_state {
-        std::uint64_t version = 0; ///< the last one an order brought into force
-        bool ordering = false;
-    };
     struct deployment_state {
         std::uint64_t announced = 0;
-        std::map<std::string, engine_state> engines;
+        policy::wave_weight weight = policy::wave_weight::staleness;
+        std::shared_ptr<order_fence> fence;
+        time_point announced_at{};
+        bool converged = true;
     };
+    using pool = std::shared_ptr<engine_pool>;
+
     context context_;
+    node::channel_pool peers_;
     std::mutex mutex_;
     std::map<std::string, deployment_state> deployments_;
-
-    std::vector<std::pair<std::string, std::string>> due(const config::deployment_spec& spec);
-    void order(const std::string& deployment, const std::string& engine, const std::string& address,
+    time_point next_reports_{};
+    time_point next_tell_{};
+
+    void advance(const std::string& deployment, const pool& engines, const node::view& view);
+    void note_convergence(const std::string& deployment, const std::vector<policy::wave_engine>& engines);
+    void tell(const std::string& deployment, const std::string& address, std::uint64_t version,
+              policy::wave_weight weight);
+    void fetch(const std::string& deployment, const pool& engines, const std::string& engine,
+               std::uint64_t version);
+    void order(const std::string& deployment, const pool& engines, const std::string& engine,
                std::uint64_t version);
+    void on_ordered(const std::string& deployment, const pool& engines, const std::string& engine,
+                    const std::string& problem, std::optional<std::uint64_t> in_force);
+    void ask_reports(const pool& engines);
 };
 
 } // namespace vanillagauge::rollout
--- a/src/samples/checkpoint.hpp
+++ b/src/samples/checkpoint.hpp
@@ -40,6 +40,7 @@
 
     // Queries.
     const checkpoint& newest() const { return newest_; }
+    std::int64_t recorded_step() const { return stored_ ? stored_->step : 0; }
     bool settled() const { return stored_.has_value() && *stored_ == newest_; }
 
 private:
--- a/src/samples/product.hpp
+++ b/src/samples/product.hpp
@@ -4,10 +4,10 @@
 
 #include "samples/labels.hpp"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace vanillagauge::samples {
 
@@ -15,7 +15,11 @@
     std::int64_t step = 0;
     std::size_t place = 0; ///< group * group_size + index
 
-    friend auto operator<=>(const slot_key&, const slot_key&) = default;
+    friend bool operator==(const slot_key&, const slot_key&) = default;
+    friend bool operator<(const slot_key& left, const slot_key& right)
+    {
+        return std::tie(left.step, left.place) < std::tie(right.step, right.place);
+    }
 };
 
 struct product {
--- a/standins/target/engine.cpp
+++ b/standins/target/engine.cpp
@@ -22,10 +22,17 @@
 {
 }
 
-int engine::draw_length(int most)
+int engine::draw_length(const std::string& request_id, int most) const
 {
+    std::mt19937_64 drawn(hash64(std::string_view(request_id).substr(0, request_id.find('#'))));
     std::lognormal_distribution<double> lengths(std::log(std::max(1.0, most * median_share)), length_sigma);
-    return std::clamp(static_cast<int>(lengths(random_)), 1, std::max(1, most));
+    return std::clamp(static_cast<int>(lengths(drawn)), 1, std::max(1, most));
+}
+
+/// An engine that loads weights makes no tokens; its streams go on afterwards.
+milliseconds engine::loading_left() const
+{
+    return remaining(steady::now(), loading_until_);
 }
 
 void engine::note_load()
@@ -52,7 +59,7 @@
 {
     const auto streams = static_cast<std::int64_t>(streams_.size());
     const auto crowding = std::max<std::int64_t>(options_.capacity, streams);
-    return milliseconds{options_.chunk_time.count() * crowding / options_.capacity};
+    return loading_left() + milliseconds{options_.chunk_time.count() * crowding / options_.capacity};
 }
 
 void engine::Generate(google::protobuf::RpcController* control, const pb::GenerateRequest* request,
@@ -75,7 +82,8 @@
     milliseconds delay{played.delay_ms()};
     {
         const std::lock_guard lock(mutex_);
-        running->wanted = std::max(1, draw_length(request->max_tokens()) - request->resume_tokens());
+        running->wanted =
+            std::max(1, draw_length(request->request_id(), request->max_tokens()) - request->resume_tokens());
         streams_[request->request_id()] = running;
         note_load();
         note_prefix(request->prompt());
@@ -152,6 +160,10 @@
         refused = left > 0;
         faults_.played.set_fail_next_orders(std::max(0, left - 1));
     }
+    {
+        const std::lock_guard lock(mutex_);
+        loading_until_ = std::max(loading_until_, steady::now() + options_.load_time);
+    }
     loop_.after(options_.load_time, [this, request = *request, reply, done, refused] {
         {
             const std::lock_guard lock(mutex_);
--- a/standins/target/engine.hpp
+++ b/standins/target/engine.hpp
@@ -65,12 +65,15 @@
     std::uint64_t version_;
     std::uint64_t fencing_ = 0;
     std::string role_ = "serve";
+    time_point loading_until_{};
     std::map<std::string, stream_ptr> streams_;
     std::deque<std::pair<time_point, int>> load_history_;
     std::deque<target::v1::CacheEvent> cache_events_;
     std::uint64_t next_cache_event_ = 1;
 
-    int draw_length(int most);
+    /// The same for the same sample on any engine: what follows a '#' in its id names only the stream.
+    int draw_length(const std::string& request_id, int most) const;
+    milliseconds loading_left() const;
     void step(const stream_ptr& running);
     milliseconds chunk_delay();
     void note_load();
--- a/standins/trainer/main.cpp
+++ b/standins/trainer/main.cpp
@@ -13,6 +13,7 @@
 #include <iostream>
 #include <set>
 #include <thread>
+#include <tuple>
 
 namespace {
 
@@ -31,8 +32,12 @@
     milliseconds train_time{200};
     std::uint64_t version = 1;
     milliseconds give_up{120000};
+    int lose_cursor_at = -1; ///< forget the cursor once, in the middle of this step; -1: never
 };
 
+/// Step, group and index: what must come once, whatever id it bears.
+using slot_name = std::tuple<std::int64_t, int, int>;
+
 struct trainer_report {
     std::int64_t samples = 0;
     std::int64_t doubled = 0;
@@ -40,6 +45,9 @@
     std::int64_t staleness_sum = 0;
     std::int64_t staleness_most = 0;
     std::int64_t failed_pulls = 0;
+    std::int64_t unscored = 0;
+    std::int64_t tokens = 0;
+    std::int64_t restarts = 0;
     int steps_done = 0;
     duration waited{};
     duration trained{};
@@ -80,7 +88,8 @@
     std::size_t next_address_ = 0;
     std::uint64_t version_;
     std::string cursor_;
-    std::set<std::string> seen_;
+    std::set<slot_name> seen_;
+    bool lost_cursor_ = false;
     trainer_report report_;
 
     bool run_step(time_point deadline)
@@ -120,13 +129,32 @@
             return false;
         }
         const auto& reply = value(outcome);
+        if (reply.restarted()) {
+            drop_step(reply.step());
+        }
         for (const auto& sample : reply.samples()) {
             take(sample);
         }
         cursor_ = reply.cursor();
+        const bool lose = !lost_cursor_ && reply.step() == options_.lose_cursor_at;
+        if (lose && !reply.step_complete() && reply.samples_size() > 0) {
+            lost_cursor_ = true;
+            cursor_.clear();
+        }
         return reply.step_complete();
     }
 
+    /// The step begins again, as after a lost cursor: what is held of it is not trained on.
+    void drop_step(std::int64_t step)
+    {
+        ++report_.restarts;
+        for (auto it = seen_.begin(); it != seen_.end();) {
+            const bool dropped = std::get<0>(*it) == step;
+            report_.samples -= dropped ? 1 : 0;
+            it = dropped ? seen_.erase(it) : std::next(it);
+        }
+    }
+
     void on_failure(const error& refused)
     {
         if (refused.code == error_code::wrong_node) {
@@ -142,7 +170,11 @@
     void take(const v1::Sample& sample)
     {
         ++report_.samples;
-        report_.doubled += seen_.insert(sample.id()).second ? 0 : 1;
+        report_.doubled += seen_.insert({sample.step(), sample.group(), sample.index()}).second ? 0 : 1;
+        report_.unscored += sample.unscored().empty() ? 0 : 1;
+        for (const auto& span : sample.spans()) {
+            report_.tokens += span.tokens();
+        }
         report_.mixed += sample.spans_size() > 1 ? 1 : 0;
         const auto staleness =
             static_cast<std::int64_t>(version_) - static_cast<std::int64_t>(sample.oldest_version());
@@ -162,6 +194,9 @@
     summary["doubled"] = report.doubled;
     summary["mixed_version_samples"] = report.mixed;
     summary["final_version"] = run.version();
+    summary["unscored"] = report.unscored;
+    summary["tokens"] = report.tokens;
+    summary["restarts"] = report.restarts;
     summary["failed_pulls"] = report.failed_pulls;
     summary["idle_share"] = total > 0 ? in_seconds(report.waited) / total : 0;
     summary["staleness_mean"] =
@@ -185,6 +220,8 @@
     const TCLAP::ValueArg<int> pull("", "pull", "Most samples a pull", false, 32, "N", line);
     const TCLAP::ValueArg<int> version("", "weights", "Version at start", false, 1, "N", line);
     const TCLAP::ValueArg<int> give_up("", "give-up-s", "Longest run", false, 120, "S", line);
+    const TCLAP::ValueArg<int> lose("", "lose-cursor-at", "Step in which the cursor is lost once", false, -1,
+                                    "N", line);
     const TCLAP::ValueArg<std::string> out("o", "out", "File for the summary", false, "", "FILE", line);
     line.parse(argc, argv);
 
@@ -196,6 +233,7 @@
     options.train_time = milliseconds{train_ms.getValue()};
     options.pull_size = pull.getValue();
     options.version = static_cast<std::uint64_t>(version.getValue());
+    options.lose_cursor_at = lose.getValue();
     options.give_up = seconds{give_up.getValue()};
     wire::set_http_threads(4);
     wire::event_loop loop;
