--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -32,6 +32,7 @@
     "data_folder": {"type": "string"},
     "log_level": {"enum": ["debug", "info", "warning", "error"]},
     "span_file": {"type": "string"},
+    "record_file": {"type": "string"},
     "http_threads": {"type": "integer", "minimum": 2, "maximum": 64},
     "drain_time_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "platform": {"$ref": "#/definitions/address"},
@@ -90,6 +91,7 @@
     read(all, "data_folder", parsed.data_folder);
     read(all, "log_level", parsed.log_level);
     read(all, "span_file", parsed.span_file);
+    read(all, "record_file", parsed.record_file);
     read(all, "http_threads", parsed.http_threads);
     read(all, "platform", parsed.platform);
     parsed.drain_time = milliseconds{all.value("drain_time_ms", parsed.drain_time.count())};
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -33,7 +33,8 @@
     std::string failure_domain;
     std::string data_folder; ///< empty: this VM keeps nothing
     std::string log_level = "info";
-    std::string span_file; ///< empty: spans are off
+    std::string span_file;   ///< empty: spans are off
+    std::string record_file; ///< where vg-rollout records what its decisions are fed with; empty: nowhere
     int http_threads = 8;
     milliseconds drain_time{6000}; ///< how long a stopping entry serves after it left the address advice
     std::string platform;          ///< address of the platform's APIs
--- a/src/policy/straggler.cpp
+++ b/src/policy/straggler.cpp
@@ -5,13 +5,13 @@
 namespace vanillagauge::policy {
 namespace {
 
-/// Racing starts once this share of the step is there, in quarters.
-constexpr std::size_t near_end_quarters = 3;
+/// Racing starts once half of the step is there.
+constexpr std::size_t near_end_halves = 1;
 /// A stream silent for this long is taken for dead: many times the gap between chunks of a busy engine.
 constexpr seconds longest_silence{2};
 /// Before this a stream's rate says nothing.
 constexpr milliseconds least_history{250};
-/// A stream is slow below this share of the median rate.
+/// A stream is slow below this share of the typical rate.
 constexpr double slow_share = 0.5;
 
 double rate(const stream_view& stream)
@@ -20,22 +20,6 @@
     return ran > 0 ? stream.tokens / ran : 0;
 }
 
-double median_rate(const std::vector<stream_view>& streams)
-{
-    std::vector<double> rates;
-    for (const auto& stream : streams) {
-        if (!stream.scoring && stream.running >= least_history) {
-            rates.push_back(rate(stream));
-        }
-    }
-    if (rates.empty()) {
-        return 0;
-    }
-    const auto middle = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
-    std::nth_element(rates.begin(), middle, rates.end());
-    return *middle;
-}
-
 } // namespace
 
 // Load pattern: lengths have a heavy tail and engines differ, so a step's last few samples take as long as
@@ -49,8 +33,8 @@
 std::vector<straggler_decision> stragglers(const step_view& step)
 {
     std::vector<straggler_decision> chosen;
-    const bool near_end = step.filled * 4 >= step.slots * near_end_quarters;
-    const double slow = slow_share * median_rate(step.streams);
+    const bool near_end = step.filled * 2 >= step.slots * near_end_halves;
+    const double slow = slow_share * step.typical_rate;
     for (const auto& stream : step.streams) {
         if (stream.scoring || stream.raced || chosen.size() >= step.free_places) {
             continue;
--- a/src/policy/straggler.hpp
+++ b/src/policy/straggler.hpp
@@ -30,6 +30,7 @@
     std::size_t slots = 0;
     std::size_t filled = 0;
     std::size_t free_places = 0; ///< at engines that would do
+    double typical_rate = 0;     ///< tokens a second of streams that ended whole lately; 0: not known
     std::vector<stream_view> streams;
 };
 
--- a/src/rollout/context.hpp
+++ b/src/rollout/context.hpp
@@ -5,6 +5,7 @@
 #include "node/node.hpp"
 #include "observe/metrics.hpp"
 #include "rollout/engine_pool.hpp"
+#include "rollout/recorder.hpp"
 
 namespace vanillagauge::rollout {
 
@@ -17,6 +18,7 @@
     node::target_directory& directory;
     engine_directory& engines;
     observe::metrics& metrics;
+    recorder& records;
 };
 
 } // namespace vanillagauge::rollout
--- /dev/null
+++ b/src/rollout/core/job_shape.cpp
@@ -0,0 +1,36 @@
+#include "rollout/core/job_shape.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::rollout {
+
+// The trainer publishes a version about once a step, so a step generated k steps ahead is k versions old at
+// its pull. `idle` plans up to the whole bound: the trainer finds samples ready, some of which are then too
+// old. `staleness` plans half of it, rounded up, and no more than one step ahead.
+samples::job_shape shape_of(const config::job_spec& spec)
+{
+    const bool idle = spec.preference == config::job_preference::idle;
+    samples::job_shape shape;
+    shape.job = spec.name;
+    shape.group_size = static_cast<std::size_t>(spec.group_size);
+    shape.groups = static_cast<std::size_t>(spec.groups_per_step);
+    shape.max_staleness = spec.max_staleness;
+    shape.planned_staleness = idle ? spec.max_staleness : (spec.max_staleness + 1) / 2;
+    shape.lookahead = idle ? spec.max_staleness : std::min(spec.max_staleness, 1);
+    if (spec.plain) {
+        shape.lookahead = 0;
+        shape.whole_steps = true;
+    }
+    return shape;
+}
+
+policy::wave_weight weight_of(const config::job_spec& job)
+{
+    if (job.plain) {
+        return policy::wave_weight::drain_all;
+    }
+    return job.preference == config::job_preference::idle ? policy::wave_weight::idle
+                                                          : policy::wave_weight::staleness;
+}
+
+} // namespace vanillagauge::rollout
--- a/src/rollout/job_runner.cpp
+++ b/src/rollout/job_runner.cpp
@@ -1,11 +1,10 @@
 #include "rollout/job_runner.hpp"
 
 #include "observe/log.hpp"
+#include "rollout/core/core.hpp"
 #include "rollout/sample_message.hpp"
 #include "rollout/scoring.hpp"
 
-#include <algorithm>
-
 namespace vanillagauge::rollout {
 namespace {
 
@@ -13,48 +12,13 @@
 constexpr milliseconds retry_pause{100};
 constexpr std::size_t default_pull = 64;
 
-policy::step_view step_view_of(const samples::job_state& state, std::size_t free_places, time_point now)
-{
-    policy::step_view step{state.shape().slots(), state.filled(state.step()), free_places, {}};
-    const auto running = state.running();
-    for (const auto& stream : running) {
-        if (stream.slot.step != state.step()) {
-            continue;
-        }
-        const auto streams = std::count_if(running.begin(), running.end(),
-                                           [&](const auto& other) { return other.slot == stream.slot; });
-        step.streams.push_back({stream.id, stream.so_far.spans.tokens() - stream.resumed_tokens,
-                                now - stream.started, now - stream.moved, streams > 1, stream.generated});
-    }
-    return step;
-}
-
 } // namespace
 
-// The trainer publishes a version about once a step, so a step generated k steps ahead is k versions old at
-// its pull. `idle` plans up to the whole bound: the trainer finds samples ready, some of which are then too
-// old. `staleness` plans half of it, rounded up, and no more than one step ahead.
-samples::job_shape shape_of(const config::job_spec& spec)
-{
-    const bool idle = spec.preference == config::job_preference::idle;
-    samples::job_shape shape;
-    shape.job = spec.name;
-    shape.group_size = static_cast<std::size_t>(spec.group_size);
-    shape.groups = static_cast<std::size_t>(spec.groups_per_step);
-    shape.max_staleness = spec.max_staleness;
-    shape.planned_staleness = idle ? spec.max_staleness : (spec.max_staleness + 1) / 2;
-    shape.lookahead = idle ? spec.max_staleness : std::min(spec.max_staleness, 1);
-    if (spec.plain) {
-        shape.lookahead = 0;
-        shape.whole_steps = true;
-    }
-    return shape;
-}
-
 job_runner::job_runner(const context& shared, config::job_spec spec)
     : context_(shared), spec_(std::move(spec)),
       stream_prefix_(shared.settings.vm + "-" + hex(node::new_incarnation())),
-      checkpoint_(std::make_shared<checkpoint_store>(shared, spec_.name)), state_(shape_of(spec_))
+      checkpoint_(std::make_shared<checkpoint_store>(shared, spec_.name)),
+      state_(shared.records, shape_of(spec_))
 {
 }
 
@@ -100,7 +64,7 @@
     }
     {
         const std::lock_guard lock(mutex_);
-        facts.known = {state_.step(), state_.trainer_version()};
+        facts.known = {state_.now().step(), state_.now().trainer_version()};
     }
     auto settle = [self = shared_from_this(), facts, terms,
                    on_done = std::move(on_done)](result<std::optional<samples::checkpoint>> stored) mutable {
@@ -112,7 +76,7 @@
         }
         auto restart = terms;
         restart.restarted = value(step) > 0 || facts.known.trainer_version > 0;
-        self->pull_at(samples::step_start(self->spec_.name, value(step), self->state_.shape().slots()),
+        self->pull_at(samples::step_start(self->spec_.name, value(step), self->state_.now().shape().slots()),
                       restart, std::move(on_done));
     };
     if (facts.begin_step) {
@@ -130,7 +94,7 @@
     samples::checkpoint reached;
     {
         const std::lock_guard lock(mutex_);
-        const auto position = state_.locate(presented);
+        const auto position = state_.now().locate(presented);
         if (stopped_) {
             reply = error{error_code::draining, run_state::not_run, "the job moves to another node",
                           milliseconds{200}};
@@ -141,7 +105,7 @@
         else {
             ended = state_.on_pull(value(position), terms.trainer_version);
             auto ready = collect(value(position), terms);
-            reached = {state_.step(), state_.trainer_version()};
+            reached = {state_.now().step(), state_.now().trainer_version()};
             if (ready.samples_size() > 0 || terms.wait == milliseconds{0}) {
                 reply = std::move(ready);
             }
@@ -172,7 +136,7 @@
     reply.set_cursor(samples::seal(found.next, context_.settings.tokens.peer));
     reply.set_step(position.step);
     reply.set_step_complete(found.step_complete);
-    reply.set_discarded_stale(state_.counts().discarded_stale);
+    reply.set_discarded_stale(state_.now().counts().discarded_stale);
     reply.set_restarted(terms.restarted);
     return reply;
 }
@@ -184,7 +148,7 @@
     {
         const std::lock_guard lock(mutex_);
         for (auto it = waiting_.begin(); it != waiting_.end();) {
-            const auto position = state_.locate(it->position);
+            const auto position = state_.now().locate(it->position);
             if (!ok(position)) {
                 answers.emplace_back(std::move(it->on_done), failure(position));
                 it = waiting_.erase(it);
@@ -272,8 +236,8 @@
 
 std::optional<job_runner::start_order> job_runner::start_next(engine_pool& engines, int share)
 {
-    const auto next = state_.next_slot();
-    if (!next || state_.in_flight() >= static_cast<std::size_t>(share)) {
+    const auto next = state_.now().next_slot();
+    if (!next || state_.now().in_flight() >= static_cast<std::size_t>(share)) {
         return std::nullopt;
     }
     const auto now = steady::now();
@@ -357,15 +321,14 @@
     {
         const std::lock_guard lock(mutex_);
         const auto now = steady::now();
-        const auto step = step_view_of(state_, engines->free_places(0, now), now);
-        for (const auto& decision : policy::stragglers(step)) {
+        for (const auto& decision : state_.stragglers(engines->free_places(0, now), now)) {
             if (decision.action == policy::straggler_action::resume) {
                 if (auto left = state_.interrupt(decision.attempt)) {
                     ended.push_back(std::move(*left));
                 }
                 continue;
             }
-            const auto first = state_.find(decision.attempt);
+            const auto first = state_.now().find(decision.attempt);
             auto race = first ? start_race(*engines, *first) : std::nullopt;
             if (race) {
                 races.push_back(std::move(*race));
@@ -397,7 +360,7 @@
     {
         const std::lock_guard lock(mutex_);
         streams_.erase(id);
-        ours = state_.find(id).has_value();
+        ours = state_.now().find(id).has_value();
         if (end != generation_end::whole) {
             state_.on_broken(id, end == generation_end::broken);
         }
@@ -424,7 +387,7 @@
     samples::slot_key slot;
     {
         const std::lock_guard lock(mutex_);
-        const auto stream = state_.find(id);
+        const auto stream = state_.now().find(id);
         sample = state_.on_generated(id, losers);
         slot = stream ? stream->slot : slot;
     }
@@ -471,7 +434,7 @@
     {
         const std::lock_guard lock(mutex_);
         stopped_ = true;
-        ended = state_.running();
+        ended = state_.now().running();
         waiting.swap(waiting_);
     }
     cancel_streams(ended);
@@ -484,14 +447,14 @@
 v1::JobStatusReply job_runner::status() const
 {
     const std::lock_guard lock(mutex_);
-    const auto& counts = state_.counts();
+    const auto& counts = state_.now().counts();
     v1::JobStatusReply reply;
     reply.set_job(spec_.name);
     reply.set_owner(context_.settings.vm);
-    reply.set_step(state_.step());
-    reply.set_ready(static_cast<int>(state_.filled(state_.step())));
-    reply.set_running(static_cast<int>(state_.in_flight()));
-    reply.set_announced_version(state_.trainer_version());
+    reply.set_step(state_.now().step());
+    reply.set_ready(static_cast<int>(state_.now().filled(state_.now().step())));
+    reply.set_running(static_cast<int>(state_.now().in_flight()));
+    reply.set_announced_version(state_.now().trainer_version());
     reply.set_wasted_tokens(counts.wasted_tokens);
     reply.set_delivered(counts.delivered);
     reply.set_discarded_stale(counts.discarded_stale);
--- a/src/rollout/job_runner.hpp
+++ b/src/rollout/job_runner.hpp
@@ -4,6 +4,7 @@
 
 #include "rollout/checkpoint_store.hpp"
 #include "rollout/context.hpp"
+#include "rollout/recorded_job.hpp"
 #include "rollout/slot_generation.hpp"
 #include "samples/samples.hpp"
 
@@ -18,9 +19,6 @@
 
 namespace vanillagauge::rollout {
 
-/// How the operator's choices in the job shape its state.
-samples::job_shape shape_of(const config::job_spec& spec);
-
 class job_runner : public std::enable_shared_from_this<job_runner> {
 public:
     using pull_done = std::function<void(result<v1::PullReply>)>;
@@ -62,7 +60,7 @@
     const std::string stream_prefix_; ///< tells this owner's streams from another's for the same sample
     std::shared_ptr<checkpoint_store> checkpoint_;
     mutable std::mutex mutex_;
-    samples::job_state state_;
+    recorded_job state_;
     std::map<samples::attempt_id, std::shared_ptr<slot_generation>> streams_;
     std::deque<waiting_pull> waiting_;
     std::uint64_t next_ticket_ = 0;
--- a/src/rollout/main.cpp
+++ b/src/rollout/main.cpp
@@ -27,11 +27,12 @@
     auto targets = node::http_channels(loop);
     node::target_directory directory;
     rollout::engine_directory engines;
+    rollout::recorder records(settings.record_file, settings.vm);
     keeper.on_change([&] {
         directory.update(*keeper.current());
         engines.update(*keeper.current());
     });
-    rollout::rollout_service service({settings, loop, keeper, targets, directory, engines, metrics});
+    rollout::rollout_service service({settings, loop, keeper, targets, directory, engines, metrics, records});
     wire::dispatcher calls(node::access_of(settings.tokens));
     calls.mount(service, wire::role::trainer);
     wire::http_server http(calls, {}, {{"/metrics", [&metrics] { return metrics.page(); }}});
--- a/src/rollout/order_fence.cpp
+++ b/src/rollout/order_fence.cpp
@@ -29,6 +29,11 @@
     return options;
 }
 
+std::int64_t microseconds_of(time_point at)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count();
+}
+
 std::string holder_in(const std::string& text)
 {
     const auto all = nlohmann::json::parse(text, nullptr, false);
@@ -39,7 +44,8 @@
 
 order_fence::order_fence(const context& shared, const config::deployment_spec& deployment)
     : context_(shared), name_("deployment/" + deployment.name),
-      self_(shared.settings.vm + "-" + hex(node::new_incarnation())), fence_(settings_of(deployment, self_))
+      self_(shared.settings.vm + "-" + hex(node::new_incarnation())),
+      enforced_(deployment.fencing == config::fencing_mode::enforced), fence_(settings_of(deployment, self_))
 {
 }
 
@@ -52,6 +58,12 @@
         const auto now = steady::now();
         fence_.on_view(ours, view_updated, now);
         action = fence_.next(now);
+        const bool changed = ours != ours_;
+        ours_ = ours;
+        view_updated_ = view_updated;
+        if (changed || action != policy::fence_action::none) {
+            record("tick", now, {{"action", static_cast<int>(action)}});
+        }
         expected = fence_.expected_version();
     }
     if (action == policy::fence_action::read) {
@@ -62,6 +74,25 @@
     }
 }
 
+void order_fence::fail()
+{
+    const auto now = steady::now();
+    record("failed", now, nlohmann::json::object());
+    fence_.on_failed(now);
+}
+
+void order_fence::record(const char* event, time_point now, nlohmann::json fields) const
+{
+    if (context_.records.on()) {
+        fields["deployment"] = name_;
+        fields["holder_self"] = self_;
+        fields["enforced"] = enforced_;
+        fields["ours"] = ours_;
+        fields["updated_us"] = microseconds_of(view_updated_);
+        context_.records.write("fence", event, now, std::move(fields));
+    }
+}
+
 void order_fence::read()
 {
     v1::LoadRequest request;
@@ -72,11 +103,14 @@
         options_of(context_.keeper), [self = shared_from_this()](const result<v1::LoadReply>& reply) {
             const std::lock_guard lock(self->mutex_);
             if (!ok(reply)) {
-                self->fence_.on_failed(steady::now());
+                self->fail();
                 return;
             }
             const auto& entry = value(reply).entry();
-            self->fence_.on_read(holder_in(entry.spec_json()), entry.version(), steady::now());
+            const auto now = steady::now();
+            const auto holder = holder_in(entry.spec_json());
+            self->record("read", now, {{"holder", holder}, {"version", entry.version()}});
+            self->fence_.on_read(holder, entry.version(), now);
         });
 }
 
@@ -93,13 +127,16 @@
         [self = shared_from_this(), asked = steady::now()](const result<v1::StoreReply>& reply) {
             const std::lock_guard lock(self->mutex_);
             if (ok(reply)) {
+                self->record("written", steady::now(),
+                             {{"version", value(reply).version()}, {"asked_us", microseconds_of(asked)}});
                 self->fence_.on_written(value(reply).version(), asked);
             }
             else if (failure(reply).code == error_code::conflict) {
+                self->record("conflict", steady::now(), nlohmann::json::object());
                 self->fence_.on_conflict();
             }
             else {
-                self->fence_.on_failed(steady::now());
+                self->fail();
             }
         });
 }
@@ -107,13 +144,17 @@
 void order_fence::on_number(std::uint64_t seen)
 {
     const std::lock_guard lock(mutex_);
+    record("number", steady::now(), {{"seen", seen}});
     fence_.on_number(seen);
 }
 
 std::optional<std::uint64_t> order_fence::may_order() const
 {
     const std::lock_guard lock(mutex_);
-    return fence_.may_order(steady::now());
+    const auto now = steady::now();
+    const auto number = fence_.may_order(now);
+    record("may_order", now, {{"number", number ? nlohmann::json(*number) : nlohmann::json()}});
+    return number;
 }
 
 } // namespace vanillagauge::rollout
--- a/src/rollout/order_fence.hpp
+++ b/src/rollout/order_fence.hpp
@@ -26,10 +26,16 @@
     context context_;
     const std::string name_;
     const std::string self_;
+    const bool enforced_;
     mutable std::mutex mutex_;
     policy::wave_fence fence_;
+    bool ours_ = false; ///< as the last view said
+    time_point view_updated_{};
 
     void read();
+    /// The store did not answer. Call with the lock held.
+    void fail();
+    void record(const char* event, time_point now, nlohmann::json fields) const;
     void write(std::uint64_t expected_version);
 };
 
--- /dev/null
+++ b/src/rollout/recorder.hpp
@@ -0,0 +1,33 @@
+/// Records what the pure code is fed with and what it decides, as JSON lines, for replay.
+#ifndef VANILLAGAUGE_ROLLOUT_RECORDER_HPP
+#define VANILLAGAUGE_ROLLOUT_RECORDER_HPP
+
+#include "base/clock.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <mutex>
+#include <string>
+
+namespace vanillagauge::rollout {
+
+class recorder {
+public:
+    /// An empty path records nothing.
+    recorder(const std::string& path, std::string vm);
+
+    bool on() const { return on_; }
+    /// Adds the VM and the time in microseconds; subject and event name what the pure code is to be fed with.
+    void write(const char* subject, const char* event, time_point now, nlohmann::json fields);
+
+private:
+    const std::string vm_;
+    bool on_ = false;
+    std::mutex mutex_;
+    std::ofstream file_;
+};
+
+} // namespace vanillagauge::rollout
+
+#endif
--- a/src/rollout/rollout_service.cpp
+++ b/src/rollout/rollout_service.cpp
@@ -1,5 +1,6 @@
 #include "rollout/rollout_service.hpp"
 
+#include "rollout/core/core.hpp"
 #include "rollout/ownership.hpp"
 #include "wire/controller.hpp"
 
--- a/src/rollout/slot_generation.cpp
+++ b/src/rollout/slot_generation.cpp
@@ -74,7 +74,19 @@
 {
     const samples::chunk_facts facts{chunk.request_id(), chunk.sequence(), chunk.tokens(),
                                      chunk.version(),    chunk.done(),     chunk.total_tokens()};
-    if (check_.take(facts) == samples::chunk_verdict::accepted) {
+    const auto verdict = check_.take(facts);
+    if (context_.records.on()) {
+        context_.records.write("stream", "chunk", steady::now(),
+                               {{"stream", request_.request_id},
+                                {"request_id", facts.request_id},
+                                {"sequence", facts.sequence},
+                                {"tokens", facts.tokens},
+                                {"version", facts.version},
+                                {"done", facts.done},
+                                {"total", facts.total_tokens},
+                                {"verdict", static_cast<int>(verdict)}});
+    }
+    if (verdict == samples::chunk_verdict::accepted) {
         on_chunk_(facts, chunk.text());
     }
 }
--- a/src/rollout/weight_rollout.cpp
+++ b/src/rollout/weight_rollout.cpp
@@ -28,15 +28,6 @@
 
 } // namespace
 
-policy::wave_weight weight_of(const config::job_spec& job)
-{
-    if (job.plain) {
-        return policy::wave_weight::drain_all;
-    }
-    return job.preference == config::job_preference::idle ? policy::wave_weight::idle
-                                                          : policy::wave_weight::staleness;
-}
-
 weight_rollout::weight_rollout(const context& shared)
     : context_(shared), peers_(node::http_channels(shared.loop))
 {
@@ -215,6 +206,10 @@
                                 const std::string& problem, std::optional<std::uint64_t> in_force)
 {
     engines->end_order(engine, in_force, steady::now());
+    if (context_.records.on()) {
+        context_.records.write("wave", "ordered", steady::now(),
+                               {{"engine", engine}, {"in_force", in_force.value_or(0)}});
+    }
     if (!in_force) {
         observe::log(observe::log_level::warning, "order_failed",
                      {{"deployment", deployment}, {"engine", engine}, {"detail", problem}});
--- a/src/rollout/weight_rollout.hpp
+++ b/src/rollout/weight_rollout.hpp
@@ -14,9 +14,6 @@
 
 namespace vanillagauge::rollout {
 
-/// How a job weighs the swap of its deployment's weights.
-policy::wave_weight weight_of(const config::job_spec& job);
-
 class weight_rollout : public std::enable_shared_from_this<weight_rollout> {
 public:
     explicit weight_rollout(const context& shared);
--- a/src/samples/job_state.cpp
+++ b/src/samples/job_state.cpp
@@ -16,6 +16,8 @@
     return version > by ? version - by : 0;
 }
 
+constexpr std::size_t rates_kept = 32;
+
 int own_tokens(const attempt& stream)
 {
     return stream.so_far.spans.tokens() - stream.resumed_tokens;
@@ -268,6 +270,11 @@
         return std::nullopt;
     }
     found->second.generated = true;
+    const auto took = std::chrono::duration<double>(found->second.moved - found->second.started).count();
+    if (took > 0) {
+        rates_.push_back(own_tokens(found->second) / took);
+        rates_.size() > rates_kept ? rates_.pop_front() : void();
+    }
     std::vector<attempt_id> others;
     for (const auto& [other, stream] : attempts_) {
         if (other != id && stream.slot == found->second.slot) {
@@ -329,6 +336,17 @@
     return std::nullopt;
 }
 
+double job_state::typical_rate() const
+{
+    if (rates_.empty()) {
+        return 0;
+    }
+    std::vector<double> sorted(rates_.begin(), rates_.end());
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::nth_element(sorted.begin(), middle, sorted.end());
+    return *middle;
+}
+
 std::vector<attempt> job_state::running() const
 {
     std::vector<attempt> all;
--- a/src/samples/job_state.hpp
+++ b/src/samples/job_state.hpp
@@ -6,6 +6,7 @@
 #include "samples/cursor.hpp"
 #include "samples/product.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -100,6 +101,8 @@
     /// How many of the step's slots need no more work.
     std::size_t filled(std::int64_t step) const;
     std::size_t in_flight() const { return attempts_.size(); }
+    /// Tokens a second of the streams that ended whole lately: their median; 0: none did.
+    double typical_rate() const;
     const job_counts& counts() const { return counts_; }
     const job_shape& shape() const { return shape_; }
 
@@ -121,6 +124,7 @@
     std::map<std::int64_t, step_slots> steps_;
     std::map<attempt_id, attempt> attempts_;
     attempt_id next_attempt_ = 1;
+    std::deque<double> rates_; ///< of the last streams that ended whole
     job_counts counts_;
 
     void open_window();
--- a/standins/target/engine.cpp
+++ b/standins/target/engine.cpp
@@ -125,6 +125,13 @@
         const std::lock_guard lock(faults_.mutex);
         faults_.counts.set_tokens(faults_.counts.tokens() + chunk.tokens());
     }
+    {
+        const std::lock_guard lock(faults_.mutex);
+        if (const int left = faults_.played.cross_next_chunks(); left > 0) {
+            faults_.played.set_cross_next_chunks(left - 1);
+            chunk.set_request_id("late-" + chunk.request_id());
+        }
+    }
     running->control->write(chunk);
     if (last) {
         faults_.count_run(running->request_id);
--- a/standins/trainer/main.cpp
+++ b/standins/trainer/main.cpp
@@ -33,6 +33,7 @@
     std::uint64_t version = 1;
     milliseconds give_up{120000};
     int lose_cursor_at = -1; ///< forget the cursor once, in the middle of this step; -1: never
+    int lose_reply_at = -1;  ///< once drop a reply of this step as if it had not come; -1: never
 };
 
 /// Step, group and index: what must come once, whatever id it bears.
@@ -90,6 +91,7 @@
     std::string cursor_;
     std::set<slot_name> seen_;
     bool lost_cursor_ = false;
+    bool lost_reply_ = false;
     trainer_report report_;
 
     bool run_step(time_point deadline)
@@ -129,6 +131,10 @@
             return false;
         }
         const auto& reply = value(outcome);
+        if (!lost_reply_ && reply.step() == options_.lose_reply_at && reply.samples_size() > 0) {
+            lost_reply_ = true;
+            return false;
+        }
         if (reply.restarted()) {
             drop_step(reply.step());
         }
@@ -222,6 +228,8 @@
     const TCLAP::ValueArg<int> give_up("", "give-up-s", "Longest run", false, 120, "S", line);
     const TCLAP::ValueArg<int> lose("", "lose-cursor-at", "Step in which the cursor is lost once", false, -1,
                                     "N", line);
+    const TCLAP::ValueArg<int> lose_reply("", "lose-reply-at", "Step in which a reply is lost once", false,
+                                          -1, "N", line);
     const TCLAP::ValueArg<std::string> out("o", "out", "File for the summary", false, "", "FILE", line);
     line.parse(argc, argv);
 
@@ -234,6 +242,7 @@
     options.pull_size = pull.getValue();
     options.version = static_cast<std::uint64_t>(version.getValue());
     options.lose_cursor_at = lose.getValue();
+    options.lose_reply_at = lose_reply.getValue();
     options.give_up = seconds{give_up.getValue()};
     wire::set_http_threads(4);
     wire::event_loop loop;
--- a/tests/policy/straggler_tests.cpp
+++ b/tests/policy/straggler_tests.cpp
@@ -13,7 +13,7 @@
 
 step_view nearly_done(std::vector<stream_view> streams)
 {
-    return {16, 16 - streams.size(), 8, std::move(streams)};
+    return {16, 16 - streams.size(), 8, 200, std::move(streams)};
 }
 
 TEST(stragglers, races_a_slow_stream_near_the_end)
@@ -32,11 +32,20 @@
     EXPECT_TRUE(chosen.empty());
 }
 
+// A whole group hangs on one slow engine. All streams that still run are slow, so compared with each other
+// none is, and the step would wait for all of them.
+TEST(stragglers, races_a_whole_group_on_one_slow_engine)
+{
+    const auto chosen = stragglers({6, 4, 8, 200, {stream(1, 20, seconds{1}), stream(2, 22, seconds{1})}});
+    EXPECT_EQ(chosen.size(), 2U);
+    EXPECT_TRUE(stragglers({6, 4, 8, 0, {stream(1, 20, seconds{1})}}).empty());
+}
+
 // The connection to the engine went silent for good. Waiting for the stream's own timeout would hold the
 // whole step for seconds, so its sample goes on elsewhere at any point of the step.
 TEST(stragglers, resumes_a_silent_stream_at_once)
 {
-    step_view early{16, 0, 8, {stream(1, 80, seconds{3}, seconds{2}), stream(2, 80, seconds{1})}};
+    step_view early{16, 0, 8, 200, {stream(1, 80, seconds{3}, seconds{2}), stream(2, 80, seconds{1})}};
     const auto chosen = stragglers(early);
     ASSERT_EQ(chosen.size(), 1U);
     EXPECT_EQ(chosen[0].attempt, 1U);
@@ -47,7 +56,7 @@
 {
     auto slow = stream(3, 10, seconds{1});
     const auto fast = stream(1, 200, seconds{1});
-    EXPECT_TRUE(stragglers({16, 4, 8, {fast, fast, slow}}).empty());
+    EXPECT_TRUE(stragglers({16, 4, 8, 200, {fast, fast, slow}}).empty());
     auto full = nearly_done({fast, fast, slow});
     full.free_places = 0;
     EXPECT_TRUE(stragglers(full).empty());
