--- /dev/null
+++ b/src/claims/backup.cpp
@@ -0,0 +1,127 @@
+#include "claims/backup.hpp"
+
+namespace vanillagauge::claims {
+
+const backup::entry* backup::find(const call_key& key) const
+{
+    const auto pair = pairs_.find(key.pair);
+    if (pair == pairs_.end()) {
+        return nullptr;
+    }
+    const auto found = pair->second.find(id_of(key));
+    return found == pair->second.end() ? nullptr : &found->second;
+}
+
+record_verdict backup::record(const call_key& key, std::uint64_t fingerprint, std::int64_t wall_ms)
+{
+    expire(wall_ms);
+    // A home that was paused wakes and sends its claims late. The takeover has already told callers "not run"
+    // of every unseen key, so an acknowledgement now would make that untrue.
+    if (closed(key.pair)) {
+        return record_verdict::closed;
+    }
+    if (horizon_.expired(key.expires_ms)) {
+        return record_verdict::expired;
+    }
+    if (const auto* known = find(key)) {
+        return known->fingerprint == fingerprint ? record_verdict::recorded : record_verdict::other_request;
+    }
+    const auto pair = pairs_.find(key.pair);
+    const bool pair_full = pair != pairs_.end() && pair->second.size() >= limits_.keys_per_pair;
+    if (keys_ >= limits_.keys || pair_full) {
+        return record_verdict::full;
+    }
+    pairs_[key.pair][id_of(key)].fingerprint = fingerprint;
+    ++keys_;
+    return record_verdict::recorded;
+}
+
+void backup::keep(entry& item, const outcome& answer)
+{
+    item.answer = std::make_unique<outcome>(bounded(answer, answer_bytes_, limits_));
+    answer_bytes_ += answer_size(*item.answer);
+}
+
+void backup::settle(const settled_record& record, std::int64_t wall_ms)
+{
+    expire(wall_ms);
+    const auto pair = pairs_.find(record.key.pair);
+    if (pair == pairs_.end()) {
+        return;
+    }
+    const auto found = pair->second.find(id_of(record.key));
+    if (found == pair->second.end() || found->second.fingerprint != record.fingerprint ||
+        found->second.answer) {
+        return;
+    }
+    keep(found->second, record.answer);
+}
+
+void backup::close(const claim_pair& pair)
+{
+    auto& through = closed_through_[pair.home.vm];
+    through = std::max(through, pair.home.number);
+}
+
+bool backup::closed(const claim_pair& pair) const
+{
+    const auto found = closed_through_.find(pair.home.vm);
+    return found != closed_through_.end() && pair.home.number <= found->second;
+}
+
+verdict backup::take_over(const call_key& key, std::uint64_t fingerprint, std::int64_t wall_ms)
+{
+    close(key.pair);
+    expire(wall_ms);
+    if (horizon_.expired(key.expires_ms)) {
+        return {refuse(refusal::expired)};
+    }
+    if (auto known = settled_answer(key, fingerprint)) {
+        return std::move(*known);
+    }
+    return {refuse(find(key) == nullptr ? refusal::pair_closed : refusal::seen_unsettled)};
+}
+
+std::optional<verdict> backup::settled_answer(const call_key& key, std::uint64_t fingerprint) const
+{
+    const auto* known = find(key);
+    if (known == nullptr) {
+        return {};
+    }
+    if (known->fingerprint != fingerprint) {
+        return verdict{refuse(refusal::other_request)};
+    }
+    if (!known->answer) {
+        return {};
+    }
+    return verdict{*known->answer, true};
+}
+
+void backup::accept(const claim_pair& pair, const std::vector<settled_record>& records, std::int64_t wall_ms)
+{
+    close(pair);
+    // Every key that ran was recorded here first, so a key that is unseen here is one the home refused: it
+    // needs no memory to be "not run".
+    for (const auto& record : records) {
+        if (record.key.pair == pair) {
+            settle(record, wall_ms);
+        }
+    }
+}
+
+void backup::expire(std::int64_t wall_ms)
+{
+    horizon_.advance(wall_ms);
+    for (auto pair = pairs_.begin(); pair != pairs_.end();) {
+        auto& items = pair->second;
+        while (!items.empty() && horizon_.expired(items.begin()->first.expires_ms)) {
+            const auto& answer = items.begin()->second.answer;
+            answer_bytes_ -= answer ? answer_size(*answer) : 0;
+            --keys_;
+            items.erase(items.begin());
+        }
+        pair = items.empty() ? pairs_.erase(pair) : std::next(pair);
+    }
+}
+
+} // namespace vanillagauge::claims
--- a/src/claims/claims.hpp
+++ b/src/claims/claims.hpp
@@ -2,6 +2,11 @@
 #ifndef VANILLAGAUGE_CLAIMS_CLAIMS_HPP
 #define VANILLAGAUGE_CLAIMS_CLAIMS_HPP
 
+#include "claims/backup.hpp"
+#include "claims/home.hpp"
 #include "claims/key.hpp"
+#include "claims/record.hpp"
+#include "claims/refusal.hpp"
+#include "claims/role.hpp"
 
 #endif
--- /dev/null
+++ b/src/claims/home.cpp
@@ -0,0 +1,197 @@
+#include "claims/home.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::claims {
+namespace {
+
+/// The last quarter of the memory only remembers refusals: a refusal that is forgotten could be followed by a
+/// run of the same key, when a copy of the request arrives late.
+constexpr std::size_t refusals_only_share = 4;
+
+reply_to reply_error(asker who, const error& failure)
+{
+    return {who, {failure, false}};
+}
+
+} // namespace
+
+home::entry* home::find(const call_key& key)
+{
+    const auto pair = pairs_.find(key.pair);
+    if (pair == pairs_.end()) {
+        return nullptr;
+    }
+    const auto found = pair->second.entries.find(id_of(key));
+    return found == pair->second.entries.end() ? nullptr : &found->second;
+}
+
+home_actions home::call(const call_key& key, std::uint64_t fingerprint, asker who, std::int64_t wall_ms,
+                        const std::optional<error>& refused_at_once)
+{
+    expire(wall_ms);
+    if (entry* known = find(key)) {
+        if (known->fingerprint != fingerprint) {
+            return {reply_error(who, refuse(refusal::other_request))};
+        }
+        if (known->state == phase::settled) {
+            return {reply_to{who, {*known->answer, true}}};
+        }
+        known->waiting.push_back(who);
+        return {};
+    }
+    if (horizon_.expired(key.expires_ms)) {
+        return {reply_error(who, refuse(refusal::expired))};
+    }
+    if (key.expires_ms > horizon_.wall_ms() + limits_.longest_life.count()) {
+        return {reply_error(who, refuse(refusal::far_expiry))};
+    }
+    return begin(key, fingerprint, who, refused_at_once);
+}
+
+home_actions home::begin(const call_key& key, std::uint64_t fingerprint, asker who,
+                         const std::optional<error>& refused_at_once)
+{
+    if (keys_ >= limits_.keys) {
+        return {reply_error(who, refuse(refusal::overfull))};
+    }
+    auto& pair = pairs_[key.pair];
+    const auto reason = refused_at_once ? refused_at_once : reason_to_refuse(pair);
+    auto& item = pair.entries[id_of(key)];
+    ++keys_;
+    item.fingerprint = fingerprint;
+    item.waiting.push_back(who);
+    if (reason) {
+        return settle(key, item, *reason);
+    }
+    return {send_record{key, fingerprint}};
+}
+
+std::optional<error> home::reason_to_refuse(const pair_memory& pair) const
+{
+    if (frozen_) {
+        return refuse(refusal::stopping);
+    }
+    if (pair.closed) {
+        return refuse(refusal::pair_closed);
+    }
+    const auto room = limits_.keys - limits_.keys / refusals_only_share;
+    if (keys_ >= room || pair.entries.size() >= limits_.keys_per_pair) {
+        return refuse(refusal::full);
+    }
+    return {};
+}
+
+home_actions home::acknowledged(const call_key& key, std::int64_t wall_ms)
+{
+    horizon_.advance(wall_ms);
+    entry* item = find(key);
+    if (item == nullptr || item->state != phase::recording) {
+        return {};
+    }
+    if (horizon_.expired(key.expires_ms)) {
+        return settle(key, *item, refuse(refusal::expired_unrun));
+    }
+    if (item->waiting.empty()) {
+        return settle(key, *item, refuse(refusal::caller_gone));
+    }
+    item->state = phase::running;
+    return {dispatch_call{key, item->waiting.front()}};
+}
+
+home_actions home::refused(const call_key& key, refusal why)
+{
+    entry* item = find(key);
+    if (item == nullptr || item->state != phase::recording) {
+        return {};
+    }
+    auto actions = settle(key, *item, refuse(why));
+    auto& pair = pairs_[key.pair];
+    if (why == refusal::pair_closed && !std::exchange(pair.closed, true)) {
+        actions.push_back(renew_pair{key.pair});
+    }
+    return actions;
+}
+
+home_actions home::finished(const call_key& key, const outcome& answer)
+{
+    entry* item = find(key);
+    if (item == nullptr || item->state != phase::running) {
+        return {};
+    }
+    const auto fingerprint = item->fingerprint;
+    auto actions = settle(key, *item, answer);
+    actions.push_back(send_settled{{key, fingerprint, answer}});
+    return actions;
+}
+
+home_actions home::settle(const call_key& key, entry& item, const outcome& answer)
+{
+    home_actions actions;
+    for (const auto who : item.waiting) {
+        actions.push_back(reply_to{who, {answer, !actions.empty()}});
+    }
+    item.waiting = {};
+    item.state = phase::settled;
+    item.answer = std::make_unique<outcome>(bounded(answer, answer_bytes_, limits_));
+    answer_bytes_ += answer_size(*item.answer);
+    if (horizon_.expired(key.expires_ms)) {
+        expire(horizon_.wall_ms());
+    }
+    return actions;
+}
+
+home_actions home::leave(const call_key& key, asker who)
+{
+    entry* item = find(key);
+    if (item == nullptr || std::erase(item->waiting, who) == 0) {
+        return {};
+    }
+    return {reply_error(who, refuse(refusal::out_of_time))};
+}
+
+void home::expire(std::int64_t wall_ms)
+{
+    horizon_.advance(wall_ms);
+    for (auto pair = pairs_.begin(); pair != pairs_.end();) {
+        auto& entries = pair->second.entries;
+        for (auto item = entries.begin();
+             item != entries.end() && horizon_.expired(item->first.expires_ms);) {
+            if (item->second.state != phase::settled) {
+                ++item; // somebody waits for it; it goes once it is settled
+                continue;
+            }
+            answer_bytes_ -= answer_size(*item->second.answer);
+            --keys_;
+            item = entries.erase(item);
+        }
+        pair = entries.empty() ? pairs_.erase(pair) : std::next(pair);
+    }
+}
+
+std::map<claim_pair, std::vector<settled_record>> home::memory() const
+{
+    std::map<claim_pair, std::vector<settled_record>> all;
+    for (const auto& [pair, memory] : pairs_) {
+        auto& records = all[pair];
+        for (const auto& [id, item] : memory.entries) {
+            if (item.state == phase::settled) {
+                records.push_back({{pair, id.expires_ms, id.suffix}, item.fingerprint, *item.answer});
+            }
+        }
+    }
+    return all;
+}
+
+std::size_t home::unsettled() const
+{
+    std::size_t count = 0;
+    for (const auto& [pair, memory] : pairs_) {
+        count += static_cast<std::size_t>(
+            std::count_if(memory.entries.begin(), memory.entries.end(),
+                          [](const auto& item) { return item.second.state != phase::settled; }));
+    }
+    return count;
+}
+
+} // namespace vanillagauge::claims
--- /dev/null
+++ b/src/claims/home.hpp
@@ -0,0 +1,102 @@
+/// The home's side of claim pairs: it alone dispatches, and only what the backup has recorded.
+#ifndef VANILLAGAUGE_CLAIMS_HOME_HPP
+#define VANILLAGAUGE_CLAIMS_HOME_HPP
+
+#include "claims/horizon.hpp"
+#include "claims/record.hpp"
+#include "claims/refusal.hpp"
+
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace vanillagauge::claims {
+
+/// One waiting request, numbered by the program.
+using asker = std::uint64_t;
+
+/// Ask the backup to record the claim; answer with `acknowledged` or `refused`.
+struct send_record {
+    call_key key;
+    std::uint64_t fingerprint = 0;
+};
+/// Run the call at a target, once; answer with `finished`.
+struct dispatch_call {
+    call_key key;
+    asker first = 0;
+};
+/// Tell the backup the outcome. Losing it costs a precise answer, never a second run.
+struct send_settled {
+    settled_record record;
+};
+struct reply_to {
+    asker who = 0;
+    verdict answer;
+};
+/// The backup closed the pair: mint further keys under another incarnation number, or every one is refused.
+struct renew_pair {
+    claim_pair pair;
+};
+
+using home_action = std::variant<send_record, dispatch_call, send_settled, reply_to, renew_pair>;
+using home_actions = std::vector<home_action>;
+
+class home {
+public:
+    explicit home(memory_limits limits = {}) : limits_(limits) {}
+
+    // Commands.
+    /// A call whose key has this process as its home. `refused_at_once` settles an unseen key without a run.
+    home_actions call(const call_key& key, std::uint64_t fingerprint, asker who, std::int64_t wall_ms,
+                      const std::optional<error>& refused_at_once = {});
+    /// The backup has recorded the claim. Late and doubled acknowledgements have no effect.
+    home_actions acknowledged(const call_key& key, std::int64_t wall_ms);
+    /// The claim was not recorded, or nobody knows: the key will never be dispatched.
+    home_actions refused(const call_key& key, refusal why);
+    /// The target's answer, or the error that stands for it.
+    home_actions finished(const call_key& key, const outcome& answer);
+    /// The asker's own deadline passed while it waited.
+    home_actions leave(const call_key& key, asker who);
+    /// Frees the memory of expired keys.
+    void expire(std::int64_t wall_ms);
+    /// Takes no unseen key from now on: the first step of a planned stop.
+    void freeze() { frozen_ = true; }
+
+    // Queries.
+    /// Every settled key of every pair, for the backups to keep after this process has ended.
+    std::map<claim_pair, std::vector<settled_record>> memory() const;
+    /// Keys that are being recorded or run.
+    std::size_t unsettled() const;
+    std::size_t keys() const { return keys_; }
+
+private:
+    enum class phase { recording, running, settled };
+    struct entry {
+        std::uint64_t fingerprint = 0;
+        phase state = phase::recording;
+        std::vector<asker> waiting;
+        std::unique_ptr<outcome> answer;
+    };
+    struct pair_memory {
+        std::map<call_id, entry> entries;
+        bool closed = false;
+    };
+
+    memory_limits limits_;
+    horizon horizon_;
+    std::map<claim_pair, pair_memory> pairs_;
+    std::size_t keys_ = 0;
+    std::size_t answer_bytes_ = 0;
+    bool frozen_ = false;
+
+    entry* find(const call_key& key);
+    home_actions begin(const call_key& key, std::uint64_t fingerprint, asker who,
+                       const std::optional<error>& refused_at_once);
+    home_actions settle(const call_key& key, entry& item, const outcome& answer);
+    std::optional<error> reason_to_refuse(const pair_memory& pair) const;
+};
+
+} // namespace vanillagauge::claims
+
+#endif
--- a/src/claims/key.hpp
+++ b/src/claims/key.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace vanillagauge::claims {
 
@@ -15,7 +16,10 @@
     std::uint64_t number = 0;
 
     friend bool operator==(const incarnation&, const incarnation&) = default;
-    friend auto operator<=>(const incarnation&, const incarnation&) = default;
+    friend bool operator<(const incarnation& left, const incarnation& right)
+    {
+        return std::tie(left.vm, left.number) < std::tie(right.vm, right.number);
+    }
 };
 
 /// The two entry processes, in two failure domains where there are two, that decide on a key.
@@ -24,7 +28,10 @@
     incarnation backup;
 
     friend bool operator==(const claim_pair&, const claim_pair&) = default;
-    friend auto operator<=>(const claim_pair&, const claim_pair&) = default;
+    friend bool operator<(const claim_pair& left, const claim_pair& right)
+    {
+        return std::tie(left.home, left.backup) < std::tie(right.home, right.backup);
+    }
 };
 
 struct call_key {
--- /dev/null
+++ b/src/claims/role.hpp
@@ -0,0 +1,25 @@
+/// What one process is to a key.
+#ifndef VANILLAGAUGE_CLAIMS_ROLE_HPP
+#define VANILLAGAUGE_CLAIMS_ROLE_HPP
+
+#include "claims/key.hpp"
+
+#include <set>
+
+namespace vanillagauge::claims {
+
+enum class pair_role {
+    home,
+    backup,
+    later_home,   ///< this VM's home of the key was an earlier run, whose memory is lost
+    later_backup, ///< the same of the backup
+    neither,
+};
+
+/// `own` are the incarnation numbers this process has had since its start; its memory is whole for these and
+/// for no other.
+pair_role role_of(const claim_pair& pair, const std::string& vm, const std::set<std::uint64_t>& own);
+
+} // namespace vanillagauge::claims
+
+#endif
--- /dev/null
+++ b/tests/claims/interleaving_tests.cpp
@@ -0,0 +1,288 @@
+// Drives the real home and backup with the events of tests/models/claims.pml in random order: lost, late,
+// doubled and crossed messages, pauses between any two steps, crashes with restart, clocks that step,
+// takeover and hand-over. What callers were told is then compared with what the target ran.
+
+#include "claims/claims.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace vanillagauge::claims {
+namespace {
+
+const claim_pair pair{{"vm-1", 7}, {"vm-2", 9}};
+constexpr int key_count = 3;
+constexpr int request_count = 2;
+constexpr std::int64_t start_ms = 1000;
+constexpr std::int64_t expiry_ms = 2000;
+
+enum class event {
+    call_home,
+    call_backup,
+    deliver_record,
+    deliver_acknowledgement,
+    deliver_refusal,
+    time_out,
+    dispatch,
+    finish,
+    deliver_settled,
+    freeze,
+    hand_over,
+    restart_home,
+    restart_backup,
+    home_clock,
+    backup_clock,
+};
+
+struct step {
+    event what = event::call_home;
+    std::size_t pick = 0; ///< which message, key or request
+};
+
+// RapidCheck finds it by this name to print a failing history.
+void showValue(const step& item, std::ostream& out) // NOLINT(readability-identifier-naming)
+{
+    out << "{" << static_cast<int>(item.what) << "," << item.pick << "}";
+}
+
+class world {
+public:
+    void play(const step& item)
+    {
+        pick_ = item.pick;
+        switch (item.what) {
+        case event::call_home:
+            call_home();
+            break;
+        case event::call_backup:
+            call_backup();
+            break;
+        case event::deliver_record:
+            deliver_record();
+            break;
+        case event::deliver_acknowledgement:
+            with(acknowledgements_, [this](const call_key& key) { take(home_.acknowledged(key, home_ms_)); });
+            break;
+        case event::deliver_refusal:
+            with(refusals_, [this](const call_key& key) { take(home_.refused(key, refusal::pair_closed)); });
+            break;
+        case event::time_out:
+            take(home_.refused(key(), refusal::backup_unreachable));
+            break;
+        case event::dispatch:
+            dispatch();
+            break;
+        case event::finish:
+            with(running_, [this](const call_key& key) { take(home_.finished(key, answer_of(key))); });
+            break;
+        case event::deliver_settled:
+            with(settled_, [this](const settled_record& record) { backup_.settle(record, backup_ms_); });
+            break;
+        case event::freeze:
+            home_.freeze();
+            break;
+        case event::hand_over:
+            hand_over();
+            break;
+        case event::restart_home:
+            restart_home();
+            break;
+        case event::restart_backup:
+            backup_ = backup();
+            backup_original_ = false;
+            break;
+        case event::home_clock:
+            home_ms_ = start_ms + static_cast<std::int64_t>(pick_ % 7) * 200; // may step back
+            home_.expire(home_ms_);
+            break;
+        case event::backup_clock:
+            backup_ms_ = start_ms + static_cast<std::int64_t>(pick_ % 7) * 200;
+            backup_.expire(backup_ms_);
+            break;
+        }
+    }
+
+    int dispatches() const { return dispatches_; }
+
+private:
+    home home_;
+    backup backup_;
+    bool home_original_ = true;
+    bool backup_original_ = true;
+    std::int64_t home_ms_ = start_ms;
+    std::int64_t backup_ms_ = start_ms;
+    std::size_t pick_ = 0;
+    asker next_ = 0;
+    std::map<asker, std::pair<call_key, std::uint64_t>> askers_;
+    // Sent messages are never taken out: each may arrive again at any time.
+    std::vector<send_record> records_;
+    std::vector<call_key> acknowledgements_;
+    std::vector<call_key> refusals_;
+    std::vector<settled_record> settled_;
+    std::vector<call_key> granted_; ///< a paused home has these still before it
+    std::vector<call_key> running_;
+    // The truth.
+    std::map<std::string, std::uint64_t> run_by_;
+    std::set<std::pair<std::string, std::uint64_t>> told_not_run_;
+    int dispatches_ = 0;
+
+    template <class Item, class Use>
+    void with(const std::vector<Item>& items, Use use)
+    {
+        if (!items.empty()) {
+            // A copy: the use may add to the items.
+            const Item chosen =
+                items[pick_ % items.size()]; // NOLINT(performance-unnecessary-copy-initialization)
+            use(chosen);
+        }
+    }
+
+    call_key key() const { return {pair, expiry_ms, "k" + std::to_string(pick_ % key_count)}; }
+    std::uint64_t request() const { return (pick_ / key_count) % request_count; }
+    outcome answer_of(const call_key& ran) const { return std::to_string(run_by_.at(ran.suffix)); }
+
+    void call_home()
+    {
+        if (!home_original_) {
+            // A later run of the home knows nothing and has the backup decide.
+            call_backup();
+            return;
+        }
+        askers_[++next_] = {key(), request()};
+        take(home_.call(key(), request(), next_, home_ms_));
+    }
+
+    void call_backup()
+    {
+        if (backup_original_) {
+            check(key(), request(), backup_.take_over(key(), request(), backup_ms_));
+        }
+    }
+
+    void deliver_record()
+    {
+        with(records_, [this](const send_record& message) {
+            if (!backup_original_) {
+                refusals_.push_back(message.key);
+                return;
+            }
+            const auto decided = backup_.record(message.key, message.fingerprint, backup_ms_);
+            (decided == record_verdict::recorded ? acknowledgements_ : refusals_).push_back(message.key);
+        });
+    }
+
+    void dispatch()
+    {
+        with(granted_, [this](const call_key& key) {
+            std::erase_if(granted_, [&key](const call_key& item) { return item.suffix == key.suffix; });
+            run(key);
+        });
+    }
+
+    void run(const call_key& key)
+    {
+        const auto& records = records_;
+        const auto sent = std::find_if(records.begin(), records.end(), [&key](const send_record& item) {
+            return item.key.suffix == key.suffix;
+        });
+        RC_ASSERT(sent != records.end());
+        RC_ASSERT(!run_by_.contains(key.suffix));
+        RC_ASSERT(!told_not_run_.contains({key.suffix, sent->fingerprint}));
+        run_by_[key.suffix] = sent->fingerprint;
+        running_.push_back(key);
+        ++dispatches_;
+    }
+
+    void hand_over()
+    {
+        if (!home_original_ || !backup_original_ || home_.unsettled() > 0) {
+            return;
+        }
+        home_.freeze();
+        for (const auto& [handed, records] : home_.memory()) {
+            backup_.accept(handed, records, backup_ms_);
+        }
+    }
+
+    void restart_home()
+    {
+        home_ = home();
+        home_original_ = false;
+        granted_.clear();
+        running_.clear();
+    }
+
+    void take(const home_actions& actions)
+    {
+        for (const auto& action : actions) {
+            if (const auto* record = std::get_if<send_record>(&action)) {
+                records_.push_back(*record);
+            }
+            else if (const auto* granted = std::get_if<dispatch_call>(&action)) {
+                granted_.push_back(granted->key);
+            }
+            else if (const auto* told = std::get_if<send_settled>(&action)) {
+                settled_.push_back(told->record);
+            }
+            else if (const auto* reply = std::get_if<reply_to>(&action)) {
+                const auto& [asked, request] = askers_.at(reply->who);
+                check(asked, request, reply->answer);
+            }
+        }
+    }
+
+    void check(const call_key& asked, std::uint64_t request, const verdict& told)
+    {
+        const auto ran = run_by_.find(asked.suffix);
+        const bool request_ran = ran != run_by_.end() && ran->second == request;
+        if (ok(told.answer)) {
+            RC_ASSERT(request_ran);
+            RC_ASSERT(value(told.answer) == std::to_string(request));
+        }
+        else if (failure(told.answer).ran == run_state::not_run) {
+            RC_ASSERT(!request_ran);
+            told_not_run_.insert({asked.suffix, request});
+        }
+        else if (failure(told.answer).ran == run_state::ran) {
+            RC_ASSERT(request_ran);
+        }
+    }
+};
+
+rc::Gen<step> any_step()
+{
+    // Restarts, stops and clock steps end most of a history, so they are drawn seldom.
+    const auto what = rc::gen::weightedElement<event>({{12, event::call_home},
+                                                       {1, event::call_backup},
+                                                       {12, event::deliver_record},
+                                                       {12, event::deliver_acknowledgement},
+                                                       {2, event::deliver_refusal},
+                                                       {1, event::time_out},
+                                                       {10, event::dispatch},
+                                                       {8, event::finish},
+                                                       {6, event::deliver_settled},
+                                                       {1, event::freeze},
+                                                       {1, event::hand_over},
+                                                       {1, event::restart_home},
+                                                       {1, event::restart_backup},
+                                                       {1, event::home_clock},
+                                                       {1, event::backup_clock}});
+    return rc::gen::apply(
+        [](event chosen, std::size_t pick) {
+            return step{chosen, pick};
+        },
+        what, rc::gen::inRange<std::size_t>(0, 1000));
+}
+
+RC_GTEST_PROP(claim_interleavings, no_history_runs_a_key_twice_or_makes_an_answer_untrue, ())
+{
+    const auto steps = *rc::gen::container<std::vector<step>>(any_step());
+    world played;
+    for (const auto& item : steps) {
+        played.play(item);
+    }
+    RC_CLASSIFY(played.dispatches() > 0, "with a dispatch");
+}
+
+} // namespace
+} // namespace vanillagauge::claims
--- /dev/null
+++ b/tests/claims/pair_tests.cpp
@@ -0,0 +1,282 @@
+#include "claims/claims.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillagauge::claims {
+namespace {
+
+const claim_pair pair{{"vm-1", 7}, {"vm-2", 9}};
+constexpr std::int64_t now = 1000;
+constexpr std::int64_t expiry = 61000;
+constexpr std::uint64_t charge = 11;
+constexpr std::uint64_t other_charge = 12;
+
+call_key key(const std::string& suffix, std::int64_t expires_ms = expiry)
+{
+    return {pair, expires_ms, suffix};
+}
+
+template <class Action>
+std::vector<Action> all(const home_actions& actions)
+{
+    std::vector<Action> found;
+    for (const auto& action : actions) {
+        if (const auto* wanted = std::get_if<Action>(&action)) {
+            found.push_back(*wanted);
+        }
+    }
+    return found;
+}
+
+error only_error(const home_actions& actions)
+{
+    const auto replies = all<reply_to>(actions);
+    EXPECT_EQ(replies.size(), 1U);
+    return failure(replies.at(0).answer.answer);
+}
+
+/// A home that has run one call to its answer.
+home settled_home(const call_key& ran)
+{
+    home side;
+    side.call(ran, charge, 1, now);
+    side.acknowledged(ran, now);
+    side.finished(ran, std::string("paid"));
+    return side;
+}
+
+TEST(home_side, dispatches_only_once_the_backup_has_recorded_the_claim)
+{
+    home side;
+    const auto asked = side.call(key("a"), charge, 1, now);
+    EXPECT_EQ(all<send_record>(asked).size(), 1U);
+    EXPECT_TRUE(all<dispatch_call>(asked).empty());
+    const auto recorded = side.acknowledged(key("a"), now);
+    EXPECT_EQ(all<dispatch_call>(recorded).size(), 1U);
+}
+
+TEST(home_side, a_doubled_or_crossed_acknowledgement_dispatches_nothing)
+{
+    home side;
+    side.call(key("a"), charge, 1, now);
+    EXPECT_TRUE(side.acknowledged(key("b"), now).empty());
+    EXPECT_EQ(side.acknowledged(key("a"), now).size(), 1U);
+    EXPECT_TRUE(side.acknowledged(key("a"), now).empty());
+    side.finished(key("a"), std::string("paid"));
+    EXPECT_TRUE(side.acknowledged(key("a"), now).empty());
+}
+
+TEST(home_side, a_repeat_gets_the_known_answer_without_a_run)
+{
+    auto side = settled_home(key("a"));
+    const auto replies = all<reply_to>(side.call(key("a"), charge, 2, now));
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_TRUE(replies[0].answer.repeated);
+    EXPECT_EQ(value(replies[0].answer.answer), "paid");
+}
+
+TEST(home_side, a_repeat_during_the_run_gets_the_answer_of_the_first)
+{
+    home side;
+    side.call(key("a"), charge, 1, now);
+    side.acknowledged(key("a"), now);
+    EXPECT_TRUE(side.call(key("a"), charge, 2, now).empty());
+    const auto replies = all<reply_to>(side.finished(key("a"), std::string("paid")));
+    ASSERT_EQ(replies.size(), 2U);
+    EXPECT_FALSE(replies[0].answer.repeated);
+    EXPECT_TRUE(replies[1].answer.repeated);
+}
+
+TEST(home_side, another_request_under_a_used_key_is_refused)
+{
+    auto side = settled_home(key("a"));
+    const auto refused = only_error(side.call(key("a"), other_charge, 2, now));
+    EXPECT_EQ(refused.code, error_code::conflict);
+    EXPECT_EQ(refused.ran, run_state::not_run);
+}
+
+TEST(home_side, a_refused_claim_stays_refused_when_its_acknowledgement_comes_late)
+{
+    home side;
+    side.call(key("a"), charge, 1, now);
+    EXPECT_EQ(only_error(side.refused(key("a"), refusal::backup_unreachable)).ran, run_state::not_run);
+    EXPECT_TRUE(side.acknowledged(key("a"), now).empty());
+    const auto again = side.call(key("a"), charge, 2, now);
+    EXPECT_TRUE(all<send_record>(again).empty());
+    EXPECT_EQ(only_error(again).ran, run_state::not_run);
+}
+
+TEST(home_side, a_closed_pair_is_renewed_once_and_refuses_further_keys_at_once)
+{
+    home side;
+    side.call(key("a"), charge, 1, now);
+    side.call(key("b"), charge, 2, now);
+    EXPECT_EQ(all<renew_pair>(side.refused(key("a"), refusal::pair_closed)).size(), 1U);
+    EXPECT_TRUE(all<renew_pair>(side.refused(key("b"), refusal::pair_closed)).empty());
+    const auto third = side.call(key("c"), charge, 3, now);
+    EXPECT_TRUE(all<send_record>(third).empty());
+    EXPECT_EQ(only_error(third).ran, run_state::not_run);
+}
+
+TEST(home_side, an_expired_key_is_in_doubt_and_never_run_even_if_the_clock_steps_back)
+{
+    auto side = settled_home(key("a"));
+    side.expire(expiry);
+    EXPECT_EQ(side.keys(), 0U);
+    const auto late = side.call(key("a"), charge, 2, now);
+    EXPECT_TRUE(all<send_record>(late).empty());
+    EXPECT_EQ(only_error(late).code, error_code::expired_key);
+    EXPECT_EQ(only_error(late).ran, run_state::in_doubt);
+}
+
+TEST(home_side, a_key_that_expires_while_it_is_recorded_is_not_dispatched)
+{
+    home side;
+    side.call(key("a"), charge, 1, now);
+    const auto late = side.acknowledged(key("a"), expiry);
+    EXPECT_TRUE(all<dispatch_call>(late).empty());
+    EXPECT_EQ(only_error(late).ran, run_state::not_run);
+}
+
+TEST(home_side, a_key_that_expires_during_its_run_still_answers_its_callers)
+{
+    home side;
+    side.call(key("a"), charge, 1, now);
+    side.acknowledged(key("a"), now);
+    side.expire(expiry + 1);
+    EXPECT_EQ(all<reply_to>(side.finished(key("a"), std::string("paid"))).size(), 1U);
+    EXPECT_EQ(side.keys(), 0U);
+}
+
+TEST(home_side, a_claim_that_nobody_waits_for_is_not_dispatched)
+{
+    home side;
+    side.call(key("a"), charge, 1, now);
+    EXPECT_EQ(only_error(side.leave(key("a"), 1)).ran, run_state::in_doubt);
+    EXPECT_TRUE(all<dispatch_call>(side.acknowledged(key("a"), now)).empty());
+}
+
+TEST(home_side, a_stopping_home_takes_no_new_key_and_hands_over_what_it_knows)
+{
+    auto side = settled_home(key("a"));
+    side.freeze();
+    EXPECT_EQ(only_error(side.call(key("b"), charge, 2, now)).code, error_code::draining);
+    EXPECT_EQ(side.unsettled(), 0U);
+    const auto memory = side.memory();
+    ASSERT_EQ(memory.size(), 1U);
+    EXPECT_EQ(memory.at(pair).size(), 2U);
+}
+
+TEST(home_side, a_flood_of_keys_is_refused_within_the_bound)
+{
+    home side(memory_limits{.keys = 8, .keys_per_pair = 8});
+    int admitted = 0;
+    for (int place = 0; place < 20; ++place) {
+        const auto id = "k" + std::to_string(place);
+        const auto actions = side.call(key(id), charge, static_cast<asker>(place), now);
+        admitted += static_cast<int>(all<send_record>(actions).size());
+        EXPECT_LE(side.keys(), 8U);
+    }
+    EXPECT_EQ(admitted, 6);
+    // A refusal that cannot be remembered must not promise that the key never runs.
+    EXPECT_EQ(only_error(side.call(key("late"), charge, 99, now)).ran, run_state::in_doubt);
+    for (int place = 0; place < admitted; ++place) {
+        side.refused(key("k" + std::to_string(place)), refusal::backup_unreachable);
+    }
+    side.expire(expiry);
+    EXPECT_EQ(side.keys(), 0U);
+    EXPECT_EQ(all<send_record>(side.call(key("new", expiry + 1), charge, 100, expiry)).size(), 1U);
+}
+
+TEST(home_side, an_answer_too_long_to_remember_is_delivered_and_repeats_learn_that_it_ran)
+{
+    home side(memory_limits{.longest_answer = 4});
+    side.call(key("a"), charge, 1, now);
+    side.acknowledged(key("a"), now);
+    const auto replies = all<reply_to>(side.finished(key("a"), std::string("a long receipt")));
+    EXPECT_EQ(value(replies.at(0).answer.answer), "a long receipt");
+    EXPECT_EQ(only_error(side.call(key("a"), charge, 2, now)).ran, run_state::ran);
+}
+
+TEST(backup_side, acknowledges_nothing_after_it_has_closed_the_pair)
+{
+    // A home is paused with its claim unsent, the backup takes over and tells the caller "not run"; then the
+    // home wakes and its claim arrives. An acknowledgement would let it run what the caller knows as not run.
+    backup side;
+    const auto told = side.take_over(key("a"), charge, now);
+    EXPECT_EQ(failure(told.answer).ran, run_state::not_run);
+    EXPECT_EQ(side.record(key("a"), charge, now), record_verdict::closed);
+}
+
+TEST(backup_side, a_seen_claim_is_in_doubt_until_its_answer_is_told)
+{
+    backup side;
+    EXPECT_EQ(side.record(key("a"), charge, now), record_verdict::recorded);
+    EXPECT_EQ(failure(side.take_over(key("a"), charge, now).answer).ran, run_state::in_doubt);
+    side.settle({key("a"), charge, std::string("paid")}, now);
+    const auto told = side.take_over(key("a"), charge, now);
+    EXPECT_EQ(value(told.answer), "paid");
+    EXPECT_TRUE(told.repeated);
+    EXPECT_EQ(failure(side.take_over(key("a"), other_charge, now).answer).code, error_code::conflict);
+}
+
+TEST(backup_side, a_repeated_claim_is_recorded_again_but_not_for_another_request)
+{
+    backup side;
+    side.record(key("a"), charge, now);
+    EXPECT_EQ(side.record(key("a"), charge, now), record_verdict::recorded);
+    EXPECT_EQ(side.record(key("a"), other_charge, now), record_verdict::other_request);
+    EXPECT_EQ(side.keys(), 1U);
+}
+
+TEST(backup_side, a_forgotten_key_is_expired_and_never_unseen_even_if_the_clock_steps_back)
+{
+    backup side;
+    side.record(key("a"), charge, now);
+    side.expire(expiry);
+    EXPECT_EQ(side.keys(), 0U);
+    const auto told = side.take_over(key("a"), charge, now);
+    EXPECT_EQ(failure(told.answer).code, error_code::expired_key);
+    EXPECT_EQ(failure(told.answer).ran, run_state::in_doubt);
+}
+
+TEST(backup_side, closing_covers_older_incarnations_of_the_home_and_no_newer_one)
+{
+    backup side;
+    side.close(pair);
+    EXPECT_TRUE(side.closed({{"vm-1", 6}, {"vm-2", 9}}));
+    EXPECT_FALSE(side.closed({{"vm-1", 8}, {"vm-2", 9}}));
+    EXPECT_FALSE(side.closed({{"vm-3", 7}, {"vm-2", 9}}));
+}
+
+TEST(backup_side, a_hand_over_closes_the_pair_and_brings_the_answers)
+{
+    backup side;
+    side.record(key("a"), charge, now);
+    side.accept(pair, {{key("a"), charge, std::string("paid")}}, now);
+    EXPECT_TRUE(side.closed(pair));
+    EXPECT_EQ(value(side.take_over(key("a"), charge, now).answer), "paid");
+    EXPECT_EQ(failure(side.take_over(key("b"), charge, now).answer).ran, run_state::not_run);
+}
+
+TEST(backup_side, a_full_memory_refuses_the_claim)
+{
+    backup side(memory_limits{.keys = 2, .keys_per_pair = 2});
+    side.record(key("a"), charge, now);
+    side.record(key("b"), charge, now);
+    EXPECT_EQ(side.record(key("c"), charge, now), record_verdict::full);
+    EXPECT_EQ(side.keys(), 2U);
+}
+
+TEST(pair_role, a_restarted_process_is_a_stranger_to_its_older_keys)
+{
+    EXPECT_EQ(role_of(pair, "vm-1", {7}), pair_role::home);
+    EXPECT_EQ(role_of(pair, "vm-1", {8}), pair_role::later_home);
+    EXPECT_EQ(role_of(pair, "vm-1", {7, 8}), pair_role::home);
+    EXPECT_EQ(role_of(pair, "vm-2", {9}), pair_role::backup);
+    EXPECT_EQ(role_of(pair, "vm-2", {10}), pair_role::later_backup);
+    EXPECT_EQ(role_of(pair, "vm-3", {9}), pair_role::neither);
+}
+
+} // namespace
+} // namespace vanillagauge::claims
