Run calls that are not idempotent through claim pairs

Cause: vg-entry refused every such call, and nothing kept a charge from running twice when a node died, was paused, or a connection was closed before its answer. Change: the ClaimPeer service (Record, Close, Transfer, Forward) and the caller's path: home, backup, a later run of either, or neither. A guard gives each call one channel to targets with a fresh connection, whatever the driver retries. A home whose pair was closed renews its incarnation number, so that new keys have open pairs; a planned stop settles what is in flight and hands its memory to the backups.

--- /dev/null
+++ b/src/entry/claim_calls.hpp
@@ -0,0 +1,111 @@
+/// Calls that are not idempotent: the claim pairs of this process, run over its peers and targets.
+#ifndef VANILLAGAUGE_ENTRY_CLAIM_CALLS_HPP
+#define VANILLAGAUGE_ENTRY_CLAIM_CALLS_HPP
+
+#include "entry/claim_link.hpp"
+#include "entry/claim_store.hpp"
+#include "observe/metrics.hpp"
+#include "observe/trace.hpp"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace vanillagauge::entry {
+
+/// How a claimed call reaches a target.
+struct claim_runner {
+    using completion = std::function<void(result<v1::CallReply>)>;
+    /// The error for a request that no target can serve.
+    std::function<std::optional<error>(const v1::CallRequest&)> refusal;
+    /// Runs the call at most once.
+    std::function<void(const v1::CallRequest&, time_point deadline, const observe::trace_context&,
+                       completion)>
+        run;
+};
+
+/// What the claimed calls of a process share; all outlive them.
+struct claim_context {
+    std::string vm;
+    wire::event_loop& loop;
+    node::keeper_link& keeper;
+    node::channel_pool& peers;
+    std::string peer_token;
+    observe::metrics& metrics;
+    std::uint64_t incarnation = 0;
+};
+
+class claim_calls {
+public:
+    using completion = claim_runner::completion;
+
+    claim_calls(claim_context context, claim_runner runner);
+
+    // Commands.
+    /// A call from a caller, or forwarded by another entry process. `on_done` runs once, by the deadline.
+    void call(const v1::CallRequest& request, time_point deadline, const observe::trace_context& trace,
+              completion on_done);
+    v1::ClaimReply record(const v1::ClaimRequest& request);
+    v1::ClaimPairReply close(const v1::ClaimPairRequest& request);
+    v1::ClaimTransferReply transfer(const v1::ClaimTransfer& request);
+    /// A planned stop: no new key from now on, then the memory goes to the backups once nothing is in flight.
+    void hand_over();
+    /// Frees expired keys from time to time.
+    void start_expiry();
+
+private:
+    /// One request that waits at its home for the key's outcome.
+    struct waiting_call {
+        v1::CallRequest request;
+        time_point deadline;
+        observe::trace_context trace;
+        completion on_done;
+        wire::timer_cancel timer{};
+    };
+    struct asked_call {
+        v1::CallRequest request;
+        claims::call_key key;
+        std::uint64_t fingerprint = 0;
+        time_point deadline;
+        observe::trace_context trace;
+        completion on_done;
+    };
+    using asked = std::shared_ptr<asked_call>;
+
+    claim_context context_;
+    claim_runner runner_;
+    claim_link link_;
+    claim_store store_;
+    std::atomic<claims::asker> next_asker_{0};
+    mutable std::mutex own_mutex_;
+    std::set<std::uint64_t> own_;
+    std::mutex waiting_mutex_;
+    std::map<claims::asker, waiting_call> waiting_;
+
+    claims::pair_role role_of(const claims::claim_pair& pair) const;
+    void at_home(const asked& call);
+    void at_backup(const asked& call);
+    void take_over(const asked& call);
+    void ask_backup_to_close(const asked& call);
+    void ask_home(const asked& call, milliseconds timeout, std::function<void()> otherwise);
+    void ask_backup(const asked& call);
+
+    void arm_deadline(claims::asker who, const claims::call_key& key, time_point deadline);
+    void leave(const claims::call_key& key, claims::asker who);
+    void perform(const claims::home_actions& actions);
+    void send_record(const claims::send_record& action, int attempt);
+    void on_recorded(const claims::send_record& action, int attempt, const result<v1::ClaimReply>& reply);
+    void dispatch(const claims::dispatch_call& action);
+    void send_settled(const claims::settled_record& record);
+    void reply(const claims::reply_to& action);
+    void renew();
+};
+
+/// Milliseconds since the epoch, for key expiry.
+std::int64_t wall_milliseconds();
+
+} // namespace vanillagauge::entry
+
+#endif
--- /dev/null
+++ b/src/entry/claim_run_guard.cpp
@@ -0,0 +1,74 @@
+#include "entry/claim_run_guard.hpp"
+
+#include <mutex>
+
+namespace vanillagauge::entry {
+namespace {
+
+/// Whether the call may have reached a target; shared by the channels of one call.
+class run_permit {
+public:
+    bool take()
+    {
+        const std::lock_guard lock(mutex_);
+        return !std::exchange(taken_, true);
+    }
+
+    void give_back()
+    {
+        const std::lock_guard lock(mutex_);
+        taken_ = false;
+    }
+
+private:
+    std::mutex mutex_;
+    bool taken_ = false;
+};
+
+/// Two things would run a call twice behind the claim protocol's back. The HTTP client sends a request once
+/// more by itself when a pooled connection is closed before an answer, though the target may have run it; a
+/// fresh connection is never pooled, so it has no such repeat. And a driver that retries or hedges for
+/// latency would start a second attempt; here it gets no channel while the first may have run.
+class guarded_channel final : public wire::channel {
+public:
+    guarded_channel(std::shared_ptr<wire::channel> inner, std::shared_ptr<run_permit> permit)
+        : inner_(std::move(inner)), permit_(std::move(permit))
+    {
+    }
+
+    wire::codec encoding() const override { return inner_->encoding(); }
+
+    wire::call_cancel start(const std::string& path, std::string body, const wire::call_options& options,
+                            on_chunk chunk, on_done done) override
+    {
+        if (!permit_->take()) {
+            done(error{error_code::cancelled, run_state::not_run, "the call may have run already"});
+            return [] {};
+        }
+        auto fresh = options;
+        fresh.fresh_connection = true;
+        auto finish = [permit = permit_, done = std::move(done)](result<std::string> outcome) {
+            if (!ok(outcome) && failure(outcome).ran == run_state::not_run) {
+                permit->give_back();
+            }
+            done(std::move(outcome));
+        };
+        return inner_->start(path, std::move(body), fresh, std::move(chunk), std::move(finish));
+    }
+
+private:
+    std::shared_ptr<wire::channel> inner_;
+    std::shared_ptr<run_permit> permit_;
+};
+
+} // namespace
+
+std::shared_ptr<node::channel_pool> guarded_channels(node::channel_pool& targets)
+{
+    auto permit = std::make_shared<run_permit>();
+    return std::make_shared<node::channel_pool>([&targets, permit](const std::string& address) {
+        return std::make_shared<guarded_channel>(targets.at(address), permit);
+    });
+}
+
+} // namespace vanillagauge::entry
--- /dev/null
+++ b/src/entry/claim_store.cpp
@@ -0,0 +1,67 @@
+#include "entry/claim_store.hpp"
+
+#include "base/digest.hpp"
+
+namespace vanillagauge::entry {
+
+claim_store::claim_store(claims::memory_limits limits_per_shard)
+{
+    for (auto& part : parts_) {
+        part.home = claims::home(limits_per_shard);
+        part.backup = claims::backup(limits_per_shard);
+    }
+}
+
+claim_store::shard& claim_store::at(const std::string& vm)
+{
+    return parts_[hash64(vm) % shards];
+}
+
+void claim_store::freeze()
+{
+    for (auto& part : parts_) {
+        const std::lock_guard lock(part.mutex);
+        part.home.freeze();
+    }
+}
+
+void claim_store::expire(std::int64_t wall_ms)
+{
+    for (auto& part : parts_) {
+        const std::lock_guard lock(part.mutex);
+        part.home.expire(wall_ms);
+        part.backup.expire(wall_ms);
+    }
+}
+
+std::size_t claim_store::unsettled() const
+{
+    std::size_t count = 0;
+    for (const auto& part : parts_) {
+        const std::lock_guard lock(part.mutex);
+        count += part.home.unsettled();
+    }
+    return count;
+}
+
+std::size_t claim_store::keys() const
+{
+    std::size_t count = 0;
+    for (const auto& part : parts_) {
+        const std::lock_guard lock(part.mutex);
+        count += part.home.keys() + part.backup.keys();
+    }
+    return count;
+}
+
+std::map<claims::claim_pair, std::vector<claims::settled_record>> claim_store::memory() const
+{
+    std::map<claims::claim_pair, std::vector<claims::settled_record>> all;
+    for (const auto& part : parts_) {
+        const std::lock_guard lock(part.mutex);
+        all.merge(part.home.memory());
+    }
+    return all;
+}
+
+} // namespace vanillagauge::entry
--- /dev/null
+++ b/src/entry/claim_store.hpp
@@ -0,0 +1,57 @@
+/// The memory of this process's claim pairs, in shards that each have their own lock.
+#ifndef VANILLAGAUGE_ENTRY_CLAIM_STORE_HPP
+#define VANILLAGAUGE_ENTRY_CLAIM_STORE_HPP
+
+#include "claims/claims.hpp"
+
+#include <array>
+#include <functional>
+#include <mutex>
+
+namespace vanillagauge::entry {
+
+/// All keys of one pair lie in one shard, chosen by the other process's VM: closing a pair must be one step.
+class claim_store {
+public:
+    static constexpr std::size_t shards = 4;
+
+    explicit claim_store(claims::memory_limits limits_per_shard);
+
+    /// Runs `use` with the shard's home side, locked.
+    template <class Use>
+    auto with_home(const claims::claim_pair& pair, Use use)
+    {
+        auto& part = at(pair.backup.vm);
+        const std::lock_guard lock(part.mutex);
+        return use(part.home);
+    }
+
+    /// Runs `use` with the shard's backup side, locked.
+    template <class Use>
+    auto with_backup(const claims::claim_pair& pair, Use use)
+    {
+        auto& part = at(pair.home.vm);
+        const std::lock_guard lock(part.mutex);
+        return use(part.backup);
+    }
+
+    void freeze();
+    void expire(std::int64_t wall_ms);
+    std::size_t unsettled() const;
+    std::size_t keys() const;
+    std::map<claims::claim_pair, std::vector<claims::settled_record>> memory() const;
+
+private:
+    struct shard {
+        mutable std::mutex mutex;
+        claims::home home;
+        claims::backup backup;
+    };
+    std::array<shard, shards> parts_;
+
+    shard& at(const std::string& vm);
+};
+
+} // namespace vanillagauge::entry
+
+#endif
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_service.hpp"
 
+#include "entry/claim_calls.hpp"
 #include "entry/locate.hpp"
 #include "entry/plain_call.hpp"
 #include "entry/streamed_generate.hpp"
@@ -8,30 +9,43 @@
 namespace vanillagauge::entry {
 namespace {
 
-std::int64_t wall_milliseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<milliseconds>(now).count();
-}
+constexpr milliseconds fallback_deadline{5000};
 
 error no_deployment(const std::string& deployment)
 {
     return {error_code::not_found, run_state::not_run, "no deployment \"" + deployment + "\""};
 }
 
-error wrong_kind(const std::string& deployment, const char* expected)
+error wrong_kind(const std::string& deployment, config::target_kind expected)
 {
+    const std::string kind = expected == config::target_kind::engine ? "engine" : "service";
     return {error_code::invalid_argument, run_state::not_run,
-            "expected a deployment of kind " + std::string(expected) + ", found \"" + deployment + "\""};
+            "expected a deployment of kind " + kind + ", found \"" + deployment + "\""};
 }
 
-milliseconds deadline_of(std::int64_t asked_ms, const node::target_group& group)
+milliseconds deadline_of(std::int64_t asked_ms, const node::target_group* group)
 {
-    return asked_ms > 0 ? milliseconds{asked_ms} : group.default_deadline();
+    if (asked_ms > 0) {
+        return milliseconds{asked_ms};
+    }
+    return group != nullptr ? group->default_deadline() : fallback_deadline;
 }
 
 } // namespace
 
+std::optional<error> refusal_for(const node::target_directory& directory, const std::string& deployment,
+                                 config::target_kind expected)
+{
+    const auto group = directory.find(deployment);
+    if (!group) {
+        return no_deployment(deployment);
+    }
+    if (group->kind() != expected) {
+        return wrong_kind(deployment, expected);
+    }
+    return {};
+}
+
 void entry_service::Locate(google::protobuf::RpcController* control, const v1::LocateRequest* request,
                            v1::LocateReply* reply, google::protobuf::Closure* done)
 {
@@ -54,24 +68,7 @@
 void entry_service::Call(google::protobuf::RpcController* control, const v1::CallRequest* request,
                          v1::CallReply* reply, google::protobuf::Closure* done)
 {
-    const auto group = context_.directory.find(request->deployment());
     auto& call = wire::from(control);
-    if (!group) {
-        call.fail(no_deployment(request->deployment()));
-        done->Run();
-        return;
-    }
-    if (group->kind() != config::target_kind::service) {
-        call.fail(wrong_kind(request->deployment(), "service"));
-        done->Run();
-        return;
-    }
-    if (!request->idempotent()) {
-        call.fail({error_code::unimplemented, run_state::not_run,
-                   "calls that are not idempotent need claim pairs"});
-        done->Run();
-        return;
-    }
     const auto start = steady::now();
     const auto finish = [this, &call, reply, done, start](result<v1::CallReply> outcome) {
         context_.metrics.record("vg_entry_call_seconds", steady::now() - start);
@@ -85,22 +82,29 @@
         }
         done->Run();
     };
-    const auto deadline = start + deadline_of(request->deadline_ms(), *group);
+    const auto group = context_.directory.find(request->deployment());
+    const auto deadline = start + deadline_of(request->deadline_ms(), group.get());
+    // Only the key's pair can refuse such a call: this process may not know that the key has run already.
+    if (!request->idempotent()) {
+        claims_.call(*request, deadline, call.call().trace, finish);
+        return;
+    }
+    const auto refused = refusal_for(context_.directory, request->deployment(), config::target_kind::service);
+    if (refused) {
+        finish(*refused);
+        return;
+    }
     std::make_shared<plain_call>(context_, group, *request, deadline, call.call().trace, finish)->start();
 }
 
 void entry_service::Generate(google::protobuf::RpcController* control, const v1::GenerateRequest* request,
                              v1::GenerateChunk* /*unused*/, google::protobuf::Closure* done)
 {
-    const auto group = context_.directory.find(request->deployment());
     auto& call = wire::from(control);
-    if (!group) {
-        call.fail(no_deployment(request->deployment()));
-        done->Run();
-        return;
-    }
-    if (group->kind() != config::target_kind::engine) {
-        call.fail(wrong_kind(request->deployment(), "engine"));
+    const auto refused = refusal_for(context_.directory, request->deployment(), config::target_kind::engine);
+    const auto group = context_.directory.find(request->deployment());
+    if (refused || !group) {
+        call.fail(refused ? *refused : no_deployment(request->deployment()));
         done->Run();
         return;
     }
@@ -115,7 +119,7 @@
         }
         done->Run();
     };
-    const auto deadline = steady::now() + deadline_of(request->deadline_ms(), *group);
+    const auto deadline = steady::now() + deadline_of(request->deadline_ms(), group.get());
     std::make_shared<streamed_generate>(context_, group, *request, deadline, call.call().trace, chunk, finish)
         ->start();
 }
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -7,8 +7,12 @@
 
 #include "vanillagauge.pb.h"
 
+#include <optional>
+
 namespace vanillagauge::entry {
 
+class claim_calls;
+
 /// What the service's calls share; all outlive it.
 struct entry_context {
     const config::settings& settings;
@@ -20,9 +24,14 @@
     std::uint64_t incarnation = 0;
 };
 
+/// The error for a deployment that is unknown or of another kind.
+std::optional<error> refusal_for(const node::target_directory& directory, const std::string& deployment,
+                                 config::target_kind expected);
+
 class entry_service final : public v1::Entry {
 public:
-    explicit entry_service(entry_context context) : context_(context) {}
+    /// `claims` takes the calls that are not idempotent.
+    entry_service(entry_context context, claim_calls& claims) : context_(context), claims_(claims) {}
 
     void Locate(google::protobuf::RpcController* control, const v1::LocateRequest* request,
                 v1::LocateReply* reply, google::protobuf::Closure* done) override;
@@ -33,6 +42,7 @@
 
 private:
     entry_context context_;
+    claim_calls& claims_;
 };
 
 } // namespace vanillagauge::entry
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,5 +1,7 @@
 /// vg-entry: the callers' front of one VM.
 
+#include "entry/claim_peer_service.hpp"
+#include "entry/claim_target.hpp"
 #include "entry/entry_service.hpp"
 #include "node/node.hpp"
 #include "observe/observe.hpp"
@@ -21,11 +23,18 @@
     node::target_directory directory;
     keeper.on_change([&] { directory.update(*keeper.current()); });
     const auto incarnation = node::new_incarnation();
-    entry::entry_service service({settings, loop, keeper, targets, directory, metrics, incarnation});
+    const entry::entry_context context{settings, loop, keeper, targets, directory, metrics, incarnation};
+    auto entry_peers = node::peer_channels(loop);
+    entry::claim_calls claims(
+        {settings.vm, loop, keeper, entry_peers, settings.tokens.peer, metrics, incarnation},
+        entry::run_at_targets(context));
+    entry::entry_service service(context, claims);
+    entry::claim_peer_service claim_service(claims);
     wire::dispatcher calls(node::access_of(settings.tokens));
     calls.mount(service, wire::role::caller);
     wire::http_server http(calls, {}, {{"/metrics", [&metrics] { return metrics.page(); }}});
     wire::dispatcher peer_calls(node::access_of(settings.tokens));
+    peer_calls.mount(claim_service, wire::role::peer);
     wire::peer_server peers(loop, peer_calls);
 
     const auto http_address = http.open(settings.entry.http_listen);
@@ -37,6 +46,7 @@
         }
     }
     keeper.follow({"entry", incarnation, value(http_address), value(peer_address), false, 0});
+    claims.start_expiry();
     node::print_ready("vg-entry",
                       {{"http_address", value(http_address)}, {"peer_address", value(peer_address)}});
     node::wait_for_stop();
@@ -45,6 +55,7 @@
     // every kept answer has run out; then it waits for what is in flight.
     keeper.announce([](fleet::process& self) { self.draining = true; });
     std::this_thread::sleep_for(settings.drain_time);
+    claims.hand_over();
     http.close();
     keeper.stop();
     peers.close();
--- a/tests/claims/interleaving_tests.cpp
+++ b/tests/claims/interleaving_tests.cpp
@@ -131,9 +131,7 @@
     {
         if (!items.empty()) {
             // A copy: the use may add to the items.
-            const Item chosen =
-                items[pick_ % items.size()]; // NOLINT(performance-unnecessary-copy-initialization)
-            use(chosen);
+            use(Item(items[pick_ % items.size()]));
         }
     }
 
