--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using nlohmann::json;
+using namespace nlohmann::literals;
 
 constexpr const char* settings_schema = R"json({
   "type": "object",
@@ -57,7 +58,15 @@
         "seeds": {"type": "array", "items": {"$ref": "#/definitions/address"}}
       }
     },
-    "entry": {"$ref": "#/definitions/listen"},
+    "entry": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "http_listen": {"$ref": "#/definitions/address"},
+        "peer_listen": {"$ref": "#/definitions/address"},
+        "policy": {"enum": ["adaptive", "plain"]}
+      }
+    },
     "rollout": {"$ref": "#/definitions/listen"}
   }
 })json";
@@ -104,6 +113,8 @@
     read(keeper, "address", parsed.keeper.address);
     read(keeper, "seeds", parsed.keeper.seeds);
     parsed.entry = parse_listen(all, "entry");
+    const bool plain = all.value("/entry/policy"_json_pointer, "adaptive") == "plain";
+    parsed.entry_policy = plain ? entry_policy::plain : entry_policy::adaptive;
     parsed.rollout = parse_listen(all, "rollout");
     return parsed;
 }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -28,6 +28,10 @@
     std::string peer_listen = "127.0.0.1:0";
 };
 
+/// How vg-entry decides under load: `plain` (targets in turn, no limits, unlimited retries) is the baseline
+/// of measurements and no mode to serve in.
+enum class entry_policy { adaptive, plain };
+
 struct settings {
     std::string vm;
     std::string failure_domain;
@@ -40,6 +44,7 @@
     token_settings tokens;
     keeper_settings keeper;
     listen_settings entry;
+    config::entry_policy entry_policy = config::entry_policy::adaptive;
     listen_settings rollout;
 };
 
--- /dev/null
+++ b/src/entry/attempt_outcome.cpp
@@ -0,0 +1,52 @@
+#include "entry/attempt_outcome.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::entry {
+namespace {
+
+int certainty(run_state state)
+{
+    switch (state) {
+    case run_state::not_run:
+        return 0;
+    case run_state::in_doubt:
+        return 1;
+    case run_state::ran:
+        return 2;
+    }
+    return 1;
+}
+
+} // namespace
+
+policy::ending ending_of(const error& failure)
+{
+    switch (failure.code) {
+    case error_code::draining:
+        return policy::ending::stopping;
+    case error_code::unavailable:
+    case error_code::incomplete:
+    case error_code::internal:
+    case error_code::deadline_exceeded:
+    case error_code::overloaded:
+        return policy::ending::failed;
+    case error_code::cancelled:
+        return policy::ending::unknown;
+    default:
+        return policy::ending::answered; // the target answered: the request was at fault
+    }
+}
+
+bool looks_like_crash(const error& failure)
+{
+    return failure.code == error_code::unavailable && failure.ran == run_state::in_doubt;
+}
+
+// A refusal of the last attempt must not pass for "not run" when an earlier attempt may have run.
+run_state worse(run_state left, run_state right)
+{
+    return certainty(left) < certainty(right) ? right : left;
+}
+
+} // namespace vanillagauge::entry
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -18,7 +18,7 @@
     observe::metrics metrics;
     node::keeper_link keeper(loop, settings);
     auto targets = node::http_channels(loop);
-    node::target_directory directory;
+    node::target_directory directory(loop, {settings.entry_policy == config::entry_policy::adaptive});
     keeper.on_change([&] { directory.update(*keeper.current()); });
     const auto incarnation = node::new_incarnation();
     entry::entry_service service({settings, loop, keeper, targets, directory, metrics, incarnation});
@@ -37,6 +37,7 @@
         }
     }
     keeper.follow({"entry", incarnation, value(http_address), value(peer_address), false, 0});
+    directory.poll_loads(targets);
     node::print_ready("vg-entry",
                       {{"http_address", value(http_address)}, {"peer_address", value(peer_address)}});
     node::wait_for_stop();
--- a/src/entry/plain_call.cpp
+++ b/src/entry/plain_call.cpp
@@ -1,14 +1,12 @@
 #include "entry/plain_call.hpp"
 
+#include "entry/attempt_outcome.hpp"
 #include "wire/call.hpp"
 
-#include "target.pb.h"
-
 namespace vanillagauge::entry {
 namespace {
 
 constexpr int most_attempts = 3;
-constexpr milliseconds full_retry_after{200};
 
 /// Late and crossed answers: one that names another request, or whose body does not match its digest, never
 /// passes for this call's answer.
@@ -39,63 +37,205 @@
                        v1::CallRequest request, time_point deadline, const observe::trace_context& trace,
                        completion on_done)
     : context_(context), group_(std::move(group)), request_(std::move(request)), deadline_(deadline),
+      fingerprint_(policy::request_fingerprint(request_.deployment(), request_.method(), request_.body())),
       span_(trace, "entry.call"), on_done_(std::move(on_done))
 {
     span_.note("request_id", request_.request_id());
+    work_.caller = request_.caller();
+    work_.urgency = policy::parse_priority(request_.priority());
+    work_.deadline = deadline;
+    work_.near_domain = context_.settings.failure_domain;
 }
 
-void plain_call::attempt()
+void plain_call::start()
 {
-    const auto left = remaining(steady::now(), deadline_);
-    if (left.count() == 0) {
-        finish(error{error_code::deadline_exceeded, run_state::not_run,
-                     "the deadline passed before a target was free"});
+    const auto held = context_.directory.quarantine().check(fingerprint_);
+    if (!ok(held)) {
+        finish(failure(held));
         return;
     }
-    const auto slot = group_->acquire(context_.settings.failure_domain, tried_);
-    if (!slot) {
-        finish(error{error_code::overloaded, run_state::not_run, "every target is at its limit",
-                     full_retry_after});
+    auto self = shared_from_this();
+    group_->submit(work_, [self](const result<node::target_group::slot>& slot) {
+        if (ok(slot)) {
+            self->launch(value(slot));
+        }
+        else {
+            self->finish(failure(slot));
+        }
+    });
+}
+
+void plain_call::launch(const node::target_group::slot& slot)
+{
+    int number = 0;
+    bool overtaken = false;
+    {
+        const std::lock_guard lock(mutex_);
+        overtaken = finished_;
+        number = ++attempts_;
+        if (!overtaken) {
+            running_[number] = {slot.id, steady::now()};
+        }
+        if (group_->limited()) {
+            work_.tried.insert(slot.id);
+        }
+        span_.note("placed", slot.id);
+    }
+    if (overtaken) {
+        group_->release(slot.id);
         return;
     }
-    ++attempts_;
-    tried_.insert(slot->id);
-    span_.note("placed", slot->id);
     target::v1::CallRequest forward;
     forward.set_request_id(request_.request_id());
     forward.set_method(request_.method());
     forward.set_body(request_.body());
     wire::call_options options;
-    options.timeout = left;
+    options.timeout = std::max(milliseconds{1}, remaining(steady::now(), deadline_));
     options.trace = span_.context();
     auto self = shared_from_this();
-    wire::call<target::v1::CallReply>(*context_.targets.at(slot->address),
-                                      wire::method<target::v1::PlainService>("Call"), forward, options,
-                                      [self, id = slot->id](const result<target::v1::CallReply>& answer) {
-                                          self->group_->release(id);
-                                          auto outcome = checked(answer, self->request_, id);
-                                          if (!ok(outcome) && self->may_retry(failure(outcome))) {
-                                              self->span_.note("retry_after", describe(failure(outcome)));
-                                              self->attempt();
-                                              return;
-                                          }
-                                          self->finish(std::move(outcome));
-                                      });
+    auto cancel = wire::call<target::v1::CallReply>(
+        *context_.targets.at(slot.address), wire::method<target::v1::PlainService>("Call"), forward, options,
+        [self, number](const result<target::v1::CallReply>& answer) { self->on_answer(number, answer); });
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = running_.find(number);
+        if (found == running_.end()) {
+            return;
+        }
+        found->second.cancel = std::move(cancel);
+    }
+    if (group_->limited() && number < most_attempts) {
+        arm_hedge(number);
+    }
+}
+
+// An open connection can go silent for good while the target and new connections work, and a target can be
+// paused. Waiting for the deadline would make the caller late; the call is idempotent, so another target is
+// asked as well once the answer is later than nearly all others, within the retry budget. The first attempt
+// is left to run: it may only be slow, and giving it up would lose the work.
+void plain_call::arm_hedge(int number)
+{
+    const auto delay = group_->hedge_delay();
+    if (delay >= remaining(steady::now(), deadline_)) {
+        return;
+    }
+    context_.loop.after(delay, [weak = weak_from_this(), number] {
+        if (const auto self = weak.lock()) {
+            self->hedge(number);
+        }
+    });
 }
 
-bool plain_call::may_retry(const error& failure) const
+void plain_call::hedge(int number)
 {
-    const bool safe = request_.idempotent() || failure.ran == run_state::not_run;
-    const bool wanted = failure.code == error_code::unavailable || failure.code == error_code::incomplete ||
-                        failure.code == error_code::draining;
-    return safe && wanted && attempts_ < most_attempts;
+    {
+        const std::lock_guard lock(mutex_);
+        if (finished_ || !running_.contains(number) || attempts_ != number) {
+            return;
+        }
+        span_.note("hedged", running_[number].target);
+    }
+    launch_again();
+}
+
+bool plain_call::launch_again()
+{
+    policy::work wanted;
+    {
+        const std::lock_guard lock(mutex_);
+        wanted = work_;
+    }
+    const auto slot = group_->retry(wanted);
+    if (!slot) {
+        return false;
+    }
+    launch(*slot);
+    return true;
+}
+
+void plain_call::on_answer(int number, const result<target::v1::CallReply>& answer)
+{
+    attempt ended;
+    bool others_running = false;
+    {
+        const std::lock_guard lock(mutex_);
+        auto found = running_.extract(number);
+        if (found.empty()) {
+            return; // given up for another's answer
+        }
+        ended = std::move(found.mapped());
+        others_running = !running_.empty();
+    }
+    auto outcome = checked(answer, request_, ended.target);
+    const auto kind = ok(outcome) ? policy::ending::answered : ending_of(failure(outcome));
+    group_->release(ended.target, {kind, steady::now() - ended.began});
+    if (ok(outcome)) {
+        context_.directory.quarantine().on_answer(fingerprint_);
+        finish(std::move(outcome));
+        return;
+    }
+    if (looks_like_crash(failure(outcome))) {
+        context_.directory.quarantine().on_crash(fingerprint_, ended.target);
+    }
+    on_failure(failure(outcome), others_running);
+}
+
+void plain_call::on_failure(const error& failure, bool others_running)
+{
+    error last = failure;
+    {
+        const std::lock_guard lock(mutex_);
+        ran_ = worse(ran_, failure.ran);
+        last.ran = ran_;
+        span_.note("attempt_failed", describe(failure));
+    }
+    if (others_running || (may_try_again(failure) && launch_again())) {
+        return;
+    }
+    finish(std::move(last));
+}
+
+bool plain_call::may_try_again(const error& failure)
+{
+    const std::lock_guard lock(mutex_);
+    const bool attempts_left = attempts_ < most_attempts || !group_->limited();
+    const bool in_time = steady::now() < deadline_;
+    const bool held = !ok(context_.directory.quarantine().check(fingerprint_));
+    return attempts_left && in_time && !held && policy::retry_is_safe(failure, request_.idempotent());
 }
 
 void plain_call::finish(result<v1::CallReply> outcome)
 {
-    span_.note("outcome", ok(outcome) ? "ok" : describe(failure(outcome)));
-    span_.end();
+    {
+        const std::lock_guard lock(mutex_);
+        if (std::exchange(finished_, true)) {
+            return;
+        }
+        span_.note("outcome", ok(outcome) ? "ok" : describe(failure(outcome)));
+        span_.end();
+    }
+    give_up_others();
     on_done_(std::move(outcome));
 }
 
+// An attempt that was overtaken was later than nearly all answers: it counts as failed, so that a silent
+// connection's target is soon left alone.
+void plain_call::give_up_others()
+{
+    std::map<int, attempt> others;
+    int latest = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        others = std::exchange(running_, {});
+        latest = attempts_;
+    }
+    for (auto& [number, other] : others) {
+        const auto kind = number < latest ? policy::ending::failed : policy::ending::unknown;
+        group_->release(other.target, {kind, steady::now() - other.began});
+        if (other.cancel) {
+            other.cancel();
+        }
+    }
+}
+
 } // namespace vanillagauge::entry
--- a/src/entry/plain_call.hpp
+++ b/src/entry/plain_call.hpp
@@ -1,12 +1,18 @@
-/// One idempotent call to a plain service: placed, checked, and tried elsewhere within its deadline.
+/// One idempotent call to a plain service: admitted, placed, checked, and tried elsewhere within its
+/// deadline.
 #ifndef VANILLAGAUGE_ENTRY_PLAIN_CALL_HPP
 #define VANILLAGAUGE_ENTRY_PLAIN_CALL_HPP
 
 #include "entry/entry_service.hpp"
 #include "observe/trace.hpp"
+#include "wire/channel.hpp"
+
+#include "target.pb.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 
 namespace vanillagauge::entry {
 
@@ -18,21 +24,39 @@
                v1::CallRequest request, time_point deadline, const observe::trace_context& trace,
                completion on_done);
 
-    void start() { attempt(); }
+    void start();
 
 private:
+    struct attempt {
+        std::string target;
+        time_point began;
+        wire::call_cancel cancel{};
+    };
+
     entry_context context_;
     std::shared_ptr<node::target_group> group_;
     v1::CallRequest request_;
     time_point deadline_;
+    std::uint64_t fingerprint_;
     observe::span span_;
     completion on_done_;
-    std::set<std::string> tried_;
+
+    std::mutex mutex_; ///< of what follows; never held while calling out
+    policy::work work_;
+    std::map<int, attempt> running_;
     int attempts_ = 0;
+    bool finished_ = false;
+    run_state ran_ = run_state::not_run;
 
-    void attempt();
+    void launch(const node::target_group::slot& slot);
+    void arm_hedge(int number);
+    void hedge(int number);
+    bool launch_again();
+    void on_answer(int number, const result<target::v1::CallReply>& answer);
+    void on_failure(const error& failure, bool others_running);
+    bool may_try_again(const error& failure);
     void finish(result<v1::CallReply> outcome);
-    bool may_retry(const error& failure) const;
+    void give_up_others();
 };
 
 } // namespace vanillagauge::entry
--- a/src/entry/streamed_generate.cpp
+++ b/src/entry/streamed_generate.cpp
@@ -1,13 +1,22 @@
 #include "entry/streamed_generate.hpp"
 
+#include "entry/attempt_outcome.hpp"
 #include "wire/call.hpp"
 
 namespace vanillagauge::entry {
 namespace {
 
-constexpr std::size_t most_attempts = 3;
+constexpr int most_attempts = 3;
 constexpr milliseconds progress_timeout{2000};
-constexpr milliseconds full_retry_after{500};
+/// What engines cache is shared by prompts that begin alike; the rest of a prompt is its own.
+constexpr std::size_t prefix_length = 64;
+/// Tokens that count as one unit of work between callers.
+constexpr double tokens_per_cost = 64;
+
+std::uint64_t prefix_of(const v1::GenerateRequest& request)
+{
+    return hash64(std::string_view(request.prompt()).substr(0, prefix_length), hash64(request.adapter()));
+}
 
 } // namespace
 
@@ -15,27 +24,42 @@
                                      v1::GenerateRequest request, time_point deadline,
                                      const observe::trace_context& trace, on_chunk chunk, completion on_done)
     : context_(context), group_(std::move(group)), request_(std::move(request)), deadline_(deadline),
-      span_(trace, "entry.generate"), chunk_(std::move(chunk)), on_done_(std::move(on_done))
+      span_(trace, "entry.generate"), chunk_(std::move(chunk)), on_done_(std::move(on_done)),
+      fingerprint_(policy::request_fingerprint(request_.deployment(), request_.adapter(), request_.prompt()))
 {
     span_.note("request_id", request_.request_id());
+    work_.caller = request_.caller();
+    work_.deadline = deadline;
+    work_.near_domain = context_.settings.failure_domain;
+    work_.prefix = prefix_of(request_);
+    work_.cost = std::max(1.0, request_.max_tokens() / tokens_per_cost);
 }
 
-void streamed_generate::attempt()
+void streamed_generate::start()
 {
-    const auto left = remaining(steady::now(), deadline_);
-    if (left.count() == 0) {
-        finish(error{error_code::deadline_exceeded, tokens_ > 0 ? run_state::ran : run_state::not_run,
-                     "the deadline passed"});
-        return;
-    }
-    const auto slot = group_->acquire(context_.settings.failure_domain, tried_);
-    if (!slot) {
-        finish(error{error_code::overloaded, tokens_ > 0 ? run_state::ran : run_state::not_run,
-                     "every engine is at its limit", full_retry_after});
+    const auto held = context_.directory.quarantine().check(fingerprint_);
+    if (!ok(held)) {
+        finish(failure(held));
         return;
     }
-    tried_.insert(slot->id);
-    span_.note("placed", slot->id);
+    auto self = shared_from_this();
+    group_->submit(work_, [self](const result<node::target_group::slot>& slot) {
+        if (ok(slot)) {
+            self->launch(value(slot));
+        }
+        else {
+            self->finish(failure(slot));
+        }
+    });
+}
+
+void streamed_generate::launch(const node::target_group::slot& slot)
+{
+    ++attempts_;
+    began_ = steady::now();
+    first_chunk_ = {};
+    work_.tried.insert(slot.id);
+    span_.note("placed", slot.id);
     target::v1::GenerateRequest forward;
     forward.set_request_id(request_.request_id());
     forward.set_prompt(request_.prompt());
@@ -47,17 +71,14 @@
     forward.set_resume_tokens(tokens_);
     next_sequence_ = 0;
     wire::call_options options;
-    options.timeout = left;
+    options.timeout = std::max(milliseconds{1}, remaining(began_, deadline_));
     options.progress_timeout = progress_timeout;
     options.trace = span_.context();
     auto self = shared_from_this();
     wire::stream<target::v1::GenerateChunk>(
-        *context_.targets.at(slot->address), wire::method<target::v1::Engine>("Generate"), forward, options,
+        *context_.targets.at(slot.address), wire::method<target::v1::Engine>("Generate"), forward, options,
         [self](const target::v1::GenerateChunk& chunk) { self->take(chunk); },
-        [self, id = slot->id](const result<done>& outcome) {
-            self->group_->release(id);
-            self->on_end(outcome);
-        });
+        [self, id = slot.id](const result<done>& outcome) { self->on_end(id, outcome); });
 }
 
 void streamed_generate::take(const target::v1::GenerateChunk& chunk)
@@ -65,6 +86,9 @@
     if (crossed_ || whole_) {
         return;
     }
+    if (first_chunk_ == duration::zero()) {
+        first_chunk_ = steady::now() - began_;
+    }
     if (chunk.request_id() != request_.request_id() || chunk.sequence() != next_sequence_) {
         crossed_ = true;
         return;
@@ -89,8 +113,27 @@
     }
 }
 
-void streamed_generate::on_end(const result<done>& outcome)
+// The time to the first chunk shows how loaded an engine is; the time to the last shows how long the text is.
+void streamed_generate::report(const std::string& target, const result<done>& outcome)
 {
+    const bool begun = first_chunk_ != duration::zero();
+    const bool timed_out_begun =
+        begun && !ok(outcome) && failure(outcome).code == error_code::deadline_exceeded;
+    const bool good = whole_ || timed_out_begun;
+    const auto kind = good ? policy::ending::answered
+                           : (ok(outcome) ? policy::ending::failed : ending_of(failure(outcome)));
+    group_->release(target, {kind, first_chunk_});
+    if (whole_) {
+        context_.directory.quarantine().on_answer(fingerprint_);
+    }
+    else if (!ok(outcome) && looks_like_crash(failure(outcome))) {
+        context_.directory.quarantine().on_crash(fingerprint_, target);
+    }
+}
+
+void streamed_generate::on_end(const std::string& target, const result<done>& outcome)
+{
+    report(target, outcome);
     if (whole_) {
         finish(done{});
         return;
@@ -99,17 +142,31 @@
         finish(error{error_code::incomplete, run_state::ran, "the engine's stream is not whole"});
         return;
     }
-    const auto failure_seen =
-        ok(outcome) ? error{error_code::incomplete, run_state::ran, "the engine's stream ended early"}
-                    : failure(outcome);
-    const bool transient =
-        failure_seen.code == error_code::unavailable || failure_seen.code == error_code::incomplete;
-    if (transient && tried_.size() < most_attempts) {
-        span_.note("resumed_after", describe(failure_seen));
-        attempt();
+    auto seen = ok(outcome) ? error{error_code::incomplete, run_state::ran, "the engine's stream ended early"}
+                            : failure(outcome);
+    ran_ = worse(ran_, tokens_ > 0 ? run_state::ran : seen.ran);
+    if (launch_again(seen)) {
         return;
     }
-    finish(failure_seen);
+    seen.ran = ran_;
+    finish(seen);
+}
+
+// A generation has no effect outside its answer, so it may always go on elsewhere.
+bool streamed_generate::launch_again(const error& failure)
+{
+    const bool held = !ok(context_.directory.quarantine().check(fingerprint_));
+    const bool in_time = steady::now() < deadline_;
+    if (held || !in_time || attempts_ >= most_attempts || !policy::retry_is_safe(failure, true)) {
+        return false;
+    }
+    const auto slot = group_->retry(work_);
+    if (!slot) {
+        return false;
+    }
+    span_.note("resumed_after", describe(failure));
+    launch(*slot);
+    return true;
 }
 
 void streamed_generate::finish(const result<done>& outcome)
--- a/src/entry/streamed_generate.hpp
+++ b/src/entry/streamed_generate.hpp
@@ -21,7 +21,7 @@
                       v1::GenerateRequest request, time_point deadline, const observe::trace_context& trace,
                       on_chunk chunk, completion on_done);
 
-    void start() { attempt(); }
+    void start();
 
 private:
     entry_context context_;
@@ -31,16 +31,23 @@
     observe::span span_;
     on_chunk chunk_;
     completion on_done_;
-    std::set<std::string> tried_;
+    policy::work work_;
+    std::uint64_t fingerprint_;
+    time_point began_;       ///< of the present attempt
+    duration first_chunk_{}; ///< of the present attempt; zero: none yet
+    run_state ran_ = run_state::not_run;
+    int attempts_ = 0;
     std::string text_;
     int tokens_ = 0;
     int next_sequence_ = 0;
     bool whole_ = false;
     bool crossed_ = false;
 
-    void attempt();
+    void launch(const node::target_group::slot& slot);
     void take(const target::v1::GenerateChunk& chunk);
-    void on_end(const result<done>& outcome);
+    void on_end(const std::string& target, const result<done>& outcome);
+    void report(const std::string& target, const result<done>& outcome);
+    bool launch_again(const error& failure);
     void finish(const result<done>& outcome);
 };
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -6,6 +6,8 @@
 #include "node/convert.hpp"
 #include "node/keeper_link.hpp"
 #include "node/program.hpp"
+#include "node/shared_quarantine.hpp"
 #include "node/target_directory.hpp"
+#include "node/target_group.hpp"
 
 #endif
--- /dev/null
+++ b/src/node/shared_quarantine.cpp
@@ -0,0 +1,35 @@
+#include "node/shared_quarantine.hpp"
+
+namespace vanillagauge::node {
+
+void shared_quarantine::on_crash(std::uint64_t fingerprint, const std::string& target)
+{
+    const std::lock_guard lock(mutex_);
+    held_.on_crash(fingerprint, target, steady::now());
+}
+
+void shared_quarantine::on_answer(std::uint64_t fingerprint)
+{
+    const std::lock_guard lock(mutex_);
+    held_.on_answer(fingerprint);
+}
+
+void shared_quarantine::merge(const std::vector<policy::crash_record>& records)
+{
+    const std::lock_guard lock(mutex_);
+    held_.merge(records, steady::now());
+}
+
+result<done> shared_quarantine::check(std::uint64_t fingerprint) const
+{
+    const std::lock_guard lock(mutex_);
+    return held_.check(fingerprint, steady::now());
+}
+
+std::vector<policy::crash_record> shared_quarantine::shared() const
+{
+    const std::lock_guard lock(mutex_);
+    return held_.shared(steady::now());
+}
+
+} // namespace vanillagauge::node
--- /dev/null
+++ b/src/node/shared_quarantine.hpp
@@ -0,0 +1,28 @@
+/// The process's quarantine of requests that crash targets, for several threads.
+#ifndef VANILLAGAUGE_NODE_SHARED_QUARANTINE_HPP
+#define VANILLAGAUGE_NODE_SHARED_QUARANTINE_HPP
+
+#include "policy/quarantine.hpp"
+
+#include <mutex>
+#include <string>
+
+namespace vanillagauge::node {
+
+class shared_quarantine {
+public:
+    void on_crash(std::uint64_t fingerprint, const std::string& target);
+    void on_answer(std::uint64_t fingerprint);
+    void merge(const std::vector<policy::crash_record>& records);
+
+    result<done> check(std::uint64_t fingerprint) const;
+    std::vector<policy::crash_record> shared() const;
+
+private:
+    mutable std::mutex mutex_;
+    policy::quarantine held_;
+};
+
+} // namespace vanillagauge::node
+
+#endif
--- a/src/node/target_directory.hpp
+++ b/src/node/target_directory.hpp
@@ -2,57 +2,49 @@
 #ifndef VANILLAGAUGE_NODE_TARGET_DIRECTORY_HPP
 #define VANILLAGAUGE_NODE_TARGET_DIRECTORY_HPP
 
-#include "config/specs.hpp"
+#include "node/channel_pool.hpp"
 #include "node/keeper_link.hpp"
-#include "policy/policy.hpp"
+#include "node/shared_quarantine.hpp"
+#include "node/target_group.hpp"
 
 #include <memory>
 #include <mutex>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace vanillagauge::node {
 
-/// One deployment's shard, under its own lock.
-class target_group {
-public:
-    explicit target_group(config::deployment_spec spec) : spec_(std::move(spec)) {}
-
-    /// A place taken at a target; give it back with `release`.
-    struct slot {
-        std::string id;
-        std::string address;
-    };
-
-    // Commands.
-    void update(const config::deployment_spec& spec);
-    /// None where every target that is not in `tried` is full or leaving.
-    std::optional<slot> acquire(const std::string& near_domain, const std::set<std::string>& tried);
-    void release(const std::string& target_id);
-
-    // Queries.
-    config::target_kind kind() const;
-    milliseconds default_deadline() const;
-
-private:
-    mutable std::mutex mutex_;
-    config::deployment_spec spec_;
-    std::map<std::string, int> in_flight_;
-    std::mt19937_64 random_{std::random_device{}()};
-};
-
 class target_directory {
 public:
+    /// For work that has lines of its own: nothing waits for a target here.
+    target_directory();
+    /// Requests may wait; the loop outlives the directory's groups.
+    target_directory(wire::event_loop& loop, const policy::pool_options& options);
+
     /// Takes over the deployments of a new view.
     void update(const view& view);
+    /// Asks targets for their load from now on, a few of each deployment at a time.
+    void poll_loads(channel_pool& targets);
     /// Null where there is no such deployment.
     std::shared_ptr<target_group> find(const std::string& deployment) const;
+    shared_quarantine& quarantine() { return quarantine_; }
 
 private:
+    struct held_group {
+        std::uint64_t version = 0; ///< of the deployment's object
+        std::shared_ptr<target_group> group;
+    };
+
+    wire::event_loop* const loop_;
+    const policy::pool_options options_;
+    shared_quarantine quarantine_;
     mutable std::mutex mutex_;
-    std::map<std::string, std::shared_ptr<target_group>> groups_;
+    std::map<std::string, held_group> groups_;
+    std::mt19937_64 random_{std::random_device{}()};
+
+    held_group taken(const config::object& item, const held_group& held) const;
+    void poll_round(channel_pool& targets);
 };
 
 } // namespace vanillagauge::node
--- /dev/null
+++ b/src/policy/fair_queue.cpp
@@ -0,0 +1,224 @@
+#include "policy/fair_queue.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::policy {
+namespace {
+
+/// About 300 bytes each, so a full queue stays under a megabyte.
+constexpr std::size_t most_waiting = 2048;
+/// A request may wait for half of the time it has: the other half is for being served.
+constexpr int deadline_share = 2;
+/// No request waits longer, whatever its deadline: a caller told to come back after this reaches another
+/// node sooner than it would be served here.
+constexpr milliseconds longest_wait{1000};
+constexpr milliseconds least_retry_after{50};
+constexpr milliseconds most_retry_after{5000};
+constexpr std::chrono::duration<double> rate_window{0.25};
+constexpr double rate_smoothing = 0.4;
+/// Targets come and go; a rate from an earlier burst says little.
+constexpr seconds rate_life{5};
+
+} // namespace
+
+// Load pattern: bursts, saturation, and a few callers with most of the load.
+//
+// Without bounds every request waits in the same long line, is served after its caller has left, and the work
+// done is useless; a gate terminal waits behind a batch. So:
+// - a request that by the present drain rate would wait longer than it may is turned away on arrival, and one
+//   whose wait turns out longer than that is turned away then: half of its time is left to go elsewhere. The
+//   answer is final and comes as soon as it is known;
+// - classes are served in strict order: gate terminals block a driver, members wait, batches come again;
+// - within a class callers take turns (start-time fair queueing over hashed buckets): a caller with a hundred
+//   waiting requests gets the same turns as one with a single request. Buckets bound the memory whatever the
+//   number of callers; with 256, two given callers collide in one process out of 256, and differently in
+//   each;
+// - within a caller the order is first come, first served. Last come, first served would keep the newest
+//   fresh, but it holds the others until they expire, which is what must not happen to a refused request; the
+//   refusal on arrival already keeps the line short.
+result<done> fair_queue::push(work item, time_point now)
+{
+    const auto patience = std::min<duration>((item.deadline - now) / deadline_share, longest_wait);
+    if (patience <= duration::zero()) {
+        return error{error_code::deadline_exceeded, run_state::not_run, "the deadline has passed"};
+    }
+    if (now - rate_at_ > rate_life) {
+        rate_ = 0;
+    }
+    const double wait = rate_ > 0 ? static_cast<double>(ahead_of(item)) / rate_ : 0;
+    if (std::chrono::duration<double>(wait) > patience) {
+        return refused("the line is longer than the request may wait");
+    }
+    if (size() >= most_waiting && !give_way_to(item)) {
+        return refused("the line is full");
+    }
+    insert(std::move(item), now + patience);
+    return done{};
+}
+
+const work* fair_queue::front() const
+{
+    for (const auto& queue : classes_) {
+        if (!queue.active.empty()) {
+            const auto place = queue.active.begin()->second;
+            return &entries_.at(queue.buckets[place].ids.front()).item;
+        }
+    }
+    return nullptr;
+}
+
+work fair_queue::pop()
+{
+    const auto found = std::find_if(classes_.begin(), classes_.end(),
+                                    [](const class_queue& queue) { return !queue.active.empty(); });
+    auto& queue = *found;
+    const auto [tag, place] = *queue.active.begin();
+    auto& chosen = queue.buckets[place];
+    work item = take_out(chosen.ids.front());
+    queue.virtual_time = tag;
+    chosen.tag = tag + item.cost;
+    if (!chosen.ids.empty()) {
+        queue.active.erase({tag, place});
+        queue.active.insert({chosen.tag, place});
+    }
+    return item;
+}
+
+std::vector<refusal> fair_queue::collect_refused(time_point now)
+{
+    while (!give_ups_.empty() && give_ups_.begin()->first <= now) {
+        const auto id = give_ups_.begin()->second;
+        take_out(id);
+        refused_.push_back({id, refused("no target was free in time")});
+    }
+    return std::exchange(refused_, {});
+}
+
+// Only while requests wait do finished requests show what the targets can do; otherwise they show what
+// callers asked for, and the first requests of a burst would be refused for the quiet before it.
+void fair_queue::on_finished(time_point now)
+{
+    if (empty()) {
+        rate_start_ = {};
+        return;
+    }
+    if (rate_start_ == time_point{}) {
+        rate_start_ = now;
+        finished_ = 0;
+    }
+    ++finished_;
+    const std::chrono::duration<double> passed = now - rate_start_;
+    if (passed < rate_window) {
+        return;
+    }
+    const double seen = finished_ / passed.count();
+    rate_ = rate_ == 0 ? seen : rate_ + rate_smoothing * (seen - rate_);
+    finished_ = 0;
+    rate_start_ = now;
+    rate_at_ = now;
+}
+
+std::optional<time_point> fair_queue::next_refusal() const
+{
+    if (give_ups_.empty()) {
+        return std::nullopt;
+    }
+    return give_ups_.begin()->first;
+}
+
+milliseconds fair_queue::drain_time() const
+{
+    if (rate_ <= 0) {
+        return least_retry_after;
+    }
+    const auto whole = std::chrono::duration<double>(static_cast<double>(size()) / rate_);
+    return std::chrono::duration_cast<milliseconds>(whole);
+}
+
+std::size_t fair_queue::bucket_of(const work& item) const
+{
+    return hash64(item.caller, seed_) % bucket_count;
+}
+
+/// How many requests will be served before this one: those of higher classes, and of its own class as many
+/// from each caller as its own caller has waiting.
+std::size_t fair_queue::ahead_of(const work& item) const
+{
+    std::size_t ahead = 0;
+    const auto own = static_cast<std::size_t>(item.urgency);
+    for (std::size_t place = 0; place < own; ++place) {
+        ahead += classes_[place].size;
+    }
+    const auto& queue = classes_[own];
+    const std::size_t own_waiting = queue.buckets[bucket_of(item)].ids.size();
+    return ahead + std::min(queue.size, (own_waiting + 1) * queue.active.size());
+}
+
+/// Takes the newest request of the longest bucket in the lowest class out, if that is lower than the
+/// newcomer's class or the bucket is longer than the newcomer's.
+bool fair_queue::give_way_to(const work& item)
+{
+    for (std::size_t lowest = priority_count; lowest-- > 0;) {
+        auto& queue = classes_[lowest];
+        if (queue.size == 0) {
+            continue;
+        }
+        const auto own = static_cast<std::size_t>(item.urgency);
+        const auto longest = std::max_element(
+            queue.buckets.begin(), queue.buckets.end(),
+            [](const bucket& left, const bucket& right) { return left.ids.size() < right.ids.size(); });
+        const bool yields =
+            own < lowest ||
+            (own == lowest && longest->ids.size() > queue.buckets[bucket_of(item)].ids.size() + 1);
+        if (!yields) {
+            return false;
+        }
+        const auto id = longest->ids.back();
+        take_out(id);
+        refused_.push_back({id, refused("gave way to another caller or class")});
+        return true;
+    }
+    return false;
+}
+
+void fair_queue::insert(work item, time_point give_up)
+{
+    const auto bucket_place = bucket_of(item);
+    const auto id = item.id;
+    auto& queue = classes_[static_cast<std::size_t>(item.urgency)];
+    auto& chosen = queue.buckets[bucket_place];
+    if (chosen.ids.empty()) {
+        // A caller that was idle starts now; it keeps no claim from the time in which it asked for nothing.
+        chosen.tag = std::max(chosen.tag, queue.virtual_time);
+        queue.active.insert({chosen.tag, bucket_place});
+    }
+    const auto in_bucket = chosen.ids.insert(chosen.ids.end(), id);
+    ++queue.size;
+    give_ups_.insert({give_up, id});
+    entries_.emplace(id, waiting{std::move(item), give_up, bucket_place, in_bucket});
+}
+
+work fair_queue::take_out(std::uint64_t id)
+{
+    const auto found = entries_.find(id);
+    auto& held = found->second;
+    auto& queue = classes_[static_cast<std::size_t>(held.item.urgency)];
+    auto& chosen = queue.buckets[held.bucket];
+    chosen.ids.erase(held.in_bucket);
+    --queue.size;
+    if (chosen.ids.empty()) {
+        queue.active.erase({chosen.tag, held.bucket});
+    }
+    give_ups_.erase({held.give_up, id});
+    work item = std::move(held.item);
+    entries_.erase(found);
+    return item;
+}
+
+error fair_queue::refused(const char* why) const
+{
+    const auto back = std::clamp(drain_time(), least_retry_after, most_retry_after);
+    return {error_code::overloaded, run_state::not_run, why, back};
+}
+
+} // namespace vanillagauge::policy
--- /dev/null
+++ b/src/policy/latency_quantile.hpp
@@ -0,0 +1,27 @@
+/// A running quantile of latencies in constant memory.
+#ifndef VANILLAGAUGE_POLICY_LATENCY_QUANTILE_HPP
+#define VANILLAGAUGE_POLICY_LATENCY_QUANTILE_HPP
+
+#include "base/base.hpp"
+
+namespace vanillagauge::policy {
+
+class latency_quantile {
+public:
+    /// `share` between 0 and 1: 0.5 tracks the median.
+    explicit latency_quantile(double share) : share_(share) {}
+
+    void add(duration latency);
+
+    /// Zero before the first latency.
+    duration value() const { return std::chrono::duration_cast<duration>(value_); }
+    bool known() const { return value_.count() > 0; }
+
+private:
+    double share_;
+    std::chrono::duration<double, std::nano> value_{0};
+};
+
+} // namespace vanillagauge::policy
+
+#endif
--- /dev/null
+++ b/src/policy/load_hint.hpp
@@ -0,0 +1,33 @@
+/// What a target's own load reports may change: its share of new work, slowly and within bounds.
+#ifndef VANILLAGAUGE_POLICY_LOAD_HINT_HPP
+#define VANILLAGAUGE_POLICY_LOAD_HINT_HPP
+
+#include "base/base.hpp"
+
+namespace vanillagauge::policy {
+
+struct load_report {
+    int running = 0;
+    int waiting = 0;
+    int capacity = 0;
+    milliseconds age{0}; ///< how old the target says the report is
+};
+
+class load_hint {
+public:
+    void on_report(const load_report& report, time_point now);
+
+    /// The share of the target's concurrency limit to use, between a quarter and 1.
+    double weight(time_point now) const;
+    /// False while a recent report names a queue at the target.
+    bool may_grow(time_point now) const;
+
+private:
+    double weight_ = 1;
+    bool queue_seen_ = false;
+    time_point taken_at_;
+};
+
+} // namespace vanillagauge::policy
+
+#endif
--- /dev/null
+++ b/src/policy/outlier_ejection.hpp
@@ -0,0 +1,40 @@
+/// Which targets get no work for a while because they fail or answer far more slowly than the rest.
+#ifndef VANILLAGAUGE_POLICY_OUTLIER_EJECTION_HPP
+#define VANILLAGAUGE_POLICY_OUTLIER_EJECTION_HPP
+
+#include "base/base.hpp"
+
+#include <cstddef>
+
+namespace vanillagauge::policy {
+
+/// One target's record.
+struct target_health {
+    int bad_in_row = 0;
+    int ejections = 0; ///< in a row, without a good spell between them
+    time_point out_until;
+};
+
+/// The group's count of ejected targets and the bound on it.
+class outlier_ejection {
+public:
+    /// Counts an answer; true where the target is ejected by it.
+    bool on_answer(target_health& target, bool good, std::size_t group_size, time_point now);
+    /// Ejects without waiting for a row of failures: the target itself said that it is stopping.
+    bool eject(target_health& target, std::size_t group_size, time_point now);
+    /// Whether the target is out; the first question after its time takes it back.
+    bool is_out(target_health& target, time_point now);
+    void forget(target_health& target);
+
+    std::size_t out() const { return out_; }
+
+private:
+    std::size_t out_ = 0;
+};
+
+/// Whether an answer counts as bad for being slow.
+bool is_slow(duration latency, duration group_median);
+
+} // namespace vanillagauge::policy
+
+#endif
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -1,52 +1,75 @@
 #include "policy/placement.hpp"
 
+#include <algorithm>
+
 namespace vanillagauge::policy {
 namespace {
 
-bool has_room(const candidate& target)
-{
-    return target.usable && target.in_flight < target.limit;
-}
+/// With 9 of 10 targets full, 48 places miss all the others in one draw out of 150; the request then waits
+/// for the next answer, which is a matter of microseconds in a group of that size.
+constexpr std::size_t most_looked_at = 48;
+/// Points of a target on the ring: its share of the prefixes is then within about a third of the mean, and
+/// the load bound takes care of the rest.
+constexpr std::uint64_t points_per_target = 8;
+
+} // namespace
 
-/// In flight as a share of the limit, compared without division.
-bool less_loaded(const candidate& left, const candidate& right)
+// Load pattern: many entry nodes choose at once from figures that are a little old. Taking the least loaded
+// of all sends every node to the same target until its figures change; two random choices spread them and
+// still avoid a slow target. A third choice adds little. A walk from a random place finds the two, so the
+// cost is the same for 20 targets and 6,500.
+std::optional<std::size_t> place_among(const std::vector<std::size_t>& places, const is_usable& usable,
+                                       const load_of& load, std::mt19937_64& random)
 {
-    return static_cast<std::int64_t>(left.in_flight) * right.limit <
-           static_cast<std::int64_t>(right.in_flight) * left.limit;
+    if (places.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t looks = std::min(places.size(), most_looked_at);
+    // A new random place for each of the two choices; neighbours in the list would always compete in pairs.
+    const auto find_from = [&](std::size_t start) -> std::optional<std::size_t> {
+        for (std::size_t look = 0; look < looks; ++look) {
+            const auto place = places[(start + look) % places.size()];
+            if (usable(place)) {
+                return place;
+            }
+        }
+        return std::nullopt;
+    };
+    std::uniform_int_distribution<std::size_t> draw(0, places.size() - 1);
+    const auto first = find_from(draw(random));
+    if (!first) {
+        return std::nullopt;
+    }
+    const auto second = find_from(draw(random));
+    if (!second || load(*first) <= load(*second)) {
+        return first;
+    }
+    return second;
 }
 
-std::vector<std::size_t> with_room(const std::vector<candidate>& candidates, const std::string* domain)
+// Load pattern: prompts that share long prefixes. Spread at random each engine computes and caches all of
+// them and its limited memory holds none for long. On a ring a prefix stays with its targets when others come
+// or go.
+prefix_ring::prefix_ring(const std::vector<std::pair<std::string, std::size_t>>& targets)
 {
-    std::vector<std::size_t> found;
-    for (std::size_t place = 0; place < candidates.size(); ++place) {
-        const bool near = domain == nullptr || candidates[place].failure_domain == *domain;
-        if (near && has_room(candidates[place])) {
-            found.push_back(place);
+    points_.reserve(targets.size() * points_per_target);
+    for (const auto& [id, place] : targets) {
+        for (std::uint64_t point = 0; point < points_per_target; ++point) {
+            points_.emplace_back(hash64(id, point), place);
         }
     }
-    return found;
+    std::sort(points_.begin(), points_.end());
 }
 
-} // namespace
-
-// Load pattern: many entry nodes choose at once from load figures that are a little old. Taking the least
-// loaded of all sends every node to the same target until the next report; two random choices spread them and
-// still avoid a slow target. Two is the threshold: the step from one to two removes most of the imbalance, a
-// third adds little.
-std::optional<std::size_t> place(const std::vector<candidate>& candidates, const std::string& near_domain,
-                                 std::mt19937_64& random)
+std::optional<std::size_t> prefix_ring::at(std::uint64_t prefix, std::size_t choice) const
 {
-    auto found = with_room(candidates, &near_domain);
-    if (found.empty()) {
-        found = with_room(candidates, nullptr);
-    }
-    if (found.empty()) {
+    if (points_.empty()) {
         return std::nullopt;
     }
-    std::uniform_int_distribution<std::size_t> draw(0, found.size() - 1);
-    const std::size_t first = found[draw(random)];
-    const std::size_t second = found[draw(random)];
-    return less_loaded(candidates[second], candidates[first]) ? second : first;
+    const auto from =
+        std::lower_bound(points_.begin(), points_.end(), std::make_pair(prefix, std::size_t{0}));
+    const auto start = static_cast<std::size_t>(from - points_.begin());
+    return points_[(start + choice) % points_.size()].second;
 }
 
 } // namespace vanillagauge::policy
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -1,27 +1,41 @@
-/// Which target takes a request: the less loaded of two drawn at random, those of the near failure domain
-/// first.
+/// Which target takes a request: the less loaded of two drawn at random, or the one that has its prefix
+/// cached.
 #ifndef VANILLAGAUGE_POLICY_PLACEMENT_HPP
 #define VANILLAGAUGE_POLICY_PLACEMENT_HPP
 
+#include "base/base.hpp"
+
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace vanillagauge::policy {
 
-struct candidate {
-    std::string failure_domain;
-    int in_flight = 0;
-    int limit = 0;      ///< most in flight at once
-    bool usable = true; ///< false: leaving, ejected, or tried already
-};
+using is_usable = std::function<bool(std::size_t place)>;
+using load_of = std::function<double(std::size_t place)>;
+
+/// One of `places` to use; none where none of those looked at is usable. Looks at a bounded number of them,
+/// which is all for small groups.
+std::optional<std::size_t> place_among(const std::vector<std::size_t>& places, const is_usable& usable,
+                                       const load_of& load, std::mt19937_64& random);
 
-/// The index of the target to use; none where every usable one is at its limit.
-std::optional<std::size_t> place(const std::vector<candidate>& candidates, const std::string& near_domain,
-                                 std::mt19937_64& random);
+/// Maps a prefix to the targets that shall cache it; few prefixes move when targets come and go.
+class prefix_ring {
+public:
+    prefix_ring() = default;
+    explicit prefix_ring(const std::vector<std::pair<std::string, std::size_t>>& targets);
+
+    /// The place of the `choice`-th target after the prefix's point; none for an empty ring.
+    std::optional<std::size_t> at(std::uint64_t prefix, std::size_t choice) const;
+
+private:
+    std::vector<std::pair<std::uint64_t, std::size_t>> points_; ///< sorted
+};
 
 } // namespace vanillagauge::policy
 
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -2,6 +2,17 @@
 #ifndef VANILLAGAUGE_POLICY_POLICY_HPP
 #define VANILLAGAUGE_POLICY_POLICY_HPP
 
+#include "policy/concurrency_limit.hpp"
+#include "policy/fair_queue.hpp"
+#include "policy/latency_quantile.hpp"
+#include "policy/load_hint.hpp"
+#include "policy/outlier_ejection.hpp"
 #include "policy/placement.hpp"
+#include "policy/quarantine.hpp"
+#include "policy/retry_budget.hpp"
+#include "policy/scheduler.hpp"
+#include "policy/slow_start.hpp"
+#include "policy/target_pool.hpp"
+#include "policy/work.hpp"
 
 #endif
--- /dev/null
+++ b/src/policy/quarantine.cpp
@@ -0,0 +1,104 @@
+#include "policy/quarantine.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::policy {
+namespace {
+
+/// Two: one loss may be the target's own fault, and a deployment of four cannot spare a third target.
+constexpr std::size_t crashes_to_hold = 2;
+/// Long against the pauses after which a caller sends its request again, short enough to end by itself once
+/// the targets have been mended.
+constexpr std::chrono::minutes record_life{10};
+/// About 200 bytes each: a crash that takes 500 requests with it fits twice.
+constexpr std::size_t most_records = 1024;
+
+} // namespace
+
+std::uint64_t request_fingerprint(std::string_view deployment, std::string_view method, std::string_view body)
+{
+    return hash64(body, hash64(method, hash64(deployment)));
+}
+
+// Load pattern: one request crashes each target that runs it, and its caller sends it again. Retries carry it
+// from target to target, and the fleet is down after a few attempts.
+//
+// Every request in flight at a lost target is suspected, also the innocent ones. An answer clears a suspect,
+// and a request that others send as well is answered somewhere before a second target is lost to it; the
+// poisonous one never is.
+void quarantine::on_crash(std::uint64_t fingerprint, std::string_view target, time_point now)
+{
+    if (!records_.contains(fingerprint)) {
+        make_room(now);
+    }
+    auto& entry = records_[fingerprint];
+    if (entry.expires <= now) {
+        entry.targets.clear();
+    }
+    entry.targets.insert(hash64(target));
+    entry.expires = now + record_life;
+}
+
+void quarantine::on_answer(std::uint64_t fingerprint)
+{
+    records_.erase(fingerprint);
+}
+
+void quarantine::merge(const std::vector<crash_record>& records, time_point now)
+{
+    for (const auto& told : records) {
+        if (!records_.contains(told.fingerprint)) {
+            make_room(now);
+        }
+        auto& entry = records_[told.fingerprint];
+        entry.targets.insert(told.targets.begin(), told.targets.end());
+        const auto life = std::min<milliseconds>(told.left, record_life);
+        entry.expires = std::max(entry.expires, now + life);
+    }
+}
+
+result<done> quarantine::check(std::uint64_t fingerprint, time_point now) const
+{
+    const auto found = records_.find(fingerprint);
+    const bool held = found != records_.end() && found->second.expires > now &&
+                      found->second.targets.size() >= crashes_to_hold;
+    if (!held) {
+        return done{};
+    }
+    return error{error_code::quarantined, run_state::not_run,
+                 "targets were lost while they ran this request: " +
+                     std::to_string(found->second.targets.size()),
+                 remaining(now, found->second.expires)};
+}
+
+std::vector<crash_record> quarantine::shared(time_point now) const
+{
+    std::vector<crash_record> told;
+    for (const auto& [fingerprint, entry] : records_) {
+        if (entry.expires > now) {
+            told.push_back({fingerprint, entry.targets, remaining(now, entry.expires)});
+        }
+    }
+    return told;
+}
+
+void quarantine::make_room(time_point now)
+{
+    if (records_.size() < most_records) {
+        return;
+    }
+    std::erase_if(records_, [now](const auto& item) { return item.second.expires <= now; });
+    if (records_.size() < most_records) {
+        return;
+    }
+    // Suspects go before requests that are held.
+    const auto oldest =
+        std::min_element(records_.begin(), records_.end(), [](const auto& left, const auto& right) {
+            const bool left_held = left.second.targets.size() >= crashes_to_hold;
+            const bool right_held = right.second.targets.size() >= crashes_to_hold;
+            return std::tie(left_held, left.second.expires) < std::tie(right_held, right.second.expires);
+        });
+    records_.erase(oldest);
+}
+
+} // namespace vanillagauge::policy
--- /dev/null
+++ b/src/policy/retry_budget.cpp
@@ -0,0 +1,46 @@
+#include "policy/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::policy {
+namespace {
+
+/// A fifth: enough to redo the work of one lost target out of five, and an overload grows by a fifth at most.
+constexpr double share = 0.2;
+/// Keeps retries possible for a group with little traffic.
+constexpr double per_second = 1;
+constexpr double most_tokens = 100;
+
+} // namespace
+
+// Load pattern: targets that fail or slow down under load. With three attempts each, calls become three times
+// as many exactly when targets can take the least, and the overload keeps itself up after its cause is gone.
+void retry_budget::on_request()
+{
+    tokens_ = std::min(most_tokens, tokens_ + share);
+}
+
+bool retry_budget::take(time_point now)
+{
+    if (refilled_ != time_point{}) {
+        const std::chrono::duration<double> passed = now - refilled_;
+        tokens_ = std::min(most_tokens, tokens_ + passed.count() * per_second);
+    }
+    refilled_ = now;
+    if (tokens_ < 1) {
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+bool retry_is_safe(const error& failure, bool idempotent)
+{
+    const bool harmless = idempotent || failure.ran == run_state::not_run;
+    const bool transient = failure.code == error_code::unavailable ||
+                           failure.code == error_code::incomplete || failure.code == error_code::draining ||
+                           failure.code == error_code::internal;
+    return harmless && transient;
+}
+
+} // namespace vanillagauge::policy
--- /dev/null
+++ b/src/policy/scheduler.hpp
@@ -0,0 +1,64 @@
+/// What is let in, what waits, what is turned away and where work goes, for one deployment.
+#ifndef VANILLAGAUGE_POLICY_SCHEDULER_HPP
+#define VANILLAGAUGE_POLICY_SCHEDULER_HPP
+
+#include "policy/fair_queue.hpp"
+#include "policy/quarantine.hpp"
+#include "policy/retry_budget.hpp"
+#include "policy/target_pool.hpp"
+
+#include <variant>
+
+namespace vanillagauge::policy {
+
+struct placed {
+    std::uint64_t work_id = 0;
+    std::string target;
+};
+struct queued {};
+/// An error is final and `not_run`.
+using decision = std::variant<placed, queued, error>;
+
+/// What became of requests that waited.
+struct outcomes {
+    std::vector<placed> started;
+    std::vector<refusal> turned_away;
+};
+
+class scheduler {
+public:
+    scheduler(std::uint64_t seed, pool_options options)
+        : pool_(seed, options), queue_(seed), plain_(!options.limited)
+    {
+    }
+
+    // Commands.
+    void update(const std::vector<pool_target>& targets, time_point now) { pool_.update(targets, now); }
+    void on_report(const std::string& target, const load_report& report, time_point now);
+    /// A first attempt. What is queued appears in a later `advance`.
+    decision submit(work item, time_point now);
+    /// Another target for a request that ran already somewhere, now or never: it does not wait in line.
+    /// Takes from the retry budget.
+    std::optional<placed> retry(const work& item, time_point now);
+    /// A place without the line, for work that has a line of its own.
+    std::optional<placed> acquire(const work& item, time_point now);
+    void finish(const std::string& target, const ending_report& report, time_point now);
+    /// Starts what can start and turns away what has waited as long as it may. Call after `finish`, after
+    /// `update` and at `next_refusal`.
+    outcomes advance(time_point now);
+
+    // Queries.
+    std::optional<time_point> next_refusal() const { return queue_.next_refusal(); }
+    std::size_t waiting() const { return queue_.size(); }
+    const target_pool& pool() const { return pool_; }
+
+private:
+    target_pool pool_;
+    fair_queue queue_;
+    retry_budget budget_;
+    bool plain_;
+};
+
+} // namespace vanillagauge::policy
+
+#endif
--- /dev/null
+++ b/src/policy/target_pool.cpp
@@ -0,0 +1,219 @@
+#include "policy/target_pool.hpp"
+
+#include "policy/slow_start.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanillagauge::policy {
+namespace {
+
+/// A target with cached prefixes may carry this much more than the mean before the work goes elsewhere:
+/// reusing a cache saves less than waiting behind a quarter more work costs.
+constexpr double prefix_load_bound = 1.25;
+constexpr std::size_t prefix_choices = 2;
+/// Three times the latency that 95 of 100 answers keep: about one answer in a few hundred is hedged.
+constexpr int hedge_factor = 3;
+constexpr milliseconds least_hedge_delay{100};
+constexpr milliseconds first_hedge_delay{1000};
+constexpr double most_relative_latency = 10;
+
+} // namespace
+
+void target_pool::update(const std::vector<pool_target>& targets, time_point now)
+{
+    std::vector<record> next;
+    next.reserve(targets.size());
+    for (const auto& target : targets) {
+        next.push_back(merged(target, now));
+    }
+    // What was not taken over leaves the counts with it.
+    for (auto& [id, place] : places_) {
+        auto& gone = entries_[place];
+        if (gone.target.id == id) {
+            ejection_.forget(gone.health);
+            total_in_flight_ -= gone.in_flight;
+        }
+    }
+    entries_ = std::move(next);
+    filled_ = true;
+    index();
+}
+
+target_pool::record target_pool::merged(const pool_target& target, time_point now)
+{
+    const auto held = places_.find(target.id);
+    if (held == places_.end()) {
+        record added{target, concurrency_limit(options_.initial_limit)};
+        added.joined = filled_ ? now : time_point{};
+        return added;
+    }
+    record kept = std::move(entries_[held->second]);
+    places_.erase(held);
+    kept.target = target;
+    return kept;
+}
+
+void target_pool::index()
+{
+    places_.clear();
+    usable_.clear();
+    by_domain_.clear();
+    std::vector<std::pair<std::string, std::size_t>> on_ring;
+    for (std::size_t place = 0; place < entries_.size(); ++place) {
+        const auto& target = entries_[place].target;
+        places_[target.id] = place;
+        if (!target.leaving) {
+            usable_.push_back(place);
+            by_domain_[target.failure_domain].push_back(place);
+            on_ring.emplace_back(target.id, place);
+        }
+    }
+    ring_ = prefix_ring(on_ring);
+}
+
+std::optional<std::string> target_pool::acquire(const work& item, time_point now)
+{
+    const auto chosen = options_.limited ? choose(item, now) : choose_in_turn(item);
+    if (!chosen) {
+        return std::nullopt;
+    }
+    auto& taken = entries_[*chosen];
+    ++taken.in_flight;
+    ++total_in_flight_;
+    return taken.target.id;
+}
+
+void target_pool::release(const std::string& id, const ending_report& report, time_point now)
+{
+    const auto found = places_.find(id);
+    if (found == places_.end()) {
+        return;
+    }
+    auto& entry = entries_[found->second];
+    const int in_flight = entry.in_flight;
+    if (in_flight > 0) {
+        --entry.in_flight;
+        --total_in_flight_;
+    }
+    if (!options_.limited || report.kind == ending::unknown) {
+        return;
+    }
+    bool out = false;
+    if (report.kind == ending::answered) {
+        const bool slow = is_slow(report.latency, median_.value());
+        median_.add(report.latency);
+        high_.add(report.latency);
+        entry.median.add(report.latency);
+        entry.limit.on_answer(report.latency, in_flight, entry.hint.may_grow(now), now);
+        out = ejection_.on_answer(entry.health, !slow, usable_.size(), now);
+    }
+    else if (report.kind == ending::failed) {
+        entry.limit.on_failure(now);
+        out = ejection_.on_answer(entry.health, false, usable_.size(), now);
+    }
+    else {
+        out = ejection_.eject(entry.health, usable_.size(), now);
+    }
+    if (out) {
+        entry.joined = entry.health.out_until; // it comes back by a slow start
+    }
+}
+
+void target_pool::on_report(const std::string& id, const load_report& report, time_point now)
+{
+    const auto found = places_.find(id);
+    if (found != places_.end()) {
+        entries_[found->second].hint.on_report(report, now);
+    }
+}
+
+int target_pool::in_flight(const std::string& id) const
+{
+    const auto found = places_.find(id);
+    return found == places_.end() ? 0 : entries_[found->second].in_flight;
+}
+
+int target_pool::limit(const std::string& id, time_point now) const
+{
+    const auto found = places_.find(id);
+    return found == places_.end() ? 0 : allowed(entries_[found->second], now);
+}
+
+duration target_pool::hedge_delay() const
+{
+    if (!high_.known()) {
+        return first_hedge_delay;
+    }
+    return std::max<duration>(hedge_factor * high_.value(), least_hedge_delay);
+}
+
+int target_pool::allowed(const record& item, time_point now) const
+{
+    const double share = item.hint.weight(now) * slow_start_share(item.joined, now);
+    return std::max(1, static_cast<int>(item.limit.limit() * share));
+}
+
+bool target_pool::takes(std::size_t place, const work& item, time_point now)
+{
+    auto& entry = entries_[place];
+    const bool room = entry.in_flight < allowed(entry, now);
+    return room && !ejection_.is_out(entry.health, now) && !item.tried.contains(entry.target.id);
+}
+
+double target_pool::cost(std::size_t place, time_point now) const
+{
+    const auto& entry = entries_[place];
+    const double use = (entry.in_flight + 1.0) / allowed(entry, now);
+    if (!entry.median.known() || !median_.known()) {
+        return use;
+    }
+    const auto relative =
+        std::chrono::duration<double>(entry.median.value()) / std::chrono::duration<double>(median_.value());
+    return use * std::clamp(relative, 1.0, most_relative_latency);
+}
+
+std::optional<std::size_t> target_pool::choose(const work& item, time_point now)
+{
+    if (item.prefix != 0) {
+        if (const auto cached = choose_cached(item, now)) {
+            return cached;
+        }
+    }
+    const auto usable = [&](std::size_t place) { return takes(place, item, now); };
+    const auto load = [&](std::size_t place) { return cost(place, now); };
+    const auto near = by_domain_.find(item.near_domain);
+    if (near != by_domain_.end()) {
+        if (const auto chosen = place_among(near->second, std::ref(usable), std::ref(load), random_)) {
+            return chosen;
+        }
+    }
+    return place_among(usable_, std::ref(usable), std::ref(load), random_);
+}
+
+std::optional<std::size_t> target_pool::choose_cached(const work& item, time_point now)
+{
+    const double mean =
+        (total_in_flight_ + 1.0) / static_cast<double>(std::max<std::size_t>(1, usable_.size()));
+    const double bound = std::ceil(prefix_load_bound * mean);
+    for (std::size_t choice = 0; choice < prefix_choices; ++choice) {
+        const auto place = ring_.at(item.prefix, choice);
+        if (place && entries_[*place].in_flight + 1 <= bound && takes(*place, item, now)) {
+            return place;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> target_pool::choose_in_turn(const work& item)
+{
+    for (std::size_t tries = 0; tries < usable_.size(); ++tries) {
+        const auto place = usable_[next_in_turn_++ % usable_.size()];
+        if (!item.tried.contains(entries_[place].target.id)) {
+            return place;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace vanillagauge::policy
--- /dev/null
+++ b/src/policy/target_pool.hpp
@@ -0,0 +1,103 @@
+/// The targets of a deployment with all that decides which of them takes a request.
+#ifndef VANILLAGAUGE_POLICY_TARGET_POOL_HPP
+#define VANILLAGAUGE_POLICY_TARGET_POOL_HPP
+
+#include "policy/concurrency_limit.hpp"
+#include "policy/latency_quantile.hpp"
+#include "policy/load_hint.hpp"
+#include "policy/outlier_ejection.hpp"
+#include "policy/placement.hpp"
+#include "policy/work.hpp"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillagauge::policy {
+
+struct pool_target {
+    std::string id;
+    std::string failure_domain;
+    bool leaving = false; ///< receives no new work
+};
+
+struct pool_options {
+    /// False: every target takes everything, in turn, as the plain baseline of measurements does.
+    bool limited = true;
+    /// Of a target that has not answered yet. Sixteen is what the smallest services of today serve at once.
+    int initial_limit = 16;
+};
+
+/// How a request ended at a target.
+enum class ending {
+    answered,
+    failed,   ///< broke off, timed out or was answered by an internal error
+    stopping, ///< the target said that it takes no new work
+    unknown,  ///< says nothing of the target, such as a cancelled request
+};
+
+struct ending_report {
+    ending kind = ending::unknown;
+    duration latency{0};
+};
+
+class target_pool {
+public:
+    target_pool(std::uint64_t seed, pool_options options) : random_(seed), options_(options) {}
+
+    // Commands.
+    void update(const std::vector<pool_target>& targets, time_point now);
+    /// Takes a place at a target and returns its id; none where no target with room was found.
+    std::optional<std::string> acquire(const work& item, time_point now);
+    /// Gives the place back. Ids of targets that have left are ignored.
+    void release(const std::string& id, const ending_report& report, time_point now);
+    void on_report(const std::string& id, const load_report& report, time_point now);
+
+    // Queries.
+    std::size_t size() const { return usable_.size(); }
+    std::size_t ejected() const { return ejection_.out(); }
+    int in_flight(const std::string& id) const;
+    int limit(const std::string& id, time_point now) const;
+    /// How long to wait for an answer before another target is asked as well.
+    duration hedge_delay() const;
+
+private:
+    struct record {
+        pool_target target;
+        concurrency_limit limit;
+        int in_flight = 0;
+        load_hint hint{};
+        target_health health{};
+        time_point joined{}; ///< start of its slow start; the epoch: none
+        latency_quantile median{0.5};
+    };
+
+    std::mt19937_64 random_;
+    pool_options options_;
+    bool filled_ = false;
+    std::map<std::string, std::size_t> places_;
+    std::vector<record> entries_;
+    std::vector<std::size_t> usable_; ///< not leaving
+    std::unordered_map<std::string, std::vector<std::size_t>> by_domain_;
+    prefix_ring ring_;
+    int total_in_flight_ = 0;
+    std::size_t next_in_turn_ = 0;
+    outlier_ejection ejection_;
+    latency_quantile median_{0.5};
+    latency_quantile high_{0.95};
+
+    void index();
+    record merged(const pool_target& target, time_point now);
+    int allowed(const record& item, time_point now) const;
+    bool takes(std::size_t place, const work& item, time_point now);
+    std::optional<std::size_t> choose(const work& item, time_point now);
+    std::optional<std::size_t> choose_in_turn(const work& item);
+    std::optional<std::size_t> choose_cached(const work& item, time_point now);
+    double cost(std::size_t place, time_point now) const;
+};
+
+} // namespace vanillagauge::policy
+
+#endif
--- /dev/null
+++ b/tests/policy/scheduler_tests.cpp
@@ -0,0 +1,181 @@
+#include "simulation.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillagauge::policy {
+namespace {
+
+constexpr pool_options adaptive{};
+constexpr pool_options plain{false};
+constexpr milliseconds service{10};
+constexpr double capacity = 1600; ///< four targets of four workers, 10 ms each
+
+std::vector<simulated_target> four_targets()
+{
+    return {{"a", "near"}, {"b", "near"}, {"c", "far"}, {"d", "far"}};
+}
+
+simulated_request from_caller(const std::string& caller, priority urgency = priority::member)
+{
+    return {caller, urgency, service, milliseconds{500}};
+}
+
+// At five times what the targets serve, a plain proxy answers everything late: each request waits behind all
+// that came before it. Callers here see nearly the full capacity answered in time, and the rest is told at
+// once, or after half of its time at the latest, that it was not run and when to come back.
+TEST(saturation, goodput_stays_near_capacity_and_the_rest_is_refused_early)
+{
+    for (const double times : {1.0, 2.0, 5.0}) {
+        simulation run(four_targets(), adaptive);
+        run.load(capacity * times, seconds{10}, [] { return from_caller("phone"); });
+        run.run();
+        const auto& seen = run.of("phone");
+        EXPECT_GT(seen.in_time, 0.9 * capacity * 10) << times;
+        EXPECT_LT(seen.late, 0.002 * capacity * 10) << times;
+        EXPECT_LE(seen.longest_refusal, milliseconds{250}) << times;
+        if (seen.refused > 0) {
+            EXPECT_GE(seen.least_retry_after, milliseconds{50}) << times;
+        }
+    }
+}
+
+TEST(saturation, is_what_the_plain_baseline_does_not_survive)
+{
+    simulation run(four_targets(), plain);
+    run.load(capacity * 2, seconds{10}, [] { return from_caller("phone"); });
+    run.run();
+    EXPECT_LT(run.of("phone").good_share(), 0.2);
+}
+
+// A forecast turns and ten times as many callers come within a second, then it is over. Afterwards callers
+// must be served as before: the burst leaves no line behind.
+TEST(burst, is_over_when_it_ends)
+{
+    simulation run(four_targets(), adaptive);
+    run.load(capacity / 2, seconds{10}, [] { return from_caller("before"); });
+    run.at(seconds{3}, [&] { run.load(capacity * 5, seconds{2}, [] { return from_caller("surge"); }); });
+    run.at(seconds{6}, [&] { run.load(capacity / 4, seconds{4}, [] { return from_caller("after"); }); });
+    run.run();
+    EXPECT_GT(run.of("after").good_share(), 0.99);
+    EXPECT_GT(run.of("before").good_share(), 0.95);
+    EXPECT_GT(run.of("surge").in_time, 0.3 * capacity * 2);
+}
+
+// One caller sends five times what all targets serve. The others together ask for less than their share; what
+// they get must not depend on the hot one.
+TEST(hot_caller, leaves_the_quiet_ones_their_share)
+{
+    simulation run(four_targets(), adaptive);
+    run.load(capacity * 5, seconds{10}, [] { return from_caller("hot"); });
+    for (int place = 0; place < 10; ++place) {
+        const auto name = "quiet-" + std::to_string(place);
+        run.load(capacity / 20, seconds{10}, [name] { return from_caller(name); });
+    }
+    run.run();
+    for (int place = 0; place < 10; ++place) {
+        EXPECT_GT(run.of("quiet-" + std::to_string(place)).good_share(), 0.97) << place;
+    }
+    EXPECT_GT(run.of("hot").in_time, 0.4 * capacity * 10);
+}
+
+// Rollouts and batches fill every target when drivers come to a barrier: the gate terminals go first. They
+// come after two seconds, in which the limits are found under overload from a standing start.
+TEST(priority, gate_terminals_go_before_batches)
+{
+    simulation run(four_targets(), adaptive);
+    run.load(capacity * 4, seconds{10}, [] { return from_caller("batch", priority::batch); });
+    run.at(seconds{2},
+           [&] { run.load(capacity / 4, seconds{8}, [] { return from_caller("gate", priority::gate); }); });
+    run.run();
+    EXPECT_GT(run.of("gate").good_share(), 0.999);
+    EXPECT_LT(run.of("gate").quantile(0.99), milliseconds{60});
+    EXPECT_GT(run.of("batch").in_time, 0.5 * capacity * 10);
+}
+
+// One target becomes ten times slower. Its callers would wait ten times as long; it is ejected, and what the
+// others serve is not touched.
+TEST(slow_target, loses_its_work_within_seconds)
+{
+    simulation run(four_targets(), adaptive);
+    run.load(capacity / 4, seconds{10}, [] { return from_caller("phone"); });
+    std::int64_t before = 0;
+    run.at(seconds{2}, [&] { run.target("a").slowness = 10; });
+    run.at(seconds{4}, [&] { before = run.target("a").started; });
+    run.run();
+    const auto after = run.target("a").started - before;
+    EXPECT_LT(after, 0.02 * 6 * capacity / 4);
+    EXPECT_LT(run.of("phone").quantile(0.98), milliseconds{60});
+}
+
+// A target that fails at once always has room and would draw the whole load.
+TEST(failing_target, is_ejected_and_the_rest_is_not)
+{
+    simulation run(four_targets(), adaptive);
+    run.target("a").fails = true;
+    run.load(capacity / 4, seconds{10}, [] { return from_caller("phone"); });
+    run.run();
+    EXPECT_LT(run.of("phone").failed, 40);
+    EXPECT_GT(run.of("phone").good_share(), 0.98);
+}
+
+// Every target fails: ejecting them all would refuse callers on our own account. At most a third is out.
+TEST(failing_target, the_floor_keeps_most_targets_in)
+{
+    auto targets = four_targets();
+    for (auto& target : targets) {
+        target.fails = true;
+    }
+    simulation run(std::move(targets), adaptive);
+    run.load(capacity / 4, seconds{2}, [] { return from_caller("phone"); });
+    run.at(seconds{1}, [&] { EXPECT_EQ(run.decisions().pool().ejected(), 1U); });
+    run.run();
+    EXPECT_EQ(run.of("phone").refused, 0);
+}
+
+// One request in twenty takes twenty times as long. The short ones must not be refused because the long ones
+// look like a slow target, nor wait behind them for long.
+TEST(long_among_short, both_are_served)
+{
+    simulation run(four_targets(), adaptive);
+    run.load(capacity / 4, seconds{20}, [&] {
+        const bool takes_long = run.random()() % 20 == 0;
+        auto request = from_caller(takes_long ? "long" : "short");
+        request.service = takes_long ? service * 20 : service;
+        request.deadline = milliseconds{2000};
+        return request;
+    });
+    run.run();
+    EXPECT_GT(run.of("short").good_share(), 0.99);
+    EXPECT_GT(run.of("long").good_share(), 0.99);
+    EXPECT_LT(run.of("short").quantile(0.9), milliseconds{100});
+}
+
+// A report that is ten times too high, and reports that come two seconds late: neither starves the target nor
+// sends the load back and forth between targets.
+TEST(load_reports, that_are_late_or_wrong_change_little)
+{
+    simulation run(four_targets(), adaptive);
+    run.target("a").reported = 10;
+    run.load(capacity * 0.6, seconds{10}, [] { return from_caller("phone"); });
+    run.report_loads(seconds{10}, seconds{2});
+    run.run();
+    EXPECT_GT(run.of("phone").good_share(), 0.99);
+    EXPECT_GT(run.target("a").started, 0.05 * run.of("phone").asked);
+}
+
+// A replacement joins during a surge. It may have little in flight at first, however idle it looks.
+TEST(new_target, is_not_flooded)
+{
+    simulation run({{"a", "near"}, {"b", "near"}, {"c", "near"}}, adaptive);
+    run.load(capacity * 2, seconds{16}, [] { return from_caller("phone"); });
+    int early = 0;
+    run.at(seconds{4}, [&] { run.add({"new", "near"}); });
+    run.at(seconds{5}, [&] { early = run.target("new").most_running; });
+    run.run();
+    EXPECT_GE(early, 1);
+    EXPECT_LE(early, 3);
+    EXPECT_GT(run.target("new").most_running, early);
+}
+
+} // namespace
+} // namespace vanillagauge::policy
--- /dev/null
+++ b/tests/policy/simulation.hpp
@@ -0,0 +1,109 @@
+/// A deterministic discrete-event run of the scheduler before simulated targets, with what callers got.
+#ifndef VANILLAGAUGE_TESTS_POLICY_SIMULATION_HPP
+#define VANILLAGAUGE_TESTS_POLICY_SIMULATION_HPP
+
+#include "policy/policy.hpp"
+
+#include <functional>
+#include <map>
+#include <queue>
+
+namespace vanillagauge::policy {
+
+/// Serves `workers` requests at once; the others wait inside it.
+struct simulated_target {
+    std::string id;
+    std::string domain;
+    int workers = 4;
+    double slowness = 1;  ///< service times are multiplied by this
+    bool fails = false;   ///< answers with a failure at once
+    double reported = 1;  ///< its load reports are this many times the truth
+    int most_running = 0; ///< highest number in flight seen
+    std::int64_t started = 0;
+    time_point last_start{};
+    std::vector<time_point> free_at{};
+};
+
+struct simulated_request {
+    std::string caller;
+    priority urgency = priority::member;
+    milliseconds service{10};
+    milliseconds deadline{1000};
+};
+
+struct caller_outcome {
+    std::int64_t asked = 0;
+    std::int64_t in_time = 0;
+    std::int64_t late = 0;
+    std::int64_t failed = 0;
+    std::int64_t refused = 0;
+    duration longest_refusal{0};             ///< from the request to its refusal
+    milliseconds least_retry_after{1 << 30}; ///< advice given with refusals
+    std::vector<duration> latencies{};
+
+    duration quantile(double share) const;
+    double good_share() const
+    {
+        return asked == 0 ? 0 : static_cast<double>(in_time) / static_cast<double>(asked);
+    }
+};
+
+class simulation {
+public:
+    simulation(std::vector<simulated_target> targets, pool_options mode, std::uint64_t seed = 1);
+
+    /// Requests at `rate` a second from now on for `length`, with exponential gaps.
+    void load(double rate, milliseconds length, std::function<simulated_request()> make);
+    /// Runs `action` at `when` after the start.
+    void at(milliseconds when, std::function<void()> action);
+    /// Load reports of every target every half second, `lag` old.
+    void report_loads(milliseconds length, milliseconds lag);
+    void run();
+
+    void add(simulated_target target);
+    simulated_target& target(const std::string& id) { return targets_.at(id); }
+    caller_outcome& of(const std::string& caller) { return outcomes_[caller]; }
+    caller_outcome total() const;
+    time_point now() const { return now_; }
+    std::mt19937_64& random() { return random_; }
+    scheduler& decisions() { return scheduler_; }
+
+private:
+    struct event {
+        time_point when;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.when, other.order) < std::tie(when, order);
+        }
+    };
+    struct running {
+        simulated_request request;
+        time_point asked;
+    };
+
+    std::mt19937_64 random_;
+    scheduler scheduler_;
+    std::map<std::string, simulated_target> targets_;
+    std::map<std::string, caller_outcome> outcomes_;
+    std::map<std::uint64_t, running> running_;
+    std::priority_queue<event> events_;
+    time_point start_{std::chrono::hours{1}};
+    time_point now_ = start_;
+    time_point timer_{};
+    std::uint64_t next_ = 1;
+
+    void update_targets();
+    void schedule(time_point when, std::function<void()> action);
+    void arrive(const simulated_request& request);
+    void begin(std::uint64_t id, const std::string& target);
+    void end(std::uint64_t id, const std::string& target, time_point began, bool failed);
+    void refuse(std::uint64_t id, const error& reason);
+    void advance();
+    void arm_timer();
+};
+
+} // namespace vanillagauge::policy
+
+#endif
