Drop a pool of silent HTTP connections at the first timeout

Cause: connections can go silent for good, all of one path at once, while new ones work.

Change: a call that ends by timeout, progress timeout or a late cancellation, with no answer on its client since it began, drops the channel's client with its pool; calls in flight keep their connections.

Conclusion: the test fails without the change and passes with it.

--- a/src/wire/http_channel.cpp
+++ b/src/wire/http_channel.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t read_block = 16U << 10U;
 /// The library's own timer must never fire first: it cannot tell a deadline from a silence.
 constexpr std::chrono::hours library_timeout{24};
+/// A call given up later than this has waited long enough to ask whether its path is silent.
+constexpr milliseconds silent_after{100};
 
 http_client_config client_config()
 {
@@ -27,39 +29,89 @@
     return config;
 }
 
+/// A client and its pool of connections.
+struct pooled_client {
+    http_client client;
+    std::atomic<time_point> last_answer{};
+
+    explicit pooled_client(const std::string& address) : client("http://" + address, client_config()) {}
+};
+
+/// A channel's present client, which is replaced when its pool is found silent.
+class client_slot {
+public:
+    explicit client_slot(std::string address) : address_(std::move(address)), current_(make()) {}
+
+    std::shared_ptr<pooled_client> make() const { return std::make_shared<pooled_client>(address_); }
+
+    std::shared_ptr<pooled_client> current() const
+    {
+        const std::lock_guard lock(mutex_);
+        return current_;
+    }
+
+    // Connections can go silent for good, all of one path at once, while new ones work. The library takes the
+    // next call's connection from the pool, so each call would time out on another silent connection, once
+    // for every connection of the pool. Where nothing was answered during the whole of a call that timed out,
+    // the pool is dropped; calls in flight keep their connections. An answer in the meantime shows that the
+    // path works and the request alone is slow.
+    void drop_if_silent(const std::shared_ptr<pooled_client>& used, time_point since)
+    {
+        if (used->last_answer.load() > since) {
+            return;
+        }
+        const std::lock_guard lock(mutex_);
+        if (current_ == used) {
+            current_ = make();
+        }
+    }
+
+private:
+    std::string address_;
+    mutable std::mutex mutex_;
+    std::shared_ptr<pooled_client> current_;
+};
+
 /// One call from its start to its completion.
 class http_call : public std::enable_shared_from_this<http_call> {
 public:
-    http_call(event_loop& loop, codec encoding, const call_options& options, channel::on_chunk chunk,
-              channel::on_done done)
-        : loop_(loop), encoding_(encoding), options_(options), chunk_(std::move(chunk)),
-          done_(std::move(done)), reader_(encoding), block_(chunk_ ? read_block : 0)
+    http_call(event_loop& loop, codec encoding, const call_options& options,
+              std::shared_ptr<client_slot> clients, channel::on_chunk chunk, channel::on_done done)
+        : loop_(loop), encoding_(encoding), options_(options), clients_(std::move(clients)),
+          chunk_(std::move(chunk)), done_(std::move(done)), reader_(encoding), block_(chunk_ ? read_block : 0)
     {
     }
 
-    void start(const std::shared_ptr<http_client>& client, const http_request& request)
+    void start(const http_request& request)
     {
-        client_ = client;
+        client_ = options_.fresh_connection ? clients_->make() : clients_->current();
         auto self = shared_from_this();
-        last_progress_ = steady::now();
+        began_ = steady::now();
+        last_progress_ = began_;
         arm_deadline();
         if (chunk_ && options_.progress_timeout.count() > 0) {
             watch_progress();
         }
-        client->request(request, stop_.get_token()).then([self](const pplx::task<http_response>& answer) {
-            self->on_head(answer);
-        });
+        client_->client.request(request, stop_.get_token())
+            .then([self](const pplx::task<http_response>& answer) { self->on_head(answer); });
     }
 
-    void cancel() { abandon({error_code::cancelled, run_state::in_doubt, "the call was cancelled"}); }
+    /// A caller that gives up early says nothing of the connection; one that has waited does.
+    void cancel()
+    {
+        const bool waited = steady::now() - began_ >= silent_after;
+        abandon({error_code::cancelled, run_state::in_doubt, "the call was cancelled"}, waited);
+    }
 
 private:
     event_loop& loop_;
     codec encoding_;
     call_options options_;
+    std::shared_ptr<client_slot> clients_;
     channel::on_chunk chunk_;
     channel::on_done done_;
-    std::shared_ptr<http_client> client_;
+    std::shared_ptr<pooled_client> client_;
+    time_point began_;
     pplx::cancellation_token_source stop_;
     std::atomic<bool> finished_{false};
     std::mutex mutex_;
@@ -86,8 +138,11 @@
     }
 
     /// The answer goes out first: the library may take its time to let go of a silent connection.
-    void abandon(error failure)
+    void abandon(error failure, bool maybe_silent)
     {
+        if (maybe_silent && !finished_) {
+            clients_->drop_if_silent(client_, began_);
+        }
         finish(std::move(failure));
         stop_.cancel();
     }
@@ -97,7 +152,8 @@
         auto self = shared_from_this();
         auto timer = loop_.after(options_.timeout, [self] {
             self->abandon(
-                {error_code::deadline_exceeded, run_state::in_doubt, "no whole answer within the timeout"});
+                {error_code::deadline_exceeded, run_state::in_doubt, "no whole answer within the timeout"},
+                true);
         });
         const std::lock_guard lock(mutex_);
         deadline_ = std::move(timer);
@@ -113,7 +169,7 @@
                 return;
             }
             if (steady::now() - self->progress() >= self->options_.progress_timeout) {
-                self->abandon({error_code::unavailable, run_state::in_doubt, "the stream went silent"});
+                self->abandon({error_code::unavailable, run_state::in_doubt, "the stream went silent"}, true);
                 return;
             }
             self->watch_progress();
@@ -137,6 +193,7 @@
         try {
             response_ = answer.get();
             note_progress();
+            client_->last_answer = steady::now();
             const bool succeeded = response_.status_code() == web::http::status_codes::OK;
             if (succeeded && chunk_) {
                 read_some();
@@ -232,7 +289,7 @@
         const std::string_view bytes(reinterpret_cast<const char*>(block_.data()), count);
         const auto fed = reader_.feed(bytes, chunk_);
         if (!ok(fed)) {
-            abandon(failure(fed));
+            abandon(failure(fed), false);
             return;
         }
         read_some();
@@ -250,14 +307,13 @@
 
 } // namespace
 
-struct http_channel::pooled_client {
-    std::shared_ptr<http_client> client;
+struct http_channel::state {
+    std::shared_ptr<client_slot> clients;
 };
 
 http_channel::http_channel(event_loop& loop, std::string address, codec encoding)
-    : loop_(loop), address_(std::move(address)), encoding_(encoding),
-      client_(std::make_unique<pooled_client>(
-          pooled_client{std::make_shared<http_client>("http://" + address_, client_config())}))
+    : loop_(loop), encoding_(encoding),
+      state_(std::make_unique<state>(state{std::make_shared<client_slot>(std::move(address))}))
 {
 }
 
@@ -276,11 +332,9 @@
         request.headers().add("Authorization", "Bearer " + options.token);
     }
     request.set_body(std::move(body), std::string(content_type(encoding_, false)));
-    auto client = options.fresh_connection
-                      ? std::make_shared<http_client>("http://" + address_, client_config())
-                      : client_->client;
-    auto running = std::make_shared<http_call>(loop_, encoding_, options, std::move(chunk), std::move(done));
-    running->start(client, request);
+    auto running = std::make_shared<http_call>(loop_, encoding_, options, state_->clients, std::move(chunk),
+                                               std::move(done));
+    running->start(request);
     std::weak_ptr<http_call> weak = running;
     return [weak] {
         if (const auto alive = weak.lock()) {
--- a/src/wire/http_channel.hpp
+++ b/src/wire/http_channel.hpp
@@ -21,11 +21,10 @@
                       on_done done) override;
 
 private:
-    struct pooled_client;
+    struct state;
     event_loop& loop_;
-    std::string address_;
     codec encoding_;
-    std::unique_ptr<pooled_client> client_;
+    std::unique_ptr<state> state_;
 };
 
 } // namespace vanillagauge::wire
--- /dev/null
+++ b/tests/wire/silent_http_tests.cpp
@@ -0,0 +1,126 @@
+#include "wire/wire.hpp"
+
+#include "target.pb.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <latch>
+#include <list>
+#include <thread>
+
+namespace vanillagauge::wire {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr int pooled = 3;
+
+/// Answers the first request of each of its first connections once all of these have asked, and nothing more
+/// on them; connections opened later are answered for good.
+class forgetful_server {
+public:
+    forgetful_server() : acceptor_(context_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        thread_ = std::thread([this] { accept(); });
+    }
+
+    ~forgetful_server()
+    {
+        stopping_ = true;
+        tcp::socket knock(context_);
+        knock.connect(acceptor_.local_endpoint());
+        thread_.join();
+        for (auto& socket : sockets_) {
+            boost::system::error_code ignored;
+            socket.shutdown(tcp::socket::shutdown_both, ignored);
+        }
+        for (auto& server : servers_) {
+            server.join();
+        }
+    }
+    forgetful_server(const forgetful_server&) = delete;
+    forgetful_server& operator=(const forgetful_server&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+private:
+    asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::list<tcp::socket> sockets_;
+    std::list<std::thread> servers_;
+    std::latch all_asked_{pooled};
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+
+    void accept()
+    {
+        for (int number = 0;; ++number) {
+            auto socket = acceptor_.accept();
+            if (stopping_) {
+                return;
+            }
+            sockets_.push_back(std::move(socket));
+            servers_.emplace_back([this, number, &mine = sockets_.back()] { serve(mine, number < pooled); });
+        }
+    }
+
+    void serve(tcp::socket& socket, bool forgets)
+    {
+        asio::streambuf bytes;
+        boost::system::error_code broken;
+        for (int request = 0; !broken; ++request) {
+            // The body is a flat JSON object, so that a request ends with its brace.
+            const auto size = asio::read_until(socket, bytes, '}', broken);
+            bytes.consume(size);
+            if (broken || (forgets && request > 0)) {
+                continue;
+            }
+            if (forgets) {
+                all_asked_.arrive_and_wait();
+            }
+            const std::string answer =
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+            asio::write(socket, asio::buffer(answer), broken);
+        }
+    }
+};
+
+std::future<bool> answered(channel& link, milliseconds timeout)
+{
+    auto promise = std::make_shared<std::promise<bool>>();
+    call_options options;
+    options.timeout = timeout;
+    call<target::v1::CallReply>(
+        link, method<target::v1::PlainService>("Call"), target::v1::CallRequest(), options,
+        [promise](const result<target::v1::CallReply>& reply) { promise->set_value(ok(reply)); });
+    return promise->get_future();
+}
+
+// All pooled connections go silent at once because something between the ends has lost track of them; new
+// connections work. The first call that finds one times out. If the pool were kept, each further call would
+// take the next silent connection and time out as well, once for every connection of the pool. The pool is
+// dropped with the first silence, so the second call is answered.
+TEST(http_channel, drops_its_pool_when_a_pooled_connection_is_silent)
+{
+    forgetful_server server;
+    event_loop loop;
+    http_channel link(loop, server.address());
+    std::vector<std::future<bool>> first;
+    first.reserve(pooled);
+    for (int place = 0; place < pooled; ++place) {
+        first.push_back(answered(link, seconds{30}));
+    }
+    for (auto& one : first) {
+        ASSERT_TRUE(one.get());
+    }
+    EXPECT_FALSE(answered(link, milliseconds{300}).get());
+    EXPECT_TRUE(answered(link, seconds{30}).get());
+}
+
+} // namespace
+} // namespace vanillagauge::wire
