--- /dev/null
+++ b/tools/load/report.hpp
@@ -0,0 +1,48 @@
+/// What callers got in a load run, as JSON and as a table.
+#ifndef VANILLAGAUGE_TOOLS_LOAD_REPORT_HPP
+#define VANILLAGAUGE_TOOLS_LOAD_REPORT_HPP
+
+#include "plan.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <mutex>
+#include <ostream>
+
+namespace vanillagauge::load {
+
+/// One request's end. `took` counts from the intended start, so a late sender shows.
+struct answer {
+    duration took{};
+    std::string target; ///< that answered, where known
+    std::string code;   ///< ok, or the error's code
+    run_state ran = run_state::ran;
+};
+
+/// Safe for several threads.
+class report {
+public:
+    void add(const planned_request& request, const answer& got);
+
+    nlohmann::json as_json(milliseconds length) const;
+    void print_table(std::ostream& out, milliseconds length) const;
+
+private:
+    struct group {
+        std::int64_t asked = 0;
+        std::int64_t in_time = 0;
+        std::int64_t late = 0;
+        std::map<std::string, std::int64_t> refused; ///< by code and run state
+        std::vector<duration> answered;
+        std::vector<duration> turned_away;
+    };
+
+    mutable std::mutex mutex_;
+    std::map<std::string, group> groups_;
+    std::map<std::string, std::map<std::int64_t, std::int64_t>> by_target_; ///< answers by second of start
+};
+
+} // namespace vanillagauge::load
+
+#endif
