--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -12,7 +12,11 @@
 #include "policy/retry_budget.hpp"
 #include "policy/scheduler.hpp"
 #include "policy/slow_start.hpp"
+#include "policy/step_placement.hpp"
+#include "policy/straggler.hpp"
 #include "policy/target_pool.hpp"
+#include "policy/wave_fence.hpp"
+#include "policy/wave_plan.hpp"
 #include "policy/work.hpp"
 
 #endif
