Membership by probing a few peers each period, in pure code

Cause: the full exchange of all members with all peers each 300 ms grows with the square of the fleet and took silence on one path for death. Change: probes of one peer each period with relayed probes by three others, suspicion that the suspect refutes by a higher statement, claims that ride on the probes within a byte budget, comparison of views by digest, slow retries of the dead so that a partition heals without seeds, hold-back of flapping VMs, and an isolated flag. Not wired into the keeper yet.

--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -2,7 +2,10 @@
 #ifndef VANILLAGAUGE_FLEET_FLEET_HPP
 #define VANILLAGAUGE_FLEET_FLEET_HPP
 
+#include "fleet/datagram.hpp"
+#include "fleet/failure_detector.hpp"
 #include "fleet/membership.hpp"
+#include "fleet/node.hpp"
 #include "fleet/rendezvous.hpp"
 
 #endif
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -1,100 +1,419 @@
 #include "fleet/membership.hpp"
 
+#include <algorithm>
+#include <bit>
+#include <tuple>
+
 namespace vanillagauge::fleet {
+namespace {
+
+/// A claim is told 4 times for each power of ten of the fleet: a random spread then misses a member with a
+/// chance below one in a thousand, and the comparison of views finds what was missed.
+constexpr int tellings_per_digit = 4;
+constexpr std::size_t small_fleet = 8;
+constexpr std::size_t isolated_share = 4;
+/// The first return from the dead is taken at once; a VM that keeps returning is held back.
+constexpr int free_recoveries = 1;
+constexpr int longest_doubling = 6;
+constexpr std::size_t most_compared_told_on = 16;
+
+int most_tellings(std::size_t members)
+{
+    int digits = 1;
+    while (members >= 10) {
+        members /= 10;
+        ++digits;
+    }
+    return tellings_per_digit * digits;
+}
+
+bool counts_as_living(member_state state)
+{
+    return state == member_state::alive || state == member_state::suspect;
+}
+
+/// The claim as it is sent: the dead and the suspect need no content.
+member_update claim_of(const member& seen)
+{
+    if (seen.state == member_state::alive) {
+        return {seen.info, seen.state};
+    }
+    node brief;
+    brief.vm = seen.info.vm;
+    brief.incarnation = seen.info.incarnation;
+    brief.heartbeat = seen.info.heartbeat;
+    return {brief, seen.state};
+}
+
+member_summary summary_of(const member& seen)
+{
+    return {vm_hash(seen.info.vm), seen.info.incarnation, seen.info.heartbeat, seen.state};
+}
 
-std::string_view name(member_state state)
+bool is_newer(const member_summary& left, const member_summary& right)
 {
-    switch (state) {
-    case member_state::alive:
-        return "alive";
-    case member_state::suspect:
-        return "suspect";
-    case member_state::dead:
-        break;
+    if (left.state != member_state::alive && left.state != member_state::left) {
+        return false;
     }
-    return "dead";
+    const auto rank = [](const member_summary& line) {
+        return std::tuple(line.incarnation, line.heartbeat, line.state == member_state::left);
+    };
+    return rank(left) > rank(right);
+}
+
+} // namespace
+
+std::uint64_t vm_hash(const std::string& vm)
+{
+    return hash64(vm);
 }
 
 membership::membership(node self, membership_timing timing, time_point now)
     : self_vm_(self.vm), timing_(timing)
 {
-    members_[self_vm_] = {std::move(self), member_state::alive, now};
+    auto& own = members_[self_vm_];
+    own.seen = {std::move(self), member_state::alive, now};
+    count_in_digest(own);
+}
+
+// XOR: counting an entry twice takes it out again.
+void membership::count_in_digest(const held& entry)
+{
+    if (counts_as_living(entry.seen.state)) {
+        const auto& info = entry.seen.info;
+        digest_ ^= hash64(info.vm, info.incarnation * 1000003U + info.heartbeat);
+    }
+}
+
+void membership::spread(const held& entry)
+{
+    news_.push(claim_of(entry.seen));
 }
 
-void membership::beat(const node& self, time_point now)
+void membership::change_state(held& entry, member_state state, time_point now)
+{
+    count_in_digest(entry);
+    entry.seen.state = state;
+    entry.seen.since = now;
+    count_in_digest(entry);
+}
+
+bool membership::announce(node self, time_point now)
 {
     auto& own = members_.at(self_vm_);
-    const auto heartbeat = own.info.heartbeat;
-    const auto incarnation = own.info.incarnation;
-    own.info = self;
-    own.info.incarnation = incarnation;
-    own.info.heartbeat = heartbeat + 1;
-    own.last_progress = now;
+    self.incarnation = own.seen.info.incarnation;
+    self.heartbeat = own.seen.info.heartbeat;
+    // The configuration held changes thousands of times a day on every node. Spreading that as statements
+    // would cost more than everything else together; who needs it asks (see config_census).
+    own.seen.info.config_version = self.config_version;
+    if (self == own.seen.info) {
+        return false;
+    }
+    self.heartbeat += 1;
+    replace(own, {std::move(self), member_state::alive}, now);
+    spread(own);
+    return true;
+}
+
+void membership::replace(held& entry, const member_update& said, time_point now)
+{
+    count_in_digest(entry);
+    const auto before = entry.seen.state;
+    entry.seen.info.incarnation = said.info.incarnation;
+    entry.seen.info.heartbeat = said.info.heartbeat;
+    if (said.state == member_state::alive) {
+        const auto version = std::max(entry.seen.info.config_version, said.info.config_version);
+        entry.seen.info = said.info;
+        entry.seen.info.config_version = version;
+    }
+    entry.seen.state = said.state;
+    if (before != said.state) {
+        entry.seen.since = now;
+    }
+    count_in_digest(entry);
+}
+
+bool membership::merge(const member_update& said, time_point now)
+{
+    return take(said, now, true);
+}
+
+// A VM that joins learns hundreds of claims at once, all known to the fleet. Telling each of them on would
+// fill its own and its peers' datagrams for minutes, and fresh claims would wait behind them.
+bool membership::merge_compared(const std::vector<member_update>& claims, time_point now)
+{
+    const bool tell_on = claims.size() <= most_compared_told_on;
+    bool any = false;
+    for (const auto& claim : claims) {
+        any = take(claim, now, tell_on) || any;
+    }
+    return any;
 }
 
-bool membership::merge(const node& said, time_point now)
+bool membership::take(const member_update& said, time_point now, bool tell_on)
 {
-    if (said.vm == self_vm_) {
+    if (said.info.vm == self_vm_) {
+        return refute(said, now);
+    }
+    const auto found = members_.find(said.info.vm);
+    if (found == members_.end()) {
+        // A dead VM that was never known here, or was forgotten, is no news: taking it up again would keep
+        // the dead of all days alive in the gossip.
+        if (said.state != member_state::alive) {
+            return false;
+        }
+        auto& entry = members_[said.info.vm];
+        entry.seen.state = member_state::dead; // not in the digest until it is replaced
+        replace(entry, said, now);
+        if (tell_on) {
+            spread(entry);
+        }
+        return true;
+    }
+    auto& entry = found->second;
+    if (!supersedes(said, {entry.seen.info, entry.seen.state})) {
         return false;
     }
-    auto& entry = members_[said.vm];
-    const auto held = std::pair(entry.info.incarnation, entry.info.heartbeat);
-    if (std::pair(said.incarnation, said.heartbeat) <= held) {
+    if (entry.seen.state == member_state::dead && said.state == member_state::alive) {
+        note_recovery(entry, now);
+        last_return_ = now;
+    }
+    replace(entry, said, now);
+    if (tell_on) {
+        spread(entry);
+    }
+    return true;
+}
+
+// A paused or cut-off VM learns on its return that others hold it for suspect or dead, or meets statements of
+// its own former life with a clock that ran ahead. Only a higher statement of its own clears that everywhere.
+bool membership::refute(const member_update& said, time_point now)
+{
+    auto& own = members_.at(self_vm_);
+    if (own.seen.state == member_state::left || !supersedes(said, {own.seen.info, own.seen.state})) {
         return false;
     }
-    entry.info = said;
-    entry.state = member_state::alive;
-    entry.last_progress = now;
+    auto info = own.seen.info;
+    info.incarnation = std::max(info.incarnation, said.info.incarnation);
+    info.heartbeat = said.info.heartbeat + 1;
+    replace(own, {std::move(info), member_state::alive}, now);
+    spread(own);
     return true;
 }
 
+// A VM whose link comes and goes every few seconds would pull work to itself and lose it each time. From its
+// second return on it is shown as suspect for a time that doubles with each return, so it gets no new work.
+void membership::note_recovery(held& entry, time_point now)
+{
+    const auto forgiven = (now - entry.last_recovery) / timing_.flap_memory;
+    entry.recoveries = forgiven >= entry.recoveries ? 0 : entry.recoveries - static_cast<int>(forgiven);
+    entry.recoveries += 1;
+    entry.last_recovery = now;
+    if (entry.recoveries > free_recoveries) {
+        const int doublings = std::min(entry.recoveries, longest_doubling);
+        entry.hold_until = now + std::min(timing_.longest_hold, milliseconds{1000LL << doublings});
+        entry.shown_held = true;
+    }
+}
+
+void membership::suspect(const std::string& vm, time_point now)
+{
+    const auto found = members_.find(vm);
+    if (found == members_.end() || vm == self_vm_ || found->second.seen.state != member_state::alive) {
+        return;
+    }
+    change_state(found->second, member_state::suspect, now);
+    spread(found->second);
+}
+
+void membership::leave(time_point now)
+{
+    auto& own = members_.at(self_vm_);
+    auto info = own.seen.info;
+    info.heartbeat += 1;
+    replace(own, {std::move(info), member_state::left}, now);
+    spread(own);
+}
+
+// The suspicion and its refutation each have to cross the fleet, which takes rounds that grow with the
+// logarithm of its size.
+milliseconds membership::suspicion_time() const
+{
+    const auto eighths = std::max<std::size_t>(members_.size() / small_fleet, 1);
+    const auto doublings = static_cast<int>(std::bit_width(eighths)) - 1;
+    return timing_.suspicion + doublings * timing_.suspicion_per_doubling;
+}
+
 bool membership::tick(time_point now)
 {
     bool changed = false;
-    for (auto it = members_.begin(); it != members_.end();) {
-        auto& entry = it->second;
-        const auto silence = now - entry.last_progress;
-        if (it->first == self_vm_) {
-            ++it;
-            continue;
+    const auto patience = suspicion_time();
+    for (auto& [vm, entry] : members_) {
+        if (entry.shown_held && now >= entry.hold_until) {
+            entry.shown_held = false;
+            changed = true;
         }
-        if (silence > timing_.forget_after) {
-            it = members_.erase(it);
+        if (entry.seen.state == member_state::suspect && now - entry.seen.since >= patience) {
+            change_state(entry, member_state::dead, now);
+            spread(entry);
             changed = true;
-            continue;
         }
-        auto state = member_state::alive;
-        if (silence > timing_.dead_after) {
-            state = member_state::dead;
+    }
+    return forget(now) || changed;
+}
+
+bool membership::forget(time_point now)
+{
+    const auto gone = [this, now](const auto& entry) {
+        const auto& seen = entry.second.seen;
+        if (seen.state == member_state::dead) {
+            return now - seen.since > timing_.remember_dead;
+        }
+        return seen.state == member_state::left && entry.first != self_vm_ &&
+               now - seen.since > timing_.remember_left;
+    };
+    bool any = std::erase_if(members_, gone) > 0;
+    while (members_.size() > timing_.most_members) {
+        const auto oldest =
+            std::min_element(members_.begin(), members_.end(), [](const auto& a, const auto& b) {
+                const auto rank = [](const auto& entry) {
+                    return std::pair(counts_as_living(entry.second.seen.state), entry.second.seen.since);
+                };
+                return rank(a) < rank(b);
+            });
+        if (counts_as_living(oldest->second.seen.state)) {
+            break;
         }
-        else if (silence > timing_.suspect_after) {
-            state = member_state::suspect;
+        members_.erase(oldest);
+        any = true;
+    }
+    return any;
+}
+
+void membership::postpone(duration pause)
+{
+    for (auto& [vm, entry] : members_) {
+        if (entry.seen.state == member_state::suspect) {
+            entry.seen.since += pause;
         }
-        changed = changed || state != entry.state;
-        entry.state = state;
-        ++it;
     }
-    return changed;
+}
+
+std::vector<member_update> membership::take_news(std::size_t bytes)
+{
+    return news_.take(bytes, most_tellings(members_.size()));
+}
+
+std::vector<member_update> membership::said_of(const std::string& vm) const
+{
+    const auto found = members_.find(vm);
+    if (found == members_.end() || found->second.seen.state == member_state::alive) {
+        return {};
+    }
+    return {claim_of(found->second.seen)};
 }
 
 std::vector<member> membership::members() const
 {
     std::vector<member> list;
+    list.reserve(members_.size());
     for (const auto& [vm, entry] : members_) {
-        list.push_back(entry);
+        list.push_back(entry.seen);
+        if (entry.shown_held && entry.seen.state == member_state::alive) {
+            list.back().state = member_state::suspect;
+        }
     }
     return list;
 }
 
-std::vector<node> membership::all_known() const
+const node* membership::find(const std::string& vm) const
+{
+    const auto found = members_.find(vm);
+    return found == members_.end() ? nullptr : &found->second.seen.info;
+}
+
+std::vector<std::string> membership::in_state(member_state state) const
 {
-    std::vector<node> list;
+    std::vector<std::string> found;
     for (const auto& [vm, entry] : members_) {
-        if (entry.state != member_state::dead) {
-            list.push_back(entry.info);
+        if (entry.seen.state == state && vm != self_vm_) {
+            found.push_back(vm);
         }
     }
+    return found;
+}
+
+std::vector<member_summary> membership::summary() const
+{
+    std::vector<member_summary> list;
+    list.reserve(members_.size());
+    for (const auto& [vm, entry] : members_) {
+        list.push_back(summary_of(entry.seen));
+    }
     return list;
 }
 
+// Only statements and departures are compared, never deaths. After an hour's partition each half holds the
+// other for dead under the very statements that the other holds for alive: handing those deaths over would
+// bury the whole fleet on both sides until all had refuted. A dead VM is told so itself when it is tried
+// again, and its refutation is a newer statement.
+view_difference membership::compare(const std::vector<member_summary>& theirs) const
+{
+    std::map<std::uint64_t, member_summary> by_hash;
+    for (const auto& line : theirs) {
+        by_hash[line.vm_hash] = line;
+    }
+    view_difference found;
+    for (const auto& [vm, entry] : members_) {
+        const auto line = by_hash.find(vm_hash(vm));
+        const auto ours = summary_of(entry.seen);
+        if (line == by_hash.end()) {
+            if (entry.seen.state == member_state::alive) {
+                found.newer_here.push_back(claim_of(entry.seen));
+            }
+            continue;
+        }
+        if (is_newer(ours, line->second)) {
+            found.newer_here.push_back(claim_of(entry.seen));
+        }
+        else if (is_newer(line->second, ours)) {
+            found.wanted.push_back(line->first);
+        }
+        by_hash.erase(line);
+    }
+    for (const auto& [hash, line] : by_hash) {
+        if (line.state == member_state::alive) {
+            found.wanted.push_back(hash);
+        }
+    }
+    return found;
+}
+
+std::vector<member_update> membership::updates_for(const std::vector<std::uint64_t>& wanted) const
+{
+    std::vector<member_update> found;
+    for (const auto& [vm, entry] : members_) {
+        if (std::find(wanted.begin(), wanted.end(), vm_hash(vm)) != wanted.end()) {
+            found.push_back(claim_of(entry.seen));
+        }
+    }
+    return found;
+}
+
+bool membership::isolated() const
+{
+    std::size_t reached = 0;
+    std::size_t expected = 0;
+    for (const auto& [vm, entry] : members_) {
+        if (vm == self_vm_ || entry.seen.state == member_state::left) {
+            continue;
+        }
+        ++expected;
+        if (entry.seen.state == member_state::alive) {
+            ++reached;
+        }
+    }
+    return expected > 1 && reached * isolated_share < expected;
+}
+
 } // namespace vanillagauge::fleet
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -1,76 +1,118 @@
-/// The view one VM has of the others, from heartbeats that are spread by gossip.
+/// The view one VM has of the others: who is alive, suspect, dead or has left, and what each says of itself.
 #ifndef VANILLAGAUGE_FLEET_MEMBERSHIP_HPP
 #define VANILLAGAUGE_FLEET_MEMBERSHIP_HPP
 
 #include "base/base.hpp"
+#include "fleet/update_queue.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace vanillagauge::fleet {
 
-enum class member_state { alive, suspect, dead };
-
-std::string_view name(member_state state);
-
-/// One process of the system on a VM.
-struct process {
-    std::string role; ///< entry, rollout
-    std::uint64_t incarnation = 0;
-    std::string http_address;
-    std::string peer_address;
-    bool draining = false;
-    double load = 0;
+struct membership_timing {
+    milliseconds suspicion{1500};             ///< least time a suspect has to refute
+    milliseconds suspicion_per_doubling{500}; ///< added for each doubling of the fleet beyond 8
+    milliseconds remember_dead{86400000};     ///< a dead VM is kept, and tried again, for this long
+    milliseconds remember_left{600000};
+    milliseconds flap_memory{60000}; ///< one recovery is forgotten after this long
+    milliseconds longest_hold{60000};
+    std::size_t most_members = 4096; ///< beyond it the longest dead are forgotten first
+};
 
-    friend bool operator==(const process&, const process&) = default;
+struct member {
+    node info;
+    member_state state = member_state::alive;
+    time_point since{}; ///< when the state changed last, by this VM's clock
 };
 
-/// What a VM's keeper says of its VM. The pair (incarnation, heartbeat) only grows.
-struct node {
-    std::string vm;
-    std::string failure_domain;
+/// A member's version without its content, for comparing two views.
+struct member_summary {
+    std::uint64_t vm_hash = 0;
     std::uint64_t incarnation = 0;
     std::uint64_t heartbeat = 0;
-    std::string peer_address;
-    std::string operator_address;
-    std::vector<process> processes;
-    bool draining = false;
-    std::uint64_t config_version = 0;
+    member_state state = member_state::alive;
 };
 
-struct membership_timing {
-    milliseconds suspect_after{1500};
-    milliseconds dead_after{3000};
-    milliseconds forget_after{600000};
-};
+std::uint64_t vm_hash(const std::string& vm);
 
-struct member {
-    node info;
-    member_state state = member_state::alive;
-    time_point last_progress; ///< when the heartbeat last grew, by this VM's clock
+/// What one side of a comparison owes the other.
+struct view_difference {
+    std::vector<member_update> newer_here;
+    std::vector<std::uint64_t> wanted; ///< hashes of VMs that the other side knows better
 };
 
 class membership {
 public:
     membership(node self, membership_timing timing, time_point now);
 
-    const node& self() const { return members_.at(self_vm_).info; }
-    /// Grows the own heartbeat and takes over the caller's changes to the own entry.
-    void beat(const node& self, time_point now);
-    /// Takes what a peer says of a VM; true where it was news.
-    bool merge(const node& said, time_point now);
-    /// Re-judges all by the time since their last progress; true where a state changed.
+    // Commands.
+    /// Takes what this VM now says of itself; true where it is news, which then spreads under a new
+    /// heartbeat.
+    bool announce(node self, time_point now);
+    /// Takes what a peer says of a VM; true where it was news. A false claim about this VM is refuted.
+    bool merge(const member_update& said, time_point now);
+    /// Takes the claims that a comparison of views brought; true where any was news.
+    bool merge_compared(const std::vector<member_update>& claims, time_point now);
+    /// A probe of this VM went unanswered, directly and through others.
+    void suspect(const std::string& vm, time_point now);
+    /// Declares this VM left; every peer told stops giving it work at once.
+    void leave(time_point now);
+    /// Ends suspicions that were not refuted in time and forgets the long dead; true where a state changed.
     bool tick(time_point now);
-
+    /// Moves all running suspicions by the time this process did not run.
+    void postpone(duration pause);
+    /// Updates that peers should hear, least told first, within `bytes`.
+    std::vector<member_update> take_news(std::size_t bytes);
+    /// What this view says of a VM, to be told to it so that it can refute.
+    std::vector<member_update> said_of(const std::string& vm) const;
+
+    // Queries.
+    const node& self() const { return members_.at(self_vm_).seen.info; }
     std::vector<member> members() const;
-    std::vector<node> all_known() const;
+    const node* find(const std::string& vm) const;
+    std::vector<std::string> in_state(member_state state) const;
+    std::vector<member_summary> summary() const;
+    view_difference compare(const std::vector<member_summary>& theirs) const;
+    std::vector<member_update> updates_for(const std::vector<std::uint64_t>& wanted) const;
+    /// Equal where two views hold the same statements of the living.
+    std::uint64_t digest() const { return digest_; }
+    bool has_news() const { return !news_.empty(); }
+    /// Bytes that the smallest waiting claim needs.
+    std::size_t smallest_news() const { return news_.smallest(); }
+    /// This VM reaches fewer than a quarter of the members that did not leave: it is more likely cut off than
+    /// alone alive.
+    bool isolated() const;
+    milliseconds suspicion_time() const;
+    /// When a VM last came back from the dead.
+    std::optional<time_point> last_return() const { return last_return_; }
 
 private:
+    struct held {
+        member seen;
+        int recoveries = 0; ///< returns from the dead that still count
+        time_point last_recovery{};
+        time_point hold_until{}; ///< shown as suspect until then
+        bool shown_held = false;
+    };
     std::string self_vm_;
     membership_timing timing_;
-    std::map<std::string, member> members_;
+    std::map<std::string, held> members_;
+    update_queue news_;
+    std::uint64_t digest_ = 0;
+    std::optional<time_point> last_return_;
+
+    void spread(const held& entry);
+    void change_state(held& entry, member_state state, time_point now);
+    void replace(held& entry, const member_update& said, time_point now);
+    bool take(const member_update& said, time_point now, bool tell_on);
+    bool refute(const member_update& said, time_point now);
+    void note_recovery(held& entry, time_point now);
+    bool forget(time_point now);
+    void count_in_digest(const held& entry);
 };
 
 } // namespace vanillagauge::fleet
