--- /dev/null
+++ b/src/config/pull_planner.hpp
@@ -0,0 +1,56 @@
+/// Decides when a replica asks a peer for what it lacks, from the marks that peers send with their probes.
+#ifndef VANILLAGAUGE_CONFIG_PULL_PLANNER_HPP
+#define VANILLAGAUGE_CONFIG_PULL_PLANNER_HPP
+
+#include "base/clock.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace vanillagauge::config {
+
+/// What a replica holds, in 16 bytes.
+struct replica_mark {
+    std::uint64_t digest = 0;
+    std::uint64_t newest_version = 0;
+};
+
+struct pull_timing {
+    milliseconds pull_every{100};     ///< for recent changes
+    milliseconds whole_every{5000};   ///< for a difference in what is old
+    milliseconds answer_within{2000}; ///< a pull unanswered for this long is given up
+    int whole_pulls_before_list = 3;  ///< peers could not settle the difference: the store must
+};
+
+enum class pull_kind {
+    recent, ///< what is newer, and the last changes before
+    whole,  ///< compare all versions
+    from_store,
+};
+
+class pull_planner {
+public:
+    explicit pull_planner(pull_timing timing = {}) : timing_(timing) {}
+
+    /// A peer's mark came in; says what to ask of that peer, if anything. Then a pull is under way.
+    std::optional<pull_kind> heard(const replica_mark& own, const replica_mark& theirs, time_point now);
+    /// The pull ended, with an answer or not.
+    void ended() { under_way_ = false; }
+
+private:
+    pull_timing timing_;
+    bool under_way_ = false;
+    time_point started_{};
+    std::optional<time_point> last_pull_;
+    std::optional<time_point> last_whole_;
+    std::uint64_t tried_own_ = 0; ///< the digests that the last recent pull was to bring together
+    std::uint64_t tried_theirs_ = 0;
+    int fruitless_ = 0;
+
+    bool may_start(const std::optional<time_point>& last, milliseconds every, time_point now) const;
+};
+
+} // namespace vanillagauge::config
+
+#endif
--- a/src/config/replica.cpp
+++ b/src/config/replica.cpp
@@ -14,24 +14,72 @@
 
 } // namespace
 
-bool replica::merge(object incoming)
+// XOR: counting an object twice takes it out again. Tombstones do not count, so that replicas which dropped
+// different ones still agree.
+void replica::count_in_digest(const object& item)
 {
-    auto& entry = objects_[key{incoming.kind, incoming.name}];
+    if (item.version != 0 && !item.deleted) {
+        digest_ ^= fingerprint(item);
+    }
+}
+
+bool replica::merge(object incoming, object_source source)
+{
+    const key id{incoming.kind, incoming.name};
+    const auto found = objects_.find(id);
     // Late watch events, stale peers and peers from before a partition all bring lower versions. Taking one
     // would bring back a configuration that an operator has replaced.
-    if (incoming.version <= entry.current.version) {
+    if (found != objects_.end() && incoming.version <= found->second.current.version) {
         return false;
     }
-    if (entry.current.version != 0) {
-        digest_ ^= fingerprint(entry.current);
+    // An unknown object that is older than a dropped tombstone may be the very one that was deleted, brought
+    // by a peer that was away. Only the store itself can say that it still exists.
+    if (found == objects_.end() && source == object_source::peer && incoming.version <= dropped_up_to_) {
+        return false;
     }
-    digest_ ^= fingerprint(incoming);
+    auto& entry = objects_[id];
+    tombstones_.erase({entry.current.version, id});
+    count_in_digest(entry.current);
+    count_in_digest(incoming);
     newest_version_ = std::max(newest_version_, incoming.version);
+    if (incoming.deleted) {
+        tombstones_.insert({incoming.version, id});
+    }
     entry.current = std::move(incoming);
     entry.revision = ++revision_;
+    drop_tombstones();
     return true;
 }
 
+void replica::drop_tombstones()
+{
+    while (tombstones_.size() > most_tombstones) {
+        const auto oldest = tombstones_.begin();
+        dropped_up_to_ = std::max(dropped_up_to_, oldest->first);
+        objects_.erase(oldest->second);
+        tombstones_.erase(oldest);
+    }
+}
+
+// A listing shows no deletions. Whoever lists after a compacted watch would keep a deleted object for ever;
+// the listing's revision is higher than the deletion's and lower than that of any later creation.
+bool replica::merge_listing(const std::string& kind, const std::vector<object>& listed,
+                            std::uint64_t revision)
+{
+    std::set<std::string> names;
+    bool any = false;
+    for (const auto& item : listed) {
+        names.insert(item.name);
+        any = merge(item, object_source::store) || any;
+    }
+    for (const auto& item : list(kind)) {
+        if (!names.contains(item.name) && item.version < revision) {
+            any = merge({kind, item.name, revision, "{}", true}, object_source::store) || any;
+        }
+    }
+    return any;
+}
+
 std::optional<object> replica::find(const std::string& kind, const std::string& name) const
 {
     const auto found = objects_.find(key{kind, name});
@@ -63,4 +111,36 @@
     return found;
 }
 
+std::vector<object> replica::lacking(const std::vector<object_version>& known) const
+{
+    std::map<key, std::uint64_t> theirs;
+    for (const auto& line : known) {
+        theirs[key{line.kind, line.name}] = line.version;
+    }
+    std::vector<object> found;
+    for (const auto& [id, entry] : objects_) {
+        const auto line = theirs.find(id);
+        if (line == theirs.end() || line->second < entry.current.version) {
+            found.push_back(entry.current);
+        }
+    }
+    return found;
+}
+
+std::vector<object_version> replica::versions() const
+{
+    std::vector<object_version> found;
+    found.reserve(objects_.size());
+    for (const auto& [id, entry] : objects_) {
+        found.push_back({id.first, id.second, entry.current.version});
+    }
+    return found;
+}
+
+std::uint64_t replica::version_of(const std::string& kind, const std::string& name) const
+{
+    const auto found = objects_.find(key{kind, name});
+    return found == objects_.end() ? 0 : found->second.current.version;
+}
+
 } // namespace vanillagauge::config
--- a/src/config/replica.hpp
+++ b/src/config/replica.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,10 +20,26 @@
     bool deleted = false; ///< kept as a tombstone, so that an older peer cannot bring the object back
 };
 
+/// What a replica holds of one object, without its content.
+struct object_version {
+    std::string kind;
+    std::string name;
+    std::uint64_t version = 0;
+};
+
+/// Where an object came from: what the store says itself is always complete.
+enum class object_source { peer, store };
+
 class replica {
 public:
+    /// Tombstones beyond this number are dropped, the oldest first.
+    static constexpr std::size_t most_tombstones = 2048;
+
     /// Takes the object if it is newer than what is held; true where it was taken.
-    bool merge(object incoming);
+    bool merge(object incoming, object_source source = object_source::peer);
+
+    /// Takes all objects of one kind as the store listed them at `revision`; what is missing was deleted.
+    bool merge_listing(const std::string& kind, const std::vector<object>& listed, std::uint64_t revision);
 
     /// Absent where the object is unknown or deleted.
     std::optional<object> find(const std::string& kind, const std::string& name) const;
@@ -30,11 +47,17 @@
     /// Everything taken after this local revision, tombstones too.
     std::vector<object> since(std::uint64_t revision) const;
 
+    /// Everything of which `known` names no version as high.
+    std::vector<object> lacking(const std::vector<object_version>& known) const;
+    std::vector<object_version> versions() const;
+    /// 0 where the object is unknown; a tombstone has a version.
+    std::uint64_t version_of(const std::string& kind, const std::string& name) const;
+
     /// Grows by one with each object taken. It counts for this replica alone.
     std::uint64_t revision() const { return revision_; }
     /// The highest version held.
     std::uint64_t newest_version() const { return newest_version_; }
-    /// Equal on replicas that hold the same versions.
+    /// Equal on replicas that hold the same versions of the same living objects.
     std::uint64_t digest() const { return digest_; }
 
 private:
@@ -47,6 +70,11 @@
     std::uint64_t revision_ = 0;
     std::uint64_t newest_version_ = 0;
     std::uint64_t digest_ = 0;
+    std::set<std::pair<std::uint64_t, key>> tombstones_;
+    std::uint64_t dropped_up_to_ = 0; ///< the highest version of a tombstone that was dropped
+
+    void count_in_digest(const object& item);
+    void drop_tombstones();
 };
 
 } // namespace vanillagauge::config
--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -235,6 +235,7 @@
     for (const auto& update : message.updates) {
         view_.merge(update, now);
     }
+    view_.note_config(message.from, message.config.newest_version);
     switch (message.kind) {
     case datagram_kind::ping:
         send(message.from_address, make(datagram_kind::ack, message.from, message.sequence), actions);
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -4,8 +4,10 @@
 
 #include "fleet/datagram.hpp"
 #include "fleet/failure_detector.hpp"
+#include "fleet/lease.hpp"
 #include "fleet/membership.hpp"
 #include "fleet/node.hpp"
 #include "fleet/rendezvous.hpp"
+#include "fleet/watchers.hpp"
 
 #endif
--- /dev/null
+++ b/src/fleet/lease.cpp
@@ -0,0 +1,106 @@
+#include "fleet/lease.hpp"
+
+#include "fleet/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::fleet {
+namespace {
+
+/// A cycle is one list and one write. Beyond the size at which all VMs together reach this rate, leases get
+/// longer instead of the store busier.
+constexpr std::int64_t cycles_per_second = 16;
+constexpr int cycles_per_length = 3;
+constexpr milliseconds retry_after{1000};
+
+} // namespace
+
+lease_timing lease_timing_for(std::size_t members)
+{
+    lease_timing timing;
+    const milliseconds spread{static_cast<std::int64_t>(members) * 1000 / cycles_per_second};
+    timing.renew_every = std::max(timing.renew_every, spread);
+    timing.length = timing.renew_every * cycles_per_length;
+    return timing;
+}
+
+bool lease_cycle::begin(time_point now)
+{
+    if (under_way_ || now < next_cycle_) {
+        return false;
+    }
+    under_way_ = true;
+    cycle_started_ = now;
+    next_cycle_ = now + timing_.renew_every;
+    return true;
+}
+
+// The other holder's clock is not known here. Its lease ends at the latest one length after the renewal was
+// sent, which was before this VM first saw that version.
+bool lease_cycle::lapsed(const seen_lease& lease, time_point now) const
+{
+    return now - lease.first_seen > lease.length + timing_.clock_margin + timing_.longest_order;
+}
+
+renew_lease lease_cycle::listed(const std::vector<lease_record>& records, time_point now)
+{
+    std::map<std::string, seen_lease> seen;
+    pending_holders_ = {vm_};
+    own_version_ = 0;
+    for (const auto& record : records) {
+        if (record.vm == vm_) {
+            own_version_ = record.version;
+            continue;
+        }
+        const auto before = others_.find(record.vm);
+        const bool same = before != others_.end() && before->second.version == record.version;
+        seen[record.vm] = {record.version, record.length, same ? before->second.first_seen : now};
+        if (!lapsed(seen[record.vm], now)) {
+            pending_holders_.push_back(record.vm);
+        }
+    }
+    others_ = std::move(seen);
+    return {own_version_, timing_.length};
+}
+
+// The lease runs from the start of the cycle, before the list: the holder then knows no older set of holders
+// than its lease is long, and a reply that waited in a paused process extends nothing.
+void lease_cycle::renewed(std::uint64_t version, time_point now)
+{
+    under_way_ = false;
+    const bool continued = fencing_ != 0 && now < held_until_;
+    if (!continued) {
+        // Whoever took over in between does not know of this lease before its own next cycle, and acts until
+        // then at the most one length. Acting at once would make two owners.
+        acting_from_ = now + timing_.length + timing_.clock_margin + timing_.longest_order;
+    }
+    // Also where the lease went on: a VM that takes over from a lapsed one needs a number above all of the
+    // other's, and this update came after the list that showed the lapse.
+    fencing_ = version;
+    held_until_ = cycle_started_ + timing_.length;
+    holders_ = pending_holders_;
+}
+
+void lease_cycle::failed(time_point now)
+{
+    under_way_ = false;
+    next_cycle_ = std::min(next_cycle_, now + retry_after);
+}
+
+lease_hold lease_cycle::held(time_point now) const
+{
+    if (fencing_ == 0 || now >= held_until_ || now < acting_from_) {
+        return {};
+    }
+    return {fencing_, remaining(now, held_until_)};
+}
+
+std::string lease_cycle::owner_of(const std::string& thing, time_point now) const
+{
+    if (held(now).fencing == 0) {
+        return {};
+    }
+    return ranked_owners(thing, holders_).front();
+}
+
+} // namespace vanillagauge::fleet
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -96,6 +96,16 @@
     entry.seen.state = state;
     entry.seen.since = now;
     count_in_digest(entry);
+    ++generation_;
+}
+
+void membership::note_config(const std::string& vm, std::uint64_t newest_version)
+{
+    const auto found = members_.find(vm);
+    if (found != members_.end()) {
+        found->second.seen.info.config_version =
+            std::max(found->second.seen.info.config_version, newest_version);
+    }
 }
 
 bool membership::announce(node self, time_point now)
@@ -131,6 +141,7 @@
         entry.seen.since = now;
     }
     count_in_digest(entry);
+    ++generation_;
 }
 
 bool membership::merge(const member_update& said, time_point now)
@@ -251,6 +262,7 @@
     for (auto& [vm, entry] : members_) {
         if (entry.shown_held && now >= entry.hold_until) {
             entry.shown_held = false;
+            ++generation_;
             changed = true;
         }
         if (entry.seen.state == member_state::suspect && now - entry.seen.since >= patience) {
@@ -259,7 +271,11 @@
             changed = true;
         }
     }
-    return forget(now) || changed;
+    if (forget(now)) {
+        ++generation_;
+        changed = true;
+    }
+    return changed;
 }
 
 bool membership::forget(time_point now)
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -59,6 +59,8 @@
     bool merge_compared(const std::vector<member_update>& claims, time_point now);
     /// A probe of this VM went unanswered, directly and through others.
     void suspect(const std::string& vm, time_point now);
+    /// Notes which configuration a VM was seen to hold.
+    void note_config(const std::string& vm, std::uint64_t newest_version);
     /// Declares this VM left; every peer told stops giving it work at once.
     void leave(time_point now);
     /// Ends suspicions that were not refuted in time and forgets the long dead; true where a state changed.
@@ -80,6 +82,8 @@
     std::vector<member_update> updates_for(const std::vector<std::uint64_t>& wanted) const;
     /// Equal where two views hold the same statements of the living.
     std::uint64_t digest() const { return digest_; }
+    /// Grows with everything that members() shows.
+    std::uint64_t generation() const { return generation_; }
     bool has_news() const { return !news_.empty(); }
     /// Bytes that the smallest waiting claim needs.
     std::size_t smallest_news() const { return news_.smallest(); }
@@ -103,6 +107,7 @@
     std::map<std::string, held> members_;
     update_queue news_;
     std::uint64_t digest_ = 0;
+    std::uint64_t generation_ = 1;
     std::optional<time_point> last_return_;
 
     void spread(const held& entry);
--- /dev/null
+++ b/src/keeper/config_counter.hpp
@@ -0,0 +1,45 @@
+/// Counts how many living nodes hold a version of an object, by asking each of them.
+#ifndef VANILLAGAUGE_KEEPER_CONFIG_COUNTER_HPP
+#define VANILLAGAUGE_KEEPER_CONFIG_COUNTER_HPP
+
+#include "keeper/idle_channels.hpp"
+#include "keeper/keeper_state.hpp"
+#include "wire/event_loop.hpp"
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace vanillagauge::keeper {
+
+struct config_census {
+    std::size_t holding = 0;
+    std::vector<std::string> missing; ///< VMs that do not hold it, or did not say
+};
+
+class config_counter {
+public:
+    using on_counted = std::function<void(const config_census&)>;
+
+    /// The state and the loop must outlive it.
+    config_counter(const keeper_state& state, wire::event_loop& loop, std::string token);
+
+    /// Asks until all living nodes hold at least this version, or `wait` is over.
+    void count(const config::object_version& wanted, milliseconds wait, on_counted on_done);
+
+private:
+    struct counting;
+    const keeper_state& state_;
+    wire::event_loop& loop_;
+    std::string token_;
+    idle_channels peers_;
+
+    void round(const std::shared_ptr<counting>& job);
+    void ask(const std::shared_ptr<counting>& job, const fleet::node& peer);
+    void finish(const std::shared_ptr<counting>& job);
+};
+
+} // namespace vanillagauge::keeper
+
+#endif
--- a/src/keeper/config_feed.cpp
+++ b/src/keeper/config_feed.cpp
@@ -3,12 +3,19 @@
 #include "observe/log.hpp"
 
 #include <algorithm>
+#include <random>
 
 namespace vanillagauge::keeper {
 namespace {
 
 constexpr milliseconds watch_wait{10000};
-constexpr milliseconds retry_pause{500};
+/// Leaves a VM that starts the time to hear of its peers.
+constexpr milliseconds first_turn{300};
+constexpr milliseconds turn_every{100};
+constexpr milliseconds first_pause{500};
+constexpr milliseconds longest_pause{8000};
+constexpr int most_doublings = 5;
+constexpr int failures_before_handover = 3;
 
 } // namespace
 
@@ -37,40 +44,114 @@
             objects.push_back(to_config(item));
         }
     }
-    state_.merge_config(objects);
+    state_.merge_config(objects, config::object_source::store);
 }
 
-void config_feed::list()
+void config_feed::start()
 {
-    store_.list("", [this](const result<platform::listing>& reply) {
-        state_.set_store_up(ok(reply));
-        if (!ok(reply)) {
-            observe::log(observe::log_level::warning, "store_list_failed",
-                         {{"detail", failure(reply).detail}});
-            loop_.after(retry_pause, [this] { list(); });
-            return;
-        }
-        take(value(reply).objects);
-        since_ = value(reply).revision;
+    loop_.after(first_turn, [this] { turn(); });
+}
+
+// A VM that starts asks its peers first; only where it is chosen to watch does it call the store. After an
+// outage hundreds of VMs would otherwise list the whole configuration at the same moment.
+void config_feed::turn()
+{
+    loop_.after(turn_every, [this] { turn(); });
+    if (under_way_ || !state_.is_watcher()) {
+        listed_ = listed_ && under_way_;
+        return;
+    }
+    under_way_ = true;
+    if (listed_) {
         watch();
-    });
+    }
+    else {
+        list(0, 0, [this](const result<std::uint64_t>& revision) {
+            loop_.post([this, revision] {
+                if (!ok(revision)) {
+                    failed(failure(revision), false);
+                    return;
+                }
+                since_ = value(revision);
+                listed_ = true;
+                succeeded();
+            });
+        });
+    }
 }
 
-void config_feed::watch()
+void config_feed::succeeded()
 {
-    store_.watch(config_kinds(), since_, watch_wait, [this](const result<platform::watch_events>& reply) {
-        state_.set_store_up(ok(reply));
+    failures_ = 0;
+    under_way_ = false;
+    state_.set_store_up(true);
+    state_.set_watch_failing(false);
+}
+
+void config_feed::failed(const error& failure, bool by_watch)
+{
+    state_.set_store_up(false);
+    observe::log(observe::log_level::warning, by_watch ? "store_watch_failed" : "store_list_failed",
+                 {{"detail", failure.detail}});
+    ++failures_;
+    // Another VM may have a better path to the store. If none has, the choice falls back to all.
+    state_.set_watch_failing(failures_ >= failures_before_handover);
+    listed_ = listed_ && !by_watch; // a broken watch may have lost events: list before the next
+    thread_local std::mt19937_64 random{std::random_device{}()};
+    const auto doubled = first_pause * (1 << std::min(failures_, most_doublings));
+    const auto most = std::min<milliseconds>(doubled, longest_pause);
+    const milliseconds pause{random() % static_cast<std::uint64_t>(most.count())};
+    loop_.after(pause, [this] { under_way_ = false; });
+}
+
+void config_feed::list_once()
+{
+    list(0, 0, [](const result<std::uint64_t>&) {});
+}
+
+// The watch goes on from the first listing's revision: what changed while the others were listed comes again,
+// and higher versions win.
+void config_feed::list(std::size_t place, std::uint64_t revision,
+                       std::function<void(result<std::uint64_t>)> on_done)
+{
+    const auto& kind = config_kinds()[place];
+    store_.list(kind, [this, place, revision, kind,
+                       on_done = std::move(on_done)](const result<platform::listing>& reply) mutable {
         if (!ok(reply)) {
-            loop_.after(retry_pause, [this] { watch(); });
+            on_done(failure(reply));
             return;
         }
-        if (value(reply).compacted) {
-            list();
+        std::vector<config::object> objects;
+        for (const auto& item : value(reply).objects) {
+            objects.push_back(to_config(item));
+        }
+        state_.merge_listing(kind, objects, value(reply).revision);
+        const auto first = place == 0 ? value(reply).revision : revision;
+        if (place + 1 == config_kinds().size()) {
+            on_done(first);
             return;
         }
-        take(value(reply).objects);
-        since_ = value(reply).revision;
-        watch();
+        list(place + 1, first, std::move(on_done));
+    });
+}
+
+void config_feed::watch()
+{
+    store_.watch(config_kinds(), since_, watch_wait, [this](const result<platform::watch_events>& reply) {
+        loop_.post([this, reply] {
+            if (!ok(reply)) {
+                failed(failure(reply), true);
+                return;
+            }
+            if (value(reply).compacted) {
+                listed_ = false;
+            }
+            else {
+                take(value(reply).objects);
+                since_ = value(reply).revision;
+            }
+            succeeded();
+        });
     });
 }
 
--- a/src/keeper/config_feed.hpp
+++ b/src/keeper/config_feed.hpp
@@ -1,4 +1,4 @@
-/// Brings the configuration from the Object API into the keeper's state: list once, then watch.
+/// Brings the configuration from the Object API into the keeper's state, on the few VMs that watch it.
 #ifndef VANILLAGAUGE_KEEPER_CONFIG_FEED_HPP
 #define VANILLAGAUGE_KEEPER_CONFIG_FEED_HPP
 
@@ -6,6 +6,8 @@
 #include "platform/object_client.hpp"
 #include "wire/event_loop.hpp"
 
+#include <optional>
+
 namespace vanillagauge::keeper {
 
 /// The kinds of the operators' objects.
@@ -21,16 +23,25 @@
     {
     }
 
-    void start() { list(); }
+    void start();
+    /// Lists the store once, whether this VM watches it or not.
+    void list_once();
 
 private:
     keeper_state& state_;
     platform::object_client& store_;
     wire::event_loop& loop_;
     std::uint64_t since_ = 0;
+    int failures_ = 0;
+    bool listed_ = false;    ///< `since_` is the store's
+    bool under_way_ = false; ///< a list or a watch is out
 
-    void list();
+    void turn();
+    /// Lists kind after kind, then calls `on_done` with the first listing's revision or the failure.
+    void list(std::size_t place, std::uint64_t revision, std::function<void(result<std::uint64_t>)> on_done);
     void watch();
+    void succeeded();
+    void failed(const error& failure, bool by_watch);
     void take(const std::vector<platform::stored_object>& items);
 };
 
--- /dev/null
+++ b/src/keeper/datagram_link.hpp
@@ -0,0 +1,47 @@
+/// The failure detector's datagrams over UDP, each authenticated by the peers' token.
+#ifndef VANILLAGAUGE_KEEPER_DATAGRAM_LINK_HPP
+#define VANILLAGAUGE_KEEPER_DATAGRAM_LINK_HPP
+
+#include "base/base.hpp"
+#include "fleet/datagram.hpp"
+#include "wire/event_loop.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace vanillagauge::keeper {
+
+/// How much this VM has sent and received, without IP and UDP headers.
+struct datagram_counts {
+    std::uint64_t sent = 0;
+    std::uint64_t sent_bytes = 0;
+    std::uint64_t received = 0;
+    std::uint64_t received_bytes = 0;
+    std::uint64_t refused = 0; ///< not authentic or not readable
+};
+
+/// All of it runs on the loop's thread, but for `open` and `counts`.
+class datagram_link {
+public:
+    using receiver = std::function<void(const fleet::datagram&)>;
+
+    /// The loop must outlive it.
+    datagram_link(wire::event_loop& loop, std::string token, receiver on_datagram);
+    ~datagram_link();
+    datagram_link(const datagram_link&) = delete;
+    datagram_link& operator=(const datagram_link&) = delete;
+
+    /// Binds a free port of this host; returns the address.
+    result<std::string> open(const std::string& host);
+    void send(const std::string& address, const fleet::datagram& message);
+    datagram_counts counts() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace vanillagauge::keeper
+
+#endif
--- a/src/keeper/gossip.cpp
+++ b/src/keeper/gossip.cpp
@@ -3,102 +3,229 @@
 #include "node/convert.hpp"
 #include "wire/call.hpp"
 
-#include <set>
+#include <algorithm>
 
 namespace vanillagauge::keeper {
 namespace {
 
-constexpr milliseconds round_every{300};
-constexpr milliseconds exchange_timeout{1000};
+constexpr milliseconds tick_every{50};
+constexpr milliseconds exchange_timeout{2000};
+constexpr milliseconds seed_every{500};
+/// Two operators' changes accepted on two VMs at once cross on their way: a VM may hold the higher version
+/// and lack the lower. Asking from this many revisions before the newest finds both in one pull.
+constexpr std::uint64_t overlap = 1024;
+/// An answer is cut here and asked on, so that no message nears the limit of a frame or of memory.
+constexpr std::size_t largest_pull = 256U << 10U;
 
-template <class Message>
-void fill_nodes(const keeper_state& state, Message& message)
+std::vector<fleet::member_update>
+claims_of(const google::protobuf::RepeatedPtrField<v1::MemberClaim>& messages)
 {
-    for (const auto& known : state.known_nodes()) {
-        *message.add_nodes() = node::to_message(known);
+    std::vector<fleet::member_update> claims;
+    for (const auto& message : messages) {
+        claims.push_back(node::from_message(message));
     }
-    message.set_config_digest(state.config_digest());
+    return claims;
 }
 
-template <class Message>
-void fill_config(const keeper_state& state, Message& message)
+} // namespace
+
+gossip::gossip(keeper_state& state, wire::event_loop& loop, const config::settings& settings)
+    : state_(state), loop_(loop), peers_(loop),
+      datagrams_(loop, settings.tokens.peer, [this](const fleet::datagram& message) { receive(message); }),
+      seeds_(settings.keeper.seeds), token_(settings.tokens.peer)
 {
-    for (const auto& item : state.config_since(0)) {
-        *message.add_entries() = node::to_message(item);
+}
+
+wire::call_options gossip::options() const
+{
+    wire::call_options chosen;
+    chosen.timeout = exchange_timeout;
+    chosen.token = token_;
+    return chosen;
+}
+
+void gossip::tick()
+{
+    const auto now = steady::now();
+    perform(state_.tick(now));
+    ask_a_seed(now);
+    peers_.close_idle(now);
+    loop_.after(tick_every, [this] { tick(); });
+}
+
+void gossip::receive(const fleet::datagram& message)
+{
+    const auto now = steady::now();
+    perform(state_.receive(message, now));
+    consider_pull(message, now);
+}
+
+void gossip::perform(const fleet::detector_actions& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* send = std::get_if<fleet::send_datagram>(&action)) {
+            datagrams_.send(send->address, send->message);
+        }
+        else {
+            compare(std::get<fleet::compare_views>(action).peer_address);
+        }
     }
 }
 
-} // namespace
+// Seeds serve only a VM that knows nobody alive. Everyone else finds the others through its members.
+void gossip::ask_a_seed(time_point now)
+{
+    if (seeds_.empty() || now < next_seed_) {
+        return;
+    }
+    next_seed_ = now + seed_every;
+    const auto self = state_.self();
+    for (const auto& member : state_.members()) {
+        if (member.info.vm != self.vm && member.state == fleet::member_state::alive) {
+            return;
+        }
+    }
+    const auto& seed = seeds_[seed_turn_++ % seeds_.size()];
+    if (seed != self.peer_address) {
+        compare(seed);
+        pull(seed, false);
+    }
+}
 
-gossip::gossip(keeper_state& state, wire::event_loop& loop, const config::settings& settings)
-    : state_(state), loop_(loop), peers_(node::peer_channels(loop)), seeds_(settings.keeper.seeds),
-      token_(settings.tokens.peer)
+void gossip::compare(const std::string& address)
 {
+    v1::ExchangeRequest request;
+    for (const auto& line : state_.summary()) {
+        *request.add_members() = node::to_message(line);
+    }
+    const auto channel = peers_.at(address, steady::now());
+    wire::call<v1::ExchangeReply>(*channel, wire::method<v1::KeeperPeer>("Exchange"), request, options(),
+                                  [this, channel, address](const result<v1::ExchangeReply>& reply) {
+                                      if (ok(reply)) {
+                                          hand_over(address, value(reply));
+                                      }
+                                  });
 }
 
-v1::ExchangeReply gossip::answer(const v1::ExchangeRequest& request)
+void gossip::hand_over(const std::string& address, const v1::ExchangeReply& reply)
 {
-    take(request.nodes(), request.entries());
-    v1::ExchangeReply reply;
-    fill_nodes(state_, reply);
-    if (request.config_digest() != state_.config_digest()) {
-        fill_config(state_, reply);
+    state_.merge_claims(claims_of(reply.claims()), steady::now());
+    const std::vector<std::uint64_t> wanted(reply.wanted().begin(), reply.wanted().end());
+    if (wanted.empty()) {
+        return;
     }
-    return reply;
+    v1::ExchangeRequest request;
+    for (const auto& claim : state_.claims_for(wanted)) {
+        *request.add_claims() = node::to_message(claim);
+    }
+    const auto channel = peers_.at(address, steady::now());
+    wire::call<v1::ExchangeReply>(*channel, wire::method<v1::KeeperPeer>("Exchange"), request, options(),
+                                  [channel](const result<v1::ExchangeReply>&) {});
 }
 
-void gossip::take(const google::protobuf::RepeatedPtrField<v1::NodeInfo>& nodes,
-                  const google::protobuf::RepeatedPtrField<v1::ConfigEntry>& entries)
+v1::ExchangeReply gossip::answer(const v1::ExchangeRequest& request)
 {
-    std::vector<fleet::node> said;
-    for (const auto& message : nodes) {
-        said.push_back(node::from_message(message));
+    v1::ExchangeReply reply;
+    state_.merge_claims(claims_of(request.claims()), steady::now());
+    if (request.members().empty()) {
+        return reply;
+    }
+    std::vector<fleet::member_summary> theirs;
+    for (const auto& line : request.members()) {
+        theirs.push_back(node::from_message(line));
     }
-    state_.merge_nodes(said, steady::now());
-    std::vector<config::object> objects;
-    for (const auto& message : entries) {
-        objects.push_back(node::from_message(message));
+    const auto difference = state_.compare(theirs);
+    for (const auto& claim : difference.newer_here) {
+        *reply.add_claims() = node::to_message(claim);
     }
-    state_.merge_config(objects);
+    reply.mutable_wanted()->Add(difference.wanted.begin(), difference.wanted.end());
+    return reply;
 }
 
-void gossip::round()
+void gossip::consider_pull(const fleet::datagram& message, time_point now)
 {
-    state_.beat(steady::now());
-    std::set<std::string> addresses(seeds_.begin(), seeds_.end());
-    const auto self = state_.self();
-    for (const auto& known : state_.known_nodes()) {
-        addresses.insert(known.peer_address);
+    const config::replica_mark theirs{message.config.digest, message.config.newest_version};
+    const auto kind = pulls_.heard(state_.config_mark(), theirs, now);
+    if (!kind) {
+        return;
+    }
+    if (*kind != config::pull_kind::from_store) {
+        pull(message.from_peer_address, *kind == config::pull_kind::whole);
+        return;
     }
-    addresses.erase(self.peer_address);
-    for (const auto& address : addresses) {
-        exchange(address, false);
+    pulls_.ended();
+    if (list_needed_) {
+        list_needed_();
     }
-    loop_.after(round_every, [this] { round(); });
 }
 
-void gossip::exchange(const std::string& address, bool whole_config)
+void gossip::pull(const std::string& address, bool whole)
 {
-    v1::ExchangeRequest request;
-    fill_nodes(state_, request);
-    if (whole_config) {
-        fill_config(state_, request);
-    }
-    wire::call_options options;
-    options.timeout = exchange_timeout;
-    options.token = token_;
-    wire::call<v1::ExchangeReply>(
-        *peers_.at(address), wire::method<v1::KeeperPeer>("Exchange"), request, options,
-        [this, address, whole_config](const result<v1::ExchangeReply>& reply) {
-            if (!ok(reply)) {
-                return;
+    v1::ConfigPullRequest request;
+    const auto mark = state_.config_mark();
+    const auto base = whole ? 0 : mark.newest_version - std::min(mark.newest_version, overlap);
+    request.set_newest_version(base);
+    request.set_digest(mark.digest);
+    request.set_whole(whole);
+    for (const auto& line : state_.config_versions()) {
+        if (line.version > base) {
+            auto& held = *request.add_held();
+            held.set_kind(line.kind);
+            held.set_name(line.name);
+            held.set_version(line.version);
+        }
+    }
+    const auto channel = peers_.at(address, steady::now());
+    wire::call<v1::ConfigPullReply>(
+        *channel, wire::method<v1::KeeperPeer>("ConfigPull"), request, options(),
+        [this, channel, address, whole](const result<v1::ConfigPullReply>& reply) {
+            std::vector<config::object> objects;
+            if (ok(reply)) {
+                for (const auto& entry : value(reply).entries()) {
+                    objects.push_back(node::from_message(entry));
+                }
             }
-            take(value(reply).nodes(), value(reply).entries());
-            const bool differs = value(reply).config_digest() != state_.config_digest();
-            if (differs && !whole_config) {
-                exchange(address, true);
+            const bool taken = state_.merge_config(objects);
+            if (ok(reply) && value(reply).more() && taken) {
+                pull(address, whole);
+                return;
             }
+            loop_.post([this] { pulls_.ended(); });
         });
 }
 
+v1::ConfigPullReply gossip::answer(const v1::ConfigPullRequest& request) const
+{
+    v1::ConfigPullReply reply;
+    const auto mark = state_.config_mark();
+    reply.set_digest(mark.digest);
+    reply.set_newest_version(mark.newest_version);
+    std::vector<config::object_version> held;
+    for (const auto& line : request.held()) {
+        held.push_back({line.kind(), line.name(), line.version()});
+    }
+    auto objects = state_.config_lacking(held);
+    std::erase_if(objects, [&request](const config::object& item) {
+        return !request.whole() && item.version <= request.newest_version();
+    });
+    std::sort(objects.begin(), objects.end(), [](const config::object& left, const config::object& right) {
+        return left.version < right.version;
+    });
+    std::size_t bytes = 0;
+    for (const auto& item : objects) {
+        bytes += item.spec_json.size();
+        if (bytes > largest_pull && reply.entries_size() > 0) {
+            reply.set_more(true);
+            break;
+        }
+        *reply.add_entries() = node::to_message(item);
+    }
+    return reply;
+}
+
+void gossip::leave()
+{
+    perform(state_.leave(steady::now()));
+}
+
 } // namespace vanillagauge::keeper
--- a/src/keeper/gossip.hpp
+++ b/src/keeper/gossip.hpp
@@ -1,9 +1,10 @@
-/// Exchanges members and configuration with the other keepers.
+/// Connects the failure detector and the configuration replica to the other keepers.
 #ifndef VANILLAGAUGE_KEEPER_GOSSIP_HPP
 #define VANILLAGAUGE_KEEPER_GOSSIP_HPP
 
+#include "keeper/datagram_link.hpp"
+#include "keeper/idle_channels.hpp"
 #include "keeper/keeper_state.hpp"
-#include "node/channel_pool.hpp"
 
 #include "vanillagauge.pb.h"
 
@@ -14,22 +15,41 @@
     /// The state and the loop must outlive it.
     gossip(keeper_state& state, wire::event_loop& loop, const config::settings& settings);
 
-    void start() { round(); }
+    // Commands.
+    /// Binds the datagrams' port on this host; returns the address.
+    result<std::string> open(const std::string& host) { return datagrams_.open(host); }
+    void start() { tick(); }
+    /// Runs where peers cannot settle a difference and the store must be listed.
+    void on_list_needed(std::function<void()> handler) { list_needed_ = std::move(handler); }
+    /// Tells peers that this VM leaves.
+    void leave();
 
-    /// The answer to a peer's exchange.
+    // Queries.
     v1::ExchangeReply answer(const v1::ExchangeRequest& request);
+    v1::ConfigPullReply answer(const v1::ConfigPullRequest& request) const;
+    datagram_counts counts() const { return datagrams_.counts(); }
 
 private:
     keeper_state& state_;
     wire::event_loop& loop_;
-    node::channel_pool peers_;
+    idle_channels peers_;
+    datagram_link datagrams_;
+    config::pull_planner pulls_;
     std::vector<std::string> seeds_;
     std::string token_;
-
-    void round();
-    void exchange(const std::string& address, bool whole_config);
-    void take(const google::protobuf::RepeatedPtrField<v1::NodeInfo>& nodes,
-              const google::protobuf::RepeatedPtrField<v1::ConfigEntry>& entries);
+    std::function<void()> list_needed_;
+    time_point next_seed_;
+    std::size_t seed_turn_ = 0;
+
+    void tick();
+    void receive(const fleet::datagram& message);
+    void perform(const fleet::detector_actions& actions);
+    void ask_a_seed(time_point now);
+    void compare(const std::string& address);
+    void hand_over(const std::string& address, const v1::ExchangeReply& reply);
+    void consider_pull(const fleet::datagram& message, time_point now);
+    void pull(const std::string& address, bool whole);
+    wire::call_options options() const;
 };
 
 } // namespace vanillagauge::keeper
--- a/src/keeper/keeper_state.cpp
+++ b/src/keeper/keeper_state.cpp
@@ -1,16 +1,23 @@
 #include "keeper/keeper_state.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace vanillagauge::keeper {
 namespace {
 
 /// A program asks its keeper again after half a second at the latest; four missed rounds mean that it is
 /// gone.
 constexpr milliseconds program_silence{2000};
+/// Three watches in three failure domains: a change arrives while any one of them works, and the number of
+/// calls does not grow with the fleet.
+constexpr std::size_t watchers = 3;
 
 } // namespace
 
 keeper_state::keeper_state(fleet::node self, time_point now)
-    : vm_(self.vm), incarnation_(self.incarnation), membership_(std::move(self), {}, now)
+    : vm_(self.vm), incarnation_(self.incarnation),
+      detector_(self, {}, {}, hash64(self.vm, self.incarnation), now)
 {
 }
 
@@ -21,20 +28,19 @@
     }
 }
 
-void keeper_state::set_addresses(const std::string& peer_address, const std::string& operator_address)
+void keeper_state::set_addresses(const keeper_addresses& addresses)
 {
     const std::lock_guard lock(members_mutex_);
-    peer_address_ = peer_address;
-    operator_address_ = operator_address;
+    addresses_ = addresses;
 }
 
-bool keeper_state::merge_config(const std::vector<config::object>& incoming)
+bool keeper_state::merge_config(const std::vector<config::object>& incoming, config::object_source source)
 {
     bool taken = false;
     {
         const std::lock_guard lock(config_mutex_);
         for (const auto& item : incoming) {
-            taken = config_.merge(item) || taken;
+            taken = config_.merge(item, source) || taken;
         }
     }
     if (taken) {
@@ -43,53 +49,109 @@
     return taken;
 }
 
-void keeper_state::merge_nodes(const std::vector<fleet::node>& said, time_point now)
+void keeper_state::merge_listing(const std::string& kind, const std::vector<config::object>& listed,
+                                 std::uint64_t revision)
 {
-    const std::lock_guard lock(members_mutex_);
-    for (const auto& node : said) {
-        membership_.merge(node, now);
+    const bool taken = [&] {
+        const std::lock_guard lock(config_mutex_);
+        return config_.merge_listing(kind, listed, revision);
+    }();
+    if (taken) {
+        changed();
     }
 }
 
 void keeper_state::hear(const fleet::process& program, time_point now)
 {
+    const bool drains = draining();
+    const auto mark = config_mark();
     bool news = false;
     {
         const std::lock_guard lock(members_mutex_);
         auto& entry = programs_[program.role];
-        news = !(entry.info == program);
+        const bool same = entry.info == program;
         entry = {program, now};
+        if (!same) {
+            announce(drains, mark, now);
+            news = note_generation();
+        }
     }
     if (news) {
-        beat(now);
+        changed();
     }
 }
 
-void keeper_state::beat(time_point now)
+void keeper_state::announce(bool drains, const config::replica_mark& mark, time_point now)
+{
+    auto self = detector_.view().self();
+    self.processes.clear();
+    std::erase_if(programs_,
+                  [now](const auto& entry) { return now - entry.second.last_heard > program_silence; });
+    for (const auto& [role, entry] : programs_) {
+        self.processes.push_back(entry.info);
+    }
+    self.draining = drains;
+    self.watch_failing = watch_failing_;
+    self.peer_address = addresses_.peer;
+    self.operator_address = addresses_.operators;
+    self.datagram_address = addresses_.datagrams;
+    self.config_version = mark.newest_version;
+    detector_.announce(self, now);
+    detector_.set_config({mark.digest, mark.newest_version});
+}
+
+bool keeper_state::note_generation()
+{
+    const auto generation = detector_.view().generation();
+    return std::exchange(told_generation_, generation) != generation;
+}
+
+fleet::detector_actions keeper_state::tick(time_point now)
 {
     const bool drains = draining();
-    const auto revision = [this] {
-        const std::lock_guard lock(config_mutex_);
-        return config_.newest_version();
-    }();
+    const auto mark = config_mark();
+    fleet::detector_actions actions;
     bool news = false;
     {
         const std::lock_guard lock(members_mutex_);
-        auto self = membership_.self();
-        const auto before = self.processes;
-        self.processes.clear();
-        std::erase_if(programs_,
-                      [now](const auto& entry) { return now - entry.second.last_heard > program_silence; });
-        for (const auto& [role, entry] : programs_) {
-            self.processes.push_back(entry.info);
-        }
-        news = before != self.processes || self.draining != drains;
-        self.draining = drains;
-        self.peer_address = peer_address_;
-        self.operator_address = operator_address_;
-        self.config_version = revision;
-        membership_.beat(self, now);
-        news = membership_.tick(now) || news;
+        announce(drains, mark, now);
+        actions = detector_.tick(now);
+        news = note_generation();
+    }
+    if (news) {
+        changed();
+    }
+    return actions;
+}
+
+fleet::detector_actions keeper_state::receive(const fleet::datagram& message, time_point now)
+{
+    fleet::detector_actions actions;
+    bool news = false;
+    {
+        const std::lock_guard lock(members_mutex_);
+        actions = detector_.receive(message, now);
+        news = note_generation();
+    }
+    if (news) {
+        changed();
+    }
+    return actions;
+}
+
+fleet::detector_actions keeper_state::leave(time_point now)
+{
+    const std::lock_guard lock(members_mutex_);
+    return detector_.leave(now);
+}
+
+void keeper_state::merge_claims(const std::vector<fleet::member_update>& claims, time_point now)
+{
+    bool news = false;
+    {
+        const std::lock_guard lock(members_mutex_);
+        detector_.merge_compared(claims, now);
+        news = note_generation();
     }
     if (news) {
         changed();
@@ -99,19 +161,50 @@
 std::vector<fleet::member> keeper_state::members() const
 {
     const std::lock_guard lock(members_mutex_);
-    return membership_.members();
+    return detector_.view().members();
+}
+
+members_view keeper_state::view() const
+{
+    const std::lock_guard lock(members_mutex_);
+    const auto& seen = detector_.view();
+    return {seen.members(), seen.generation(), seen.isolated()};
 }
 
-std::vector<fleet::node> keeper_state::known_nodes() const
+std::uint64_t keeper_state::members_generation() const
 {
     const std::lock_guard lock(members_mutex_);
-    return membership_.all_known();
+    return detector_.view().generation();
 }
 
 fleet::node keeper_state::self() const
 {
     const std::lock_guard lock(members_mutex_);
-    return membership_.self();
+    return detector_.view().self();
+}
+
+std::vector<fleet::member_summary> keeper_state::summary() const
+{
+    const std::lock_guard lock(members_mutex_);
+    return detector_.view().summary();
+}
+
+fleet::view_difference keeper_state::compare(const std::vector<fleet::member_summary>& theirs) const
+{
+    const std::lock_guard lock(members_mutex_);
+    return detector_.view().compare(theirs);
+}
+
+std::vector<fleet::member_update> keeper_state::claims_for(const std::vector<std::uint64_t>& wanted) const
+{
+    const std::lock_guard lock(members_mutex_);
+    return detector_.view().updates_for(wanted);
+}
+
+bool keeper_state::is_watcher() const
+{
+    const auto chosen = fleet::choose_watchers(members(), watchers);
+    return std::find(chosen.begin(), chosen.end(), vm_) != chosen.end();
 }
 
 std::vector<config::object> keeper_state::config_since(std::uint64_t revision) const
@@ -139,10 +232,29 @@
     return config_.revision();
 }
 
-std::uint64_t keeper_state::config_digest() const
+std::vector<config::object>
+keeper_state::config_lacking(const std::vector<config::object_version>& held) const
+{
+    const std::lock_guard lock(config_mutex_);
+    return config_.lacking(held);
+}
+
+std::vector<config::object_version> keeper_state::config_versions() const
+{
+    const std::lock_guard lock(config_mutex_);
+    return config_.versions();
+}
+
+std::uint64_t keeper_state::config_version_of(const std::string& kind, const std::string& name) const
+{
+    const std::lock_guard lock(config_mutex_);
+    return config_.version_of(kind, name);
+}
+
+config::replica_mark keeper_state::config_mark() const
 {
     const std::lock_guard lock(config_mutex_);
-    return config_.digest();
+    return {config_.digest(), config_.newest_version()};
 }
 
 bool keeper_state::draining() const
--- a/src/keeper/keeper_state.hpp
+++ b/src/keeper/keeper_state.hpp
@@ -14,6 +14,19 @@
 
 namespace vanillagauge::keeper {
 
+struct keeper_addresses {
+    std::string peer;
+    std::string operators;
+    std::string datagrams;
+};
+
+/// The members with the generation that they belong to.
+struct members_view {
+    std::vector<fleet::member> members;
+    std::uint64_t generation = 0;
+    bool isolated = false;
+};
+
 /// Safe for several threads; members and configuration are each under their own lock.
 class keeper_state {
 public:
@@ -22,25 +35,40 @@
     // Commands.
     /// Runs `handler` after every change, outside all locks.
     void on_change(std::function<void()> handler) { handler_ = std::move(handler); }
-    /// Takes the bound addresses, which every heartbeat carries; call before the first beat.
-    void set_addresses(const std::string& peer_address, const std::string& operator_address);
-    bool merge_config(const std::vector<config::object>& incoming);
-    void merge_nodes(const std::vector<fleet::node>& said, time_point now);
+    /// Takes the bound addresses, which every statement carries; call before the first tick.
+    void set_addresses(const keeper_addresses& addresses);
+    bool merge_config(const std::vector<config::object>& incoming,
+                      config::object_source source = config::object_source::peer);
+    void merge_listing(const std::string& kind, const std::vector<config::object>& listed,
+                       std::uint64_t revision);
     /// Notes that a program of this VM is there.
     void hear(const fleet::process& program, time_point now);
-    /// One heartbeat: judges the members and drops programs that went silent.
-    void beat(time_point now);
     void set_store_up(bool up) { store_up_ = up; }
+    void set_watch_failing(bool failing) { watch_failing_ = failing; }
+    /// Judges members and programs; call each 50 to 100 ms.
+    fleet::detector_actions tick(time_point now);
+    fleet::detector_actions receive(const fleet::datagram& message, time_point now);
+    fleet::detector_actions leave(time_point now);
+    void merge_claims(const std::vector<fleet::member_update>& claims, time_point now);
 
     // Queries.
     std::vector<fleet::member> members() const;
-    std::vector<fleet::node> known_nodes() const;
+    members_view view() const;
+    std::uint64_t members_generation() const;
     fleet::node self() const;
+    std::vector<fleet::member_summary> summary() const;
+    fleet::view_difference compare(const std::vector<fleet::member_summary>& theirs) const;
+    std::vector<fleet::member_update> claims_for(const std::vector<std::uint64_t>& wanted) const;
+    /// One of the VMs that watch the store for the fleet.
+    bool is_watcher() const;
     std::vector<config::object> config_since(std::uint64_t revision) const;
     std::vector<config::object> config_list(const std::string& kind) const;
     std::optional<config::object> config_find(const std::string& kind, const std::string& name) const;
+    std::vector<config::object> config_lacking(const std::vector<config::object_version>& held) const;
+    std::vector<config::object_version> config_versions() const;
+    std::uint64_t config_version_of(const std::string& kind, const std::string& name) const;
     std::uint64_t config_revision() const;
-    std::uint64_t config_digest() const;
+    config::replica_mark config_mark() const;
     bool draining() const;
     bool store_up() const { return store_up_; }
     std::uint64_t incarnation() const { return incarnation_; }
@@ -54,15 +82,19 @@
     const std::uint64_t incarnation_;
     std::function<void()> handler_;
     mutable std::mutex members_mutex_;
-    fleet::membership membership_;
+    fleet::failure_detector detector_;
     std::map<std::string, heard_program> programs_;
-    std::string peer_address_;
-    std::string operator_address_;
+    keeper_addresses addresses_;
+    std::uint64_t told_generation_ = 0;
     mutable std::mutex config_mutex_;
     config::replica config_;
     std::atomic<bool> store_up_{false};
+    std::atomic<bool> watch_failing_{false};
 
     void changed() const;
+    /// Both under the members' lock.
+    void announce(bool drains, const config::replica_mark& mark, time_point now);
+    bool note_generation();
 };
 
 } // namespace vanillagauge::keeper
--- /dev/null
+++ b/src/keeper/lease_keeper.hpp
@@ -0,0 +1,38 @@
+/// Renews this VM's lease in the store.
+#ifndef VANILLAGAUGE_KEEPER_LEASE_KEEPER_HPP
+#define VANILLAGAUGE_KEEPER_LEASE_KEEPER_HPP
+
+#include "fleet/lease.hpp"
+#include "keeper/keeper_state.hpp"
+#include "platform/object_client.hpp"
+#include "wire/event_loop.hpp"
+
+#include <mutex>
+
+namespace vanillagauge::keeper {
+
+class lease_keeper {
+public:
+    /// All three must outlive it.
+    lease_keeper(keeper_state& state, platform::object_client& store, wire::event_loop& loop);
+
+    void start() { turn(); }
+    fleet::lease_hold held(time_point now) const;
+    std::string owner_of(const std::string& thing, time_point now) const;
+
+private:
+    keeper_state& state_;
+    platform::object_client& store_;
+    wire::event_loop& loop_;
+    const std::string vm_;
+    mutable std::mutex mutex_;
+    fleet::lease_cycle cycle_;
+
+    void turn();
+    void listed(const platform::listing& leases);
+    void failed();
+};
+
+} // namespace vanillagauge::keeper
+
+#endif
--- a/src/keeper/local_service.cpp
+++ b/src/keeper/local_service.cpp
@@ -16,8 +16,10 @@
     state_.hear(node::from_message(request->self()), steady::now());
     // A revision counts for one life of the keeper; another life's number would hide what has changed since.
     const bool same_life = request->keeper_incarnation() == state_.incarnation();
-    const waiting follower{same_life ? request->since_revision() : 0, reply, done};
-    if (!same_life || state_.config_revision() > follower.since) {
+    const waiting follower{same_life ? request->since_revision() : 0,
+                           same_life ? request->members_generation() : 0, reply, done};
+    if (!same_life || state_.config_revision() > follower.since ||
+        state_.members_generation() != follower.members_generation) {
         answer(follower);
         return;
     }
@@ -37,9 +39,21 @@
     for (const auto& item : state_.config_since(follower.since)) {
         *follower.reply->add_entries() = node::to_message(item);
     }
-    for (const auto& member : state_.members()) {
-        *follower.reply->add_nodes() = node::to_message(member);
+    const auto seen = state_.view();
+    follower.reply->set_members_generation(seen.generation);
+    follower.reply->set_isolated(seen.isolated);
+    // Hundreds of members twice a second would cost a program more than all its other control work.
+    if (seen.generation == follower.members_generation) {
+        follower.reply->set_members_unchanged(true);
     }
+    else {
+        for (const auto& member : seen.members) {
+            *follower.reply->add_nodes() = node::to_message(member);
+        }
+    }
+    const auto lease = lease_.held(steady::now());
+    follower.reply->set_lease_fencing(lease.fencing);
+    follower.reply->set_lease_left_ms(lease.left.count());
     follower.reply->set_revision(revision);
     follower.reply->set_keeper_incarnation(state_.incarnation());
     follower.reply->set_draining(state_.draining());
@@ -78,17 +92,13 @@
 {
     const platform::write change{request->kind(), request->name(), request->spec_json(),
                                  request->expected_version()};
-    store_.write_object(change, [control, reply, done](const platform::write_outcome& outcome) {
-        if (const auto* stored = std::get_if<platform::written>(&outcome)) {
-            reply->set_version(stored->version);
-        }
-        else if (const auto* conflict = std::get_if<platform::write_conflict>(&outcome)) {
-            wire::from(control).fail(
-                {error_code::conflict, run_state::not_run,
-                 "the object is at version " + std::to_string(conflict->current.version)});
+    store_.write_object(change, [control, reply, done, change](const platform::write_outcome& outcome) {
+        const auto stored = platform::settled(outcome, change.expected_version);
+        if (ok(stored)) {
+            reply->set_version(value(stored).version);
         }
         else {
-            wire::from(control).fail(std::get<error>(outcome));
+            wire::from(control).fail(failure(stored));
         }
         done->Run();
     });
@@ -118,4 +128,20 @@
     done->Run();
 }
 
+void peer_service::ConfigPull(google::protobuf::RpcController* /*control*/,
+                              const v1::ConfigPullRequest* request, v1::ConfigPullReply* reply,
+                              google::protobuf::Closure* done)
+{
+    *reply = gossip_.answer(*request);
+    done->Run();
+}
+
+void peer_service::ConfigHeld(google::protobuf::RpcController* /*control*/,
+                              const v1::ConfigHeldRequest* request, v1::ConfigHeldReply* reply,
+                              google::protobuf::Closure* done)
+{
+    reply->set_version(state_.config_version_of(request->kind(), request->name()));
+    done->Run();
+}
+
 } // namespace vanillagauge::keeper
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -7,12 +7,18 @@
 #include "observe/observe.hpp"
 #include "wire/wire.hpp"
 
+#include <future>
 #include <iostream>
 
 namespace {
 
 using namespace vanillagauge;
 
+std::string host_of(const std::string& address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
 int run(const config::settings& settings)
 {
     wire::event_loop loop;
@@ -31,9 +37,11 @@
     keeper::keeper_state state(self, steady::now());
     keeper::gossip exchange(state, loop, settings);
     keeper::config_feed feed(state, store, loop);
-    keeper::peer_service peer_service(exchange);
-    keeper::local_service local_service(state, store, loop);
-    keeper::operator_service operator_service(state, store);
+    keeper::lease_keeper lease(state, store, loop);
+    keeper::config_counter census(state, loop, settings.tokens.peer);
+    keeper::peer_service peer_service(state, exchange);
+    keeper::local_service local_service(state, store, lease, loop);
+    keeper::operator_service operator_service(state, store, census);
     peer_calls.mount(peer_service, wire::role::peer);
     peer_calls.mount(local_service, wire::role::peer);
     operator_calls.mount(operator_service, wire::role::operators);
@@ -41,18 +49,28 @@
 
     const auto peer_address = peers.open(settings.keeper.peer_listen);
     const auto operator_address = operators.open(settings.keeper.operator_listen);
-    for (const auto* address : {&peer_address, &operator_address}) {
+    const auto datagram_address = exchange.open(host_of(settings.keeper.peer_listen));
+    for (const auto* address : {&peer_address, &operator_address, &datagram_address}) {
         if (!ok(*address)) {
             std::cerr << describe(failure(*address)) << "\n";
             return node::exit_failure;
         }
     }
-    state.set_addresses(value(peer_address), value(operator_address));
-    feed.start();
+    state.set_addresses({value(peer_address), value(operator_address), value(datagram_address)});
+    exchange.on_list_needed([&feed] { feed.list_once(); });
     exchange.start();
+    feed.start();
+    lease.start();
     node::print_ready("vg-keeper",
                       {{"peer_address", value(peer_address)}, {"operator_address", value(operator_address)}});
     node::wait_for_stop();
+    // The loop drops what has not started when it stops, and peers would then take the departure for a death.
+    std::promise<void> told;
+    loop.post([&] {
+        exchange.leave();
+        told.set_value();
+    });
+    told.get_future().wait();
     operators.close();
     peers.close();
     loop.stop();
--- a/src/keeper/operator_service.cpp
+++ b/src/keeper/operator_service.cpp
@@ -31,20 +31,20 @@
     return object;
 }
 
-error version_conflict(const platform::write_conflict& conflict, std::uint64_t expected)
+error not_found(const std::string& kind, const std::string& name)
 {
-    const auto& current = conflict.current;
-    std::string found =
-        current.version == 0 || current.deleted ? "none" : "version " + std::to_string(current.version);
-    const std::string wanted = expected == 0 ? "none" : "version " + std::to_string(expected);
-    return {error_code::conflict, run_state::not_run,
-            "expected " + wanted + " of " + current.kind + "/" + current.name + ", found " + found +
-                ": get it, make the change again and apply"};
+    return {error_code::not_found, run_state::not_run, "no object " + kind + "/" + name};
 }
 
-error not_found(const std::string& kind, const std::string& name)
+v1::SpreadReply to_message(const config_census& seen)
 {
-    return {error_code::not_found, run_state::not_run, "no object " + kind + "/" + name};
+    v1::SpreadReply reply;
+    reply.set_holding(static_cast<int>(seen.holding));
+    reply.set_nodes(static_cast<int>(seen.holding + seen.missing.size()));
+    for (const auto& vm : seen.missing) {
+        reply.add_missing(vm);
+    }
+    return reply;
 }
 
 } // namespace
@@ -61,18 +61,36 @@
         return;
     }
     const platform::write change{wanted.kind(), wanted.name(), spec, wanted.version()};
-    store_.write_object(change, [this, control, reply, done, change](const platform::write_outcome& outcome) {
-        if (const auto* stored = std::get_if<platform::written>(&outcome)) {
-            const config::object accepted{change.kind, change.name, stored->version, change.value, false};
-            state_.merge_config({accepted});
-            *reply->mutable_object() = to_operator_object(accepted);
-        }
-        else if (const auto* conflict = std::get_if<platform::write_conflict>(&outcome)) {
-            wire::from(control).fail(version_conflict(*conflict, change.expected_version));
+    const milliseconds wait{request->wait_ms()};
+    store_.write_object(change, [this, control, reply, done, change,
+                                 wait](const platform::write_outcome& outcome) {
+        const auto stored = platform::settled(outcome, change.expected_version);
+        if (!ok(stored)) {
+            wire::from(control).fail(failure(stored));
+            done->Run();
+            return;
         }
-        else {
-            wire::from(control).fail(std::get<error>(outcome));
+        const config::object accepted{change.kind, change.name, value(stored).version, change.value, false};
+        state_.merge_config({accepted}, config::object_source::store);
+        *reply->mutable_object() = to_operator_object(accepted);
+        if (wait.count() <= 0) {
+            done->Run();
+            return;
         }
+        census_.count({change.kind, change.name, accepted.version}, wait,
+                      [reply, done](const config_census& seen) {
+                          *reply->mutable_spread() = to_message(seen);
+                          done->Run();
+                      });
+    });
+}
+
+void operator_service::Spread(google::protobuf::RpcController* /*control*/, const v1::SpreadRequest* request,
+                              v1::SpreadReply* reply, google::protobuf::Closure* done)
+{
+    const config::object_version wanted{request->kind(), request->name(), request->version()};
+    census_.count(wanted, milliseconds{request->wait_ms()}, [reply, done](const config_census& seen) {
+        *reply = to_message(seen);
         done->Run();
     });
 }
@@ -87,15 +105,14 @@
         return;
     }
     store_.write_object(change, [this, control, reply, done, change](const platform::write_outcome& outcome) {
-        if (const auto* stored = std::get_if<platform::written>(&outcome)) {
-            state_.merge_config({{change.kind, change.name, stored->version, change.value, true}});
-            reply->set_version(stored->version);
-        }
-        else if (const auto* conflict = std::get_if<platform::write_conflict>(&outcome)) {
-            wire::from(control).fail(version_conflict(*conflict, change.expected_version));
+        const auto stored = platform::settled(outcome, change.expected_version);
+        if (ok(stored)) {
+            state_.merge_config({{change.kind, change.name, value(stored).version, change.value, true}},
+                                config::object_source::store);
+            reply->set_version(value(stored).version);
         }
         else {
-            wire::from(control).fail(std::get<error>(outcome));
+            wire::from(control).fail(failure(stored));
         }
         done->Run();
     });
@@ -192,14 +209,13 @@
     }
     const platform::write change{"drain", request->vm(), "{}", 0};
     store_.write_object(change, [this, control, done, change](const platform::write_outcome& outcome) {
-        if (const auto* stored = std::get_if<platform::written>(&outcome)) {
-            state_.merge_config({{change.kind, change.name, stored->version, change.value, false}});
-        }
-        else if (const auto* conflict = std::get_if<platform::write_conflict>(&outcome)) {
-            wire::from(control).fail(version_conflict(*conflict, 0));
+        const auto stored = platform::settled(outcome, change.expected_version);
+        if (ok(stored)) {
+            state_.merge_config({{change.kind, change.name, value(stored).version, change.value, false}},
+                                config::object_source::store);
         }
         else {
-            wire::from(control).fail(std::get<error>(outcome));
+            wire::from(control).fail(failure(stored));
         }
         done->Run();
     });
--- a/src/keeper/services.hpp
+++ b/src/keeper/services.hpp
@@ -2,8 +2,10 @@
 #ifndef VANILLAGAUGE_KEEPER_SERVICES_HPP
 #define VANILLAGAUGE_KEEPER_SERVICES_HPP
 
+#include "keeper/config_counter.hpp"
 #include "keeper/gossip.hpp"
 #include "keeper/keeper_state.hpp"
+#include "keeper/lease_keeper.hpp"
 #include "platform/object_client.hpp"
 
 #include "vanillagauge.pb.h"
@@ -15,19 +17,25 @@
 
 class peer_service final : public v1::KeeperPeer {
 public:
-    explicit peer_service(gossip& exchange) : gossip_(exchange) {}
+    peer_service(const keeper_state& state, gossip& exchange) : state_(state), gossip_(exchange) {}
 
+    void ConfigPull(google::protobuf::RpcController* control, const v1::ConfigPullRequest* request,
+                    v1::ConfigPullReply* reply, google::protobuf::Closure* done) override;
+    void ConfigHeld(google::protobuf::RpcController* control, const v1::ConfigHeldRequest* request,
+                    v1::ConfigHeldReply* reply, google::protobuf::Closure* done) override;
     void Exchange(google::protobuf::RpcController* control, const v1::ExchangeRequest* request,
                   v1::ExchangeReply* reply, google::protobuf::Closure* done) override;
 
 private:
+    const keeper_state& state_;
     gossip& gossip_;
 };
 
 class local_service final : public v1::KeeperLocal {
 public:
-    local_service(keeper_state& state, platform::object_client& store, wire::event_loop& loop)
-        : state_(state), store_(store), loop_(loop)
+    local_service(keeper_state& state, platform::object_client& store, const lease_keeper& lease,
+                  wire::event_loop& loop)
+        : state_(state), store_(store), lease_(lease), loop_(loop)
     {
     }
 
@@ -44,11 +52,13 @@
 private:
     struct waiting {
         std::uint64_t since = 0;
+        std::uint64_t members_generation = 0;
         v1::FollowReply* reply = nullptr;
         google::protobuf::Closure* done = nullptr;
     };
     keeper_state& state_;
     platform::object_client& store_;
+    const lease_keeper& lease_;
     wire::event_loop& loop_;
     std::mutex mutex_;
     std::map<std::uint64_t, waiting> waiting_;
@@ -60,7 +70,10 @@
 
 class operator_service final : public v1::Operator {
 public:
-    operator_service(keeper_state& state, platform::object_client& store) : state_(state), store_(store) {}
+    operator_service(keeper_state& state, platform::object_client& store, config_counter& census)
+        : state_(state), store_(store), census_(census)
+    {
+    }
 
     void Apply(google::protobuf::RpcController* control, const v1::ApplyRequest* request,
                v1::ApplyReply* reply, google::protobuf::Closure* done) override;
@@ -78,10 +91,13 @@
                  v1::ExplainReply* reply, google::protobuf::Closure* done) override;
     void Drain(google::protobuf::RpcController* control, const v1::DrainRequest* request,
                v1::DrainReply* reply, google::protobuf::Closure* done) override;
+    void Spread(google::protobuf::RpcController* control, const v1::SpreadRequest* request,
+                v1::SpreadReply* reply, google::protobuf::Closure* done) override;
 
 private:
     keeper_state& state_;
     platform::object_client& store_;
+    config_counter& census_;
 };
 
 } // namespace vanillagauge::keeper
--- a/src/node/keeper_link.cpp
+++ b/src/node/keeper_link.cpp
@@ -12,16 +12,23 @@
 constexpr milliseconds retry_pause{200};
 constexpr milliseconds pace{20};
 
-std::shared_ptr<view> next_view(const view& before, const v1::FollowReply& reply)
+std::shared_ptr<view> next_view(const view& before, const v1::FollowReply& reply, time_point asked)
 {
     auto next = std::make_shared<view>(before);
     for (const auto& entry : reply.entries()) {
         next->config.merge(from_message(entry));
     }
-    next->nodes.clear();
-    for (const auto& status : reply.nodes()) {
-        next->nodes.push_back(from_message(status));
+    if (!reply.members_unchanged()) {
+        next->nodes.clear();
+        for (const auto& status : reply.nodes()) {
+            next->nodes.push_back(from_message(status));
+        }
     }
+    next->isolated = reply.isolated();
+    next->lease_fencing = reply.lease_fencing();
+    // Counted from the question, not the answer: an answer that waited in a paused process's socket would
+    // otherwise lengthen the lease by the pause.
+    next->lease_until = asked + milliseconds{reply.lease_left_ms()};
     next->draining = reply.draining();
     next->updated = steady::now();
     next->connected = true;
@@ -78,22 +85,25 @@
         *request.mutable_self() = to_message(self_);
         request.set_since_revision(revision_);
         request.set_keeper_incarnation(keeper_incarnation_);
+        request.set_members_generation(members_generation_);
     }
     request.set_wait_ms(follow_wait.count());
     wire::call_options options;
     options.timeout = follow_timeout;
     options.token = token_;
+    const auto asked = steady::now();
     wire::call<v1::FollowReply>(channel_, wire::method<v1::KeeperLocal>("Follow"), request, options,
-                                [this](const result<v1::FollowReply>& reply) {
+                                [this, asked](const result<v1::FollowReply>& reply) {
                                     if (!ok(reply)) {
                                         ask_later(retry_pause);
                                         return;
                                     }
                                     {
                                         const std::lock_guard lock(mutex_);
-                                        view_ = next_view(*view_, value(reply));
+                                        view_ = next_view(*view_, value(reply), asked);
                                         revision_ = value(reply).revision();
                                         keeper_incarnation_ = value(reply).keeper_incarnation();
+                                        members_generation_ = value(reply).members_generation();
                                     }
                                     if (handler_) {
                                         handler_();
--- a/src/node/keeper_link.hpp
+++ b/src/node/keeper_link.hpp
@@ -24,6 +24,11 @@
     bool draining = false;  ///< this VM is to stop
     time_point updated;     ///< when the keeper last answered
     bool connected = false; ///< the keeper has answered at least once
+    bool isolated = false;  ///< this VM reaches few of the others: it should not offer itself to callers
+    std::uint64_t lease_fencing = 0; ///< 0: this VM holds no lease
+    /// By this process's clock. To be compared with the clock again after every wait: whoever was paused
+    /// finds here that the lease is over.
+    time_point lease_until;
 };
 
 class keeper_link {
@@ -53,6 +58,7 @@
     std::shared_ptr<const view> view_ = std::make_shared<view>();
     std::uint64_t revision_ = 0;
     std::uint64_t keeper_incarnation_ = 0;
+    std::uint64_t members_generation_ = 0;
     bool stopped_ = false;
 
     void ask();
--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -63,8 +63,44 @@
     return write_conflict{from_pb(reply.object())};
 }
 
+std::string version_text(const stored_object& item)
+{
+    return item.version == 0 || item.deleted ? "none" : "version " + std::to_string(item.version);
+}
+
+error to_error(const write_conflict& conflict, std::uint64_t expected_version)
+{
+    const auto& current = conflict.current;
+    const std::string wanted = expected_version == 0 ? "none" : "version " + std::to_string(expected_version);
+    return {error_code::conflict, run_state::not_run,
+            "expected " + wanted + " of " + current.kind + "/" + current.name + ", found " +
+                version_text(current) + ": get it, make the change again and apply"};
+}
+
+error to_error(const write_superseded& superseded)
+{
+    const auto& current = superseded.current;
+    return {error_code::conflict, run_state::in_doubt,
+            "the reply to the write of " + current.kind + "/" + current.name + " was lost, and " +
+                version_text(current) + " of somebody else stands now: it may have replaced this change"};
+}
+
 } // namespace
 
+result<written> settled(const write_outcome& outcome, std::uint64_t expected_version)
+{
+    if (const auto* conflict = std::get_if<write_conflict>(&outcome)) {
+        return to_error(*conflict, expected_version);
+    }
+    if (const auto* superseded = std::get_if<write_superseded>(&outcome)) {
+        return to_error(*superseded);
+    }
+    if (const auto* failed = std::get_if<error>(&outcome)) {
+        return *failed;
+    }
+    return std::get<written>(outcome);
+}
+
 object_client::object_client(wire::channel& link, wire::event_loop& loop) : link_(link), loop_(loop) {}
 
 void object_client::read(const std::string& kind, const std::string& name,
@@ -109,7 +145,9 @@
 // A write can take effect while its reply is lost. Sending it again would meet its own version as a conflict,
 // and calling it failed would let an operator's change come into force after all. The object names the
 // operation that made it, so reading it back tells. An object still at the expected version may yet change:
-// the lost write can be under way, so it is read again before the outcome is called unknown.
+// the lost write can be under way, so it is read again before the outcome is called unknown. A version of
+// somebody else may have been made from ours or in place of ours: both look the same, so neither "conflict,
+// not run" nor "written" would be true.
 void object_client::resolve(const write& change, const std::string& operation_id, int attempts_left,
                             std::function<void(write_outcome)> on_done)
 {
@@ -122,8 +160,9 @@
                      on_done(written{current.version});
                      return;
                  }
-                 if (current.version > change.expected_version) {
-                     on_done(write_conflict{current});
+                 if (current.version > change.expected_version &&
+                     !(current.deleted && change.expected_version == 0)) {
+                     on_done(write_superseded{current});
                      return;
                  }
              }
--- a/src/platform/object_client.hpp
+++ b/src/platform/object_client.hpp
@@ -41,7 +41,16 @@
     std::uint64_t version = 0;
 };
 
-using write_outcome = std::variant<written, write_conflict, error>;
+/// The reply was lost and somebody else's later version stands: whether this write was in force in between
+/// cannot be told any more. It is not now.
+struct write_superseded {
+    stored_object current;
+};
+
+using write_outcome = std::variant<written, write_conflict, write_superseded, error>;
+
+/// The version written, or what the caller of the write is told in its place.
+result<written> settled(const write_outcome& outcome, std::uint64_t expected_version);
 
 struct watch_events {
     std::vector<stored_object> objects;
@@ -61,7 +70,8 @@
 
     void read(const std::string& kind, const std::string& name,
               std::function<void(result<std::optional<stored_object>>)> on_done);
-    /// An unknown outcome is resolved by reading back the operation id; `in_doubt` where that fails too.
+    /// An unknown outcome is resolved by reading back the operation id; `in_doubt` or `write_superseded`
+    /// where that cannot tell.
     void write_object(const write& change, std::function<void(write_outcome)> on_done);
     void list(const std::string& kind, std::function<void(result<listing>)> on_done);
     /// Waits on the platform's side until something changes or `wait` is over.
--- a/tests/config/replica_tests.cpp
+++ b/tests/config/replica_tests.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <random>
+
 namespace vanillagauge::config {
 namespace {
 
@@ -47,5 +51,68 @@
     EXPECT_EQ(held.since(revision).front().name, "b");
 }
 
+// A watch is compacted while an object is deleted. The listing that follows does not show the deletion;
+// without care the deleted object would stay in force on this node for ever.
+TEST(replica, takes_what_a_listing_lacks_for_deleted_and_a_later_creation_for_new)
+{
+    replica held;
+    held.merge({"job", "a", 5, "x", false});
+    held.merge({"job", "b", 6, "x", false});
+    held.merge({"deployment", "c", 7, "x", false});
+    EXPECT_TRUE(held.merge_listing("job", {{"job", "a", 5, "x", false}}, 9));
+    EXPECT_TRUE(held.find("job", "a"));
+    EXPECT_FALSE(held.find("job", "b"));
+    EXPECT_TRUE(held.find("deployment", "c")) << "another kind is not in the listing";
+    EXPECT_FALSE(held.merge({"job", "b", 6, "x", false})) << "a late event";
+    EXPECT_TRUE(held.merge({"job", "b", 10, "y", false}));
+    EXPECT_EQ(held.find("job", "b")->spec_json, "y");
+}
+
+// A listing was asked for before an object was created and arrives after the object came from a peer.
+TEST(replica, a_late_listing_does_not_delete_what_is_newer_than_it)
+{
+    replica held;
+    held.merge({"job", "a", 8, "x", false});
+    held.merge_listing("job", {}, 7);
+    EXPECT_TRUE(held.find("job", "a"));
+}
+
+// Tombstones would grow for ever. Once the oldest are dropped, a peer that was away for long brings a deleted
+// object again; only the store may say that such an old object exists.
+TEST(replica, bounds_its_tombstones_and_yet_lets_no_stale_peer_bring_a_deleted_object_back)
+{
+    replica held;
+    held.merge({"job", "victim", 1, "x", false});
+    std::uint64_t version = 1;
+    held.merge({"job", "victim", ++version, "", true});
+    for (std::size_t place = 0; place < 2 * replica::most_tombstones; ++place) {
+        const auto name = "job-" + std::to_string(place);
+        held.merge({"job", name, ++version, "", true});
+    }
+    EXPECT_LE(held.versions().size(), replica::most_tombstones);
+    EXPECT_FALSE(held.merge({"job", "victim", 1, "x", false}, object_source::peer));
+    EXPECT_FALSE(held.find("job", "victim"));
+    EXPECT_TRUE(held.merge({"job", "old", 1, "x", false}, object_source::store));
+}
+
+// The order in which a node hears of changes is arbitrary: a restart in an outage, a stale peer, a late
+// event, a peer from before a partition. Whatever it is, no object's version may ever go down.
+TEST(replica, versions_never_go_down_whatever_arrives_in_whatever_order)
+{
+    std::mt19937_64 random{11};
+    replica held;
+    std::map<std::string, std::uint64_t> highest;
+    for (int place = 0; place < 20000; ++place) {
+        const auto name = std::to_string(random() % 20);
+        const std::uint64_t version = 1 + random() % 1000;
+        const auto before = held.version_of("job", name);
+        held.merge({"job", name, version, "", random() % 4 == 0},
+                   random() % 2 == 0 ? object_source::peer : object_source::store);
+        EXPECT_GE(held.version_of("job", name), before);
+        highest[name] = std::max(highest[name], version);
+        EXPECT_EQ(held.version_of("job", name), highest[name]);
+    }
+}
+
 } // namespace
 } // namespace vanillagauge::config
--- /dev/null
+++ b/tests/fleet/lease_tests.cpp
@@ -0,0 +1,176 @@
+#include "fleet/fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace vanillagauge::fleet {
+namespace {
+
+constexpr lease_timing timing{};
+const milliseconds takeover = timing.length + timing.clock_margin + timing.longest_order;
+
+/// The leases as a store holds them.
+struct lease_store {
+    std::map<std::string, lease_record> records;
+    std::uint64_t revision = 0;
+
+    std::vector<lease_record> list() const
+    {
+        std::vector<lease_record> found;
+        for (const auto& [vm, record] : records) {
+            found.push_back(record);
+        }
+        return found;
+    }
+
+    std::uint64_t renew(const std::string& vm, milliseconds length)
+    {
+        records[vm] = {vm, ++revision, length};
+        return revision;
+    }
+
+    void cycle(lease_cycle& holder, const std::string& vm, time_point now)
+    {
+        if (holder.begin(now)) {
+            const auto update = holder.listed(list(), now);
+            holder.renewed(renew(vm, update.length), now);
+        }
+    }
+};
+
+TEST(lease, is_acted_on_only_after_all_who_did_not_see_it_have_lapsed)
+{
+    lease_store store;
+    lease_cycle a("a", timing);
+    time_point now{};
+    store.cycle(a, "a", now);
+    EXPECT_EQ(a.held(now).fencing, 0U);
+    for (; now - time_point{} < takeover + seconds{1}; now += seconds{1}) {
+        store.cycle(a, "a", now);
+    }
+    EXPECT_NE(a.held(now).fencing, 0U);
+}
+
+// A holder is paused past the end of its lease and wakes. It would act on what another owns by now; its own
+// clock tells it before it does, however long the pause.
+TEST(lease, a_paused_holder_learns_from_its_clock_that_the_lease_is_over)
+{
+    lease_store store;
+    lease_cycle a("a", timing);
+    time_point now{};
+    for (; now - time_point{} < 2 * takeover; now += seconds{1}) {
+        store.cycle(a, "a", now);
+    }
+    ASSERT_NE(a.held(now).fencing, 0U);
+    now += timing.length;
+    EXPECT_EQ(a.held(now).fencing, 0U);
+    EXPECT_EQ(a.owner_of("job/x", now), "");
+}
+
+// The holder is paused between sending a renewal and reading its reply. The reply is good, but its age is not
+// known: counted from when it is read, the lease would outlive its term by the pause.
+TEST(lease, a_reply_read_after_a_pause_extends_nothing)
+{
+    lease_store store;
+    lease_cycle a("a", timing);
+    time_point now{};
+    for (; now - time_point{} < 2 * takeover; now += seconds{1}) {
+        store.cycle(a, "a", now);
+    }
+    now += timing.renew_every;
+    ASSERT_TRUE(a.begin(now));
+    const auto update = a.listed(store.list(), now);
+    const auto version = store.renew("a", update.length);
+    now += timing.length + seconds{1};
+    a.renewed(version, now);
+    EXPECT_EQ(a.held(now).fencing, 0U);
+}
+
+TEST(lease, an_unknown_outcome_extends_nothing_and_is_tried_again_soon)
+{
+    lease_cycle a("a", timing);
+    const time_point now{};
+    ASSERT_TRUE(a.begin(now));
+    a.listed({}, now);
+    a.failed(now);
+    EXPECT_EQ(a.held(now).fencing, 0U);
+    EXPECT_FALSE(a.begin(now + milliseconds{500}));
+    EXPECT_TRUE(a.begin(now + milliseconds{1000}));
+}
+
+// A holder dies and another takes over what it owned. The dead one's late order may still arrive: it carries
+// a number that must be below every number of the new owner, though the new owner's lease is much older.
+TEST(lease, the_number_after_a_takeover_is_above_all_of_the_lapsed_holder)
+{
+    lease_store store;
+    lease_cycle a("a", timing);
+    lease_cycle b("b", timing);
+    time_point now{};
+    for (; now - time_point{} < 2 * takeover; now += seconds{1}) {
+        store.cycle(b, "b", now);
+        store.cycle(a, "a", now);
+    }
+    std::string thing;
+    for (int place = 0; thing.empty(); ++place) {
+        const auto name = "job/" + std::to_string(place);
+        thing = b.owner_of(name, now) == "a" ? name : "";
+    }
+    const auto last_of_a = a.held(now).fencing;
+    const auto a_until = now + a.held(now).left;
+    while (b.owner_of(thing, now) == "a") {
+        now += seconds{1};
+        store.cycle(b, "b", now);
+    }
+    EXPECT_EQ(b.owner_of(thing, now), "b");
+    EXPECT_GT(b.held(now).fencing, last_of_a);
+    EXPECT_GE(now, a_until + timing.longest_order) << "an order under way when the lease ended has arrived";
+}
+
+TEST(lease, ownership_of_a_dead_holder_moves_alone_and_spreads_over_the_others)
+{
+    lease_store store;
+    std::map<std::string, lease_cycle> cycles;
+    for (const auto* vm : {"a", "b", "c", "d"}) {
+        cycles.emplace(vm, lease_cycle(vm, timing));
+    }
+    time_point now{};
+    const auto run = [&](const std::string& without, milliseconds span) {
+        for (const auto end = now + span; now < end; now += seconds{1}) {
+            for (auto& [vm, cycle] : cycles) {
+                if (vm != without) {
+                    store.cycle(cycle, vm, now);
+                }
+            }
+        }
+    };
+    run("", 2 * takeover);
+    std::map<std::string, std::string> before;
+    for (int place = 0; place < 100; ++place) {
+        const auto thing = "job/" + std::to_string(place);
+        before[thing] = cycles.at("b").owner_of(thing, now);
+    }
+    run("a", 3 * takeover);
+    std::set<std::string> heirs;
+    for (const auto& [thing, owner] : before) {
+        const auto after = cycles.at("b").owner_of(thing, now);
+        if (owner == "a") {
+            heirs.insert(after);
+        }
+        else {
+            EXPECT_EQ(after, owner) << thing;
+        }
+    }
+    EXPECT_EQ(heirs, (std::set<std::string>{"b", "c", "d"}));
+}
+
+TEST(lease, renewals_of_the_whole_fleet_stay_below_a_fixed_rate)
+{
+    constexpr std::size_t members = 350;
+    const auto large = lease_timing_for(members);
+    EXPECT_LE(static_cast<double>(members) / std::chrono::duration<double>(large.renew_every).count(), 16.1);
+    EXPECT_EQ(lease_timing_for(8).renew_every, milliseconds{5000});
+}
+
+} // namespace
+} // namespace vanillagauge::fleet
--- /dev/null
+++ b/tests/platform/object_client_tests.cpp
@@ -0,0 +1,117 @@
+#include "platform/object_client.hpp"
+
+#include "platform.pb.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <future>
+
+namespace vanillagauge::platform {
+namespace {
+
+namespace pb = ::platform::v1;
+
+/// Answers each call with the next of the prepared answers, without a network.
+class scripted_channel final : public wire::channel {
+public:
+    std::deque<std::function<result<std::string>(const std::string& body)>> answers;
+
+    wire::codec encoding() const override { return wire::codec::protobuf; }
+    wire::call_cancel start(const std::string& /*path*/, std::string body,
+                            const wire::call_options& /*options*/, on_chunk /*chunk*/, on_done done) override
+    {
+        auto answer = std::move(answers.front());
+        answers.pop_front();
+        done(answer(body));
+        return [] {};
+    }
+};
+
+error lost_reply()
+{
+    return {error_code::deadline_exceeded, run_state::in_doubt, "no reply"};
+}
+
+std::string found_object(std::uint64_t version, const std::string& operation_id)
+{
+    pb::ReadReply reply;
+    reply.set_found(true);
+    auto& object = *reply.mutable_object();
+    object.set_kind("job");
+    object.set_name("a");
+    object.set_version(version);
+    object.set_operation_id(operation_id);
+    return reply.SerializeAsString();
+}
+
+write_outcome write_through(scripted_channel& channel, std::uint64_t expected_version)
+{
+    wire::event_loop loop;
+    object_client client(channel, loop);
+    std::promise<write_outcome> outcome;
+    client.write_object({"job", "a", "{}", expected_version},
+                        [&outcome](const write_outcome& settled) { outcome.set_value(settled); });
+    return outcome.get_future().get();
+}
+
+// The store applies a write and its reply is lost. The operator must be told that it is in force.
+TEST(object_client, a_write_with_a_lost_reply_is_written_where_it_is_read_back)
+{
+    scripted_channel channel;
+    std::string operation;
+    channel.answers.emplace_back([&operation](const std::string& body) {
+        pb::WriteRequest request;
+        request.ParseFromString(body);
+        operation = request.operation_id();
+        return lost_reply();
+    });
+    channel.answers.emplace_back([&operation](const std::string&) { return found_object(6, operation); });
+    const auto outcome = write_through(channel, 5);
+    ASSERT_TRUE(std::holds_alternative<written>(outcome));
+    EXPECT_EQ(std::get<written>(outcome).version, 6U);
+}
+
+// The store applies a write, its reply is lost, and another operator changes the object from our version
+// before we read it back. "Conflict, not run" would be a lie: the change was in force for a while.
+TEST(object_client, a_write_with_a_lost_reply_that_was_overwritten_is_not_called_not_run)
+{
+    scripted_channel channel;
+    channel.answers.emplace_back([](const std::string&) { return lost_reply(); });
+    channel.answers.emplace_back([](const std::string&) { return found_object(7, "another operation"); });
+    const auto outcome = write_through(channel, 5);
+    ASSERT_TRUE(std::holds_alternative<write_superseded>(outcome));
+    EXPECT_EQ(failure(settled(outcome, 5)).ran, run_state::in_doubt);
+}
+
+// The write is still under way when the object is read back first, and takes effect after that.
+TEST(object_client, a_write_that_takes_effect_late_is_found_by_reading_again)
+{
+    scripted_channel channel;
+    std::string operation;
+    channel.answers.emplace_back([&operation](const std::string& body) {
+        pb::WriteRequest request;
+        request.ParseFromString(body);
+        operation = request.operation_id();
+        return lost_reply();
+    });
+    channel.answers.emplace_back([](const std::string&) { return found_object(5, "the one before"); });
+    channel.answers.emplace_back([&operation](const std::string&) { return found_object(6, operation); });
+    EXPECT_TRUE(std::holds_alternative<written>(write_through(channel, 5)));
+}
+
+TEST(object_client, a_refused_condition_is_a_conflict_that_did_not_run)
+{
+    scripted_channel channel;
+    channel.answers.emplace_back([](const std::string&) -> result<std::string> {
+        pb::WriteReply reply;
+        reply.mutable_object()->set_version(9);
+        return reply.SerializeAsString();
+    });
+    const auto outcome = write_through(channel, 5);
+    ASSERT_TRUE(std::holds_alternative<write_conflict>(outcome));
+    EXPECT_EQ(failure(settled(outcome, 5)).ran, run_state::not_run);
+}
+
+} // namespace
+} // namespace vanillagauge::platform
