--- a/src/keeper/gossip.hpp
+++ b/src/keeper/gossip.hpp
@@ -19,6 +19,11 @@
     /// Binds the datagrams' port on this host; returns the address.
     result<std::string> open(const std::string& host) { return datagrams_.open(host); }
     void start() { tick(); }
+    /// Further peers to ask while nobody is known; call before the start.
+    void add_seeds(const std::vector<std::string>& addresses)
+    {
+        seeds_.insert(seeds_.end(), addresses.begin(), addresses.end());
+    }
     /// Runs where peers cannot settle a difference and the store must be listed.
     void on_list_needed(std::function<void()> handler) { list_needed_ = std::move(handler); }
     /// Tells peers that this VM leaves.
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -3,6 +3,7 @@
 #include "keeper/config_feed.hpp"
 #include "keeper/gossip.hpp"
 #include "keeper/services.hpp"
+#include "keeper/snapshot_keeper.hpp"
 #include "node/node.hpp"
 #include "observe/observe.hpp"
 #include "wire/wire.hpp"
@@ -58,6 +59,9 @@
     }
     state.set_addresses({value(peer_address), value(operator_address), value(datagram_address)});
     exchange.on_list_needed([&feed] { feed.list_once(); });
+    keeper::snapshot_keeper snapshots(state, settings.data_folder);
+    exchange.add_seeds(snapshots.load());
+    snapshots.start();
     exchange.start();
     feed.start();
     lease.start();
--- /dev/null
+++ b/src/keeper/snapshot_keeper.cpp
@@ -0,0 +1,71 @@
+#include "keeper/snapshot_keeper.hpp"
+
+#include "keeper/snapshot.hpp"
+#include "observe/log.hpp"
+
+namespace vanillagauge::keeper {
+namespace {
+
+constexpr milliseconds turn_every{2000};
+constexpr std::size_t most_peers = 32;
+
+} // namespace
+
+snapshot_keeper::snapshot_keeper(keeper_state& state, const std::string& data_folder)
+    : state_(state), path_(data_folder.empty() ? "" : data_folder + "/keeper/snapshot")
+{
+}
+
+std::vector<std::string> snapshot_keeper::load()
+{
+    if (path_.empty()) {
+        return {};
+    }
+    const auto found = read_snapshot(path_);
+    if (!ok(found)) {
+        observe::log(observe::log_level::warning, "snapshot_not_used", {{"detail", failure(found).detail}});
+        return {};
+    }
+    // Taken like a peer's word: whatever a peer or the store holds in a higher version replaces it.
+    state_.merge_config(value(found).objects);
+    return value(found).peer_addresses;
+}
+
+void snapshot_keeper::start()
+{
+    if (!path_.empty()) {
+        disk_.post([this] { turn(); });
+    }
+}
+
+void snapshot_keeper::turn()
+{
+    disk_.after(turn_every, [this] { turn(); });
+    const auto revision = state_.config_revision();
+    const auto generation = state_.members_generation();
+    if (revision != written_revision_ || generation != written_generation_) {
+        write();
+        written_revision_ = revision;
+        written_generation_ = generation;
+    }
+}
+
+void snapshot_keeper::write()
+{
+    snapshot content;
+    content.objects = state_.config_since(0);
+    const auto self = state_.self();
+    for (const auto& member : state_.members()) {
+        const bool other = member.info.vm != self.vm && member.state == fleet::member_state::alive;
+        if (other && content.peer_addresses.size() < most_peers) {
+            content.peer_addresses.push_back(member.info.peer_address);
+        }
+    }
+    const auto written = write_snapshot(path_, content);
+    if (!ok(written)) {
+        observe::log(observe::log_level::error, "snapshot_not_written",
+                     {{"detail", failure(written).detail}});
+    }
+}
+
+} // namespace vanillagauge::keeper
--- /dev/null
+++ b/src/keeper/snapshot_keeper.hpp
@@ -0,0 +1,36 @@
+/// Loads the snapshot at the start and keeps it up to date.
+#ifndef VANILLAGAUGE_KEEPER_SNAPSHOT_KEEPER_HPP
+#define VANILLAGAUGE_KEEPER_SNAPSHOT_KEEPER_HPP
+
+#include "keeper/keeper_state.hpp"
+#include "wire/event_loop.hpp"
+
+#include <string>
+#include <vector>
+
+namespace vanillagauge::keeper {
+
+/// For a VM without a data folder it does nothing.
+class snapshot_keeper {
+public:
+    /// The state must outlive it.
+    snapshot_keeper(keeper_state& state, const std::string& data_folder);
+
+    /// Takes the configuration of the snapshot, where there is a whole one; returns the peers it names.
+    std::vector<std::string> load();
+    void start();
+
+private:
+    keeper_state& state_;
+    std::string path_; ///< empty: no disk
+    std::uint64_t written_revision_ = 0;
+    std::uint64_t written_generation_ = 0;
+    wire::event_loop disk_; ///< its own thread: a slow disk must not delay the failure detector
+
+    void turn();
+    void write();
+};
+
+} // namespace vanillagauge::keeper
+
+#endif
--- a/tests/fleet/fleet_loop.hpp
+++ b/tests/fleet/fleet_loop.hpp
@@ -25,6 +25,7 @@
         std::size_t received_bytes = 0;
         std::size_t sent = 0;
         std::size_t compared_bytes = 0;
+        std::uint64_t config_version = 0;
     };
 
     explicit fleet_loop(std::size_t size, std::size_t domains = 4, std::uint64_t seed = 7) : seed_(seed)
@@ -85,6 +86,15 @@
         return std::chrono::duration_cast<milliseconds>(now_ - start);
     }
 
+    /// A VM takes a version of the configuration; the others pull it from whom they hear of it.
+    void hold_config(machine& one, std::uint64_t version)
+    {
+        if (version > one.config_version) {
+            one.config_version = version;
+            one.detector->set_config({version, version});
+        }
+    }
+
     /// A VM's first contact with a peer.
     void join(const std::string& vm, const std::string& peer) { compare(vm, peer); }
 
@@ -146,6 +156,7 @@
                 made.emplace_back(vm, std::move(action));
             }
             for (const auto& message : inbox) {
+                hold_config(one, message.config.newest_version);
                 for (auto& action : one.detector->receive(message, now_)) {
                     made.emplace_back(vm, std::move(action));
                 }
--- /dev/null
+++ b/tests/keeper/snapshot_tests.cpp
@@ -0,0 +1,82 @@
+#include "keeper/keeper_state.hpp"
+#include "keeper/snapshot.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace vanillagauge::keeper {
+namespace {
+
+class snapshot_file : public testing::Test {
+protected:
+    std::filesystem::path folder =
+        std::filesystem::temp_directory_path() / ("snapshot-test-" + std::to_string(::getpid()));
+    std::string path = (folder / "keeper" / "snapshot").string();
+
+    ~snapshot_file() override { std::filesystem::remove_all(folder); }
+};
+
+snapshot example()
+{
+    return {{{"job", "a", 5, "{\"x\":1}", false}, {"job", "b", 6, "{}", true}}, {"127.0.0.1:7000"}};
+}
+
+TEST_F(snapshot_file, is_read_back_as_it_was_written_also_after_a_replacement)
+{
+    ASSERT_TRUE(ok(write_snapshot(path, {})));
+    ASSERT_TRUE(ok(write_snapshot(path, example())));
+    const auto found = read_snapshot(path);
+    ASSERT_TRUE(ok(found));
+    ASSERT_EQ(value(found).objects.size(), 2U);
+    EXPECT_EQ(value(found).objects[0].spec_json, "{\"x\":1}");
+    EXPECT_TRUE(value(found).objects[1].deleted);
+    EXPECT_EQ(value(found).peer_addresses, example().peer_addresses);
+}
+
+TEST_F(snapshot_file, is_not_found_on_a_new_disk)
+{
+    EXPECT_EQ(failure(read_snapshot(path)).code, error_code::not_found);
+}
+
+// The VM loses power while a snapshot is written. At the next start the draft is half there; the file under
+// its name must still be the former one.
+TEST_F(snapshot_file, a_half_written_draft_leaves_the_former_snapshot_in_place)
+{
+    ASSERT_TRUE(ok(write_snapshot(path, example())));
+    std::ofstream(path + ".draft") << encode(example()).substr(0, 20);
+    EXPECT_TRUE(ok(read_snapshot(path)));
+}
+
+// A disk returns fewer bytes, or other bytes, than were written. Taking part of them would bring a
+// configuration into force that nobody accepted.
+TEST(snapshot, is_refused_wherever_it_is_torn_and_whatever_byte_is_changed)
+{
+    const auto whole = encode(example());
+    ASSERT_TRUE(ok(decode(whole)));
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        EXPECT_FALSE(ok(decode(whole.substr(0, size)))) << size;
+    }
+    for (std::size_t place = 0; place < whole.size(); ++place) {
+        auto changed = whole;
+        changed[place] = static_cast<char>(changed[place] ^ 0x20);
+        EXPECT_FALSE(ok(decode(changed))) << place;
+    }
+}
+
+// A VM restarts in an outage with a snapshot from before the last change, which its peers hold already.
+TEST(snapshot, an_old_one_is_never_trusted_over_a_higher_version)
+{
+    fleet::node self;
+    self.vm = "a";
+    keeper_state state(self, time_point{});
+    state.merge_config({{"job", "a", 9, "new", false}, {"job", "b", 10, "new", false}});
+    state.merge_config(example().objects);
+    EXPECT_EQ(state.config_find("job", "a")->spec_json, "new");
+    EXPECT_TRUE(state.config_find("job", "b")) << "deleted at 6, created again at 10";
+}
+
+} // namespace
+} // namespace vanillagauge::keeper
