--- a/src/fleet/lease.cpp
+++ b/src/fleet/lease.cpp
@@ -12,6 +12,7 @@
 constexpr std::int64_t cycles_per_second = 16;
 constexpr int cycles_per_length = 3;
 constexpr milliseconds retry_after{1000};
+constexpr int most_doublings = 5;
 
 } // namespace
 
@@ -68,6 +69,7 @@
 void lease_cycle::renewed(std::uint64_t version, time_point now)
 {
     under_way_ = false;
+    failures_ = 0;
     const bool continued = fencing_ != 0 && now < held_until_;
     if (!continued) {
         // Whoever took over in between does not know of this lease before its own next cycle, and acts until
@@ -84,7 +86,14 @@
 void lease_cycle::failed(time_point now)
 {
     under_way_ = false;
-    next_cycle_ = std::min(next_cycle_, now + retry_after);
+    // Spread by name and attempt: in an outage the fleet's retries must neither come at one moment nor grow
+    // beyond the rate of its renewals.
+    const auto longest =
+        std::min(timing_.renew_every, retry_after * (1 << std::min(failures_, most_doublings)));
+    const auto half = static_cast<std::uint64_t>(longest.count() / 2);
+    const auto jitter = hash64(vm_, static_cast<std::uint64_t>(failures_)) % half;
+    ++failures_;
+    next_cycle_ = now + milliseconds{static_cast<std::int64_t>(half + 1 + jitter)};
 }
 
 lease_hold lease_cycle::held(time_point now) const
--- a/src/fleet/lease.hpp
+++ b/src/fleet/lease.hpp
@@ -76,6 +76,7 @@
     std::vector<std::string> pending_holders_;
     std::vector<std::string> holders_; ///< as the last complete cycle found them
     std::uint64_t own_version_ = 0;
+    int failures_ = 0; ///< cycles in a row
     std::uint64_t fencing_ = 0;
     time_point held_until_;
     time_point acting_from_;
--- a/src/keeper/config_feed.cpp
+++ b/src/keeper/config_feed.cpp
@@ -84,13 +84,11 @@
 {
     failures_ = 0;
     under_way_ = false;
-    state_.set_store_up(true);
     state_.set_watch_failing(false);
 }
 
 void config_feed::failed(const error& failure, bool by_watch)
 {
-    state_.set_store_up(false);
     observe::log(observe::log_level::warning, by_watch ? "store_watch_failed" : "store_list_failed",
                  {{"detail", failure.detail}});
     ++failures_;
--- a/src/keeper/gossip.cpp
+++ b/src/keeper/gossip.cpp
@@ -92,16 +92,24 @@
     }
 }
 
+void gossip::count(const google::protobuf::Message& request)
+{
+    ++calls_;
+    call_bytes_ += request.ByteSizeLong();
+}
+
 void gossip::compare(const std::string& address)
 {
     v1::ExchangeRequest request;
     for (const auto& line : state_.summary()) {
         *request.add_members() = node::to_message(line);
     }
+    count(request);
     const auto channel = peers_.at(address, steady::now());
     wire::call<v1::ExchangeReply>(*channel, wire::method<v1::KeeperPeer>("Exchange"), request, options(),
                                   [this, channel, address](const result<v1::ExchangeReply>& reply) {
                                       if (ok(reply)) {
+                                          call_bytes_ += value(reply).ByteSizeLong();
                                           hand_over(address, value(reply));
                                       }
                                   });
@@ -118,6 +126,7 @@
     for (const auto& claim : state_.claims_for(wanted)) {
         *request.add_claims() = node::to_message(claim);
     }
+    count(request);
     const auto channel = peers_.at(address, steady::now());
     wire::call<v1::ExchangeReply>(*channel, wire::method<v1::KeeperPeer>("Exchange"), request, options(),
                                   [channel](const result<v1::ExchangeReply>&) {});
@@ -175,12 +184,14 @@
             held.set_version(line.version);
         }
     }
+    count(request);
     const auto channel = peers_.at(address, steady::now());
     wire::call<v1::ConfigPullReply>(
         *channel, wire::method<v1::KeeperPeer>("ConfigPull"), request, options(),
         [this, channel, address, whole](const result<v1::ConfigPullReply>& reply) {
             std::vector<config::object> objects;
             if (ok(reply)) {
+                call_bytes_ += value(reply).ByteSizeLong();
                 for (const auto& entry : value(reply).entries()) {
                     objects.push_back(node::from_message(entry));
                 }
--- a/src/keeper/gossip.hpp
+++ b/src/keeper/gossip.hpp
@@ -8,8 +8,16 @@
 
 #include "vanillagauge.pb.h"
 
+#include <atomic>
+
 namespace vanillagauge::keeper {
 
+/// Calls between keepers that this VM made, with the bytes of questions and answers.
+struct exchange_counts {
+    std::uint64_t calls = 0;
+    std::uint64_t bytes = 0;
+};
+
 class gossip {
 public:
     /// The state and the loop must outlive it.
@@ -33,6 +41,7 @@
     v1::ExchangeReply answer(const v1::ExchangeRequest& request);
     v1::ConfigPullReply answer(const v1::ConfigPullRequest& request) const;
     datagram_counts counts() const { return datagrams_.counts(); }
+    exchange_counts exchanges() const { return {calls_, call_bytes_}; }
 
 private:
     keeper_state& state_;
@@ -45,6 +54,8 @@
     std::function<void()> list_needed_;
     time_point next_seed_;
     std::size_t seed_turn_ = 0;
+    std::atomic<std::uint64_t> calls_{0};
+    std::atomic<std::uint64_t> call_bytes_{0};
 
     void tick();
     void receive(const fleet::datagram& message);
@@ -54,6 +65,7 @@
     void hand_over(const std::string& address, const v1::ExchangeReply& reply);
     void consider_pull(const fleet::datagram& message, time_point now);
     void pull(const std::string& address, bool whole);
+    void count(const google::protobuf::Message& request);
     wire::call_options options() const;
 };
 
--- a/src/keeper/keeper_state.hpp
+++ b/src/keeper/keeper_state.hpp
@@ -43,7 +43,6 @@
                        std::uint64_t revision);
     /// Notes that a program of this VM is there.
     void hear(const fleet::process& program, time_point now);
-    void set_store_up(bool up) { store_up_ = up; }
     void set_watch_failing(bool failing) { watch_failing_ = failing; }
     /// Judges members and programs; call each 50 to 100 ms.
     fleet::detector_actions tick(time_point now);
@@ -70,7 +69,6 @@
     std::uint64_t config_revision() const;
     config::replica_mark config_mark() const;
     bool draining() const;
-    bool store_up() const { return store_up_; }
     std::uint64_t incarnation() const { return incarnation_; }
 
 private:
@@ -88,7 +86,6 @@
     std::uint64_t told_generation_ = 0;
     mutable std::mutex config_mutex_;
     config::replica config_;
-    std::atomic<bool> store_up_{false};
     std::atomic<bool> watch_failing_{false};
 
     void changed() const;
--- a/src/keeper/lease_keeper.cpp
+++ b/src/keeper/lease_keeper.cpp
@@ -29,6 +29,7 @@
 {
     loop_.after(turn_every, [this] { turn(); });
     const auto members = state_.members().size();
+    store_.share_between(members);
     const bool begins = [this, members] {
         const std::lock_guard lock(mutex_);
         cycle_.use(fleet::lease_timing_for(members));
@@ -37,15 +38,17 @@
     if (!begins) {
         return;
     }
-    store_.list(lease_kind, [this](const result<platform::listing>& reply) {
-        state_.set_store_up(ok(reply));
-        if (ok(reply)) {
-            listed(value(reply));
-        }
-        else {
-            failed();
-        }
-    });
+    store_.list(
+        lease_kind,
+        [this](const result<platform::listing>& reply) {
+            if (ok(reply)) {
+                listed(value(reply));
+            }
+            else {
+                failed();
+            }
+        },
+        platform::call_priority::lease);
 }
 
 void lease_keeper::listed(const platform::listing& leases)
@@ -60,17 +63,20 @@
     }();
     const platform::write change{lease_kind, vm_, std::to_string(renewal.length.count()),
                                  renewal.expected_version};
-    store_.write_object(change, [this, change](const platform::write_outcome& outcome) {
-        const auto stored = platform::settled(outcome, change.expected_version);
-        if (!ok(stored)) {
-            observe::log(observe::log_level::warning, "lease_not_renewed",
-                         {{"detail", failure(stored).detail}});
-            failed();
-            return;
-        }
-        const std::lock_guard lock(mutex_);
-        cycle_.renewed(value(stored).version, steady::now());
-    });
+    store_.write_object(
+        change,
+        [this, change](const platform::write_outcome& outcome) {
+            const auto stored = platform::settled(outcome, change.expected_version);
+            if (!ok(stored)) {
+                observe::log(observe::log_level::warning, "lease_not_renewed",
+                             {{"detail", failure(stored).detail}});
+                failed();
+                return;
+            }
+            const std::lock_guard lock(mutex_);
+            cycle_.renewed(value(stored).version, steady::now());
+        },
+        platform::call_priority::lease);
 }
 
 void lease_keeper::failed()
--- a/src/keeper/local_service.cpp
+++ b/src/keeper/local_service.cpp
@@ -92,33 +92,38 @@
 {
     const platform::write change{request->kind(), request->name(), request->spec_json(),
                                  request->expected_version()};
-    store_.write_object(change, [control, reply, done, change](const platform::write_outcome& outcome) {
-        const auto stored = platform::settled(outcome, change.expected_version);
-        if (ok(stored)) {
-            reply->set_version(value(stored).version);
-        }
-        else {
-            wire::from(control).fail(failure(stored));
-        }
-        done->Run();
-    });
+    store_.write_object(
+        change,
+        [control, reply, done, change](const platform::write_outcome& outcome) {
+            const auto stored = platform::settled(outcome, change.expected_version);
+            if (ok(stored)) {
+                reply->set_version(value(stored).version);
+            }
+            else {
+                wire::from(control).fail(failure(stored));
+            }
+            done->Run();
+        },
+        platform::call_priority::status);
 }
 
 void local_service::Load(google::protobuf::RpcController* control, const v1::LoadRequest* request,
                          v1::LoadReply* reply, google::protobuf::Closure* done)
 {
-    store_.read(request->kind(), request->name(),
-                [control, reply, done](const result<std::optional<platform::stored_object>>& found) {
-                    if (!ok(found)) {
-                        wire::from(control).fail(failure(found));
-                    }
-                    else if (value(found)) {
-                        const auto& item = *value(found);
-                        *reply->mutable_entry() = node::to_message(
-                            config::object{item.kind, item.name, item.version, item.value, item.deleted});
-                    }
-                    done->Run();
-                });
+    store_.read(
+        request->kind(), request->name(),
+        [control, reply, done](const result<std::optional<platform::stored_object>>& found) {
+            if (!ok(found)) {
+                wire::from(control).fail(failure(found));
+            }
+            else if (value(found)) {
+                const auto& item = *value(found);
+                *reply->mutable_entry() = node::to_message(
+                    config::object{item.kind, item.name, item.version, item.value, item.deleted});
+            }
+            done->Run();
+        },
+        platform::call_priority::status);
 }
 
 void peer_service::Exchange(google::protobuf::RpcController* /*control*/, const v1::ExchangeRequest* request,
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -20,6 +20,29 @@
     return address.substr(0, address.rfind(':'));
 }
 
+std::string line(const char* metric, std::uint64_t number)
+{
+    return "vanillagauge_keeper_" + std::string(metric) + " " + std::to_string(number) + "\n";
+}
+
+std::string page(const keeper::keeper_state& state, const keeper::gossip& exchange,
+                 const platform::object_client& store)
+{
+    const auto datagrams = exchange.counts();
+    const auto exchanges = exchange.exchanges();
+    const auto calls = store.counts();
+    return line("datagrams_sent_total", datagrams.sent) +
+           line("datagram_sent_bytes_total", datagrams.sent_bytes) +
+           line("datagrams_received_total", datagrams.received) +
+           line("datagram_received_bytes_total", datagrams.received_bytes) +
+           line("datagrams_refused_total", datagrams.refused) + line("peer_calls_total", exchanges.calls) +
+           line("peer_call_bytes_total", exchanges.bytes) + line("store_reads_total", calls.reads) +
+           line("store_writes_total", calls.writes) + line("store_lists_total", calls.lists) +
+           line("store_watches_total", calls.watches) + line("store_over_budget_total", calls.over_budget) +
+           line("config_newest_version", state.config_mark().newest_version) +
+           line("members", state.members().size());
+}
+
 int run(const config::settings& settings)
 {
     wire::event_loop loop;
@@ -33,10 +56,11 @@
     wire::dispatcher peer_calls(node::access_of(settings.tokens));
     wire::dispatcher operator_calls(node::access_of(settings.tokens));
     wire::peer_server peers(loop, peer_calls);
-    wire::http_server operators(operator_calls, {});
 
     keeper::keeper_state state(self, steady::now());
     keeper::gossip exchange(state, loop, settings);
+    wire::http_server operators(operator_calls, {},
+                                {{"/metrics", [&] { return page(state, exchange, store); }}});
     keeper::config_feed feed(state, store, loop);
     keeper::lease_keeper lease(state, store, loop);
     keeper::config_counter census(state, loop, settings.tokens.peer);
--- a/src/keeper/operator_service.cpp
+++ b/src/keeper/operator_service.cpp
@@ -167,7 +167,7 @@
         *reply->add_nodes() = node::to_message(member);
     }
     reply->set_config_revision(state_.config_revision());
-    reply->set_store(state_.store_up() ? "up" : "down");
+    reply->set_store(platform::name(store_.health()));
     done->Run();
 }
 
--- /dev/null
+++ b/src/platform/call_budget.cpp
@@ -0,0 +1,52 @@
+#include "platform/call_budget.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanillagauge::platform {
+
+double call_budget::calls_per_second() const
+{
+    return std::min(limits_.most_calls_per_second,
+                    limits_.fleet_calls_per_second / static_cast<double>(members_));
+}
+
+// After an outage every program has something to write. Whoever writes first would take the calls that the
+// leases need, and owners would lose their leases to a flood of status. So the last calls are kept for
+// leases, and a part for the configuration.
+double call_budget::kept_from(call_priority priority) const
+{
+    switch (priority) {
+    case call_priority::lease:
+        return 0;
+    case call_priority::config:
+        return limits_.kept_for_leases;
+    case call_priority::status:
+        break;
+    }
+    return limits_.kept_for_config_and_leases;
+}
+
+bool call_budget::take(call_priority priority, time_point now)
+{
+    if (refilled_ == time_point{}) {
+        refilled_ = now;
+    }
+    const std::chrono::duration<double> passed = now - refilled_;
+    refilled_ = now;
+    tokens_ = std::min(limits_.burst, tokens_ + passed.count() * calls_per_second());
+    if (tokens_ < kept_from(priority) + 1) {
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+milliseconds call_budget::retry_after(call_priority priority) const
+{
+    const double missing = kept_from(priority) + 1 - tokens_;
+    return milliseconds{
+        static_cast<std::int64_t>(std::ceil(std::max(0.0, missing) / calls_per_second() * 1000))};
+}
+
+} // namespace vanillagauge::platform
--- /dev/null
+++ b/src/platform/call_budget.hpp
@@ -0,0 +1,45 @@
+/// Holds a VM's calls of the Object API to its share of a rate fixed for the whole fleet.
+#ifndef VANILLAGAUGE_PLATFORM_CALL_BUDGET_HPP
+#define VANILLAGAUGE_PLATFORM_CALL_BUDGET_HPP
+
+#include "base/clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace vanillagauge::platform {
+
+/// The most important first.
+enum class call_priority { lease, config, status };
+
+struct budget_limits {
+    double fleet_calls_per_second = 200; ///< all VMs together, a third of the writes that the store takes
+    double most_calls_per_second = 25;   ///< of one VM in a small fleet
+    double burst = 20;
+    double kept_for_leases = 4;             ///< calls that only leases may use
+    double kept_for_config_and_leases = 10; ///< calls that status may not use
+};
+
+class call_budget {
+public:
+    explicit call_budget(budget_limits limits = {}) : limits_(limits), tokens_(limits.burst) {}
+
+    /// Takes one call; false where it must not be made now.
+    bool take(call_priority priority, time_point now);
+    /// When a call of this priority may be made again.
+    milliseconds retry_after(call_priority priority) const;
+    void share_between(std::size_t members) { members_ = members == 0 ? 1 : members; }
+    double calls_per_second() const;
+
+private:
+    budget_limits limits_;
+    std::size_t members_ = 1;
+    double tokens_;
+    time_point refilled_{};
+
+    double kept_from(call_priority priority) const;
+};
+
+} // namespace vanillagauge::platform
+
+#endif
--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -103,14 +103,62 @@
 
 object_client::object_client(wire::channel& link, wire::event_loop& loop) : link_(link), loop_(loop) {}
 
+std::optional<error> object_client::refused(call_priority priority, std::uint64_t call_counts::*counter)
+{
+    const std::lock_guard lock(mutex_);
+    if (budget_.take(priority, steady::now())) {
+        ++(counts_.*counter);
+        return std::nullopt;
+    }
+    ++counts_.over_budget;
+    return error{error_code::overloaded, run_state::not_run,
+                 "this VM's share of the platform's calls is used up", budget_.retry_after(priority)};
+}
+
+void object_client::note(bool answered, time_point sent)
+{
+    const std::lock_guard lock(mutex_);
+    if (answered) {
+        health_.answered(remaining(sent, steady::now()));
+    }
+    else {
+        health_.failed();
+    }
+}
+
+void object_client::share_between(std::size_t members)
+{
+    const std::lock_guard lock(mutex_);
+    budget_.share_between(members);
+}
+
+call_counts object_client::counts() const
+{
+    const std::lock_guard lock(mutex_);
+    return counts_;
+}
+
+store_state object_client::health() const
+{
+    const std::lock_guard lock(mutex_);
+    return health_.state();
+}
+
 void object_client::read(const std::string& kind, const std::string& name,
-                         std::function<void(result<std::optional<stored_object>>)> on_done)
+                         std::function<void(result<std::optional<stored_object>>)> on_done,
+                         call_priority priority)
 {
+    if (auto refusal = refused(priority, &call_counts::reads)) {
+        on_done(std::move(*refusal));
+        return;
+    }
+    const auto sent = steady::now();
     pb::ReadRequest request;
     request.set_kind(kind);
     request.set_name(name);
     wire::call<pb::ReadReply>(link_, wire::method<pb::ObjectApi>("Read"), request, options(call_timeout),
-                              [on_done = std::move(on_done)](const result<pb::ReadReply>& reply) {
+                              [this, sent, on_done = std::move(on_done)](const result<pb::ReadReply>& reply) {
+                                  note(ok(reply), sent);
                                   if (!ok(reply)) {
                                       on_done(failure(reply));
                                       return;
@@ -123,13 +171,20 @@
                               });
 }
 
-void object_client::write_object(const write& change, std::function<void(write_outcome)> on_done)
+void object_client::write_object(const write& change, std::function<void(write_outcome)> on_done,
+                                 call_priority priority)
 {
+    if (auto refusal = refused(priority, &call_counts::writes)) {
+        on_done(std::move(*refusal));
+        return;
+    }
+    const auto sent = steady::now();
     const std::string operation_id = new_operation_id();
     wire::call<pb::WriteReply>(link_, wire::method<pb::ObjectApi>("Write"), to_pb(change, operation_id),
                                options(call_timeout),
-                               [this, change, operation_id,
+                               [this, sent, change, operation_id,
                                 on_done = std::move(on_done)](const result<pb::WriteReply>& reply) mutable {
+                                   note(ok(reply), sent);
                                    if (ok(reply)) {
                                        on_done(outcome_of(value(reply)));
                                        return;
@@ -151,40 +206,49 @@
 void object_client::resolve(const write& change, const std::string& operation_id, int attempts_left,
                             std::function<void(write_outcome)> on_done)
 {
-    read(change.kind, change.name,
-         [this, change, operation_id, attempts_left,
-          on_done = std::move(on_done)](const result<std::optional<stored_object>>& found) mutable {
-             if (ok(found) && value(found)) {
-                 const auto& current = *value(found);
-                 if (current.operation_id == operation_id) {
-                     on_done(written{current.version});
-                     return;
-                 }
-                 if (current.version > change.expected_version &&
-                     !(current.deleted && change.expected_version == 0)) {
-                     on_done(write_superseded{current});
-                     return;
-                 }
-             }
-             if (attempts_left == 0) {
-                 on_done(error{error_code::unavailable, run_state::in_doubt,
-                               "the store did not say whether the write to " + change.kind + "/" +
-                                   change.name + " took effect"});
-                 return;
-             }
-             loop_.after(read_back_pause,
-                         [this, change, operation_id, attempts_left, on_done = std::move(on_done)]() mutable {
-                             resolve(change, operation_id, attempts_left - 1, std::move(on_done));
-                         });
-         });
-}
-
-void object_client::list(const std::string& kind, std::function<void(result<listing>)> on_done)
+    read(
+        change.kind, change.name,
+        [this, change, operation_id, attempts_left,
+         on_done = std::move(on_done)](const result<std::optional<stored_object>>& found) mutable {
+            if (ok(found) && value(found)) {
+                const auto& current = *value(found);
+                if (current.operation_id == operation_id) {
+                    on_done(written{current.version});
+                    return;
+                }
+                if (current.version > change.expected_version &&
+                    !(current.deleted && change.expected_version == 0)) {
+                    on_done(write_superseded{current});
+                    return;
+                }
+            }
+            if (attempts_left == 0) {
+                on_done(error{error_code::unavailable, run_state::in_doubt,
+                              "the store did not say whether the write to " + change.kind + "/" +
+                                  change.name + " took effect"});
+                return;
+            }
+            loop_.after(read_back_pause,
+                        [this, change, operation_id, attempts_left, on_done = std::move(on_done)]() mutable {
+                            resolve(change, operation_id, attempts_left - 1, std::move(on_done));
+                        });
+        },
+        call_priority::lease);
+}
+
+void object_client::list(const std::string& kind, std::function<void(result<listing>)> on_done,
+                         call_priority priority)
 {
+    if (auto refusal = refused(priority, &call_counts::lists)) {
+        on_done(std::move(*refusal));
+        return;
+    }
+    const auto sent = steady::now();
     pb::ListRequest request;
     request.set_kind(kind);
     wire::call<pb::ListReply>(link_, wire::method<pb::ObjectApi>("List"), request, options(call_timeout),
-                              [on_done = std::move(on_done)](const result<pb::ListReply>& reply) {
+                              [this, sent, on_done = std::move(on_done)](const result<pb::ListReply>& reply) {
+                                  note(ok(reply), sent);
                                   if (!ok(reply)) {
                                       on_done(failure(reply));
                                       return;
@@ -196,6 +260,10 @@
 void object_client::watch(const std::vector<std::string>& kinds, std::uint64_t since, milliseconds wait,
                           std::function<void(result<watch_events>)> on_done)
 {
+    if (auto refusal = refused(call_priority::config, &call_counts::watches)) {
+        on_done(std::move(*refusal));
+        return;
+    }
     pb::WatchRequest request;
     for (const auto& kind : kinds) {
         request.add_kinds(kind);
--- a/src/platform/object_client.hpp
+++ b/src/platform/object_client.hpp
@@ -3,12 +3,15 @@
 #define VANILLAGAUGE_PLATFORM_OBJECT_CLIENT_HPP
 
 #include "base/base.hpp"
+#include "platform/call_budget.hpp"
+#include "platform/store_health.hpp"
 #include "wire/channel.hpp"
 #include "wire/event_loop.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -63,24 +66,51 @@
     std::uint64_t revision = 0;
 };
 
+/// Calls since the start of the process.
+struct call_counts {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t lists = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t over_budget = 0; ///< not made
+};
+
 class object_client {
 public:
     /// Both must outlive the client and its calls.
     object_client(wire::channel& link, wire::event_loop& loop);
 
+    /// Each call has a priority in the VM's budget; one beyond it is refused at once, not run, with the time
+    /// to come back.
     void read(const std::string& kind, const std::string& name,
-              std::function<void(result<std::optional<stored_object>>)> on_done);
+              std::function<void(result<std::optional<stored_object>>)> on_done,
+              call_priority priority = call_priority::config);
     /// An unknown outcome is resolved by reading back the operation id; `in_doubt` or `write_superseded`
     /// where that cannot tell.
-    void write_object(const write& change, std::function<void(write_outcome)> on_done);
-    void list(const std::string& kind, std::function<void(result<listing>)> on_done);
+    void write_object(const write& change, std::function<void(write_outcome)> on_done,
+                      call_priority priority = call_priority::config);
+    void list(const std::string& kind, std::function<void(result<listing>)> on_done,
+              call_priority priority = call_priority::config);
     /// Waits on the platform's side until something changes or `wait` is over.
     void watch(const std::vector<std::string>& kinds, std::uint64_t since, milliseconds wait,
                std::function<void(result<watch_events>)> on_done);
 
+    /// The fleet's size, which sets this VM's share of the calls.
+    void share_between(std::size_t members);
+    call_counts counts() const;
+    store_state health() const;
+
 private:
     wire::channel& link_;
     wire::event_loop& loop_;
+    mutable std::mutex mutex_;
+    call_budget budget_;
+    store_health health_;
+    call_counts counts_;
+
+    /// The refusal, where the call is beyond the budget; otherwise the call is counted.
+    std::optional<error> refused(call_priority priority, std::uint64_t call_counts::*counter);
+    void note(bool answered, time_point sent);
 
     void resolve(const write& change, const std::string& operation_id, int attempts_left,
                  std::function<void(write_outcome)> on_done);
--- /dev/null
+++ b/src/platform/store_health.hpp
@@ -0,0 +1,27 @@
+/// Tells an outage of the Object API from slowness, by the calls that are made anyway.
+#ifndef VANILLAGAUGE_PLATFORM_STORE_HEALTH_HPP
+#define VANILLAGAUGE_PLATFORM_STORE_HEALTH_HPP
+
+#include "base/clock.hpp"
+
+namespace vanillagauge::platform {
+
+enum class store_state { up, slow, down };
+
+const char* name(store_state state);
+
+class store_health {
+public:
+    void answered(milliseconds took);
+    void failed();
+    store_state state() const;
+
+private:
+    milliseconds usual_{0}; ///< a moving mean of the answers' times
+    int failures_ = 0;      ///< since the last answer
+    bool heard_ = false;
+};
+
+} // namespace vanillagauge::platform
+
+#endif
--- /dev/null
+++ b/tests/platform/call_budget_tests.cpp
@@ -0,0 +1,72 @@
+#include "platform/call_budget.hpp"
+#include "platform/store_health.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillagauge::platform {
+namespace {
+
+const time_point start = time_point{} + seconds{1};
+
+int calls_made(call_budget& budget, call_priority priority, time_point now, int tries)
+{
+    int made = 0;
+    for (int place = 0; place < tries; ++place) {
+        made += budget.take(priority, now) ? 1 : 0;
+    }
+    return made;
+}
+
+// The store returns from an outage and everything has a status to write. Leases must still be renewed.
+TEST(call_budget, a_flood_of_status_leaves_calls_for_configuration_and_leases)
+{
+    call_budget budget;
+    EXPECT_GT(calls_made(budget, call_priority::status, start, 1000), 0);
+    EXPECT_GT(calls_made(budget, call_priority::config, start, 1000), 0);
+    EXPECT_GE(calls_made(budget, call_priority::lease, start, 1000), 4);
+    EXPECT_EQ(calls_made(budget, call_priority::lease, start, 1000), 0);
+}
+
+TEST(call_budget, all_vms_together_stay_within_one_rate_whatever_the_fleets_size)
+{
+    constexpr std::size_t span = 100;
+    for (const std::size_t members : {8U, 350U}) {
+        call_budget budget;
+        budget.share_between(members);
+        int made = 0;
+        for (std::size_t second = 0; second < span; ++second) {
+            made += calls_made(budget, call_priority::lease, start + seconds{second}, 1000);
+        }
+        const budget_limits limits;
+        const auto fleet = static_cast<double>(made) * static_cast<double>(members);
+        EXPECT_LE(fleet, limits.fleet_calls_per_second * span + limits.burst * static_cast<double>(members));
+    }
+}
+
+TEST(call_budget, a_refused_call_may_be_made_after_the_time_it_is_told)
+{
+    call_budget budget;
+    calls_made(budget, call_priority::status, start, 1000);
+    const auto wait = budget.retry_after(call_priority::status);
+    EXPECT_GT(wait.count(), 0);
+    EXPECT_TRUE(budget.take(call_priority::status, start + wait));
+}
+
+TEST(store_health, tells_a_slow_store_from_one_that_is_down)
+{
+    store_health health;
+    EXPECT_EQ(health.state(), store_state::down) << "never heard";
+    health.answered(milliseconds{3});
+    EXPECT_EQ(health.state(), store_state::up);
+    health.failed();
+    EXPECT_EQ(health.state(), store_state::slow);
+    health.failed();
+    health.failed();
+    EXPECT_EQ(health.state(), store_state::down);
+    health.answered(milliseconds{1500});
+    health.answered(milliseconds{1500});
+    EXPECT_EQ(health.state(), store_state::slow);
+}
+
+} // namespace
+} // namespace vanillagauge::platform
