Bound what a connection may cost, with an HTTP server on Boost.Beast

Cause: cpprestsdk's listener has no limit on headers, body or time. In a trial one client's 64 MB header took vg-fake-target from 14.3 to 80.2 MB of resident memory, a half-sent body was never answered, and close() waited for it without end.

Limits for headers, body, JSON nesting, time to send, unread answers and connections, each with a typed error; a bad X-Timeout-Ms is refused; the caller's traceparent is echoed. A stop takes the connections the kernel already holds, serves what is in flight and ends within the time limits.

--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,9 +1,13 @@
 #include "wire/codec.hpp"
 
+#include "observe/json_text.hpp"
+
 #include "vanillagauge.pb.h"
 
 #include <google/protobuf/util/json_util.h>
 
+#include <nlohmann/json.hpp>
+
 #include <array>
 
 namespace vanillagauge::wire {
@@ -14,6 +18,7 @@
 constexpr char error_flag = 1;
 constexpr std::string_view error_line_start = R"({"error":)";
 constexpr std::size_t largest_frame = 64U << 20U;
+constexpr int most_json_levels = 64;
 
 std::string binary_frame(char flag, std::string_view encoded)
 {
@@ -33,6 +38,41 @@
     return size;
 }
 
+/// True where objects and arrays nest more deeply than the limit. The parser recurses with each level, so the
+/// check comes first: its stack must not be the sender's to spend.
+bool too_deep(std::string_view text)
+{
+    int level = 0;
+    bool quoted = false;
+    for (std::size_t place = 0; place < text.size(); ++place) {
+        const char symbol = text[place];
+        if (quoted) {
+            place += symbol == '\\' ? 1 : 0;
+            quoted = symbol != '"';
+        }
+        else if (symbol == '"') {
+            quoted = true;
+        }
+        else if (symbol == '{' || symbol == '[') {
+            ++level;
+        }
+        else if (symbol == '}' || symbol == ']') {
+            --level;
+        }
+        if (level > most_json_levels) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Details quote what a client sent, and protobuf writes a line of its own to standard error for each string
+/// that is not UTF-8; anyone could fill the log with them.
+std::string valid_utf8(const std::string& text)
+{
+    return nlohmann::json::parse(observe::json_text(text)).get<std::string>();
+}
+
 error unreadable(std::string_view what)
 {
     return {error_code::incomplete, run_state::in_doubt, std::string(what)};
@@ -94,6 +134,10 @@
         }
         return done{};
     }
+    if (too_deep(body)) {
+        return error{error_code::invalid_argument, run_state::not_run,
+                     "expected JSON of at most " + std::to_string(most_json_levels) + " levels"};
+    }
     const auto status = google::protobuf::util::JsonStringToMessage({body.data(), body.size()}, &message);
     if (!status.ok()) {
         return error{error_code::invalid_argument, run_state::not_run,
@@ -117,7 +161,7 @@
         message.set_run_state(v1::IN_DOUBT);
         break;
     }
-    message.set_detail(failure.detail);
+    message.set_detail(valid_utf8(failure.detail));
     message.set_retry_after_ms(failure.retry_after.count());
     message.set_redirect(failure.redirect);
     return message;
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -1,276 +1,187 @@
 #include "wire/http_server.hpp"
 
-#include "vanillagauge.pb.h"
 #include "wire/internal/address.hpp"
+#include "wire/internal/http_connection.hpp"
 
-#include <cpprest/http_listener.h>
-#include <cpprest/producerconsumerstream.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
 #include <pplx/threadpool.h>
 
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <set>
+#include <thread>
 
 namespace vanillagauge::wire {
 namespace {
 
-using web::http::http_request;
-using web::http::http_response;
+using boost::asio::ip::tcp;
 
-/// Another process can take a reserved port before the listener opens it, so the reservation is repeated.
-constexpr int open_attempts = 20;
+constexpr milliseconds full_retry_after{1000};
+constexpr milliseconds accept_pause{50};
 
-web::http::status_code http_status(error_code code)
+std::atomic<std::size_t>& server_threads()
 {
-    using web::http::status_codes;
-    switch (code) {
-    case error_code::invalid_argument:
-    case error_code::forged_cursor:
-        return status_codes::BadRequest;
-    case error_code::unauthenticated:
-        return status_codes::Unauthorized;
-    case error_code::permission_denied:
-        return status_codes::Forbidden;
-    case error_code::not_found:
-    case error_code::unimplemented:
-        return status_codes::NotFound;
-    case error_code::conflict:
-    case error_code::stale_cursor:
-    case error_code::expired_key:
-        return status_codes::Conflict;
-    case error_code::too_large:
-        return status_codes::RequestEntityTooLarge;
-    case error_code::overloaded:
-    case error_code::quarantined:
-        return 429;
-    case error_code::wrong_node:
-        return 421;
-    case error_code::deadline_exceeded:
-        return status_codes::GatewayTimeout;
-    case error_code::unavailable:
-    case error_code::draining:
-    case error_code::cancelled:
-        return status_codes::ServiceUnavailable;
-    case error_code::incomplete:
-        return status_codes::BadGateway;
-    case error_code::internal:
-        break;
-    }
-    return status_codes::InternalError;
-}
-
-void set_retry_after(http_response& response, const error& failure)
-{
-    if (failure.retry_after.count() <= 0) {
-        return;
-    }
-    const auto whole_seconds = std::chrono::ceil<seconds>(failure.retry_after).count();
-    response.headers().add("Retry-After", std::to_string(whole_seconds));
-}
-
-void send(const http_request& request, const http_response& response)
-{
-    request.reply(response).then([](const pplx::task<void>& sent) {
-        try {
-            sent.get();
-        }
-        catch (const std::exception&) { // NOLINT(bugprone-empty-catch): the client has gone; nobody to tell
-        }
-    });
-}
-
-void send_error(const http_request& request, codec encoding, const error& failure)
-{
-    http_response response(http_status(failure.code));
-    set_retry_after(response, failure);
-    response.set_body(encode(encoding, to_message(failure)), std::string(content_type(encoding, false)));
-    send(request, response);
-}
-
-std::string header(const http_request& request, const char* key)
-{
-    const auto found = request.headers().find(key);
-    return found == request.headers().end() ? std::string() : found->second;
-}
-
-milliseconds timeout_of(const http_request& request)
-{
-    const std::string text = header(request, "x-timeout-ms");
-    const bool whole =
-        !text.empty() && text.size() < 10 && text.find_first_not_of("0123456789") == std::string::npos;
-    return milliseconds{whole ? std::stol(text) : 0};
+    static std::atomic<std::size_t> threads{4};
+    return threads;
 }
 
-/// A streamed answer: the response starts with the first chunk, so that an early error keeps its status.
-class streamed_reply {
-public:
-    streamed_reply(const http_request& request, codec encoding) : request_(request), encoding_(encoding) {}
-
-    void chunk(std::string_view encoded)
-    {
-        start();
-        put(frame(encoding_, encoded));
-    }
-
-    void finish(const result<std::string>& outcome)
-    {
-        if (!ok(outcome) && !started_) {
-            send_error(request_, encoding_, failure(outcome));
-            return;
-        }
-        start();
-        if (!ok(outcome)) {
-            put(error_frame(encoding_, failure(outcome)));
-        }
-        buffer_.close(std::ios_base::out).wait();
-    }
-
-private:
-    http_request request_;
-    codec encoding_;
-    concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer_;
-    bool started_ = false;
-
-    void start()
-    {
-        if (std::exchange(started_, true)) {
-            return;
-        }
-        http_response response(web::http::status_codes::OK);
-        response.set_body(buffer_.create_istream(), std::string(content_type(encoding_, true)));
-        send(request_, response);
-    }
-
-    void put(const std::string& bytes)
-    {
-        // The buffer grows in memory and its tasks are complete at once; sync lets the listener send what is
-        // there.
-        buffer_.putn_nocopy(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()).wait();
-        buffer_.sync().wait();
-    }
-};
-
 } // namespace
 
 void set_http_threads(std::size_t threads)
 {
+    server_threads() = threads;
     crossplat::threadpool::initialize_with_threads(threads);
 }
 
 struct http_server::state {
-    const dispatcher& calls;
-    http_limits limits;
-    std::map<std::string, std::function<std::string()>> pages;
-    std::unique_ptr<web::http::experimental::listener::http_listener> listener;
+    using connection = std::shared_ptr<internal::http_connection>;
+
+    internal::http_site site;
+    boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
+    boost::asio::strand<boost::asio::io_context::executor_type> accepting{context.get_executor()};
+    tcp::acceptor acceptor{accepting};
+    boost::asio::steady_timer accept_again{accepting};
+    std::vector<std::thread> threads;
     std::mutex mutex;
-    std::condition_variable idle;
-    int in_flight = 0;
-
-    void enter()
+    std::condition_variable ended;
+    std::set<connection> connections;
+    bool draining = false;
+    bool listening = true;
+
+    state(const dispatcher& calls, http_limits limits,
+          std::map<std::string, std::function<std::string()>> pages)
+        : site{calls, limits, std::move(pages)}
     {
-        const std::lock_guard lock(mutex);
-        ++in_flight;
     }
 
-    void leave()
+    void run()
     {
-        const std::lock_guard lock(mutex);
-        --in_flight;
-        idle.notify_all();
+        for (std::size_t place = 0; place < server_threads(); ++place) {
+            threads.emplace_back([this] { context.run(); });
+        }
     }
 
-    void serve_page(const http_request& request) const
+    void accept()
     {
-        const auto page = pages.find(request.relative_uri().path());
-        if (page == pages.end()) {
-            send_error(
-                request, codec::json,
-                {error_code::not_found, run_state::not_run, "no page at " + request.relative_uri().path()});
-            return;
-        }
-        http_response response(web::http::status_codes::OK);
-        response.set_body(page->second(), "text/plain; version=0.0.4");
-        send(request, response);
+        acceptor.async_accept(boost::asio::make_strand(context),
+                              [this](const boost::system::error_code& failed, tcp::socket peer) {
+                                  on_accept(failed, std::move(peer));
+                              });
     }
 
-    void serve_call(const http_request& request)
+    void on_accept(const boost::system::error_code& failed, tcp::socket peer)
     {
-        const auto encoding = parse_content_type(request.headers().content_type());
-        if (!ok(encoding)) {
-            send_error(request, codec::json, failure(encoding));
+        if (!failed) {
+            adopt(std::move(peer));
+        }
+        if (!acceptor.is_open()) {
+            note_closed();
             return;
         }
-        if (request.headers().content_length() > limits.body_bytes) {
-            send_error(request, value(encoding), too_large());
+        if (!failed) {
+            accept();
             return;
         }
-        enter();
-        request.extract_vector().then(
-            [this, request, encoding](const pplx::task<std::vector<unsigned char>>& read) {
-                try {
-                    const auto body = read.get();
-                    run(request, value(encoding), {body.begin(), body.end()});
-                }
-                catch (const std::exception& broken) {
-                    send_error(request, value(encoding),
-                               {error_code::incomplete, run_state::not_run,
-                                std::string("expected the whole body, found: ") + broken.what()});
-                    leave();
-                }
-            });
+        // Out of file descriptors, most likely: the accept fails at once again and again, so it pauses.
+        accept_again.expires_after(accept_pause);
+        accept_again.async_wait([this](const boost::system::error_code& cancelled) {
+            if (cancelled) {
+                note_closed();
+                return;
+            }
+            accept();
+        });
+    }
+
+    void adopt(tcp::socket peer)
+    {
+        boost::system::error_code ignored;
+        peer.set_option(tcp::no_delay(true), ignored);
+        auto accepted = std::make_shared<internal::http_connection>(std::move(peer), site);
+        bool full = false;
+        bool stops = false;
+        {
+            const std::lock_guard lock(mutex);
+            full = connections.size() >= site.limits.connections;
+            stops = draining;
+            connections.insert(accepted);
+        }
+        const std::weak_ptr<internal::http_connection> weak = accepted;
+        const auto on_end = [this, weak] { forget(weak.lock()); };
+        if (full) {
+            accepted->refuse({error_code::overloaded, run_state::not_run,
+                              "every connection of this address is taken", full_retry_after},
+                             on_end);
+        }
+        else {
+            accepted->start(on_end);
+        }
+        if (stops) {
+            accepted->drain();
+        }
     }
 
-    error too_large() const
+    void forget(const connection& over)
     {
-        return {error_code::too_large, run_state::not_run,
-                "expected a body of at most " + std::to_string(limits.body_bytes) + " bytes"};
+        const std::lock_guard lock(mutex);
+        connections.erase(over);
+        ended.notify_all();
     }
 
-    void run(const http_request& request, codec encoding, const std::string& body)
+    /// A client whose connection the kernel has already taken may have sent its request; closing the listener
+    /// would reset it without an answer. So what waits is taken first, and served like any open connection.
+    void close_acceptor()
     {
-        if (body.size() > limits.body_bytes) {
-            send_error(request, encoding, too_large());
-            leave();
-            return;
-        }
-        incoming_call call;
-        call.path = request.relative_uri().path();
-        call.authorization = header(request, "authorization");
-        call.trace = observe::parse_traceparent(header(request, "traceparent"));
-        call.timeout = timeout_of(request);
-        reply_sink sink;
-        if (calls.streams(call.path)) {
-            auto reply = std::make_shared<streamed_reply>(request, encoding);
-            sink.chunk = [reply](const std::string& encoded) { reply->chunk(encoded); };
-            sink.finish = [this, reply](const result<std::string>& outcome) {
-                reply->finish(outcome);
-                leave();
-            };
+        boost::system::error_code failed;
+        acceptor.non_blocking(true, failed);
+        while (!failed) {
+            tcp::socket peer(boost::asio::make_strand(context));
+            acceptor.accept(peer, failed);
+            if (!failed) {
+                adopt(std::move(peer));
+            }
         }
-        else {
-            sink.finish = [this, request, encoding](const result<std::string>& outcome) {
-                answer(request, encoding, outcome);
-                leave();
-            };
+        acceptor.close(failed);
+        accept_again.cancel();
+    }
+
+    /// The last accept has ended, and with it the chance of one more connection.
+    void note_closed()
+    {
+        const std::lock_guard lock(mutex);
+        listening = false;
+        ended.notify_all();
+    }
+
+    void drain()
+    {
+        std::unique_lock lock(mutex);
+        draining = true;
+        boost::asio::post(accepting, [this] { close_acceptor(); });
+        for (const auto& open : connections) {
+            open->drain();
         }
-        calls.dispatch(std::move(call), encoding, body, std::move(sink));
+        ended.wait(lock, [this] { return !listening && connections.empty(); });
     }
 
-    static void answer(const http_request& request, codec encoding, const result<std::string>& outcome)
+    void stop()
     {
-        if (!ok(outcome)) {
-            send_error(request, encoding, failure(outcome));
-            return;
+        guard.reset();
+        context.stop();
+        for (auto& thread : threads) {
+            thread.join();
         }
-        http_response response(web::http::status_codes::OK);
-        response.set_body(value(outcome), std::string(content_type(encoding, false)));
-        send(request, response);
+        threads.clear();
     }
 };
 
 http_server::http_server(const dispatcher& calls, http_limits limits,
                          std::map<std::string, std::function<std::string()>> pages)
-    : state_(new state{calls, limits, std::move(pages), nullptr, {}, {}, 0})
+    : state_(std::make_unique<state>(calls, limits, std::move(pages)))
 {
 }
 
@@ -281,44 +192,37 @@
 
 result<std::string> http_server::open(const std::string& address)
 {
-    std::string reason;
-    for (int attempt = 0; attempt < open_attempts; ++attempt) {
-        const auto bound = internal::reserve_port(address);
-        if (!ok(bound)) {
-            return failure(bound);
-        }
-        try {
-            namespace listener = web::http::experimental::listener;
-            auto server = std::make_unique<listener::http_listener>("http://" + value(bound));
-            server->support(web::http::methods::GET,
-                            [this](const http_request& request) { state_->serve_page(request); });
-            server->support(web::http::methods::POST,
-                            [this](const http_request& request) { state_->serve_call(request); });
-            server->open().wait();
-            state_->listener = std::move(server);
-            return value(bound);
-        }
-        catch (const std::exception& refused) {
-            reason = refused.what();
-        }
-    }
-    return error{error_code::unavailable, run_state::not_run, "cannot listen on " + address + ": " + reason};
+    const auto parsed = internal::parse_endpoint(address);
+    if (!ok(parsed)) {
+        return failure(parsed);
+    }
+    const auto& [host, port] = value(parsed);
+    const tcp::endpoint local(boost::asio::ip::make_address(host), port);
+    auto& acceptor = state_->acceptor;
+    boost::system::error_code refused;
+    acceptor.open(local.protocol(), refused);
+    acceptor.set_option(tcp::acceptor::reuse_address(true), refused);
+    acceptor.bind(local, refused);
+    if (!refused) {
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, refused);
+    }
+    if (refused) {
+        return error{error_code::unavailable, run_state::not_run,
+                     "cannot listen on " + address + ": " + refused.message()};
+    }
+    const auto bound = host + ":" + std::to_string(acceptor.local_endpoint().port());
+    state_->accept();
+    state_->run();
+    return bound;
 }
 
 void http_server::close()
 {
-    if (!state_->listener) {
+    if (state_->threads.empty()) {
         return;
     }
-    std::unique_lock lock(state_->mutex);
-    state_->idle.wait(lock, [this] { return state_->in_flight == 0; });
-    lock.unlock();
-    try {
-        state_->listener->close().wait();
-    }
-    catch (const std::exception&) { // NOLINT(bugprone-empty-catch): a listener that is already closed
-    }
-    state_->listener.reset();
+    state_->drain();
+    state_->stop();
 }
 
 } // namespace vanillagauge::wire
--- a/src/wire/internal/address.cpp
+++ b/src/wire/internal/address.cpp
@@ -1,6 +1,5 @@
 #include "wire/internal/address.hpp"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <charconv>
@@ -26,27 +25,4 @@
     return parsed;
 }
 
-result<std::string> reserve_port(const std::string& address)
-{
-    const auto parsed = parse_endpoint(address);
-    if (!ok(parsed)) {
-        return failure(parsed);
-    }
-    if (value(parsed).port != 0) {
-        return address;
-    }
-    boost::asio::io_context context;
-    using boost::asio::ip::tcp;
-    boost::system::error_code refused;
-    tcp::acceptor acceptor(context);
-    const tcp::endpoint any(boost::asio::ip::make_address(value(parsed).host), 0);
-    acceptor.open(any.protocol(), refused);
-    acceptor.bind(any, refused);
-    if (refused) {
-        return error{error_code::unavailable, run_state::not_run,
-                     "cannot bind " + address + ": " + refused.message()};
-    }
-    return value(parsed).host + ":" + std::to_string(acceptor.local_endpoint().port());
-}
-
 } // namespace vanillagauge::wire::internal
--- a/src/wire/internal/address.hpp
+++ b/src/wire/internal/address.hpp
@@ -16,9 +16,6 @@
 
 result<endpoint> parse_endpoint(const std::string& address);
 
-/// For port 0, a port that was free a moment ago; any other address unchanged.
-result<std::string> reserve_port(const std::string& address);
-
 } // namespace vanillagauge::wire::internal
 
 #endif
--- /dev/null
+++ b/src/wire/internal/http_connection.cpp
@@ -0,0 +1,475 @@
+#include "wire/internal/http_connection.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+namespace vanillagauge::wire::internal {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+using http::status;
+
+constexpr std::size_t largest_timeout_digits = 9;
+
+std::string to_text(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+unsigned number(status code)
+{
+    return static_cast<unsigned>(code);
+}
+
+error refused(vanillagauge::error_code code, std::string detail)
+{
+    return {code, run_state::not_run, std::move(detail)};
+}
+
+result<milliseconds> parse_timeout(const std::string& text)
+{
+    if (text.empty()) {
+        return milliseconds{0};
+    }
+    if (text.size() > largest_timeout_digits || text.find_first_not_of("0123456789") != std::string::npos) {
+        return refused(vanillagauge::error_code::invalid_argument,
+                       "expected X-Timeout-Ms as whole milliseconds below 1000000000, found \"" +
+                           text.substr(0, 2 * largest_timeout_digits) + "\"");
+    }
+    return milliseconds{std::stol(text)};
+}
+
+} // namespace
+
+http_connection::http_connection(socket peer, const http_site& site)
+    : socket_(std::move(peer)), read_timer_(socket_.get_executor()), write_timer_(socket_.get_executor()),
+      site_(site)
+{
+}
+
+void http_connection::start(std::function<void()> on_end)
+{
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this(), on_end = std::move(on_end)]() mutable {
+                          self->on_end_ = std::move(on_end);
+                          self->await_request();
+                      });
+}
+
+void http_connection::drain()
+{
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->draining_ = true;
+        self->form_.keep_alive = false;
+        if (self->stage_ == stage::idle) {
+            // A request may be on its way over this kept connection; closing at once would cut it.
+            self->allow_reading(self->site_.limits.drain_grace);
+        }
+    });
+}
+
+void http_connection::refuse(const error& failure, std::function<void()> on_end)
+{
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this(), failure, on_end = std::move(on_end)]() mutable {
+                          self->on_end_ = std::move(on_end);
+                          self->reject(failure, 0);
+                      });
+}
+
+/// The timer cancels the reads of the socket; the reader then finds `read_late_` set.
+void http_connection::allow_reading(milliseconds time)
+{
+    read_late_ = false;
+    read_timer_.expires_after(time);
+    read_timer_.async_wait([self = shared_from_this()](const error_code& cancelled) {
+        const bool reading =
+            self->stage_ == stage::idle || self->stage_ == stage::head || self->stage_ == stage::body;
+        // A timer that was set anew while its old completion was queued is not over yet.
+        const bool over = self->read_timer_.expiry() <= std::chrono::steady_clock::now();
+        if (cancelled || !reading || !over) {
+            return;
+        }
+        self->read_late_ = true;
+        error_code ignored;
+        self->socket_.cancel(ignored);
+    });
+}
+
+void http_connection::await_request()
+{
+    stage_ = stage::idle;
+    form_ = {};
+    form_.keep_alive = !draining_;
+    stream_started_ = false;
+    reply_whole_ = false;
+    if (buffer_.size() > 0) {
+        read_head();
+        return;
+    }
+    allow_reading(draining_ ? site_.limits.drain_grace : site_.limits.idle_time);
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& failed) {
+        if (failed) {
+            self->end();
+            return;
+        }
+        self->read_head();
+    });
+}
+
+void http_connection::read_head()
+{
+    stage_ = stage::head;
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(site_.limits.header_bytes));
+    parser_->body_limit(site_.limits.body_bytes);
+    allow_reading(site_.limits.header_time);
+    http::async_read_header(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](const error_code& failed, std::size_t) { self->on_head(failed); });
+}
+
+void http_connection::on_head(error_code failed)
+{
+    using code = vanillagauge::error_code;
+    if (read_late_) {
+        reject(refused(code::deadline_exceeded, "expected the headers within " +
+                                                    std::to_string(site_.limits.header_time.count()) + " ms"),
+               number(status::request_timeout));
+        return;
+    }
+    if (failed == http::error::header_limit) {
+        reject(refused(code::too_large,
+                       "expected headers of at most " + std::to_string(site_.limits.header_bytes) + " bytes"),
+               number(status::request_header_fields_too_large));
+        return;
+    }
+    if (failed == http::error::body_limit) {
+        reject(refused(code::too_large,
+                       "expected a body of at most " + std::to_string(site_.limits.body_bytes) + " bytes"),
+               0);
+        return;
+    }
+    if (failed && failed.category() == http::make_error_code(http::error::bad_method).category() &&
+        failed != http::error::end_of_stream) {
+        reject(refused(code::invalid_argument, "expected an HTTP/1.1 request, found: " + failed.message()),
+               0);
+        return;
+    }
+    if (failed) {
+        end();
+        return;
+    }
+    const auto& request = parser_->get();
+    form_.version = request.version();
+    form_.keep_alive = request.keep_alive() && !draining_;
+    const auto encoding = parse_content_type(to_text(request[http::field::content_type]));
+    form_.encoding = ok(encoding) ? value(encoding) : codec::json;
+    unsigned as_status = 0;
+    if (const auto wrong = check_head(as_status)) {
+        reject(*wrong, as_status);
+        return;
+    }
+    if (request[http::field::expect] == "100-continue" && !parser_->is_done()) {
+        queue("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    read_body();
+}
+
+/// What is wrong with a head, before any byte of the body is taken.
+std::optional<error> http_connection::check_head(unsigned& as_status)
+{
+    using code = vanillagauge::error_code;
+    const auto& request = parser_->get();
+    if (request.method() == http::verb::get) {
+        return std::nullopt;
+    }
+    if (request.method() != http::verb::post) {
+        as_status = number(status::method_not_allowed);
+        return refused(code::invalid_argument,
+                       "expected GET or POST, found " + to_text(request.method_string()).substr(0, 32));
+    }
+    const auto encoding = parse_content_type(to_text(request[http::field::content_type]));
+    if (!ok(encoding)) {
+        as_status = number(status::unsupported_media_type);
+        return failure(encoding);
+    }
+    const auto timeout = parse_timeout(to_text(request["X-Timeout-Ms"]));
+    if (!ok(timeout)) {
+        return failure(timeout);
+    }
+    const auto length = parser_->content_length();
+    if (length && *length > site_.limits.body_bytes) {
+        return refused(code::too_large, "expected a body of at most " +
+                                            std::to_string(site_.limits.body_bytes) + " bytes, found " +
+                                            std::to_string(*length));
+    }
+    return std::nullopt;
+}
+
+void http_connection::read_body()
+{
+    stage_ = stage::body;
+    allow_reading(site_.limits.body_time);
+    http::async_read(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](const error_code& failed, std::size_t) { self->on_body(failed); });
+}
+
+void http_connection::on_body(error_code failed)
+{
+    using code = vanillagauge::error_code;
+    if (read_late_) {
+        reject(refused(code::deadline_exceeded, "expected the whole body within " +
+                                                    std::to_string(site_.limits.body_time.count()) + " ms"),
+               number(status::request_timeout));
+        return;
+    }
+    if (failed == http::error::body_limit) {
+        reject(refused(code::too_large,
+                       "expected a body of at most " + std::to_string(site_.limits.body_bytes) + " bytes"),
+               0);
+        return;
+    }
+    if (failed) {
+        reject(refused(code::incomplete, "expected the whole body, found: " + failed.message()),
+               number(status::bad_request));
+        return;
+    }
+    read_timer_.cancel();
+    stage_ = stage::call;
+    serve();
+}
+
+/// Answers and gives the connection up: where the next request starts is not known any more.
+void http_connection::reject(const error& failure, unsigned as_status)
+{
+    stage_ = stage::call;
+    form_.keep_alive = false;
+    finish_reply(error_reply(form_, failure, as_status));
+}
+
+void http_connection::serve()
+{
+    if (parser_->get().method() == http::verb::get) {
+        serve_page();
+    }
+    else {
+        serve_call();
+    }
+}
+
+void http_connection::serve_page()
+{
+    const auto target = to_text(parser_->get().target());
+    const auto path = target.substr(0, target.find('?'));
+    const auto page = site_.pages.find(path);
+    if (page == site_.pages.end()) {
+        finish_reply(error_reply(form_, refused(vanillagauge::error_code::not_found, "no page at " + path)));
+        return;
+    }
+    finish_reply(success_reply(form_, "text/plain; version=0.0.4", page->second()));
+}
+
+void http_connection::serve_call()
+{
+    auto& request = parser_->get();
+    incoming_call call;
+    const auto target = to_text(request.target());
+    call.path = target.substr(0, target.find('?'));
+    call.authorization = to_text(request[http::field::authorization]);
+    call.trace = observe::parse_traceparent(to_text(request["traceparent"]));
+    call.timeout = value(parse_timeout(to_text(request["X-Timeout-Ms"])));
+    form_.traceparent = observe::traceparent(call.trace);
+    const std::string body = std::move(request.body());
+    parser_.reset();
+    auto sink = site_.calls.streams(call.path) ? streamed_sink() : single_sink();
+    site_.calls.dispatch(std::move(call), form_.encoding, body, std::move(sink));
+}
+
+/// Handlers answer from any thread, also before `dispatch` returns; the connection is touched on its strand.
+reply_sink http_connection::single_sink()
+{
+    reply_sink sink;
+    sink.finish = [self = shared_from_this()](result<std::string> outcome) {
+        boost::asio::post(self->socket_.get_executor(), [self, outcome = std::move(outcome)] {
+            const auto& form = self->form_;
+            self->finish_reply(ok(outcome)
+                                   ? success_reply(form, content_type(form.encoding, false), value(outcome))
+                                   : error_reply(form, failure(outcome)));
+        });
+    };
+    return sink;
+}
+
+reply_sink http_connection::streamed_sink()
+{
+    reply_sink sink;
+    sink.chunk = [self = shared_from_this()](std::string encoded) {
+        boost::asio::post(self->socket_.get_executor(), [self, encoded = std::move(encoded)] {
+            self->add_chunk(frame(self->form_.encoding, encoded));
+        });
+    };
+    sink.finish = [self = shared_from_this()](result<std::string> outcome) {
+        boost::asio::post(self->socket_.get_executor(),
+                          [self, outcome = std::move(outcome)] { self->finish_stream(outcome); });
+    };
+    return sink;
+}
+
+/// The head goes out with the first chunk, so that an early error keeps its status.
+void http_connection::add_chunk(const std::string& bytes)
+{
+    if (!std::exchange(stream_started_, true)) {
+        form_.keep_alive = form_.keep_alive && form_.version >= 11;
+        queue(stream_head(form_));
+    }
+    queue(stream_chunk(form_, bytes));
+}
+
+void http_connection::finish_stream(const result<std::string>& outcome)
+{
+    if (!ok(outcome) && !stream_started_) {
+        finish_reply(error_reply(form_, failure(outcome)));
+        return;
+    }
+    if (!stream_started_) {
+        stream_started_ = true;
+        queue(stream_head(form_));
+    }
+    if (!ok(outcome)) {
+        queue(stream_chunk(form_, error_frame(form_.encoding, failure(outcome))));
+    }
+    finish_reply(stream_end(form_));
+}
+
+void http_connection::queue(std::string bytes)
+{
+    if (!socket_.is_open()) {
+        return;
+    }
+    outgoing_bytes_ += bytes.size();
+    if (stream_started_ && outgoing_bytes_ > site_.limits.unread_bytes) {
+        // A reader that stands still would have the whole stream kept for it in memory. The stream is cut
+        // without its last chunk, so the reader cannot take it for whole.
+        error_code ignored;
+        socket_.close(ignored);
+        return;
+    }
+    outgoing_.push_back(std::move(bytes));
+    write_next();
+}
+
+void http_connection::finish_reply(std::string bytes)
+{
+    reply_whole_ = true;
+    if (!socket_.is_open()) {
+        end();
+        return;
+    }
+    queue(std::move(bytes));
+    if (!socket_.is_open()) {
+        end();
+    }
+}
+
+void http_connection::write_next()
+{
+    if (writing_ || outgoing_.empty()) {
+        return;
+    }
+    writing_ = true;
+    write_timer_.expires_after(site_.limits.write_time);
+    write_timer_.async_wait([self = shared_from_this()](const error_code& cancelled) {
+        const bool over = self->write_timer_.expiry() <= std::chrono::steady_clock::now();
+        if (!cancelled && over && self->writing_) {
+            error_code ignored;
+            self->socket_.close(ignored);
+        }
+    });
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(outgoing_.front()),
+        [self = shared_from_this()](const error_code& failed, std::size_t) { self->on_written(failed); });
+}
+
+void http_connection::on_written(error_code failed)
+{
+    writing_ = false;
+    write_timer_.cancel();
+    if (failed) {
+        // The reader has gone or stands still. A handler may still run: its chunks are dropped, and the
+        // connection ends with its answer.
+        error_code ignored;
+        socket_.close(ignored);
+        outgoing_.clear();
+        if (reply_whole_) {
+            end();
+        }
+        return;
+    }
+    outgoing_bytes_ -= outgoing_.front().size();
+    outgoing_.pop_front();
+    if (!outgoing_.empty()) {
+        write_next();
+    }
+    else if (reply_whole_) {
+        on_reply_sent();
+    }
+}
+
+void http_connection::on_reply_sent()
+{
+    if (form_.keep_alive && !draining_) {
+        await_request();
+        return;
+    }
+    linger();
+}
+
+/// Closing a socket with unread bytes resets the connection, and the reset can destroy the answer before the
+/// client has read it. So the sending side ends first, and what still comes is dropped for a short while.
+void http_connection::linger()
+{
+    error_code failed;
+    socket_.shutdown(tcp::socket::shutdown_send, failed);
+    if (failed) {
+        end();
+        return;
+    }
+    stage_ = stage::head;
+    allow_reading(site_.limits.linger_time);
+    discard();
+}
+
+void http_connection::discard()
+{
+    buffer_.clear();
+    constexpr std::size_t block = 16U << 10U;
+    socket_.async_read_some(buffer_.prepare(block),
+                            [self = shared_from_this()](const error_code& failed, std::size_t) {
+                                if (failed || self->read_late_) {
+                                    self->end();
+                                    return;
+                                }
+                                self->discard();
+                            });
+}
+
+void http_connection::end()
+{
+    if (std::exchange(stage_, stage::ended) == stage::ended && !on_end_) {
+        return;
+    }
+    read_timer_.cancel();
+    write_timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+    if (auto handler = std::exchange(on_end_, {})) {
+        handler();
+    }
+}
+
+} // namespace vanillagauge::wire::internal
--- /dev/null
+++ b/src/wire/internal/http_connection.hpp
@@ -0,0 +1,95 @@
+/// One accepted HTTP/1.1 connection: bounded reading, one call at a time, bounded writing. On Boost.Beast.
+#ifndef VANILLAGAUGE_WIRE_INTERNAL_HTTP_CONNECTION_HPP
+#define VANILLAGAUGE_WIRE_INTERNAL_HTTP_CONNECTION_HPP
+
+#include "wire/http_server.hpp"
+#include "wire/internal/http_reply.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace vanillagauge::wire::internal {
+
+/// What a server's connections share.
+struct http_site {
+    const dispatcher& calls;
+    http_limits limits;
+    std::map<std::string, std::function<std::string()>> pages;
+};
+
+/// Its socket runs on a strand; every member function below runs there, unless it says otherwise.
+class http_connection : public std::enable_shared_from_this<http_connection> {
+public:
+    using socket = boost::asio::ip::tcp::socket;
+
+    http_connection(socket peer, const http_site& site);
+
+    /// From any thread. `on_end` runs once, when the socket is closed.
+    void start(std::function<void()> on_end);
+    /// From any thread. Answers what is in flight, then ends; an idle connection ends after a short grace.
+    void drain();
+    /// From any thread. Turns the connection away with this answer.
+    void refuse(const error& failure, std::function<void()> on_end);
+
+private:
+    enum class stage { idle, head, body, call, ended };
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    socket socket_;
+    boost::asio::steady_timer read_timer_;
+    boost::asio::steady_timer write_timer_;
+    const http_site& site_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<parser> parser_;
+    std::function<void()> on_end_;
+    std::deque<std::string> outgoing_;
+    std::size_t outgoing_bytes_ = 0;
+    reply_form form_;
+    stage stage_ = stage::ended;
+    bool draining_ = false;
+    bool read_late_ = false;
+    bool writing_ = false;
+    bool reply_whole_ = false; ///< the last byte of the current answer is in `outgoing_`
+    bool stream_started_ = false;
+
+    // Reading.
+    void await_request();
+    void read_head();
+    void on_head(boost::system::error_code failed);
+    void read_body();
+    void on_body(boost::system::error_code failed);
+    void allow_reading(milliseconds time);
+    void reject(const error& failure, unsigned status);
+    std::optional<error> check_head(unsigned& status);
+
+    // Serving.
+    void serve();
+    void serve_page();
+    void serve_call();
+    reply_sink streamed_sink();
+    reply_sink single_sink();
+    void add_chunk(const std::string& bytes);
+    void finish_stream(const result<std::string>& outcome);
+
+    // Writing.
+    void queue(std::string bytes);
+    void finish_reply(std::string bytes);
+    void write_next();
+    void on_written(boost::system::error_code failed);
+    void on_reply_sent();
+    void linger();
+    void discard();
+    void end();
+};
+
+} // namespace vanillagauge::wire::internal
+
+#endif
--- /dev/null
+++ b/tests/wire/input_limits_tests.cpp
@@ -0,0 +1,425 @@
+#include "wire/wire.hpp"
+
+#include "target.pb.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <future>
+
+// Hostile and broken senders on raw sockets. What such a client sees is a typed JSON error that says
+// `NOT_RUN` and the end of its connection; what others see is a server that goes on answering. Limits are
+// short, and no test measures a time.
+
+namespace vanillagauge::wire {
+namespace {
+
+using boost::asio::ip::tcp;
+using nlohmann::json;
+
+const std::string call_path = method<target::v1::PlainService>("Call");
+const std::string stream_path = method<target::v1::Engine>("Generate");
+
+class echo_service final : public target::v1::PlainService {
+public:
+    void Call(google::protobuf::RpcController* /*control*/, const target::v1::CallRequest* request,
+              target::v1::CallReply* reply, google::protobuf::Closure* done) override
+    {
+        reply->set_request_id(request->request_id());
+        done->Run();
+    }
+};
+
+/// Answers when the test says so.
+class held_service final : public target::v1::PlainService {
+public:
+    std::promise<void> entered;
+    std::promise<void> release;
+
+    void Call(google::protobuf::RpcController* /*control*/, const target::v1::CallRequest* request,
+              target::v1::CallReply* reply, google::protobuf::Closure* done) override
+    {
+        reply->set_request_id(request->request_id());
+        entered.set_value();
+        finisher_ = std::async(std::launch::async, [this, done] {
+            release.get_future().wait();
+            done->Run();
+        });
+    }
+
+private:
+    std::future<void> finisher_;
+};
+
+class held_engine final : public target::v1::Engine {
+public:
+    std::promise<void> entered;
+    std::promise<void> release;
+
+    void Generate(google::protobuf::RpcController* base, const target::v1::GenerateRequest* /*request*/,
+                  target::v1::GenerateChunk* /*unused*/, google::protobuf::Closure* done) override
+    {
+        target::v1::GenerateChunk chunk;
+        chunk.set_sequence(1);
+        from(base).write(chunk);
+        entered.set_value();
+        finisher_ = std::async(std::launch::async, [this, base, done] {
+            release.get_future().wait();
+            target::v1::GenerateChunk last;
+            last.set_sequence(2);
+            from(base).write(last);
+            done->Run();
+        });
+    }
+
+private:
+    std::future<void> finisher_;
+};
+
+http_limits short_limits()
+{
+    http_limits limits;
+    limits.body_bytes = 1000;
+    limits.header_bytes = 2000;
+    limits.header_time = milliseconds{100};
+    limits.body_time = milliseconds{100};
+    limits.idle_time = milliseconds{20000};
+    limits.linger_time = milliseconds{500};
+    return limits;
+}
+
+tcp::endpoint endpoint_of(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
+    return {boost::asio::ip::make_address(address.substr(0, colon)), port};
+}
+
+class raw_client {
+public:
+    explicit raw_client(const std::string& address) : socket_(context_)
+    {
+        socket_.connect(endpoint_of(address));
+    }
+
+    /// The server may close while the bytes are on their way; what it answered is read all the same.
+    void send(const std::string& bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+    }
+
+    void end_sending() { socket_.shutdown(tcp::socket::shutdown_send); }
+
+    std::string read_to_end()
+    {
+        std::string bytes;
+        boost::system::error_code ended;
+        boost::asio::read(socket_, boost::asio::dynamic_buffer(bytes), ended);
+        return bytes;
+    }
+
+private:
+    boost::asio::io_context context_;
+    tcp::socket socket_;
+};
+
+struct answer {
+    int status = 0;
+    std::string head;
+    std::string body;
+};
+
+answer parse(const std::string& bytes)
+{
+    const auto end = bytes.find("\r\n\r\n");
+    if (end == std::string::npos) {
+        return {};
+    }
+    return {std::stoi(bytes.substr(bytes.find(' ') + 1)), bytes.substr(0, end), bytes.substr(end + 4)};
+}
+
+std::string head(const std::string& more, const std::string& path = call_path)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: a\r\n" + more + "\r\n";
+}
+
+std::string whole(const std::string& body, const std::string& more = "", const std::string& path = call_path)
+{
+    return head("Content-Type: application/json\r\nConnection: close\r\n" + more +
+                    "Content-Length: " + std::to_string(body.size()) + "\r\n",
+                path) +
+           body;
+}
+
+class input_limits : public testing::Test {
+public:
+    ~input_limits() override
+    {
+        // Whatever a test sent, the server still answers others.
+        raw_client other(address);
+        other.send(whole(R"({"request_id":"r9"})"));
+        const auto reply = parse(other.read_to_end());
+        EXPECT_EQ(reply.status, 200);
+        EXPECT_NE(reply.body.find("r9"), std::string::npos);
+    }
+
+protected:
+    echo_service echo;
+    dispatcher calls{access_table{}};
+    http_server http{calls, short_limits()};
+    std::string address;
+
+    input_limits()
+    {
+        calls.mount(echo, role::anyone);
+        address = value(http.open("127.0.0.1:0"));
+    }
+
+    answer ask(const std::string& bytes, bool half_closed = false) const
+    {
+        raw_client client(address);
+        client.send(bytes);
+        if (half_closed) {
+            client.end_sending();
+        }
+        return parse(client.read_to_end());
+    }
+
+    static void expect_error(const answer& reply, int status, const std::string& code)
+    {
+        ASSERT_EQ(reply.status, status) << reply.head << "\n" << reply.body;
+        const auto body = json::parse(reply.body, nullptr, false);
+        ASSERT_TRUE(body.is_object()) << reply.body;
+        EXPECT_EQ(body.at("code"), code);
+        EXPECT_EQ(body.at("run_state"), "NOT_RUN");
+        EXPECT_FALSE(body.at("detail").get<std::string>().empty());
+    }
+};
+
+const std::string json_type = "Content-Type: application/json\r\n";
+
+TEST_F(input_limits, a_body_whose_announced_length_is_over_the_limit_is_refused_unread)
+{
+    expect_error(ask(head(json_type + "Content-Length: 1000000000\r\n") + "{"), 413, "too_large");
+}
+
+TEST_F(input_limits, a_chunked_body_over_the_limit_is_refused)
+{
+    std::string bytes = head(json_type + "Transfer-Encoding: chunked\r\n");
+    for (int place = 0; place < 64; ++place) {
+        bytes += "100\r\n" + std::string(256, 'a') + "\r\n";
+    }
+    expect_error(ask(bytes), 413, "too_large");
+}
+
+TEST_F(input_limits, a_chunked_body_within_the_limit_is_served)
+{
+    const std::string body = R"({"request_id":"r1"})";
+    const auto reply = ask(head(json_type + "Connection: close\r\nTransfer-Encoding: chunked\r\n") +
+                           "13\r\n" + body + "\r\n0\r\n\r\n");
+    EXPECT_EQ(reply.status, 200) << reply.body;
+}
+
+TEST_F(input_limits, a_body_without_a_length_is_an_empty_body)
+{
+    expect_error(ask(head(json_type + "Connection: close\r\n")), 400, "invalid_argument");
+}
+
+TEST_F(input_limits, headers_over_the_limit_are_refused)
+{
+    expect_error(ask(head("X-Long: " + std::string(100000, 'a') + "\r\n")), 431, "too_large");
+}
+
+TEST_F(input_limits, a_sender_that_stops_within_its_headers_is_turned_away)
+{
+    expect_error(ask("POST " + call_path + " HTTP/1.1\r\nHost: a\r\n"), 408, "deadline_exceeded");
+}
+
+TEST_F(input_limits, a_sender_that_stops_within_its_body_is_turned_away)
+{
+    expect_error(ask(head(json_type + "Content-Length: 100\r\n") + "{\"requ"), 408, "deadline_exceeded");
+}
+
+TEST_F(input_limits, a_body_that_ends_early_is_incomplete)
+{
+    expect_error(ask(head(json_type + "Content-Length: 100\r\n") + "{\"requ", true), 400, "incomplete");
+}
+
+TEST_F(input_limits, text_that_is_not_http_is_refused)
+{
+    expect_error(ask("hello there\r\n\r\n"), 400, "invalid_argument");
+}
+
+TEST_F(input_limits, malformed_json_is_refused)
+{
+    expect_error(ask(whole("{\"request_id\": ")), 400, "invalid_argument");
+    expect_error(ask(whole("")), 400, "invalid_argument");
+    expect_error(ask(whole("\xff\xfe{}")), 400, "invalid_argument");
+}
+
+TEST_F(input_limits, a_field_of_the_wrong_type_is_named)
+{
+    const auto reply = ask(whole(R"({"request_id": {"a": 1}})"));
+    expect_error(reply, 400, "invalid_argument");
+    EXPECT_NE(reply.body.find("request_id"), std::string::npos) << reply.body;
+}
+
+TEST_F(input_limits, an_unknown_field_is_named)
+{
+    const auto reply = ask(whole(R"({"reqest_id": "r1"})"));
+    expect_error(reply, 400, "invalid_argument");
+    EXPECT_NE(reply.body.find("reqest_id"), std::string::npos) << reply.body;
+}
+
+TEST_F(input_limits, json_nested_too_deeply_is_refused)
+{
+    const auto nested = std::string(400, '[') + std::string(400, ']');
+    const auto reply = ask(whole("{\"request_id\": " + nested + "}"));
+    expect_error(reply, 400, "invalid_argument");
+    EXPECT_NE(reply.body.find("levels"), std::string::npos) << reply.body;
+}
+
+TEST_F(input_limits, brackets_within_a_string_are_no_levels)
+{
+    EXPECT_EQ(ask(whole("{\"request_id\": \"" + std::string(400, '[') + "\\\"\"}")).status, 200);
+}
+
+TEST_F(input_limits, an_unknown_method_is_refused)
+{
+    expect_error(ask(whole("{}", "", call_path + "x")), 404, "unimplemented");
+}
+
+TEST_F(input_limits, another_content_type_is_refused)
+{
+    expect_error(ask(head("Content-Type: text/xml\r\nContent-Length: 2\r\n") + "{}"), 415,
+                 "invalid_argument");
+}
+
+TEST_F(input_limits, another_verb_is_refused)
+{
+    const auto reply = ask("DELETE " + call_path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    expect_error(reply, 405, "invalid_argument");
+    EXPECT_NE(reply.head.find("Allow: GET, POST"), std::string::npos) << reply.head;
+}
+
+TEST_F(input_limits, a_timeout_header_that_is_no_number_is_refused)
+{
+    expect_error(ask(whole("{}", "X-Timeout-Ms: soon\r\n")), 400, "invalid_argument");
+    expect_error(ask(whole("{}", "X-Timeout-Ms: -5\r\n")), 400, "invalid_argument");
+    expect_error(ask(whole("{}", "X-Timeout-Ms: 99999999999999999999\r\n")), 400, "invalid_argument");
+}
+
+TEST_F(input_limits, two_requests_in_one_write_are_answered_in_their_order)
+{
+    const std::string first = R"({"request_id":"first"})";
+    const auto bytes =
+        head(json_type + "Content-Length: " + std::to_string(first.size()) + "\r\n") + first + whole("{}");
+    raw_client client(address);
+    client.send(bytes);
+    const auto replies = client.read_to_end();
+    const auto place = replies.find("first");
+    ASSERT_NE(place, std::string::npos) << replies;
+    EXPECT_NE(replies.find("HTTP/1.1 200", place), std::string::npos) << replies;
+}
+
+TEST_F(input_limits, the_answer_echoes_the_callers_trace)
+{
+    const auto reply =
+        ask(whole("{}", "traceparent: 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01\r\n"));
+    EXPECT_NE(reply.head.find("traceparent: 00-0af7651916cd43dd8448eb211c80319c-"), std::string::npos)
+        << reply.head;
+}
+
+TEST(connection_limit, a_connection_beyond_it_is_told_when_to_come_back)
+{
+    echo_service echo;
+    dispatcher calls{access_table{}};
+    calls.mount(echo, role::anyone);
+    auto limits = short_limits();
+    limits.connections = 1;
+    http_server http(calls, limits);
+    const auto address = value(http.open("127.0.0.1:0"));
+    raw_client first(address);
+    raw_client second(address);
+    const auto reply = parse(second.read_to_end());
+    EXPECT_EQ(reply.status, 429);
+    EXPECT_NE(reply.head.find("Retry-After: 1"), std::string::npos) << reply.head;
+}
+
+bool refuses_connections(const std::string& address)
+{
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code refused;
+    socket.connect(endpoint_of(address), refused);
+    return bool(refused);
+}
+
+/// A stop is asked for while a call runs. The caller gets its whole answer, new connections are refused, and
+/// only then does the server close.
+TEST(graceful_shutdown, a_call_in_flight_is_answered_whole_while_new_connections_are_refused)
+{
+    held_service slow;
+    dispatcher calls{access_table{}};
+    calls.mount(slow, role::anyone);
+    http_server http(calls, short_limits());
+    const auto address = value(http.open("127.0.0.1:0"));
+    raw_client client(address);
+    client.send(whole(R"({"request_id":"r1"})"));
+    slow.entered.get_future().wait();
+    auto closed = std::async(std::launch::async, [&http] { http.close(); });
+    while (!refuses_connections(address)) {
+        std::this_thread::yield();
+    }
+    slow.release.set_value();
+    const auto reply = parse(client.read_to_end());
+    EXPECT_EQ(reply.status, 200);
+    EXPECT_NE(reply.body.find("r1"), std::string::npos);
+    closed.get();
+}
+
+TEST(graceful_shutdown, a_stream_in_flight_runs_to_its_last_chunk)
+{
+    held_engine engine;
+    dispatcher calls{access_table{}};
+    calls.mount(engine, role::anyone);
+    http_server http(calls, short_limits());
+    const auto address = value(http.open("127.0.0.1:0"));
+    raw_client client(address);
+    client.send(whole("{}", "", stream_path));
+    engine.entered.get_future().wait();
+    auto closed = std::async(std::launch::async, [&http] { http.close(); });
+    while (!refuses_connections(address)) {
+        std::this_thread::yield();
+    }
+    engine.release.set_value();
+    const auto bytes = client.read_to_end();
+    EXPECT_NE(bytes.find("\"sequence\":2"), std::string::npos) << bytes;
+    EXPECT_TRUE(bytes.ends_with("0\r\n\r\n")) << bytes;
+    closed.get();
+}
+
+/// A stop is asked for while a client has sent half of its body and will never send the rest. The wait for it
+/// ends with the time for a body; without that limit the process would never stop.
+TEST(graceful_shutdown, a_half_sent_body_does_not_hold_it)
+{
+    echo_service echo;
+    dispatcher calls{access_table{}};
+    calls.mount(echo, role::anyone);
+    http_server http(calls, short_limits());
+    const auto address = value(http.open("127.0.0.1:0"));
+    raw_client client(address);
+    client.send(head(json_type + "Content-Length: 100\r\n") + "{");
+    http.close();
+    EXPECT_TRUE(refuses_connections(address));
+    EXPECT_EQ(parse(client.read_to_end()).status, 408);
+}
+
+} // namespace
+} // namespace vanillagauge::wire
