--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -20,7 +20,7 @@
     observe::metrics metrics;
     node::keeper_link keeper(loop, settings);
     auto targets = node::http_channels(loop);
-    node::target_directory directory;
+    node::target_directory directory(loop, {settings.entry_policy == config::entry_policy::adaptive});
     keeper.on_change([&] { directory.update(*keeper.current()); });
     const auto incarnation = node::new_incarnation();
     const entry::entry_context context{settings, loop, keeper, targets, directory, metrics, incarnation};
@@ -47,6 +47,7 @@
     }
     keeper.follow({"entry", incarnation, value(http_address), value(peer_address), false, 0});
     claims.start_expiry();
+    directory.poll_loads(targets);
     node::print_ready("vg-entry",
                       {{"http_address", value(http_address)}, {"peer_address", value(peer_address)}});
     node::wait_for_stop();
