--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,6 +1,7 @@
 /// vg-entry: the callers' front of one VM.
 
 #include "entry/entry_service.hpp"
+#include "entry/quarantine_exchange.hpp"
 #include "node/node.hpp"
 #include "observe/observe.hpp"
 #include "wire/wire.hpp"
@@ -27,6 +28,10 @@
     wire::http_server http(calls, {}, {{"/metrics", [&metrics] { return metrics.page(); }}});
     wire::dispatcher peer_calls(node::access_of(settings.tokens));
     wire::peer_server peers(loop, peer_calls);
+    auto crash_peers = node::peer_channels(loop);
+    entry::quarantine_exchange crashes({settings, loop, keeper, targets, directory, metrics, incarnation},
+                                       crash_peers);
+    peer_calls.mount(crashes, wire::role::peer);
 
     const auto http_address = http.open(settings.entry.http_listen);
     const auto peer_address = peers.open(settings.entry.peer_listen);
--- /dev/null
+++ b/src/entry/quarantine_exchange.cpp
@@ -0,0 +1,96 @@
+#include "entry/quarantine_exchange.hpp"
+
+#include "wire/call.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace vanillagauge::entry {
+namespace {
+
+/// A crash makes suspects of all requests in flight at the target; they go out in one message. A caller sends
+/// its request again after a second or so, so the news is ahead of it.
+constexpr milliseconds gather_time{50};
+/// All entries of today; in a larger fleet each one passes on what is new to it, so the news reaches nearly
+/// all in a few rounds and then stops by itself.
+constexpr std::size_t most_told = 8;
+constexpr milliseconds tell_timeout{2000};
+
+std::vector<std::string> other_entries(const node::view& view, const entry_context& self)
+{
+    std::vector<std::string> addresses;
+    for (const auto& member : view.nodes) {
+        for (const auto& process : member.info.processes) {
+            const bool own = member.info.vm == self.settings.vm && process.incarnation == self.incarnation;
+            if (process.role == "entry" && !own && !process.peer_address.empty()) {
+                addresses.push_back(process.peer_address);
+            }
+        }
+    }
+    return addresses;
+}
+
+v1::ShareCrashesRequest message_of(const std::vector<policy::crash_record>& records)
+{
+    v1::ShareCrashesRequest message;
+    for (const auto& record : records) {
+        auto* told = message.add_records();
+        told->set_fingerprint(record.fingerprint);
+        told->mutable_targets()->Add(record.targets.begin(), record.targets.end());
+        told->set_left_ms(record.left.count());
+    }
+    return message;
+}
+
+} // namespace
+
+quarantine_exchange::quarantine_exchange(const entry_context& context, node::channel_pool& peers)
+    : context_(context), peers_(peers)
+{
+    context_.directory.quarantine().on_news([this] { plan(); });
+}
+
+void quarantine_exchange::ShareCrashes(google::protobuf::RpcController* /*control*/,
+                                       const v1::ShareCrashesRequest* request,
+                                       v1::ShareCrashesReply* /*reply*/, google::protobuf::Closure* done)
+{
+    std::vector<policy::crash_record> records;
+    for (const auto& told : request->records()) {
+        records.push_back({told.fingerprint(),
+                           {told.targets().begin(), told.targets().end()},
+                           std::max(milliseconds{0}, milliseconds{told.left_ms()})});
+    }
+    context_.directory.quarantine().merge(records);
+    done->Run();
+}
+
+void quarantine_exchange::plan()
+{
+    const auto known = context_.directory.quarantine().shared().size();
+    context_.metrics.set("vg_entry_crash_records", static_cast<double>(known));
+    if (planned_.exchange(true)) {
+        return;
+    }
+    context_.loop.after(gather_time, [this] {
+        planned_ = false;
+        tell();
+    });
+}
+
+void quarantine_exchange::tell()
+{
+    thread_local std::mt19937_64 random{std::random_device{}()};
+    auto others = other_entries(*context_.keeper.current(), context_);
+    std::shuffle(others.begin(), others.end(), random);
+    others.resize(std::min(others.size(), most_told));
+    const auto message = message_of(context_.directory.quarantine().shared());
+    wire::call_options options;
+    options.timeout = tell_timeout;
+    options.token = context_.settings.tokens.peer;
+    for (const auto& address : others) {
+        wire::call<v1::ShareCrashesReply>(*peers_.at(address), wire::method<v1::EntryPeer>("ShareCrashes"),
+                                          message, options, [](const result<v1::ShareCrashesReply>&) {});
+    }
+}
+
+} // namespace vanillagauge::entry
--- /dev/null
+++ b/src/entry/quarantine_exchange.hpp
@@ -0,0 +1,30 @@
+/// Tells other entries which requests crash targets, and takes over what they tell.
+#ifndef VANILLAGAUGE_ENTRY_QUARANTINE_EXCHANGE_HPP
+#define VANILLAGAUGE_ENTRY_QUARANTINE_EXCHANGE_HPP
+
+#include "entry/entry_service.hpp"
+
+#include <atomic>
+
+namespace vanillagauge::entry {
+
+class quarantine_exchange final : public v1::EntryPeer {
+public:
+    /// All outlive it. Tells others from now on.
+    quarantine_exchange(const entry_context& context, node::channel_pool& peers);
+
+    void ShareCrashes(google::protobuf::RpcController* control, const v1::ShareCrashesRequest* request,
+                      v1::ShareCrashesReply* reply, google::protobuf::Closure* done) override;
+
+private:
+    entry_context context_;
+    node::channel_pool& peers_;
+    std::atomic<bool> planned_{false};
+
+    void plan();
+    void tell();
+};
+
+} // namespace vanillagauge::entry
+
+#endif
--- a/src/node/shared_quarantine.cpp
+++ b/src/node/shared_quarantine.cpp
@@ -4,8 +4,13 @@
 
 void shared_quarantine::on_crash(std::uint64_t fingerprint, const std::string& target)
 {
-    const std::lock_guard lock(mutex_);
-    held_.on_crash(fingerprint, target, steady::now());
+    {
+        const std::lock_guard lock(mutex_);
+        held_.on_crash(fingerprint, target, steady::now());
+    }
+    if (handler_) {
+        handler_();
+    }
 }
 
 void shared_quarantine::on_answer(std::uint64_t fingerprint)
@@ -16,8 +21,14 @@
 
 void shared_quarantine::merge(const std::vector<policy::crash_record>& records)
 {
-    const std::lock_guard lock(mutex_);
-    held_.merge(records, steady::now());
+    bool learnt = false;
+    {
+        const std::lock_guard lock(mutex_);
+        learnt = held_.merge(records, steady::now());
+    }
+    if (learnt && handler_) {
+        handler_();
+    }
 }
 
 result<done> shared_quarantine::check(std::uint64_t fingerprint) const
--- a/src/node/shared_quarantine.hpp
+++ b/src/node/shared_quarantine.hpp
@@ -4,6 +4,7 @@
 
 #include "policy/quarantine.hpp"
 
+#include <functional>
 #include <mutex>
 #include <string>
 
@@ -11,6 +12,9 @@
 
 class shared_quarantine {
 public:
+    /// Called, on any thread, after something new was learnt here or from another node.
+    void on_news(std::function<void()> handler) { handler_ = std::move(handler); }
+
     void on_crash(std::uint64_t fingerprint, const std::string& target);
     void on_answer(std::uint64_t fingerprint);
     void merge(const std::vector<policy::crash_record>& records);
@@ -19,6 +23,7 @@
     std::vector<policy::crash_record> shared() const;
 
 private:
+    std::function<void()> handler_;
     mutable std::mutex mutex_;
     policy::quarantine held_;
 };
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -44,17 +44,21 @@
     records_.erase(fingerprint);
 }
 
-void quarantine::merge(const std::vector<crash_record>& records, time_point now)
+bool quarantine::merge(const std::vector<crash_record>& records, time_point now)
 {
+    bool learnt = false;
     for (const auto& told : records) {
         if (!records_.contains(told.fingerprint)) {
             make_room(now);
         }
         auto& entry = records_[told.fingerprint];
+        const auto known = entry.targets.size();
         entry.targets.insert(told.targets.begin(), told.targets.end());
+        learnt = learnt || entry.targets.size() > known;
         const auto life = std::min<milliseconds>(told.left, record_life);
         entry.expires = std::max(entry.expires, now + life);
     }
+    return learnt;
 }
 
 result<done> quarantine::check(std::uint64_t fingerprint, time_point now) const
--- a/src/policy/quarantine.hpp
+++ b/src/policy/quarantine.hpp
@@ -29,7 +29,8 @@
     void on_crash(std::uint64_t fingerprint, std::string_view target, time_point now);
     /// The request was answered: it does not crash targets.
     void on_answer(std::uint64_t fingerprint);
-    void merge(const std::vector<crash_record>& records, time_point now);
+    /// Takes over what another node knows; true where that was new here.
+    bool merge(const std::vector<crash_record>& records, time_point now);
 
     /// An error with `quarantined` and `not_run`, or done.
     result<done> check(std::uint64_t fingerprint, time_point now) const;
