Say in settings errors what was expected and found, and split vgctl into commands and queries

Cause: valijson's texts name neither the expected type, range or choices nor, behind a reference, the rule; the stand-ins ended a wrong command line with TCLAP's own exit code, and the version stood in five places.

--- a/src/base/error.hpp
+++ b/src/base/error.hpp
@@ -40,6 +40,7 @@
     std::string detail{};
     milliseconds retry_after{0}; ///< 0: no advice
     std::string redirect{};      ///< the address to use instead, for wrong_node
+    std::string current{};       ///< the object as it stands, as JSON, for conflict
 };
 
 /// The code's name on the wire and in logs.
--- a/src/config/internal/schema_check.cpp
+++ b/src/config/internal/schema_check.cpp
@@ -1,5 +1,7 @@
 #include "config/internal/schema_check.hpp"
 
+#include "config/internal/expectation.hpp"
+
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
 #include <valijson/schema_parser.hpp>
@@ -11,28 +13,35 @@
 
 using nlohmann::json;
 
-/// `<root>[keeper][seeds]` as `/keeper/seeds`.
-std::string readable_path(const std::vector<std::string>& context)
+/// `<root>[keeper][seeds]` as a pointer to /keeper/seeds.
+json::json_pointer place_of(const std::vector<std::string>& context)
 {
-    std::string path;
+    json::json_pointer place;
     for (const auto& part : context) {
-        if (part == "<root>") {
-            continue;
+        if (part != "<root>") {
+            place.push_back(part.size() > 2 && part.front() == '[' ? part.substr(1, part.size() - 2) : part);
         }
-        path += "/" + (part.size() > 2 && part.front() == '[' ? part.substr(1, part.size() - 2) : part);
     }
-    return path.empty() ? "/" : path;
+    return place;
 }
 
-std::string found_at(const json& whole, const std::string& path)
+/// Outer values are wrong only because an inner one is, so the deepest place is the one to name.
+json::json_pointer deepest_place(valijson::ValidationResults& problems)
 {
-    constexpr std::size_t longest = 80;
-    try {
-        return whole.at(json::json_pointer(path == "/" ? "" : path)).dump().substr(0, longest);
-    }
-    catch (const json::exception&) {
-        return "nothing";
+    std::vector<std::string> deepest;
+    valijson::ValidationResults::Error problem;
+    while (problems.popError(problem)) {
+        if (problem.context.size() > deepest.size()) {
+            deepest = problem.context;
+        }
     }
+    return place_of(deepest);
+}
+
+std::string describe_problem(const json& schema, const json& document, const json::json_pointer& place)
+{
+    const auto path = place.empty() ? "/" : place.to_string();
+    return "at " + path + ": " + expectation(schema, schema_at(schema, place), document.at(place));
 }
 
 } // namespace
@@ -56,13 +65,8 @@
     if (validator.validate(parsed_schema, valijson::adapters::NlohmannJsonAdapter(document), &problems)) {
         return document;
     }
-    // The last problem is the outermost summary; the first names the innermost place.
-    valijson::ValidationResults::Error problem;
-    problems.popError(problem);
-    const auto path = readable_path(problem.context);
     return error{error_code::invalid_argument, run_state::not_run,
-                 origin + ": at " + path + ": " + problem.description +
-                     " Found: " + found_at(document, path)};
+                 origin + ": " + describe_problem(schema_document, document, deepest_place(problems))};
 }
 
 } // namespace vanillagauge::config::internal
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -15,8 +15,9 @@
   "additionalProperties": false,
   "required": ["vm", "failure_domain", "platform", "tokens", "keeper"],
   "definitions": {
-    "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+:[0-9]{1,5}$"},
-    "token": {"type": "string", "minLength": 8},
+    "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+:[0-9]{1,5}$",
+                "description": "an address as IP:PORT"},
+    "token": {"type": "string", "minLength": 8, "description": "a token of at least 8 characters"},
     "listen": {
       "type": "object",
       "additionalProperties": false,
--- a/src/config/specs.cpp
+++ b/src/config/specs.cpp
@@ -25,7 +25,8 @@
         "required": ["id", "address", "failure_domain"],
         "properties": {
           "id": {"type": "string", "minLength": 1},
-          "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+:[0-9]{1,5}$"},
+          "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+:[0-9]{1,5}$",
+                "description": "an address as IP:PORT"},
           "failure_domain": {"type": "string", "minLength": 1},
           "leaving": {"type": "boolean"}
         }
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -1,67 +1,18 @@
 #include "ctl/commands.hpp"
 
-#include "wire/call.hpp"
-
-#include "vanillagauge.pb.h"
+#include "ctl/format.hpp"
+#include "ctl/object_file.hpp"
 
 #include <nlohmann/json.hpp>
 
-#include <fstream>
-#include <iomanip>
-#include <sstream>
+#include <thread>
 
 namespace vanillagauge::ctl {
 namespace {
 
-using nlohmann::json;
-
-constexpr milliseconds command_timeout{10000};
-
-wire::call_options options(const session& to)
-{
-    wire::call_options chosen;
-    chosen.timeout = command_timeout;
-    chosen.token = to.token;
-    return chosen;
-}
-
-template <class Response>
-result<Response> ask(const session& to, const char* method, const google::protobuf::Message& request)
-{
-    return wire::call_and_wait<Response>(to.link, wire::method<v1::Operator>(method), request, options(to));
-}
-
-std::string pretty(const google::protobuf::Message& message)
-{
-    return json::parse(wire::encode(wire::codec::json, message)).dump(2) + "\n";
-}
-
-std::string row(std::initializer_list<std::string> cells)
-{
-    constexpr int width = 22;
-    std::ostringstream text;
-    for (const auto& cell : cells) {
-        text << std::left << std::setw(width) << cell << ' ';
-    }
-    auto line = text.str();
-    line.erase(line.find_last_not_of(' ') + 1);
-    return line + "\n";
-}
-
-result<json> read_file(const std::string& file)
-{
-    std::ifstream in(file);
-    if (!in) {
-        return error{error_code::not_found, run_state::not_run, file + ": expected a readable file"};
-    }
-    const auto parsed = json::parse(in, nullptr, false);
-    if (parsed.is_discarded()) {
-        return error{error_code::invalid_argument, run_state::not_run, file + ": expected JSON"};
-    }
-    return parsed.is_array() ? parsed : json::array({parsed});
-}
+constexpr milliseconds poll_pause{200};
 
-/// The version the store holds, for a file that names none; 0 where there is no object.
+/// The version the keeper holds, for a change that names none; 0 where there is no object.
 result<std::uint64_t> held_version(const session& to, const std::string& kind, const std::string& name)
 {
     v1::GetRequest request;
@@ -77,87 +28,140 @@
     return failure(reply);
 }
 
-printed apply_one(const session& to, const json& item)
+/// The version that the change is conditional on. A change that lands between this read and the apply makes
+/// the apply a conflict, so it is never overwritten unseen.
+result<std::uint64_t> base_version(const session& to, const declared_object& declared,
+                                   const std::optional<std::uint64_t>& chosen)
 {
-    v1::ApplyRequest request;
-    const auto decoded = wire::decode(wire::codec::json, item.dump(), *request.mutable_object());
-    if (!ok(decoded)) {
-        return failure(decoded);
-    }
-    auto& object = *request.mutable_object();
-    if (!item.contains("version")) {
-        const auto held = held_version(to, object.kind(), object.name());
-        if (!ok(held)) {
-            return failure(held);
-        }
-        object.set_version(value(held));
+    if (chosen) {
+        return *chosen;
+    }
+    if (declared.versioned) {
+        return std::uint64_t{declared.object.version()};
+    }
+    return held_version(to, declared.object.kind(), declared.object.name());
+}
+
+result<v1::Object> apply_one(const session& to, const declared_object& declared,
+                             const std::optional<std::uint64_t>& version)
+{
+    const auto base = base_version(to, declared, version);
+    if (!ok(base)) {
+        return failure(base);
     }
+    v1::ApplyRequest request;
+    *request.mutable_object() = declared.object;
+    request.mutable_object()->set_version(value(base));
     const auto reply = ask<v1::ApplyReply>(to, "Apply", request);
-    if (!ok(reply)) {
-        return failure(reply);
+    if (ok(reply)) {
+        return value(reply).object();
     }
+    auto refused = failure(reply);
+    if (refused.code == error_code::conflict) {
+        refused.detail += "\nyours:   " + compact(request.object());
+        refused.detail += "current: " + (refused.current.empty() ? "none" : refused.current);
+    }
+    return refused;
+}
+
+void print(const session& to, const v1::Object& object)
+{
     if (to.form == output::json) {
-        return pretty(value(reply));
+        to.out << compact(object);
+        return;
     }
-    return object.kind() + "/" + object.name() + " version " +
-           std::to_string(value(reply).object().version()) + "\n";
+    to.out << object.kind() << "/" << object.name() << " version " << object.version() << "\n";
 }
 
-} // namespace
+struct spread {
+    int holding = 0;
+    int alive = 0;
+    std::string missing;
+};
 
-printed apply(const session& to, const std::string& file)
+spread spread_of(const v1::StatusReply& status, std::uint64_t version)
 {
-    const auto items = read_file(file);
-    if (!ok(items)) {
-        return failure(items);
-    }
-    std::string text;
-    for (const auto& item : value(items)) {
-        const auto applied = apply_one(to, item);
-        if (!ok(applied)) {
-            return failure(applied);
+    spread found;
+    for (const auto& node : status.nodes()) {
+        const bool holds = node.info().config_revision() >= version;
+        found.holding += holds ? 1 : 0;
+        found.alive += node.state() == "alive" ? 1 : 0;
+        if (!holds) {
+            found.missing += (found.missing.empty() ? "" : ", ") + node.info().vm() + " (" + node.state() +
+                             ", at version " + std::to_string(node.info().config_revision()) + ")";
         }
-        text += value(applied);
     }
-    return text;
+    return found;
 }
 
-printed get(const session& to, const std::string& kind, const std::string& name)
+bool all_alive_hold(const v1::StatusReply& status, std::uint64_t version)
 {
-    v1::GetRequest request;
-    request.set_kind(kind);
-    request.set_name(name);
-    const auto reply = ask<v1::GetReply>(to, "Get", request);
-    if (!ok(reply)) {
-        return failure(reply);
+    for (const auto& node : status.nodes()) {
+        if (node.state() == "alive" && node.info().config_revision() < version) {
+            return false;
+        }
     }
-    return pretty(value(reply).object());
+    return true;
 }
 
-printed list(const session& to, const std::string& kind)
+result<done> wait_until_held(const session& to, std::uint64_t version, milliseconds longest)
 {
-    v1::ListRequest request;
-    request.set_kind(kind);
-    const auto reply = ask<v1::ListReply>(to, "List", request);
-    if (!ok(reply)) {
-        return failure(reply);
+    const auto deadline = steady::now() + longest;
+    while (true) {
+        const auto status = ask<v1::StatusReply>(to, "Status", v1::StatusRequest{});
+        if (!ok(status)) {
+            return failure(status);
+        }
+        const bool held = all_alive_hold(value(status), version);
+        const bool late = steady::now() >= deadline;
+        if (!held && !late) {
+            std::this_thread::sleep_for(poll_pause);
+            continue;
+        }
+        const auto found = spread_of(value(status), version);
+        const auto line = "version " + std::to_string(version) + " is held by " +
+                          std::to_string(found.holding) + " of " +
+                          std::to_string(value(status).nodes_size()) + " VMs" +
+                          (found.missing.empty() ? "" : "; not by " + found.missing);
+        if (!held) {
+            return error{error_code::deadline_exceeded, run_state::ran, "accepted, but " + line};
+        }
+        if (to.form == output::table) {
+            to.out << line << "\n";
+        }
+        return done{};
     }
-    if (to.form == output::json) {
-        return pretty(value(reply));
+}
+
+} // namespace
+
+result<done> apply(const session& to, const apply_options& options)
+{
+    const auto objects = read_objects(options.file);
+    if (!ok(objects)) {
+        return failure(objects);
     }
-    std::string text = row({"KIND", "NAME", "VERSION"});
-    for (const auto& object : value(reply).objects()) {
-        text += row({object.kind(), object.name(), std::to_string(object.version())});
+    std::uint64_t newest = 0;
+    for (const auto& declared : value(objects)) {
+        const auto applied = apply_one(to, declared, options.version);
+        if (!ok(applied)) {
+            return failure(applied);
+        }
+        print(to, value(applied));
+        newest = std::max(newest, std::uint64_t{value(applied).version()});
     }
-    return text;
+    return options.wait ? wait_until_held(to, newest, options.wait_time) : result<done>(done{});
 }
 
-printed remove(const session& to, const std::string& kind, const std::string& name)
+result<done> remove(const session& to, const std::string& kind, const std::string& name)
 {
     const auto held = held_version(to, kind, name);
     if (!ok(held)) {
         return failure(held);
     }
+    if (value(held) == 0) {
+        return error{error_code::not_found, run_state::not_run, "no object " + kind + "/" + name};
+    }
     v1::DeleteRequest request;
     request.set_kind(kind);
     request.set_name(name);
@@ -166,47 +170,16 @@
     if (!ok(reply)) {
         return failure(reply);
     }
-    return kind + "/" + name + " deleted\n";
-}
-
-printed status(const session& to)
-{
-    const auto reply = ask<v1::StatusReply>(to, "Status", v1::StatusRequest{});
-    if (!ok(reply)) {
-        return failure(reply);
-    }
     if (to.form == output::json) {
-        return pretty(value(reply));
-    }
-    std::string text = "seen from " + value(reply).vm() + ", store " + value(reply).store() + "\n";
-    text += row({"VM", "FAILURE_DOMAIN", "STATE", "DRAINING", "PROCESSES"});
-    for (const auto& node : value(reply).nodes()) {
-        std::string processes;
-        for (const auto& process : node.info().processes()) {
-            processes += (processes.empty() ? "" : ",") + process.role();
-        }
-        text += row({node.info().vm(), node.info().failure_domain(), node.state(),
-                     node.info().draining() ? "yes" : "no", processes});
+        to.out << compact(value(reply));
     }
-    return text;
-}
-
-printed explain(const session& to, const std::string& subject)
-{
-    v1::ExplainRequest request;
-    request.set_subject(subject);
-    const auto reply = ask<v1::ExplainReply>(to, "Explain", request);
-    if (!ok(reply)) {
-        return failure(reply);
+    else {
+        to.out << kind << "/" << name << " deleted\n";
     }
-    std::string text;
-    for (const auto& line : value(reply).lines()) {
-        text += line + "\n";
-    }
-    return text;
+    return done{};
 }
 
-printed drain(const session& to, const std::string& vm)
+result<done> drain(const session& to, const std::string& vm)
 {
     v1::DrainRequest request;
     request.set_vm(vm);
@@ -214,7 +187,13 @@
     if (!ok(reply)) {
         return failure(reply);
     }
-    return vm + " is draining; delete drain/" + vm + " to take it back\n";
+    if (to.form == output::json) {
+        to.out << compact(value(reply));
+    }
+    else {
+        to.out << vm << " is draining; `vgctl delete drain " << vm << "` takes it back\n";
+    }
+    return done{};
 }
 
 } // namespace vanillagauge::ctl
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -1,33 +1,26 @@
-/// The commands of vgctl, each on a channel to a keeper's operator address.
+/// The commands of vgctl that change the configuration.
 #ifndef VANILLAGAUGE_CTL_COMMANDS_HPP
 #define VANILLAGAUGE_CTL_COMMANDS_HPP
 
-#include "base/base.hpp"
-#include "wire/channel.hpp"
+#include "ctl/session.hpp"
 
+#include <cstdint>
+#include <optional>
 #include <string>
-#include <vector>
 
 namespace vanillagauge::ctl {
 
-enum class output { table, json };
-
-struct session {
-    wire::channel& link;
-    std::string token;
-    output form = output::table;
+struct apply_options {
+    std::string file;
+    std::optional<std::uint64_t> version; ///< the version the change was made from; before the file's own
+    bool wait = false;                    ///< until every live VM holds it
+    milliseconds wait_time{30000};
 };
 
-/// What a command prints.
-using printed = result<std::string>;
-
-printed apply(const session& to, const std::string& file);
-printed get(const session& to, const std::string& kind, const std::string& name);
-printed list(const session& to, const std::string& kind);
-printed remove(const session& to, const std::string& kind, const std::string& name);
-printed status(const session& to);
-printed explain(const session& to, const std::string& subject);
-printed drain(const session& to, const std::string& vm);
+/// Stops at the first object that is refused; what was accepted before it has been printed.
+result<done> apply(const session& to, const apply_options& options);
+result<done> remove(const session& to, const std::string& kind, const std::string& name);
+result<done> drain(const session& to, const std::string& vm);
 
 } // namespace vanillagauge::ctl
 
--- /dev/null
+++ b/src/ctl/session.hpp
@@ -0,0 +1,37 @@
+/// What every command of vgctl works on: a channel to a keeper, and where and how it prints.
+#ifndef VANILLAGAUGE_CTL_SESSION_HPP
+#define VANILLAGAUGE_CTL_SESSION_HPP
+
+#include "wire/call.hpp"
+
+#include "vanillagauge.pb.h"
+
+#include <ostream>
+#include <string>
+
+namespace vanillagauge::ctl {
+
+enum class output { table, json };
+
+struct session {
+    wire::channel& link;
+    std::string token;
+    output form = output::table;
+    std::ostream& out;
+};
+
+constexpr milliseconds command_timeout{10000};
+
+template <class Response>
+result<Response> ask(const session& to, const char* method, const google::protobuf::Message& request,
+                     milliseconds timeout = command_timeout)
+{
+    wire::call_options options;
+    options.timeout = timeout;
+    options.token = to.token;
+    return wire::call_and_wait<Response>(to.link, wire::method<v1::Operator>(method), request, options);
+}
+
+} // namespace vanillagauge::ctl
+
+#endif
--- /dev/null
+++ b/src/ctl/span_tree.cpp
@@ -0,0 +1,241 @@
+#include "ctl/span_tree.hpp"
+
+#include "ctl/format.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace vanillagauge::ctl {
+namespace {
+
+using nlohmann::json;
+using std::chrono::nanoseconds;
+
+constexpr std::size_t trace_id_start = 3;
+constexpr std::size_t trace_id_digits = 32;
+constexpr int json_indent = 2;
+
+std::vector<std::pair<std::string, std::string>> attributes_of(const json& holder)
+{
+    std::vector<std::pair<std::string, std::string>> found;
+    for (const auto& item : holder.value("attributes", json::array())) {
+        found.emplace_back(item.at("key").get<std::string>(),
+                           item.at("value").value("stringValue", std::string()));
+    }
+    return found;
+}
+
+std::string attribute(const json& holder, const std::string& key)
+{
+    for (const auto& [name, text] : attributes_of(holder)) {
+        if (name == key) {
+            return text;
+        }
+    }
+    return "";
+}
+
+nanoseconds time_of(const json& span, const char* key)
+{
+    return nanoseconds{std::stoll(span.at(key).get<std::string>())};
+}
+
+void take_spans(const json& resource, std::vector<span_record>& into)
+{
+    for (const auto& scope : resource.at("scopeSpans")) {
+        for (const auto& span : scope.at("spans")) {
+            span_record record;
+            record.trace_id = span.at("traceId").get<std::string>();
+            record.span_id = span.at("spanId").get<std::string>();
+            record.parent_id = span.value("parentSpanId", "");
+            record.name = span.at("name").get<std::string>();
+            record.program = attribute(resource.at("resource"), "service.name");
+            record.vm = attribute(resource.at("resource"), "vm");
+            record.start = time_of(span, "startTimeUnixNano");
+            record.end = time_of(span, "endTimeUnixNano");
+            record.notes = attributes_of(span);
+            into.push_back(std::move(record));
+        }
+    }
+}
+
+void take_line(const std::string& line, std::vector<span_record>& into)
+{
+    try {
+        for (const auto& resource : json::parse(line).at("resourceSpans")) {
+            take_spans(resource, into);
+        }
+    }
+    catch (const std::exception&) { // NOLINT(bugprone-empty-catch): no whole span on this line
+    }
+}
+
+std::string milliseconds_text(nanoseconds time)
+{
+    constexpr int width = 24;
+    constexpr double nanoseconds_in_one = 1e6;
+    std::array<char, width> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(time.count()) / nanoseconds_in_one);
+    return text.data();
+}
+
+std::string notes_text(const span_record& span)
+{
+    std::string text;
+    for (const auto& [key, note] : span.notes) {
+        text += (text.empty() ? "" : ", ") + key + "=" + note;
+    }
+    return text;
+}
+
+using children_index = std::multimap<std::string, const span_record*>;
+
+/// `taken` keeps a file with a cycle of parents from making an endless tree.
+hop grow(const span_record& span, const children_index& children, std::set<std::string>& taken)
+{
+    hop grown{span, {}};
+    const auto [first, last] = children.equal_range(span.span_id);
+    for (auto place = first; place != last; ++place) {
+        if (taken.insert(place->second->span_id).second) {
+            grown.children.push_back(grow(*place->second, children, taken));
+        }
+    }
+    std::sort(grown.children.begin(), grown.children.end(),
+              [](const hop& left, const hop& right) { return left.span.start < right.span.start; });
+    return grown;
+}
+
+void add_rows(const hop& at, std::size_t depth, nanoseconds zero, std::vector<std::vector<std::string>>& rows)
+{
+    const auto& span = at.span;
+    rows.push_back({std::string(2 * depth, ' ') + span.name, span.program, span.vm,
+                    "+" + milliseconds_text(span.start - zero), milliseconds_text(span.end - span.start),
+                    notes_text(span)});
+    for (const auto& child : at.children) {
+        add_rows(child, depth + 1, zero, rows);
+    }
+}
+
+json to_json(const hop& at)
+{
+    json notes = json::array();
+    for (const auto& [key, note] : at.span.notes) {
+        notes.push_back({{"key", key}, {"value", note}});
+    }
+    json children = json::array();
+    for (const auto& child : at.children) {
+        children.push_back(to_json(child));
+    }
+    return {{"name", at.span.name},
+            {"span_id", at.span.span_id},
+            {"program", at.span.program},
+            {"vm", at.span.vm},
+            {"start_ns", at.span.start.count()},
+            {"duration_ns", (at.span.end - at.span.start).count()},
+            {"notes", notes},
+            {"children", children}};
+}
+
+} // namespace
+
+std::vector<span_record> parse_spans(const std::string& text)
+{
+    std::vector<span_record> spans;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        take_line(line, spans);
+    }
+    return spans;
+}
+
+result<std::vector<span_record>> read_spans(const std::vector<std::string>& files)
+{
+    std::vector<span_record> spans;
+    for (const auto& file : files) {
+        std::ifstream in(file);
+        if (!in) {
+            return error{error_code::not_found, run_state::not_run, file + ": expected a readable file"};
+        }
+        const std::string text{std::istreambuf_iterator<char>(in), {}};
+        const auto read = parse_spans(text);
+        spans.insert(spans.end(), read.begin(), read.end());
+    }
+    return spans;
+}
+
+std::optional<std::string> find_trace(const std::vector<span_record>& spans, const std::string& id)
+{
+    const bool header = id.size() > trace_id_start + trace_id_digits && id[2] == '-';
+    const auto wanted = header ? id.substr(trace_id_start, trace_id_digits) : id;
+    for (const auto& span : spans) {
+        if (span.trace_id == wanted) {
+            return span.trace_id;
+        }
+    }
+    for (const auto& span : spans) {
+        for (const auto& [key, note] : span.notes) {
+            if (key == "request_id" && note == id) {
+                return span.trace_id;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<hop> tree_of(const std::vector<span_record>& spans, const std::string& trace_id)
+{
+    children_index children;
+    std::set<std::string> known;
+    std::vector<const span_record*> members;
+    for (const auto& span : spans) {
+        if (span.trace_id == trace_id) {
+            members.push_back(&span);
+            known.insert(span.span_id);
+            children.emplace(span.parent_id, &span);
+        }
+    }
+    std::sort(members.begin(), members.end(),
+              [](const span_record* left, const span_record* right) { return left->start < right->start; });
+    std::set<std::string> taken;
+    std::vector<hop> roots;
+    for (const auto* span : members) {
+        if (!known.contains(span->parent_id) && taken.insert(span->span_id).second) {
+            roots.push_back(grow(*span, children, taken));
+        }
+    }
+    for (const auto* span : members) {
+        if (taken.insert(span->span_id).second) {
+            roots.push_back(grow(*span, children, taken));
+        }
+    }
+    return roots;
+}
+
+std::string text_tree(const std::string& trace_id, const std::vector<hop>& hops)
+{
+    std::vector<std::vector<std::string>> rows{
+        {"HOP", "PROGRAM", "VM", "START_MS", "DURATION_MS", "DECISIONS"}};
+    for (const auto& root : hops) {
+        add_rows(root, 0, hops.front().span.start, rows);
+    }
+    return "trace " + trace_id + "\n" + table(rows);
+}
+
+std::string json_tree(const std::string& trace_id, const std::vector<hop>& hops)
+{
+    json roots = json::array();
+    for (const auto& root : hops) {
+        roots.push_back(to_json(root));
+    }
+    return json{{"trace_id", trace_id}, {"hops", roots}}.dump(json_indent) + "\n";
+}
+
+} // namespace vanillagauge::ctl
--- /dev/null
+++ b/src/ctl/span_tree.hpp
@@ -0,0 +1,46 @@
+/// The spans of one trace as a tree of hops, from files of OTLP JSON lines.
+#ifndef VANILLAGAUGE_CTL_SPAN_TREE_HPP
+#define VANILLAGAUGE_CTL_SPAN_TREE_HPP
+
+#include "base/base.hpp"
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace vanillagauge::ctl {
+
+struct span_record {
+    std::string trace_id;
+    std::string span_id;
+    std::string parent_id;
+    std::string name;
+    std::string program;
+    std::string vm;
+    std::chrono::nanoseconds start{0}; ///< since 1970
+    std::chrono::nanoseconds end{0};
+    std::vector<std::pair<std::string, std::string>> notes; ///< decisions, in the order they were taken
+};
+
+struct hop {
+    span_record span;
+    std::vector<hop> children; ///< by start
+};
+
+/// Spans of one text. Lines that are no spans are passed over: a program that was killed leaves half a line.
+std::vector<span_record> parse_spans(const std::string& text);
+result<std::vector<span_record>> read_spans(const std::vector<std::string>& files);
+
+/// `id` is a trace id, a traceparent, or the request id of a call.
+std::optional<std::string> find_trace(const std::vector<span_record>& spans, const std::string& id);
+
+/// The outermost hops. A span whose parent is missing stands there too.
+std::vector<hop> tree_of(const std::vector<span_record>& spans, const std::string& trace_id);
+
+std::string text_tree(const std::string& trace_id, const std::vector<hop>& hops);
+std::string json_tree(const std::string& trace_id, const std::vector<hop>& hops);
+
+} // namespace vanillagauge::ctl
+
+#endif
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -13,8 +13,6 @@
 namespace vanillagauge::node {
 namespace {
 
-constexpr const char* version_text = "0.1.0";
-
 struct arguments {
     std::string settings_file;
     bool check = false;
@@ -22,22 +20,14 @@
 
 std::variant<arguments, exit_now> parse_arguments(const std::string& program, int argc, char** argv)
 {
-    try {
-        TCLAP::CmdLine line(program + " of vanillagauge; see docs/settings.md", ' ', version_text);
-        line.setExceptionHandling(false);
-        const TCLAP::ValueArg<std::string> file("s", "settings", "The VM's settings file", true, "", "FILE",
-                                                line);
-        const TCLAP::SwitchArg check("c", "check", "Check the settings and exit", line);
-        line.parse(argc, argv);
-        return arguments{file.getValue(), check.getValue()};
-    }
-    catch (const TCLAP::ExitException& end) {
-        return exit_now{end.getExitStatus() == 0 ? exit_success : exit_usage};
-    }
-    catch (const TCLAP::ArgException& wrong) {
-        std::cerr << program << ": " << wrong.error() << " " << wrong.argId() << " (try --help)\n";
-        return exit_now{exit_usage};
+    TCLAP::CmdLine line(program + " of vanillagauge; see docs/settings.md", ' ', version());
+    const TCLAP::ValueArg<std::string> file("s", "settings", "The VM's settings file", true, "", "FILE",
+                                            line);
+    const TCLAP::SwitchArg check("c", "check", "Check the settings and exit", line);
+    if (const auto end = parse_command_line(line, argc, argv)) {
+        return *end;
     }
+    return arguments{file.getValue(), check.getValue()};
 }
 
 observe::log_level to_level(const std::string& text)
@@ -86,6 +76,28 @@
     return std::move(settings);
 }
 
+const char* version()
+{
+    return VANILLAGAUGE_VERSION;
+}
+
+std::optional<exit_now> parse_command_line(TCLAP::CmdLine& line, int argc, char** argv)
+{
+    line.setExceptionHandling(false);
+    try {
+        line.parse(argc, argv);
+        return std::nullopt;
+    }
+    catch (const TCLAP::ExitException& end) {
+        return exit_now{end.getExitStatus() == 0 ? exit_success : exit_usage};
+    }
+    catch (const TCLAP::ArgException& wrong) {
+        std::cerr << line.getProgramName() << ": " << wrong.error() << " " << wrong.argId()
+                  << " (try --help)\n";
+        return exit_now{exit_usage};
+    }
+}
+
 void block_stop_signals()
 {
     const auto set = stop_signals();
--- a/src/node/program.hpp
+++ b/src/node/program.hpp
@@ -6,10 +6,15 @@
 #include "wire/access.hpp"
 
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
 
+namespace TCLAP {
+class CmdLine;
+}
+
 namespace vanillagauge::node {
 
 /// Exit codes of every program.
@@ -27,6 +32,12 @@
 /// thread and all that it starts, so call it first.
 std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv);
 
+/// The project's version, from the build.
+const char* version();
+
+/// Parses a command line that is the program's own: prints help, version or what is wrong. Empty: go on.
+std::optional<exit_now> parse_command_line(TCLAP::CmdLine& line, int argc, char** argv);
+
 /// Blocks SIGTERM and SIGINT and ignores SIGPIPE, for programs with a command line of their own.
 void block_stop_signals();
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -164,6 +164,7 @@
     message.set_detail(valid_utf8(failure.detail));
     message.set_retry_after_ms(failure.retry_after.count());
     message.set_redirect(failure.redirect);
+    message.set_current(failure.current);
     return message;
 }
 
@@ -181,6 +182,7 @@
     failure.detail = message.detail();
     failure.retry_after = milliseconds{message.retry_after_ms()};
     failure.redirect = message.redirect();
+    failure.current = message.current();
     return failure;
 }
 
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -10,11 +10,13 @@
 int main(int argc, char** argv)
 {
     using namespace vanillagauge;
-    TCLAP::CmdLine line("Stand-in for the platform", ' ', "0.1.0");
+    TCLAP::CmdLine line("Stand-in for the platform", ' ', node::version());
     const TCLAP::ValueArg<std::string> listen("l", "listen", "Address", false, "127.0.0.1:0", "IP:PORT",
                                               line);
     const TCLAP::ValueArg<int> rate("r", "fetches", "Weight fetches granted a second", false, 10, "N", line);
-    line.parse(argc, argv);
+    if (const auto end = node::parse_command_line(line, argc, argv)) {
+        return end->code;
+    }
     node::block_stop_signals();
     wire::set_http_threads(8);
 
--- a/standins/target/main.cpp
+++ b/standins/target/main.cpp
@@ -12,7 +12,7 @@
 int main(int argc, char** argv)
 {
     using namespace vanillagauge;
-    TCLAP::CmdLine line("Stand-in for a target", ' ', "0.1.0");
+    TCLAP::CmdLine line("Stand-in for a target", ' ', node::version());
     const TCLAP::ValueArg<std::string> listen("l", "listen", "Address", false, "127.0.0.1:0", "IP:PORT",
                                               line);
     const TCLAP::ValueArg<std::string> kind("k", "kind", "engine or service", true, "", "KIND", line);
@@ -27,7 +27,9 @@
     const TCLAP::ValueArg<int> first_version("", "weights", "Engine: version at start", false, 1, "N", line);
     const TCLAP::ValueArg<int> seed("", "seed", "Seed of lengths and texts", false, 1, "N", line);
     const TCLAP::SwitchArg fencing("", "enforce-fencing", "Engine: refuse orders with an old number", line);
-    line.parse(argc, argv);
+    if (const auto end = node::parse_command_line(line, argc, argv)) {
+        return end->code;
+    }
     node::block_stop_signals();
     wire::set_http_threads(4);
 
--- a/standins/trainer/main.cpp
+++ b/standins/trainer/main.cpp
@@ -175,7 +175,7 @@
 
 int main(int argc, char** argv)
 {
-    TCLAP::CmdLine line("Stand-in for a trainer", ' ', "0.1.0");
+    TCLAP::CmdLine line("Stand-in for a trainer", ' ', node::version());
     const TCLAP::ValueArg<std::string> job("j", "job", "Job to train", true, "", "NAME", line);
     const TCLAP::MultiArg<std::string> addresses("r", "rollout", "Addresses of vg-rollout", true, "IP:PORT",
                                                  line);
@@ -186,7 +186,9 @@
     const TCLAP::ValueArg<int> version("", "weights", "Version at start", false, 1, "N", line);
     const TCLAP::ValueArg<int> give_up("", "give-up-s", "Longest run", false, 120, "S", line);
     const TCLAP::ValueArg<std::string> out("o", "out", "File for the summary", false, "", "FILE", line);
-    line.parse(argc, argv);
+    if (const auto end = node::parse_command_line(line, argc, argv)) {
+        return end->code;
+    }
 
     trainer_options options;
     options.job = job.getValue();
