--- a/src/config/internal/expectation.cpp
+++ b/src/config/internal/expectation.cpp
@@ -172,7 +172,7 @@
 {
     const auto rules = resolved(schema, unresolved);
     if (found.is_object() && rules.value("type", "") == "object") {
-        const auto problem = key_problem(rules, found);
+        auto problem = key_problem(rules, found);
         if (!problem.empty()) {
             return problem;
         }
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -3,15 +3,9 @@
 #include "ctl/format.hpp"
 #include "ctl/object_file.hpp"
 
-#include <nlohmann/json.hpp>
-
-#include <thread>
-
 namespace vanillagauge::ctl {
 namespace {
 
-constexpr milliseconds poll_pause{200};
-
 /// The version the keeper holds, for a change that names none; 0 where there is no object.
 result<std::uint64_t> held_version(const session& to, const std::string& kind, const std::string& name)
 {
@@ -59,7 +53,7 @@
     auto refused = failure(reply);
     if (refused.code == error_code::conflict) {
         refused.detail += "\nyours:   " + compact(request.object());
-        refused.detail += "current: " + (refused.current.empty() ? "none" : refused.current);
+        refused.detail += "current: " + (refused.current.empty() ? std::string("none") : refused.current);
     }
     return refused;
 }
@@ -73,64 +67,38 @@
     to.out << object.kind() << "/" << object.name() << " version " << object.version() << "\n";
 }
 
-struct spread {
-    int holding = 0;
-    int alive = 0;
-    std::string missing;
-};
-
-spread spread_of(const v1::StatusReply& status, std::uint64_t version)
+std::string joined(const google::protobuf::RepeatedPtrField<std::string>& words)
 {
-    spread found;
-    for (const auto& node : status.nodes()) {
-        const bool holds = node.info().config_revision() >= version;
-        found.holding += holds ? 1 : 0;
-        found.alive += node.state() == "alive" ? 1 : 0;
-        if (!holds) {
-            found.missing += (found.missing.empty() ? "" : ", ") + node.info().vm() + " (" + node.state() +
-                             ", at version " + std::to_string(node.info().config_revision()) + ")";
-        }
+    std::string text;
+    for (const auto& word : words) {
+        text += (text.empty() ? "" : ", ") + word;
     }
-    return found;
+    return text;
 }
 
-bool all_alive_hold(const v1::StatusReply& status, std::uint64_t version)
+result<done> wait_until_held(const session& to, const v1::Object& object, milliseconds longest)
 {
-    for (const auto& node : status.nodes()) {
-        if (node.state() == "alive" && node.info().config_revision() < version) {
-            return false;
-        }
+    v1::SpreadRequest request;
+    request.set_kind(object.kind());
+    request.set_name(object.name());
+    request.set_version(object.version());
+    request.set_wait_ms(longest.count());
+    const auto reply = ask<v1::SpreadReply>(to, "Spread", request, longest + command_timeout);
+    if (!ok(reply)) {
+        return failure(reply);
     }
-    return true;
-}
-
-result<done> wait_until_held(const session& to, std::uint64_t version, milliseconds longest)
-{
-    const auto deadline = steady::now() + longest;
-    while (true) {
-        const auto status = ask<v1::StatusReply>(to, "Status", v1::StatusRequest{});
-        if (!ok(status)) {
-            return failure(status);
-        }
-        const bool held = all_alive_hold(value(status), version);
-        const bool late = steady::now() >= deadline;
-        if (!held && !late) {
-            std::this_thread::sleep_for(poll_pause);
-            continue;
-        }
-        const auto found = spread_of(value(status), version);
-        const auto line = "version " + std::to_string(version) + " is held by " +
-                          std::to_string(found.holding) + " of " +
-                          std::to_string(value(status).nodes_size()) + " VMs" +
-                          (found.missing.empty() ? "" : "; not by " + found.missing);
-        if (!held) {
-            return error{error_code::deadline_exceeded, run_state::ran, "accepted, but " + line};
-        }
-        if (to.form == output::table) {
-            to.out << line << "\n";
-        }
-        return done{};
+    const auto& seen = value(reply);
+    const auto line = object.kind() + "/" + object.name() + " version " + std::to_string(object.version()) +
+                      " is held by " + std::to_string(seen.holding()) + " of " +
+                      std::to_string(seen.nodes()) + " live VMs";
+    if (seen.holding() < seen.nodes()) {
+        return error{error_code::deadline_exceeded, run_state::ran,
+                     "accepted, but " + line + "; not by " + joined(seen.missing())};
+    }
+    if (to.form == output::table) {
+        to.out << line << "\n";
     }
+    return done{};
 }
 
 } // namespace
@@ -141,16 +109,25 @@
     if (!ok(objects)) {
         return failure(objects);
     }
-    std::uint64_t newest = 0;
+    std::vector<v1::Object> accepted;
     for (const auto& declared : value(objects)) {
         const auto applied = apply_one(to, declared, options.version);
         if (!ok(applied)) {
             return failure(applied);
         }
         print(to, value(applied));
-        newest = std::max(newest, std::uint64_t{value(applied).version()});
+        accepted.push_back(value(applied));
     }
-    return options.wait ? wait_until_held(to, newest, options.wait_time) : result<done>(done{});
+    for (const auto& object : accepted) {
+        if (!options.wait) {
+            break;
+        }
+        auto held = wait_until_held(to, object, options.wait_time);
+        if (!ok(held)) {
+            return held;
+        }
+    }
+    return done{};
 }
 
 result<done> remove(const session& to, const std::string& kind, const std::string& name)
--- a/src/ctl/span_tree.cpp
+++ b/src/ctl/span_tree.cpp
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cinttypes>
+#include <array>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
@@ -70,7 +70,8 @@
 void take_line(const std::string& line, std::vector<span_record>& into)
 {
     try {
-        for (const auto& resource : json::parse(line).at("resourceSpans")) {
+        const auto document = json::parse(line);
+        for (const auto& resource : document.at("resourceSpans")) {
             take_spans(resource, into);
         }
     }
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -81,6 +81,11 @@
     return VANILLAGAUGE_VERSION;
 }
 
+std::string build_info(const std::string& program)
+{
+    return "vanillagauge_build_info{program=\"" + program + "\",version=\"" + version() + "\"}";
+}
+
 std::optional<exit_now> parse_command_line(TCLAP::CmdLine& line, int argc, char** argv)
 {
     line.setExceptionHandling(false);
--- a/src/node/program.hpp
+++ b/src/node/program.hpp
@@ -11,7 +11,7 @@
 #include <utility>
 #include <variant>
 
-namespace TCLAP {
+namespace TCLAP { // NOLINT(readability-identifier-naming): the name is the library's
 class CmdLine;
 }
 
@@ -35,6 +35,9 @@
 /// The project's version, from the build.
 const char* version();
 
+/// The series, always 1, that names program and version on a metrics page.
+std::string build_info(const std::string& program);
+
 /// Parses a command line that is the program's own: prints help, version or what is wrong. Empty: go on.
 std::optional<exit_now> parse_command_line(TCLAP::CmdLine& line, int argc, char** argv);
 
--- a/src/wire/dispatcher.cpp
+++ b/src/wire/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <google/protobuf/message.h>
 
 #include <memory>
+#include <optional>
 
 namespace vanillagauge::wire {
 namespace {
@@ -16,11 +17,17 @@
     reply_sink sink;
     codec encoding = codec::json;
     bool streamed = false;
+    std::optional<observe::span> hop;
 };
 
 void complete(running_call* raw)
 {
     const std::unique_ptr<running_call> call(raw);
+    if (call->hop) {
+        const auto& failed = call->control->failure();
+        call->hop->note("outcome", failed ? describe(*failed) : "ok");
+        call->hop.reset();
+    }
     if (call->control->failure()) {
         call->sink.finish(*call->control->failure());
         return;
@@ -70,6 +77,11 @@
     running->encoding = encoding;
     running->streamed = target.method->server_streaming();
     running->sink = std::move(sink);
+    if (call.traced) {
+        const auto* served = target.method->service();
+        running->hop.emplace(call.trace, served->name() + "/" + target.method->name());
+        call.trace = running->hop->context();
+    }
     auto* raw = running.release();
     const auto write = [raw](const google::protobuf::Message& message) {
         raw->sink.chunk(encode(raw->encoding, message));
--- /dev/null
+++ b/tests/ctl/span_tree_tests.cpp
@@ -0,0 +1,67 @@
+#include "ctl/span_tree.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillagauge::ctl {
+namespace {
+
+const std::string trace_id = "0af7651916cd43dd8448eb211c80319c";
+
+std::string line(const std::string& span, const std::string& parent, const std::string& name, long start,
+                 long end, const std::string& note = "", const std::string& trace = trace_id)
+{
+    const std::string attribute =
+        note.empty() ? "" : R"({"key":"request_id","value":{"stringValue":")" + note + "\"}}";
+    return R"({"resourceSpans":[{"resource":{"attributes":[{"key":"service.name","value":{"stringValue":"vg-entry"}},)"
+           R"({"key":"vm","value":{"stringValue":"aph-1"}}]},"scopeSpans":[{"spans":[{"traceId":")" +
+           trace + R"(","spanId":")" + span + R"(","parentSpanId":")" + parent + R"(","name":")" + name +
+           R"(","startTimeUnixNano":")" + std::to_string(start) + R"(","endTimeUnixNano":")" +
+           std::to_string(end) + R"(","attributes":[)" + attribute + "]}]}]}]}\n";
+}
+
+TEST(span_tree, puts_hops_under_the_hop_that_called_them_in_the_order_of_their_start)
+{
+    const auto spans =
+        parse_spans(line("c", "a", "second", 3000000, 4000000) + line("b", "a", "first", 1500000, 2000000) +
+                    line("a", "", "entry.call", 1000000, 5000000));
+    const auto hops = tree_of(spans, trace_id);
+    ASSERT_EQ(hops.size(), 1U);
+    ASSERT_EQ(hops.front().children.size(), 2U);
+    EXPECT_EQ(hops.front().children[0].span.name, "first");
+    EXPECT_EQ(hops.front().children[1].span.name, "second");
+    const auto text = text_tree(trace_id, hops);
+    EXPECT_NE(text.find("  first     vg-entry  aph-1  +0.500    0.500"), std::string::npos) << text;
+}
+
+TEST(span_tree, keeps_a_hop_whose_caller_wrote_no_span)
+{
+    const auto spans = parse_spans(line("b", "gone", "target.call", 1, 2));
+    EXPECT_EQ(tree_of(spans, trace_id).size(), 1U);
+}
+
+TEST(span_tree, ends_for_spans_that_name_each_other_as_parents)
+{
+    const auto spans = parse_spans(line("a", "b", "one", 1, 2) + line("b", "a", "two", 1, 2));
+    const auto hops = tree_of(spans, trace_id);
+    ASSERT_EQ(hops.size(), 1U);
+    EXPECT_EQ(hops.front().children.size(), 1U);
+}
+
+TEST(span_file, half_a_line_of_a_killed_program_is_passed_over)
+{
+    const auto whole = line("a", "", "entry.call", 1, 2);
+    EXPECT_EQ(parse_spans(whole.substr(0, whole.size() / 2) + "\n" + whole).size(), 1U);
+}
+
+TEST(trace_search, takes_a_trace_id_a_traceparent_or_a_request_id)
+{
+    const auto spans = parse_spans(line("x", "", "other", 1, 2, "r-0", std::string(32, 'f')) +
+                                   line("a", "", "entry.call", 1, 2, "r-1"));
+    EXPECT_EQ(find_trace(spans, trace_id), trace_id);
+    EXPECT_EQ(find_trace(spans, "00-" + trace_id + "-b7ad6b7169203331-01"), trace_id);
+    EXPECT_EQ(find_trace(spans, "r-1"), trace_id);
+    EXPECT_EQ(find_trace(spans, "r-2"), std::nullopt);
+}
+
+} // namespace
+} // namespace vanillagauge::ctl
