--- a/src/rollout/main.cpp
+++ b/src/rollout/main.cpp
@@ -23,6 +23,7 @@
 {
     wire::event_loop loop;
     observe::metrics metrics;
+    metrics.set(node::build_info("vg-rollout"), 1);
     node::keeper_link keeper(loop, settings);
     auto targets = node::http_channels(loop);
     node::target_directory directory;
--- a/src/wire/controller.hpp
+++ b/src/wire/controller.hpp
@@ -18,6 +18,7 @@
     std::string path; ///< /package.Service/Method
     std::string authorization;
     observe::trace_context trace;
+    bool traced = false;     ///< a span is written for this call
     milliseconds timeout{0}; ///< 0: the caller named none
 };
 
--- /dev/null
+++ b/tests/ctl/object_file_tests.cpp
@@ -0,0 +1,47 @@
+#include "ctl/object_file.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillagauge::ctl {
+namespace {
+
+TEST(object_file, holds_one_object_or_an_array)
+{
+    const auto one = parse_objects(R"({"kind": "drain", "name": "a", "spec": {}})", "f");
+    ASSERT_TRUE(ok(one)) << failure(one).detail;
+    EXPECT_EQ(value(one).size(), 1U);
+    EXPECT_FALSE(value(one).front().versioned);
+    const auto two = parse_objects(
+        R"([{"kind": "drain", "name": "a"}, {"kind": "drain", "name": "b", "version": "7"}])", "f");
+    ASSERT_TRUE(ok(two)) << failure(two).detail;
+    EXPECT_TRUE(value(two)[1].versioned);
+    EXPECT_EQ(value(two)[1].object.version(), 7U);
+}
+
+TEST(object_file, says_where_it_is_wrong)
+{
+    const auto parsed = parse_objects(R"([{"kind": "drain", "name": "a"}, {"kind": "drain"}])", "f.json");
+    ASSERT_FALSE(ok(parsed));
+    EXPECT_NE(failure(parsed).detail.find("f.json: at /1"), std::string::npos) << failure(parsed).detail;
+}
+
+TEST(object_file, that_is_no_json_is_refused)
+{
+    EXPECT_FALSE(ok(parse_objects("kind: drain", "f")));
+    EXPECT_FALSE(ok(parse_objects("7", "f")));
+    EXPECT_FALSE(ok(parse_objects("", "f")));
+}
+
+TEST(object_check, needs_no_keeper)
+{
+    const auto wrong =
+        parse_objects(R"({"kind": "deployment", "name": "a", "spec": {"kind": "engin"}})", "f");
+    ASSERT_TRUE(ok(wrong));
+    const auto checked = check_objects(value(wrong));
+    ASSERT_FALSE(ok(checked));
+    EXPECT_NE(failure(checked).detail.find("deployment/a: at /"), std::string::npos)
+        << failure(checked).detail;
+}
+
+} // namespace
+} // namespace vanillagauge::ctl
