--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -9,14 +9,16 @@
 namespace {
 
 using nlohmann::json;
+using namespace nlohmann::literals;
 
 constexpr const char* settings_schema = R"json({
   "type": "object",
   "additionalProperties": false,
   "required": ["vm", "failure_domain", "platform", "tokens", "keeper"],
   "definitions": {
-    "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+:[0-9]{1,5}$"},
-    "token": {"type": "string", "minLength": 8},
+    "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+:[0-9]{1,5}$",
+                "description": "an address as IP:PORT"},
+    "token": {"type": "string", "minLength": 8, "description": "a token of at least 8 characters"},
     "listen": {
       "type": "object",
       "additionalProperties": false,
@@ -58,7 +60,15 @@
         "seeds": {"type": "array", "items": {"$ref": "#/definitions/address"}}
       }
     },
-    "entry": {"$ref": "#/definitions/listen"},
+    "entry": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "http_listen": {"$ref": "#/definitions/address"},
+        "peer_listen": {"$ref": "#/definitions/address"},
+        "policy": {"enum": ["adaptive", "plain"]}
+      }
+    },
     "rollout": {"$ref": "#/definitions/listen"}
   }
 })json";
@@ -106,6 +116,8 @@
     read(keeper, "address", parsed.keeper.address);
     read(keeper, "seeds", parsed.keeper.seeds);
     parsed.entry = parse_listen(all, "entry");
+    const bool plain = all.value("/entry/policy"_json_pointer, "adaptive") == "plain";
+    parsed.entry_policy = plain ? entry_policy::plain : entry_policy::adaptive;
     parsed.rollout = parse_listen(all, "rollout");
     return parsed;
 }
--- /dev/null
+++ b/src/node/shared_quarantine.hpp
@@ -0,0 +1,33 @@
+/// The process's quarantine of requests that crash targets, for several threads.
+#ifndef VANILLAGAUGE_NODE_SHARED_QUARANTINE_HPP
+#define VANILLAGAUGE_NODE_SHARED_QUARANTINE_HPP
+
+#include "policy/quarantine.hpp"
+
+#include <functional>
+#include <mutex>
+#include <string>
+
+namespace vanillagauge::node {
+
+class shared_quarantine {
+public:
+    /// Called, on any thread, after something new was learnt here or from another node.
+    void on_news(std::function<void()> handler) { handler_ = std::move(handler); }
+
+    void on_crash(std::uint64_t fingerprint, const std::string& target);
+    void on_answer(std::uint64_t fingerprint);
+    void merge(const std::vector<policy::crash_record>& records);
+
+    result<done> check(std::uint64_t fingerprint) const;
+    std::vector<policy::crash_record> shared() const;
+
+private:
+    std::function<void()> handler_;
+    mutable std::mutex mutex_;
+    policy::quarantine held_;
+};
+
+} // namespace vanillagauge::node
+
+#endif
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -89,7 +89,9 @@
         incoming_call call;
         call.path = text_header(received->headers, ":path");
         call.authorization = text_header(received->headers, "authorization");
-        call.trace = observe::parse_traceparent(text_header(received->headers, "traceparent"));
+        const auto parent = text_header(received->headers, "traceparent");
+        call.trace = observe::parse_traceparent(parent);
+        call.traced = !parent.empty();
         call.timeout = timeout_header(received->headers);
         const std::string body = std::move(received->received);
         std::weak_ptr<http2_session> weak = session;
--- a/standins/trainer/main.cpp
+++ b/standins/trainer/main.cpp
@@ -216,7 +216,7 @@
 
 int main(int argc, char** argv)
 {
-    TCLAP::CmdLine line("Stand-in for a trainer", ' ', "0.1.0");
+    TCLAP::CmdLine line("Stand-in for a trainer", ' ', node::version());
     const TCLAP::ValueArg<std::string> job("j", "job", "Job to train", true, "", "NAME", line);
     const TCLAP::MultiArg<std::string> addresses("r", "rollout", "Addresses of vg-rollout", true, "IP:PORT",
                                                  line);
@@ -231,7 +231,9 @@
     const TCLAP::ValueArg<int> lose_reply("", "lose-reply-at", "Step in which a reply is lost once", false,
                                           -1, "N", line);
     const TCLAP::ValueArg<std::string> out("o", "out", "File for the summary", false, "", "FILE", line);
-    line.parse(argc, argv);
+    if (const auto end = node::parse_command_line(line, argc, argv)) {
+        return end->code;
+    }
 
     trainer_options options;
     options.job = job.getValue();
--- a/tests/traces/replay_tests.cpp
+++ b/tests/traces/replay_tests.cpp
@@ -8,7 +8,7 @@
 /// Replays the trace and checks what holds in every one of them.
 outcome sound(const std::string& name, int steps)
 {
-    const auto found = replay(std::string(VG_TRACES) + "/" + name + ".jsonl");
+    auto found = replay(std::string(VG_TRACES) + "/" + name + ".jsonl");
     EXPECT_TRUE(found.differences.empty())
         << found.differences.size() << ", first: " << found.differences.front();
     EXPECT_EQ(found.served_after_acknowledgement, 0);
