--- a/src/rollout/weight_rollout.cpp
+++ b/src/rollout/weight_rollout.cpp
@@ -19,11 +19,14 @@
 constexpr milliseconds tell_every{500};
 constexpr milliseconds tell_timeout{1000};
 
-bool all_at(const std::vector<policy::wave_engine>& engines, std::uint64_t version)
+/// The oldest version that an engine holds which is to stay.
+std::uint64_t oldest_of(const std::vector<policy::wave_engine>& engines)
 {
-    return std::all_of(engines.begin(), engines.end(), [version](const policy::wave_engine& engine) {
-        return engine.leaving || engine.version >= version;
-    });
+    std::uint64_t oldest = UINT64_MAX;
+    for (const auto& engine : engines) {
+        oldest = engine.leaving ? oldest : std::min(oldest, engine.version);
+    }
+    return oldest;
 }
 
 } // namespace
@@ -44,8 +47,7 @@
         }
         state.announced = version;
         state.weight = weight;
-        state.announced_at = steady::now();
-        state.converged = false;
+        state.pending[version] = steady::now();
         next_tell_ = {};
     }
     context_.loop.post([self = shared_from_this()] { self->tick(); });
@@ -114,11 +116,11 @@
 {
     const std::lock_guard lock(mutex_);
     auto& state = deployments_[deployment];
-    if (state.converged || !all_at(engines, state.announced)) {
-        return;
+    const auto held = state.pending.upper_bound(oldest_of(engines));
+    for (auto done = state.pending.begin(); done != held; ++done) {
+        context_.metrics.record("vanillagauge_weights_converged", steady::now() - done->second);
     }
-    state.converged = true;
-    context_.metrics.record("vanillagauge_weights_converged", steady::now() - state.announced_at);
+    state.pending.erase(state.pending.begin(), held);
 }
 
 // The deployment's owner orders for all jobs, and a job's owner may be another process. Telling it again and
--- a/src/rollout/weight_rollout.hpp
+++ b/src/rollout/weight_rollout.hpp
@@ -29,8 +29,7 @@
         std::uint64_t announced = 0;
         policy::wave_weight weight = policy::wave_weight::staleness;
         std::shared_ptr<order_fence> fence;
-        time_point announced_at{};
-        bool converged = true;
+        std::map<std::uint64_t, time_point> pending; ///< announced when, and not yet held by all engines
     };
     using pool = std::shared_ptr<engine_pool>;
 
