--- a/src/rollout/job_runner.cpp
+++ b/src/rollout/job_runner.cpp
@@ -10,6 +10,7 @@
 
 constexpr milliseconds longest_wait{20000};
 constexpr milliseconds retry_pause{100};
+constexpr milliseconds weights_every{1000};
 constexpr std::size_t default_pull = 64;
 
 } // namespace
@@ -197,15 +198,21 @@
     checkpoint_->tick();
 }
 
-int job_runner::share_of(engine_pool& engines) const
+// Jobs change seldom and pumping runs with every sample, so their specs are read once a second.
+int job_runner::share_of(engine_pool& engines)
 {
-    const auto view = context_.keeper.current();
-    int weights = 0;
-    for (const auto& item : view->config.list("job")) {
-        const auto other = config::parse_job(item.name, item.spec_json);
-        weights += ok(other) && value(other).deployment == spec_.deployment ? value(other).weight : 0;
+    const auto now = steady::now();
+    const std::lock_guard lock(mutex_);
+    if (now >= weights_due_) {
+        weights_due_ = now + weights_every;
+        weights_ = 0;
+        const auto view = context_.keeper.current();
+        for (const auto& item : view->config.list("job")) {
+            const auto other = config::parse_job(item.name, item.spec_json);
+            weights_ += ok(other) && value(other).deployment == spec_.deployment ? value(other).weight : 0;
+        }
     }
-    return policy::job_share(engines.capacity(steady::now()), spec_.weight, weights);
+    return policy::job_share(engines.capacity(now), spec_.weight, weights_);
 }
 
 policy::sample_view job_runner::view_of(const samples::slot_key& slot, std::uint64_t least_version) const
--- a/src/rollout/job_runner.hpp
+++ b/src/rollout/job_runner.hpp
@@ -65,6 +65,8 @@
     std::deque<waiting_pull> waiting_;
     std::uint64_t next_ticket_ = 0;
     bool stopped_ = false;
+    int weights_ = 1; ///< of all jobs at the deployment
+    time_point weights_due_{};
 
     void find_lost_cursor(const v1::PullRequest& request, const pull_terms& terms, pull_done on_done);
     void pull_at(const samples::cursor& presented, const pull_terms& terms, pull_done on_done);
@@ -79,7 +81,7 @@
     start_order make_stream(const samples::attempt& stream, const engine_place& place);
     void launch(const std::vector<start_order>& orders);
     void cancel_streams(const std::vector<samples::attempt>& ended);
-    int share_of(engine_pool& engines) const;
+    int share_of(engine_pool& engines);
     policy::sample_view view_of(const samples::slot_key& slot, std::uint64_t least_version) const;
 
     void on_chunk(samples::attempt_id id, const std::string& engine, const samples::chunk_facts& chunk,
