--- a/src/fleet/lease.cpp
+++ b/src/fleet/lease.cpp
@@ -13,6 +13,7 @@
 constexpr int cycles_per_length = 3;
 constexpr milliseconds retry_after{1000};
 constexpr int most_doublings = 5;
+constexpr std::chrono::minutes abandoned_after{10};
 
 } // namespace
 
@@ -104,6 +105,19 @@
     return {fencing_, remaining(now, held_until_)};
 }
 
+// A VM that crashed and was replaced under another name leaves its lease behind. At thousands of replacements
+// a day every list would soon carry more of them than of the living.
+std::vector<lease_record> lease_cycle::abandoned(time_point now) const
+{
+    std::vector<lease_record> found;
+    for (const auto& [vm, lease] : others_) {
+        if (lapsed(lease, now) && now - lease.first_seen > abandoned_after) {
+            found.push_back({vm, lease.version, lease.length});
+        }
+    }
+    return found;
+}
+
 std::string lease_cycle::owner_of(const std::string& thing, time_point now) const
 {
     if (held(now).fencing == 0) {
--- a/src/fleet/lease.hpp
+++ b/src/fleet/lease.hpp
@@ -58,6 +58,8 @@
     // Queries.
     /// To be asked again after every wait: a holder that was paused learns here that its lease is over.
     lease_hold held(time_point now) const;
+    /// Leases that this VM has not seen change for so long that nobody waits for their end any more.
+    std::vector<lease_record> abandoned(time_point now) const;
     /// The owner among the VMs whose lease stands; empty where this VM holds none and so cannot tell.
     std::string owner_of(const std::string& thing, time_point now) const;
 
--- a/src/keeper/config_feed.cpp
+++ b/src/keeper/config_feed.cpp
@@ -89,6 +89,11 @@
 
 void config_feed::failed(const error& failure, bool by_watch)
 {
+    // The own budget says nothing about the store: this VM goes on watching when it may.
+    if (failure.code == error_code::overloaded) {
+        loop_.after(failure.retry_after, [this] { under_way_ = false; });
+        return;
+    }
     observe::log(observe::log_level::warning, by_watch ? "store_watch_failed" : "store_list_failed",
                  {{"detail", failure.detail}});
     ++failures_;
--- a/src/keeper/gossip.cpp
+++ b/src/keeper/gossip.cpp
@@ -72,10 +72,19 @@
     }
 }
 
-// Seeds serve only a VM that knows nobody alive. Everyone else finds the others through its members.
+void gossip::learn_peers(std::vector<std::string> addresses)
+{
+    loop_.post([this, addresses = std::move(addresses)]() mutable { learned_ = std::move(addresses); });
+}
+
+// Seeds serve only a VM that knows nobody alive. Everyone else finds the others through its members. The
+// seeds of the settings may all have been replaced since they were written; the leases in the store name who
+// is there now.
 void gossip::ask_a_seed(time_point now)
 {
-    if (seeds_.empty() || now < next_seed_) {
+    auto candidates = seeds_;
+    candidates.insert(candidates.end(), learned_.begin(), learned_.end());
+    if (candidates.empty() || now < next_seed_) {
         return;
     }
     next_seed_ = now + seed_every;
@@ -85,7 +94,7 @@
             return;
         }
     }
-    const auto& seed = seeds_[seed_turn_++ % seeds_.size()];
+    const auto& seed = candidates[seed_turn_++ % candidates.size()];
     if (seed != self.peer_address) {
         compare(seed);
         pull(seed, false);
--- a/src/keeper/gossip.hpp
+++ b/src/keeper/gossip.hpp
@@ -32,6 +32,8 @@
     {
         seeds_.insert(seeds_.end(), addresses.begin(), addresses.end());
     }
+    /// Peers that the store names, asked like seeds. May come from any thread.
+    void learn_peers(std::vector<std::string> addresses);
     /// Runs where peers cannot settle a difference and the store must be listed.
     void on_list_needed(std::function<void()> handler) { list_needed_ = std::move(handler); }
     /// Tells peers that this VM leaves.
@@ -50,6 +52,7 @@
     datagram_link datagrams_;
     config::pull_planner pulls_;
     std::vector<std::string> seeds_;
+    std::vector<std::string> learned_;
     std::string token_;
     std::function<void()> list_needed_;
     time_point next_seed_;
--- a/src/keeper/lease_keeper.cpp
+++ b/src/keeper/lease_keeper.cpp
@@ -2,7 +2,7 @@
 
 #include "observe/log.hpp"
 
-#include <charconv>
+#include <sstream>
 
 namespace vanillagauge::keeper {
 namespace {
@@ -10,12 +10,22 @@
 constexpr const char* lease_kind = "lease";
 constexpr milliseconds turn_every{250};
 
-/// The value of a lease object is its length in milliseconds; its name is the VM's.
-fleet::lease_record to_record(const platform::stored_object& item)
-{
+/// The value of a lease object: its length in milliseconds and the keeper's address. Its name is the VM's.
+struct lease_value {
     std::int64_t length = 0;
-    std::from_chars(item.value.data(), item.value.data() + item.value.size(), length);
-    return {item.name, item.version, milliseconds{length}};
+    std::string peer_address;
+};
+
+lease_value parse_value(const std::string& text)
+{
+    lease_value parsed;
+    std::istringstream(text) >> parsed.length >> parsed.peer_address;
+    return parsed;
+}
+
+std::string to_text(milliseconds length, const std::string& peer_address)
+{
+    return std::to_string(length.count()) + " " + peer_address;
 }
 
 } // namespace
@@ -54,14 +64,22 @@
 void lease_keeper::listed(const platform::listing& leases)
 {
     std::vector<fleet::lease_record> records;
+    std::vector<std::string> peers;
     for (const auto& item : leases.objects) {
-        records.push_back(to_record(item));
+        const auto parsed = parse_value(item.value);
+        records.push_back({item.name, item.version, milliseconds{parsed.length}});
+        if (item.name != vm_ && !parsed.peer_address.empty()) {
+            peers.push_back(parsed.peer_address);
+        }
+    }
+    if (on_peers_) {
+        on_peers_(std::move(peers));
     }
     const auto renewal = [this, &records] {
         const std::lock_guard lock(mutex_);
         return cycle_.listed(records, steady::now());
     }();
-    const platform::write change{lease_kind, vm_, std::to_string(renewal.length.count()),
+    const platform::write change{lease_kind, vm_, to_text(renewal.length, state_.self().peer_address),
                                  renewal.expected_version};
     store_.write_object(
         change,
@@ -73,12 +91,34 @@
                 failed();
                 return;
             }
-            const std::lock_guard lock(mutex_);
-            cycle_.renewed(value(stored).version, steady::now());
+            {
+                const std::lock_guard lock(mutex_);
+                cycle_.renewed(value(stored).version, steady::now());
+            }
+            remove_abandoned();
         },
         platform::call_priority::lease);
 }
 
+void lease_keeper::remove_abandoned()
+{
+    if (!state_.is_watcher()) {
+        return;
+    }
+    const auto left_behind = [this] {
+        const std::lock_guard lock(mutex_);
+        return cycle_.abandoned(steady::now());
+    }();
+    if (left_behind.empty()) {
+        return;
+    }
+    // One in a cycle, and only in the version that was seen: a VM that renews it in the meantime keeps it.
+    const auto& oldest = left_behind.front();
+    store_.write_object(
+        {lease_kind, oldest.vm, "", oldest.version, true}, [](const platform::write_outcome&) {},
+        platform::call_priority::status);
+}
+
 void lease_keeper::failed()
 {
     const std::lock_guard lock(mutex_);
--- a/src/keeper/lease_keeper.hpp
+++ b/src/keeper/lease_keeper.hpp
@@ -7,7 +7,10 @@
 #include "platform/object_client.hpp"
 #include "wire/event_loop.hpp"
 
+#include <functional>
 #include <mutex>
+#include <string>
+#include <vector>
 
 namespace vanillagauge::keeper {
 
@@ -17,6 +20,8 @@
     lease_keeper(keeper_state& state, platform::object_client& store, wire::event_loop& loop);
 
     void start() { turn(); }
+    /// Runs with the peer addresses that the leases name, after each list.
+    void on_peers(std::function<void(std::vector<std::string>)> handler) { on_peers_ = std::move(handler); }
     fleet::lease_hold held(time_point now) const;
     std::string owner_of(const std::string& thing, time_point now) const;
 
@@ -27,10 +32,12 @@
     const std::string vm_;
     mutable std::mutex mutex_;
     fleet::lease_cycle cycle_;
+    std::function<void(std::vector<std::string>)> on_peers_;
 
     void turn();
     void listed(const platform::listing& leases);
     void failed();
+    void remove_abandoned();
 };
 
 } // namespace vanillagauge::keeper
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -86,6 +86,7 @@
     keeper::snapshot_keeper snapshots(state, settings.data_folder);
     exchange.add_seeds(snapshots.load());
     snapshots.start();
+    lease.on_peers([&exchange](std::vector<std::string> named) { exchange.learn_peers(std::move(named)); });
     exchange.start();
     feed.start();
     lease.start();
--- a/src/platform/call_budget.cpp
+++ b/src/platform/call_budget.cpp
@@ -7,8 +7,8 @@
 
 double call_budget::calls_per_second() const
 {
-    return std::min(limits_.most_calls_per_second,
-                    limits_.fleet_calls_per_second / static_cast<double>(members_));
+    return std::clamp(limits_.fleet_calls_per_second / static_cast<double>(members_),
+                      limits_.least_calls_per_second, limits_.most_calls_per_second);
 }
 
 // After an outage every program has something to write. Whoever writes first would take the calls that the
--- a/src/platform/call_budget.hpp
+++ b/src/platform/call_budget.hpp
@@ -15,6 +15,7 @@
 struct budget_limits {
     double fleet_calls_per_second = 200; ///< all VMs together, a third of the writes that the store takes
     double most_calls_per_second = 25;   ///< of one VM in a small fleet
+    double least_calls_per_second = 1;   ///< of one VM in a large fleet
     double burst = 20;
     double kept_for_leases = 4;             ///< calls that only leases may use
     double kept_for_config_and_leases = 10; ///< calls that status may not use
--- a/tests/fleet/lease_tests.cpp
+++ b/tests/fleet/lease_tests.cpp
@@ -164,6 +164,22 @@
     EXPECT_EQ(heirs, (std::set<std::string>{"b", "c", "d"}));
 }
 
+TEST(lease, calls_only_those_abandoned_that_did_not_change_for_long)
+{
+    lease_store store;
+    lease_cycle a("a", timing);
+    lease_cycle b("b", timing);
+    time_point now{};
+    store.renew("gone", timing.length);
+    for (; now - time_point{} < std::chrono::minutes{11}; now += seconds{1}) {
+        store.cycle(a, "a", now);
+        store.cycle(b, "b", now);
+    }
+    const auto abandoned = a.abandoned(now);
+    ASSERT_EQ(abandoned.size(), 1U);
+    EXPECT_EQ(abandoned.front().vm, "gone");
+}
+
 TEST(lease, renewals_of_the_whole_fleet_stay_below_a_fixed_rate)
 {
     constexpr std::size_t members = 350;
