--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -22,7 +22,9 @@
 
 std::string line(const char* metric, std::uint64_t number)
 {
-    return "vanillagauge_keeper_" + std::string(metric) + " " + std::to_string(number) + "\n";
+    const auto name = "vanillagauge_keeper_" + std::string(metric);
+    const char* type = name.ends_with("_total") ? " counter\n" : " gauge\n";
+    return "# TYPE " + name + type + name + " " + std::to_string(number) + "\n";
 }
 
 std::string page(const keeper::keeper_state& state, const keeper::gossip& exchange,
@@ -66,11 +68,15 @@
     keeper::config_counter census(state, loop, settings.tokens.peer);
     keeper::peer_service peer_service(state, exchange);
     keeper::local_service local_service(state, store, lease, loop);
-    keeper::operator_service operator_service(state, store, census);
+    keeper::operator_watch watches(state, loop);
+    keeper::operator_service operator_service(state, store, census, watches);
     peer_calls.mount(peer_service, wire::role::peer);
     peer_calls.mount(local_service, wire::role::peer);
     operator_calls.mount(operator_service, wire::role::operators);
-    state.on_change([&local_service] { local_service.wake(); });
+    state.on_change([&local_service, &watches] {
+        local_service.wake();
+        watches.wake();
+    });
 
     const auto peer_address = peers.open(settings.keeper.peer_listen);
     const auto operator_address = operators.open(settings.keeper.operator_listen);
@@ -100,6 +106,7 @@
         told.set_value();
     });
     told.get_future().wait();
+    watches.stop();
     operators.close();
     peers.close();
     loop.stop();
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -9,6 +9,8 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <vector>
 
 namespace vanillagauge::observe {
@@ -45,13 +47,40 @@
     return {series.substr(0, brace), series.substr(brace + 1, series.size() - brace - 2)};
 }
 
+/// One metric family of the page: its type and its lines.
+struct family {
+    const char* type = "";
+    std::string lines;
+};
+/// By name, since Prometheus wants the lines of a family together.
+using families = std::map<std::string, family, std::less<>>;
+
 template <class Number>
-void append(std::string& text, const std::string& series, Number number)
+void append(families& page, const std::string& name, const char* type, const std::string& series,
+            Number number)
+{
+    auto& into = page[name];
+    into.type = type;
+    into.lines += series + ' ' + std::to_string(number) + '\n';
+}
+
+std::string in_braces(const std::string& labels)
 {
-    text += series;
-    text += ' ';
-    text += std::to_string(number);
-    text += '\n';
+    return labels.empty() ? "" : "{" + labels + "}";
+}
+
+void append_distribution(families& page, const std::string& series, const distribution& spread)
+{
+    const auto [base, labels] = split(series);
+    const std::string prefix = labels.empty() ? "" : labels + ",";
+    for (const double quantile : quantile_grid()) {
+        const double estimate = acc::quantile(spread, acc::quantile_probability = quantile);
+        const auto label = nlohmann::json(quantile).dump();
+        append(page, base, "summary", base + in_braces(prefix + "quantile=\"" + label + "\""), estimate);
+    }
+    append(page, base, "summary", base + "_sum" + in_braces(labels), acc::sum(spread));
+    append(page, base, "summary", base + "_count" + in_braces(labels), acc::count(spread));
+    append(page, base + "_max", "gauge", base + "_max" + in_braces(labels), acc::max(spread));
 }
 
 } // namespace
@@ -104,36 +133,24 @@
 
 std::string metrics::page() const
 {
-    std::map<std::string, std::string> lines;
+    families page;
     for (const auto& part : shards_) {
         const std::lock_guard lock(part->mutex);
         for (const auto& [series, count] : part->counters) {
-            lines[series] = series + " " + std::to_string(count) + "\n";
+            append(page, split(series).base, "counter", series, count);
         }
         for (const auto& [series, level] : part->gauges) {
-            lines[series] = series + " " + std::to_string(level) + "\n";
+            append(page, split(series).base, "gauge", series, level);
         }
         for (const auto& [series, spread] : part->distributions) {
-            const auto [base, labels] = split(series);
-            const std::string prefix = labels.empty() ? "" : labels + ",";
-            std::string text;
-            for (const double quantile : quantile_grid()) {
-                const double estimate = acc::quantile(spread, acc::quantile_probability = quantile);
-                append(text, base + "{" + prefix + "quantile=\"" + std::to_string(quantile) + "\"}",
-                       estimate);
-            }
-            const std::string tail = labels.empty() ? "" : "{" + labels + "}";
-            append(text, base + "_sum" + tail, acc::sum(spread));
-            append(text, base + "_count" + tail, acc::count(spread));
-            append(text, base + "_max" + tail, acc::max(spread));
-            lines[series] = text;
+            append_distribution(page, series, spread);
         }
     }
-    std::string page;
-    for (const auto& [series, text] : lines) {
-        page += text;
+    std::string text;
+    for (const auto& [name, lines] : page) {
+        text += "# TYPE " + name + " " + lines.type + "\n" + lines.lines;
     }
-    return page;
+    return text;
 }
 
 } // namespace vanillagauge::observe
--- a/standins/target/main.cpp
+++ b/standins/target/main.cpp
@@ -2,6 +2,7 @@
 
 #include "engine.hpp"
 #include "node/program.hpp"
+#include "observe/trace.hpp"
 #include "plain_service.hpp"
 
 #include <tclap/CmdLine.h>
@@ -12,7 +13,7 @@
 int main(int argc, char** argv)
 {
     using namespace vanillagauge;
-    TCLAP::CmdLine line("Stand-in for a target", ' ', "0.1.0");
+    TCLAP::CmdLine line("Stand-in for a target", ' ', node::version());
     const TCLAP::ValueArg<std::string> listen("l", "listen", "Address", false, "127.0.0.1:0", "IP:PORT",
                                               line);
     const TCLAP::ValueArg<std::string> kind("k", "kind", "engine or service", true, "", "KIND", line);
@@ -26,10 +27,14 @@
     const TCLAP::ValueArg<int> service_ms("", "service-ms", "Service: time for a call", false, 5, "MS", line);
     const TCLAP::ValueArg<int> first_version("", "weights", "Engine: version at start", false, 1, "N", line);
     const TCLAP::ValueArg<int> seed("", "seed", "Seed of lengths and texts", false, 1, "N", line);
+    const TCLAP::ValueArg<std::string> spans("", "spans", "File for spans", false, "", "FILE", line);
     const TCLAP::SwitchArg fencing("", "enforce-fencing", "Engine: refuse orders with an old number", line);
-    line.parse(argc, argv);
+    if (const auto end = node::parse_command_line(line, argc, argv)) {
+        return end->code;
+    }
     node::block_stop_signals();
     wire::set_http_threads(4);
+    observe::start_spans(spans.getValue(), "vg-fake-target", "");
 
     wire::event_loop loop;
     standins::fault_state faults;
