Choose the watchers only when a member changed

Cause: every keeper hashed and copied all members ten times a second to learn whether it watches the store; at 350 members that alone would have used a good part of the processor budget. Change: the choice is kept until the members' generation changes.

--- a/src/keeper/keeper_state.cpp
+++ b/src/keeper/keeper_state.cpp
@@ -203,8 +203,20 @@
 
 bool keeper_state::is_watcher() const
 {
-    const auto chosen = fleet::choose_watchers(members(), watchers);
-    return std::find(chosen.begin(), chosen.end(), vm_) != chosen.end();
+    const std::lock_guard lock(members_mutex_);
+    const auto& seen = detector_.view();
+    if (chosen_at_generation_ != seen.generation()) {
+        const auto chosen = fleet::choose_watchers(seen.members(), watchers);
+        chosen_to_watch_ = std::find(chosen.begin(), chosen.end(), vm_) != chosen.end();
+        chosen_at_generation_ = seen.generation();
+    }
+    return chosen_to_watch_;
+}
+
+std::size_t keeper_state::member_count() const
+{
+    const std::lock_guard lock(members_mutex_);
+    return detector_.view().summary().size();
 }
 
 std::vector<config::object> keeper_state::config_since(std::uint64_t revision) const
--- a/src/keeper/keeper_state.hpp
+++ b/src/keeper/keeper_state.hpp
@@ -53,6 +53,7 @@
     // Queries.
     std::vector<fleet::member> members() const;
     members_view view() const;
+    std::size_t member_count() const;
     std::uint64_t members_generation() const;
     fleet::node self() const;
     std::vector<fleet::member_summary> summary() const;
@@ -84,6 +85,9 @@
     std::map<std::string, heard_program> programs_;
     keeper_addresses addresses_;
     std::uint64_t told_generation_ = 0;
+    /// The choice of watchers takes a hash of every member; it is made again only when a member changed.
+    mutable std::uint64_t chosen_at_generation_ = 0;
+    mutable bool chosen_to_watch_ = false;
     mutable std::mutex config_mutex_;
     config::replica config_;
     std::atomic<bool> watch_failing_{false};
--- a/src/keeper/lease_keeper.cpp
+++ b/src/keeper/lease_keeper.cpp
@@ -38,7 +38,7 @@
 void lease_keeper::turn()
 {
     loop_.after(turn_every, [this] { turn(); });
-    const auto members = state_.members().size();
+    const auto members = state_.member_count();
     store_.share_between(members);
     const bool begins = [this, members] {
         const std::lock_guard lock(mutex_);
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -42,7 +42,7 @@
            line("store_writes_total", calls.writes) + line("store_lists_total", calls.lists) +
            line("store_watches_total", calls.watches) + line("store_over_budget_total", calls.over_budget) +
            line("config_newest_version", state.config_mark().newest_version) +
-           line("members", state.members().size());
+           line("members", state.member_count());
 }
 
 int run(const config::settings& settings)
