--- a/src/claims/backup.cpp
+++ b/src/claims/backup.cpp
@@ -14,7 +14,7 @@
 
 record_verdict backup::record(const call_key& key, std::uint64_t fingerprint, std::int64_t wall_ms)
 {
-    expire(wall_ms);
+    pass(wall_ms);
     // A home that was paused wakes and sends its claims late. The takeover has already told callers "not run"
     // of every unseen key, so an acknowledgement now would make that untrue.
     if (closed(key.pair)) {
@@ -44,7 +44,7 @@
 
 void backup::settle(const settled_record& record, std::int64_t wall_ms)
 {
-    expire(wall_ms);
+    pass(wall_ms);
     const auto pair = pairs_.find(record.key.pair);
     if (pair == pairs_.end()) {
         return;
@@ -72,7 +72,7 @@
 verdict backup::take_over(const call_key& key, std::uint64_t fingerprint, std::int64_t wall_ms)
 {
     close(key.pair);
-    expire(wall_ms);
+    pass(wall_ms);
     if (horizon_.expired(key.expires_ms)) {
         return {refuse(refusal::expired)};
     }
@@ -109,6 +109,15 @@
     }
 }
 
+void backup::pass(std::int64_t wall_ms)
+{
+    horizon_.advance(wall_ms);
+    if (horizon_.wall_ms() >= next_sweep_ms_) {
+        expire(wall_ms);
+        next_sweep_ms_ = horizon_.wall_ms() + sweep_every.count();
+    }
+}
+
 void backup::expire(std::int64_t wall_ms)
 {
     horizon_.advance(wall_ms);
--- a/src/claims/backup.hpp
+++ b/src/claims/backup.hpp
@@ -47,6 +47,7 @@
 
     memory_limits limits_;
     horizon horizon_;
+    std::int64_t next_sweep_ms_ = 0;
     std::map<claim_pair, entries> pairs_;
     /// By the home's VM. Incarnation numbers of a VM grow, so one number stands for every pair closed so far
     /// and closures need no memory per pair.
@@ -54,6 +55,7 @@
     std::size_t keys_ = 0;
     std::size_t answer_bytes_ = 0;
 
+    void pass(std::int64_t wall_ms);
     const entry* find(const call_key& key) const;
     void keep(entry& item, const outcome& answer);
 };
--- a/src/claims/home.cpp
+++ b/src/claims/home.cpp
@@ -29,7 +29,7 @@
 home_actions home::call(const call_key& key, std::uint64_t fingerprint, asker who, std::int64_t wall_ms,
                         const std::optional<error>& refused_at_once)
 {
-    expire(wall_ms);
+    pass(wall_ms);
     if (entry* known = find(key)) {
         if (known->fingerprint != fingerprint) {
             return {reply_error(who, refuse(refusal::other_request))};
@@ -150,6 +150,15 @@
     return {reply_error(who, refuse(refusal::out_of_time))};
 }
 
+void home::pass(std::int64_t wall_ms)
+{
+    horizon_.advance(wall_ms);
+    if (horizon_.wall_ms() >= next_sweep_ms_) {
+        expire(wall_ms);
+        next_sweep_ms_ = horizon_.wall_ms() + sweep_every.count();
+    }
+}
+
 void home::expire(std::int64_t wall_ms)
 {
     horizon_.advance(wall_ms);
--- a/src/claims/home.hpp
+++ b/src/claims/home.hpp
@@ -85,11 +85,13 @@
 
     memory_limits limits_;
     horizon horizon_;
+    std::int64_t next_sweep_ms_ = 0;
     std::map<claim_pair, pair_memory> pairs_;
     std::size_t keys_ = 0;
     std::size_t answer_bytes_ = 0;
     bool frozen_ = false;
 
+    void pass(std::int64_t wall_ms);
     entry* find(const call_key& key);
     home_actions begin(const call_key& key, std::uint64_t fingerprint, asker who,
                        const std::optional<error>& refused_at_once);
--- a/src/claims/horizon.hpp
+++ b/src/claims/horizon.hpp
@@ -3,6 +3,7 @@
 #define VANILLAGAUGE_CLAIMS_HORIZON_HPP
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <limits>
 
@@ -21,6 +22,10 @@
     std::int64_t passed_ms_ = std::numeric_limits<std::int64_t>::min();
 };
 
+/// A sweep visits every pair, so one for each call would make a call's cost grow with the fleet. Between
+/// sweeps the horizon alone decides what has expired; a few keys are only held in memory a little longer.
+constexpr std::chrono::milliseconds sweep_every{250};
+
 } // namespace vanillagauge::claims
 
 #endif
--- a/src/entry/claim_calls.cpp
+++ b/src/entry/claim_calls.cpp
@@ -18,7 +18,7 @@
 constexpr double home_share = 0.6;
 /// A flood fills at most this much; see docs/design/claims.md.
 constexpr claims::memory_limits shard_limits{
-    .keys = 8192, .keys_per_pair = 8192, .answer_bytes = 1U << 20U, .longest_answer = 16U << 10U};
+    .keys = 8192, .keys_per_pair = 6144, .answer_bytes = 512U << 10U, .longest_answer = 16U << 10U};
 
 error no_key()
 {
--- a/src/entry/locate.cpp
+++ b/src/entry/locate.cpp
@@ -32,13 +32,17 @@
     return fronts;
 }
 
-void sort_fronts(std::vector<front>& fronts, const std::string& near_domain)
+/// Near ones first, then the less loaded. Equal ones come in an order drawn for each answer: with a fixed one
+/// every caller of a quiet fleet would use the same process, and every key would lie with one claim pair.
+void sort_fronts(std::vector<front>& fronts, const std::string& near_domain, std::uint64_t drawn)
 {
-    std::sort(fronts.begin(), fronts.end(), [&near_domain](const front& left, const front& right) {
+    std::sort(fronts.begin(), fronts.end(), [&near_domain, drawn](const front& left, const front& right) {
         const bool left_far = left.node.failure_domain != near_domain;
         const bool right_far = right.node.failure_domain != near_domain;
-        return std::tie(left_far, left.process.load, left.node.vm) <
-               std::tie(right_far, right.process.load, right.node.vm);
+        const auto left_place = hash64(left.node.vm, drawn);
+        const auto right_place = hash64(right.node.vm, drawn);
+        return std::tie(left_far, left.process.load, left_place) <
+               std::tie(right_far, right.process.load, right_place);
     });
 }
 
@@ -62,7 +66,8 @@
         return error{error_code::unavailable, run_state::not_run, "no entry process is known to be alive",
                      milliseconds{1000}};
     }
-    sort_fronts(fronts, near_domain);
+    const auto drawn = nonce();
+    sort_fronts(fronts, near_domain, drawn);
     location found;
     for (std::size_t place = 0; place < std::min(fronts.size(), most_addresses); ++place) {
         found.addresses.push_back(fronts[place].process.http_address);
@@ -74,7 +79,7 @@
     const auto& backup = other_domain != fronts.end() ? *other_domain : fronts.back();
     if (backup.node.vm != home.node.vm) {
         const auto expires = wall_ms + key_life.count();
-        found.key_prefix = claims::format_prefix({identity(home), identity(backup)}, expires, nonce());
+        found.key_prefix = claims::format_prefix({identity(home), identity(backup)}, expires, drawn);
     }
     return found;
 }
