--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -3,6 +3,7 @@
 #include "entry/claim_peer_service.hpp"
 #include "entry/claim_target.hpp"
 #include "entry/entry_service.hpp"
+#include "entry/quarantine_exchange.hpp"
 #include "node/node.hpp"
 #include "observe/observe.hpp"
 #include "wire/wire.hpp"
@@ -18,6 +19,7 @@
 {
     wire::event_loop loop;
     observe::metrics metrics;
+    metrics.set(node::build_info("vg-entry"), 1);
     node::keeper_link keeper(loop, settings);
     auto targets = node::http_channels(loop);
     node::target_directory directory(loop, {settings.entry_policy == config::entry_policy::adaptive});
@@ -36,6 +38,10 @@
     wire::dispatcher peer_calls(node::access_of(settings.tokens));
     peer_calls.mount(claim_service, wire::role::peer);
     wire::peer_server peers(loop, peer_calls);
+    auto crash_peers = node::peer_channels(loop);
+    entry::quarantine_exchange crashes({settings, loop, keeper, targets, directory, metrics, incarnation},
+                                       crash_peers);
+    peer_calls.mount(crashes, wire::role::peer);
 
     const auto http_address = http.open(settings.entry.http_listen);
     const auto peer_address = peers.open(settings.entry.peer_listen);
--- a/src/keeper/operator_service.cpp
+++ b/src/keeper/operator_service.cpp
@@ -1,4 +1,6 @@
 #include "keeper/config_feed.hpp"
+#include "keeper/explain.hpp"
+#include "keeper/operator_watch.hpp"
 #include "keeper/services.hpp"
 
 #include "node/convert.hpp"
@@ -17,20 +19,6 @@
     return status.ok() ? text : "{}";
 }
 
-v1::Object to_operator_object(const config::object& item)
-{
-    v1::Object object;
-    object.set_kind(item.kind);
-    object.set_name(item.name);
-    object.set_version(item.version);
-    object.set_deleted(item.deleted);
-    const auto status = google::protobuf::util::JsonStringToMessage(item.spec_json, object.mutable_spec());
-    if (!status.ok()) {
-        object.clear_spec();
-    }
-    return object;
-}
-
 error not_found(const std::string& kind, const std::string& name)
 {
     return {error_code::not_found, run_state::not_run, "no object " + kind + "/" + name};
@@ -149,13 +137,7 @@
 void operator_service::Watch(google::protobuf::RpcController* /*control*/, const v1::WatchRequest* request,
                              v1::WatchReply* reply, google::protobuf::Closure* done)
 {
-    for (const auto& item : state_.config_since(request->since_revision())) {
-        if (request->kind().empty() || request->kind() == item.kind) {
-            *reply->add_objects() = to_operator_object(item);
-        }
-    }
-    reply->set_revision(state_.config_revision());
-    done->Run();
+    watch_.wait(*request, reply, done);
 }
 
 void operator_service::Status(google::protobuf::RpcController* /*control*/,
@@ -174,27 +156,14 @@
 void operator_service::Explain(google::protobuf::RpcController* control, const v1::ExplainRequest* request,
                                v1::ExplainReply* reply, google::protobuf::Closure* done)
 {
-    const auto slash = request->subject().find('/');
-    const std::string kind = request->subject().substr(0, slash);
-    const std::string object_name = slash == std::string::npos ? "" : request->subject().substr(slash + 1);
-    const auto found = state_.config_find(kind, object_name);
-    if (!found) {
-        wire::from(control).fail(not_found(kind, object_name));
+    const auto lines = explain(state_, request->subject());
+    if (!ok(lines)) {
+        wire::from(control).fail(failure(lines));
         done->Run();
         return;
     }
-    reply->add_lines(request->subject() + " is at version " + std::to_string(found->version));
-    if (kind == "job") {
-        std::vector<std::string> able;
-        for (const auto& member : state_.members()) {
-            if (member.state == fleet::member_state::alive && !member.info.draining) {
-                able.push_back(member.info.vm);
-            }
-        }
-        const auto owners = fleet::ranked_owners(request->subject(), able);
-        for (const auto& vm : owners) {
-            reply->add_lines((vm == owners.front() ? "owner: " : "successor: ") + vm);
-        }
+    for (const auto& line : value(lines)) {
+        reply->add_lines(line);
     }
     done->Run();
 }
--- a/src/keeper/services.hpp
+++ b/src/keeper/services.hpp
@@ -6,6 +6,7 @@
 #include "keeper/gossip.hpp"
 #include "keeper/keeper_state.hpp"
 #include "keeper/lease_keeper.hpp"
+#include "keeper/operator_watch.hpp"
 #include "platform/object_client.hpp"
 
 #include "vanillagauge.pb.h"
@@ -70,8 +71,9 @@
 
 class operator_service final : public v1::Operator {
 public:
-    operator_service(keeper_state& state, platform::object_client& store, config_counter& census)
-        : state_(state), store_(store), census_(census)
+    operator_service(keeper_state& state, platform::object_client& store, config_counter& census,
+                     operator_watch& watch)
+        : state_(state), store_(store), census_(census), watch_(watch)
     {
     }
 
@@ -98,6 +100,7 @@
     keeper_state& state_;
     platform::object_client& store_;
     config_counter& census_;
+    operator_watch& watch_;
 };
 
 } // namespace vanillagauge::keeper
