Never hedge a call that is not idempotent

Cause: plain_call hedged whatever it was given; a call that is not idempotent, handed to it under a claim pair, would have been sent to a second target when the first was late.

Change: only idempotent calls are hedged. tests/entry drives plain_call on real sockets: silent target, lost reply followed by a refusal, refusals alone. The test of a silent target fails without the change.

--- a/src/entry/plain_call.cpp
+++ b/src/entry/plain_call.cpp
@@ -104,7 +104,8 @@
         }
         found->second.cancel = std::move(cancel);
     }
-    if (group_->limited() && number < most_attempts) {
+    // A second run of a call that is not idempotent is what must never happen.
+    if (group_->limited() && request_.idempotent() && number < most_attempts) {
         arm_hedge(number);
     }
 }
--- /dev/null
+++ b/tests/entry/plain_call_tests.cpp
@@ -0,0 +1,160 @@
+#include "entry/plain_call.hpp"
+
+#include "wire/wire.hpp"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace vanillagauge::entry {
+namespace {
+
+enum class behaviour { answers, silent, refuses, fails };
+
+/// A service on a real socket that answers, refuses without running, fails after running, or keeps silent.
+class scripted_target final : public target::v1::PlainService {
+public:
+    explicit scripted_target(behaviour mode) : mode_(mode)
+    {
+        calls_.mount(*this, wire::role::anyone);
+        address_ = value(http_.open("127.0.0.1:0"));
+    }
+
+    ~scripted_target() override
+    {
+        for (auto* waiting : silent_) {
+            waiting->Run();
+        }
+        http_.close();
+    }
+
+    void Call(google::protobuf::RpcController* control, const target::v1::CallRequest* request,
+              target::v1::CallReply* reply, google::protobuf::Closure* done) override
+    {
+        ++asked_;
+        if (mode_ == behaviour::silent) {
+            const std::lock_guard lock(mutex_);
+            silent_.push_back(done);
+            return;
+        }
+        if (mode_ == behaviour::refuses) {
+            wire::from(control).fail({error_code::unavailable, run_state::not_run, "takes nothing"});
+        }
+        if (mode_ == behaviour::fails) {
+            wire::from(control).fail({error_code::internal, run_state::in_doubt, "the reply was lost"});
+        }
+        reply->set_request_id(request->request_id());
+        reply->set_body("body");
+        reply->set_digest(digest("body"));
+        done->Run();
+    }
+
+    const std::string& address() const { return address_; }
+    int asked() const { return asked_; }
+
+private:
+    const behaviour mode_;
+    std::atomic<int> asked_{0};
+    std::mutex mutex_;
+    std::vector<google::protobuf::Closure*> silent_;
+    wire::dispatcher calls_{wire::access_table{}};
+    wire::http_server http_{calls_, {}};
+    std::string address_;
+};
+
+/// An entry's parts before scripted targets. The first target is in the entry's domain, so it is asked first.
+struct front {
+    config::settings settings;
+    std::list<scripted_target> targets;
+    wire::event_loop loop;
+    observe::metrics metrics;
+    std::optional<node::keeper_link> keeper;
+    node::channel_pool channels = node::http_channels(loop);
+    node::target_directory directory{loop, {}};
+
+    explicit front(std::initializer_list<behaviour> modes)
+    {
+        settings.failure_domain = "near";
+        settings.keeper.address = "127.0.0.1:1";
+        keeper.emplace(loop, settings);
+        std::string list;
+        for (const auto mode : modes) {
+            const auto& target = targets.emplace_back(mode);
+            list += std::string(list.empty() ? "" : ",") + R"({"id":"t)" + std::to_string(targets.size()) +
+                    R"(","address":")" + target.address() + R"(","failure_domain":")" +
+                    (targets.size() == 1 ? "near" : "far") + R"("})";
+        }
+        node::view view;
+        view.config.merge({"deployment", "app", 1, R"({"kind":"service","targets":[)" + list + "]}", false});
+        directory.update(view);
+    }
+
+    ~front() { loop.stop(); }
+
+    result<v1::CallReply> call(bool idempotent, milliseconds deadline)
+    {
+        v1::CallRequest request;
+        request.set_deployment("app");
+        request.set_request_id("r-1");
+        request.set_idempotent(idempotent);
+        auto answered = std::make_shared<std::promise<result<v1::CallReply>>>();
+        const entry_context context{settings, loop, *keeper, channels, directory, metrics, 1};
+        std::make_shared<plain_call>(
+            context, directory.find("app"), request, steady::now() + deadline, observe::trace_context{},
+            [answered](result<v1::CallReply> outcome) { answered->set_value(std::move(outcome)); })
+            ->start();
+        return answered->get_future().get();
+    }
+};
+
+// The connection to a target is open and silent. The caller of an idempotent call sees nothing of it: once
+// the answer is later than usual another target is asked, long before the deadline.
+TEST(plain_call, an_idempotent_call_goes_on_elsewhere_when_its_target_is_silent)
+{
+    front entry({behaviour::silent, behaviour::answers});
+    const auto reply = entry.call(true, seconds{60});
+    ASSERT_TRUE(ok(reply)) << describe(failure(reply));
+    EXPECT_EQ(value(reply).target(), "t2");
+}
+
+// The same for a charge: the silent target may have run it, so no other target may be asked, hedge or retry.
+// The caller learns that it is in doubt.
+TEST(plain_call, a_call_that_is_not_idempotent_is_never_sent_twice)
+{
+    front entry({behaviour::silent, behaviour::answers});
+    const auto reply = entry.call(false, milliseconds{1500});
+    ASSERT_FALSE(ok(reply));
+    EXPECT_EQ(failure(reply).ran, run_state::in_doubt);
+    EXPECT_EQ(entry.targets.front().asked(), 1);
+    EXPECT_EQ(entry.targets.back().asked(), 0);
+}
+
+TEST(plain_call, a_call_that_is_not_idempotent_goes_on_where_it_was_refused_as_not_run)
+{
+    front entry({behaviour::refuses, behaviour::answers});
+    const auto reply = entry.call(false, seconds{60});
+    ASSERT_TRUE(ok(reply)) << describe(failure(reply));
+    EXPECT_EQ(entry.targets.back().asked(), 1);
+}
+
+// The first target ran the call and lost its reply; the second refuses it as not run. To the caller the call
+// is in doubt: the refusal is of the second attempt alone.
+TEST(plain_call, a_refused_retry_does_not_hide_that_the_first_attempt_may_have_run)
+{
+    front entry({behaviour::fails, behaviour::refuses});
+    const auto reply = entry.call(true, seconds{60});
+    ASSERT_FALSE(ok(reply));
+    EXPECT_EQ(failure(reply).ran, run_state::in_doubt);
+    EXPECT_EQ(entry.targets.back().asked(), 1);
+}
+
+TEST(plain_call, refused_by_every_target_it_is_not_run)
+{
+    front entry({behaviour::refuses, behaviour::refuses});
+    const auto reply = entry.call(true, seconds{60});
+    ASSERT_FALSE(ok(reply));
+    EXPECT_EQ(failure(reply).ran, run_state::not_run);
+}
+
+} // namespace
+} // namespace vanillagauge::entry
