Share callers between entries of equal load; suspect no request sent after a target was lost

Cause, locate: entries never announced a load, so every caller of a domain was sent to the entry whose VM came first by name; and a node cut off from its peers advised callers to use itself alone. Change: entries announce their load in coarse steps, equal ones share callers by hash, and a node that lost all its peers within the last minute names them first and itself last, without call keys.

Two targets were down; pooled connections to them broke under later requests, and two broken connections counted as two crashes. Change: a request sent after its target's loss was noticed is no suspect, and second attempts use new connections, which a lost target refuses.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -36,7 +36,8 @@
                            v1::LocateReply* reply, google::protobuf::Closure* done)
 {
     const auto view = context_.keeper.current();
-    const auto found = locate(*view, request->failure_domain(), wall_milliseconds());
+    const auto found = locate(*view, {request->failure_domain(), request->caller(), context_.settings.vm,
+                                      steady::now(), wall_milliseconds()});
     if (!ok(found)) {
         wire::from(control).fail(failure(found));
         done->Run();
--- a/src/entry/locate.cpp
+++ b/src/entry/locate.cpp
@@ -16,30 +16,71 @@
     fleet::process process;
 };
 
+std::vector<front> entries_of(const fleet::member& member)
+{
+    std::vector<front> fronts;
+    for (const auto& process : member.info.processes) {
+        if (process.role == "entry" && !process.draining && !member.info.draining) {
+            fronts.push_back({member.info, process});
+        }
+    }
+    return fronts;
+}
+
 std::vector<front> usable_fronts(const node::view& view)
 {
     std::vector<front> fronts;
     for (const auto& member : view.nodes) {
-        if (member.state != fleet::member_state::alive || member.info.draining) {
+        if (member.state == fleet::member_state::alive) {
+            const auto found = entries_of(member);
+            fronts.insert(fronts.end(), found.begin(), found.end());
+        }
+    }
+    return fronts;
+}
+
+// Sorted by load alone all callers of a domain would go to the one entry that looked idle when it last told.
+// Loads are announced in steps, and entries of one step share the callers by hash, so that a caller also
+// keeps its entry from one answer to the next.
+void sort_fronts(std::vector<front>& fronts, const locate_question& question)
+{
+    const auto rank = [&question](const front& item) {
+        const bool far = item.node.failure_domain != question.near_domain;
+        const auto turn = hash64(item.node.vm, hash64(question.caller));
+        return std::make_tuple(far, item.process.load, turn);
+    };
+    std::sort(fronts.begin(), fronts.end(),
+              [&rank](const front& left, const front& right) { return rank(left) < rank(right); });
+}
+
+// A node that lost all of its peers at once is more likely cut off than alone. Its callers would get advice
+// that holds nobody else, so for a while the others come first, whom callers may still reach, and itself
+// last. Where the others are gone indeed, callers find it at the end of the list.
+std::vector<front> lost_fronts(const node::view& view, const std::string& own_vm, time_point now)
+{
+    std::vector<front> fronts;
+    for (const auto& member : view.nodes) {
+        if (member.info.vm == own_vm) {
             continue;
         }
-        for (const auto& process : member.info.processes) {
-            if (process.role == "entry" && !process.draining) {
-                fronts.push_back({member.info, process});
-            }
+        if (member.state == fleet::member_state::alive) {
+            return {};
+        }
+        const bool lost_lately =
+            member.state != fleet::member_state::left && now - member.since < seconds{60};
+        if (lost_lately) {
+            const auto found = entries_of(member);
+            fronts.insert(fronts.end(), found.begin(), found.end());
         }
     }
     return fronts;
 }
 
-void sort_fronts(std::vector<front>& fronts, const std::string& near_domain)
+void add_addresses(const std::vector<front>& fronts, std::size_t most, std::vector<std::string>& into)
 {
-    std::sort(fronts.begin(), fronts.end(), [&near_domain](const front& left, const front& right) {
-        const bool left_far = left.node.failure_domain != near_domain;
-        const bool right_far = right.node.failure_domain != near_domain;
-        return std::tie(left_far, left.process.load, left.node.vm) <
-               std::tie(right_far, right.process.load, right.node.vm);
-    });
+    for (std::size_t place = 0; place < std::min(fronts.size(), most); ++place) {
+        into.push_back(fronts[place].process.http_address);
+    }
 }
 
 claims::incarnation identity(const front& item)
@@ -55,25 +96,26 @@
 
 } // namespace
 
-result<location> locate(const node::view& view, const std::string& near_domain, std::int64_t wall_ms)
+result<location> locate(const node::view& view, const locate_question& question)
 {
     auto fronts = usable_fronts(view);
     if (fronts.empty()) {
         return error{error_code::unavailable, run_state::not_run, "no entry process is known to be alive",
                      milliseconds{1000}};
     }
-    sort_fronts(fronts, near_domain);
+    sort_fronts(fronts, question);
+    auto lost = lost_fronts(view, question.own_vm, question.now);
+    sort_fronts(lost, question);
     location found;
-    for (std::size_t place = 0; place < std::min(fronts.size(), most_addresses); ++place) {
-        found.addresses.push_back(fronts[place].process.http_address);
-    }
+    add_addresses(lost, most_addresses - 1, found.addresses);
+    add_addresses(fronts, most_addresses - found.addresses.size(), found.addresses);
     const auto& home = fronts.front();
     const auto other_domain = std::find_if(fronts.begin(), fronts.end(), [&home](const front& item) {
         return item.node.failure_domain != home.node.failure_domain;
     });
     const auto& backup = other_domain != fronts.end() ? *other_domain : fronts.back();
     if (backup.node.vm != home.node.vm) {
-        const auto expires = wall_ms + key_life.count();
+        const auto expires = question.wall_ms + key_life.count();
         found.key_prefix = claims::format_prefix({identity(home), identity(backup)}, expires, nonce());
     }
     return found;
--- a/src/entry/locate.hpp
+++ b/src/entry/locate.hpp
@@ -19,8 +19,17 @@
     std::string key_prefix;             ///< empty while only one entry process is known
 };
 
-/// `unavailable` where no entry process is known to be alive.
-result<location> locate(const node::view& view, const std::string& near_domain, std::int64_t wall_ms);
+struct locate_question {
+    std::string near_domain; ///< of the caller, where known
+    std::string caller;
+    std::string own_vm; ///< of the process that answers
+    time_point now;
+    std::int64_t wall_ms = 0; ///< keys expire by wall clock
+};
+
+/// Near entries first, then those with less load; one caller gets the same order while these stay as they
+/// are. `unavailable` where no entry process is known to be alive.
+result<location> locate(const node::view& view, const locate_question& question);
 
 } // namespace vanillagauge::entry
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,6 +1,7 @@
 /// vg-entry: the callers' front of one VM.
 
 #include "entry/entry_service.hpp"
+#include "entry/load_announcer.hpp"
 #include "entry/quarantine_exchange.hpp"
 #include "node/node.hpp"
 #include "observe/observe.hpp"
@@ -32,6 +33,7 @@
     entry::quarantine_exchange crashes({settings, loop, keeper, targets, directory, metrics, incarnation},
                                        crash_peers);
     peer_calls.mount(crashes, wire::role::peer);
+    entry::load_announcer loads({settings, loop, keeper, targets, directory, metrics, incarnation});
 
     const auto http_address = http.open(settings.entry.http_listen);
     const auto peer_address = peers.open(settings.entry.peer_listen);
@@ -43,6 +45,7 @@
     }
     keeper.follow({"entry", incarnation, value(http_address), value(peer_address), false, 0});
     directory.poll_loads(targets);
+    loads.start();
     node::print_ready("vg-entry",
                       {{"http_address", value(http_address)}, {"peer_address", value(peer_address)}});
     node::wait_for_stop();
--- a/src/entry/plain_call.cpp
+++ b/src/entry/plain_call.cpp
@@ -92,6 +92,9 @@
     wire::call_options options;
     options.timeout = std::max(milliseconds{1}, remaining(steady::now(), deadline_));
     options.trace = span_.context();
+    // After a broken connection others of the pool may be broken too; a new one tells a lost target by
+    // refusing, which is known not to have run the call.
+    options.fresh_connection = number > 1;
     auto self = shared_from_this();
     auto cancel = wire::call<target::v1::CallReply>(
         *context_.targets.at(slot.address), wire::method<target::v1::PlainService>("Call"), forward, options,
@@ -176,7 +179,7 @@
         return;
     }
     if (looks_like_crash(failure(outcome))) {
-        context_.directory.quarantine().on_crash(fingerprint_, ended.target);
+        context_.directory.quarantine().on_crash(fingerprint_, ended.target, ended.began);
     }
     on_failure(failure(outcome), others_running);
 }
--- a/src/entry/streamed_generate.cpp
+++ b/src/entry/streamed_generate.cpp
@@ -74,6 +74,7 @@
     options.timeout = std::max(milliseconds{1}, remaining(began_, deadline_));
     options.progress_timeout = progress_timeout;
     options.trace = span_.context();
+    options.fresh_connection = attempts_ > 1; // others of the pool may be broken too
     auto self = shared_from_this();
     wire::stream<target::v1::GenerateChunk>(
         *context_.targets.at(slot.address), wire::method<target::v1::Engine>("Generate"), forward, options,
@@ -127,7 +128,7 @@
         context_.directory.quarantine().on_answer(fingerprint_);
     }
     else if (!ok(outcome) && looks_like_crash(failure(outcome))) {
-        context_.directory.quarantine().on_crash(fingerprint_, target);
+        context_.directory.quarantine().on_crash(fingerprint_, target, began_);
     }
 }
 
--- a/src/node/shared_quarantine.cpp
+++ b/src/node/shared_quarantine.cpp
@@ -2,11 +2,11 @@
 
 namespace vanillagauge::node {
 
-void shared_quarantine::on_crash(std::uint64_t fingerprint, const std::string& target)
+void shared_quarantine::on_crash(std::uint64_t fingerprint, const std::string& target, time_point began)
 {
     {
         const std::lock_guard lock(mutex_);
-        held_.on_crash(fingerprint, target, steady::now());
+        held_.on_crash(fingerprint, target, began, steady::now());
     }
     if (handler_) {
         handler_();
--- a/src/node/shared_quarantine.hpp
+++ b/src/node/shared_quarantine.hpp
@@ -15,7 +15,7 @@
     /// Called, on any thread, after something new was learnt here or from another node.
     void on_news(std::function<void()> handler) { handler_ = std::move(handler); }
 
-    void on_crash(std::uint64_t fingerprint, const std::string& target);
+    void on_crash(std::uint64_t fingerprint, const std::string& target, time_point began);
     void on_answer(std::uint64_t fingerprint);
     void merge(const std::vector<policy::crash_record>& records);
 
--- a/src/node/target_directory.cpp
+++ b/src/node/target_directory.cpp
@@ -99,16 +99,29 @@
     });
 }
 
-void target_directory::poll_round(channel_pool& targets)
+std::size_t target_directory::requests_held() const
 {
-    std::vector<std::shared_ptr<target_group>> groups;
-    {
-        const std::lock_guard lock(mutex_);
-        for (const auto& [name, held] : groups_) {
-            groups.push_back(held.group);
-        }
+    std::size_t held = 0;
+    for (const auto& group : groups()) {
+        held += group->requests_held();
     }
-    for (const auto& group : groups) {
+    return held;
+}
+
+std::vector<std::shared_ptr<target_group>> target_directory::groups() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<std::shared_ptr<target_group>> all;
+    all.reserve(groups_.size());
+    for (const auto& [name, held] : groups_) {
+        all.push_back(held.group);
+    }
+    return all;
+}
+
+void target_directory::poll_round(channel_pool& targets)
+{
+    for (const auto& group : groups()) {
         for (const auto& target : group->next_to_poll(polled_at_once)) {
             poll(group, target, targets);
         }
--- a/src/node/target_directory.hpp
+++ b/src/node/target_directory.hpp
@@ -28,6 +28,8 @@
     void poll_loads(channel_pool& targets);
     /// Null where there is no such deployment.
     std::shared_ptr<target_group> find(const std::string& deployment) const;
+    /// In flight at targets and waiting for them, of all deployments.
+    std::size_t requests_held() const;
     shared_quarantine& quarantine() { return quarantine_; }
 
 private:
@@ -45,6 +47,7 @@
 
     held_group taken(const config::object& item, const held_group& held) const;
     void poll_round(channel_pool& targets);
+    std::vector<std::shared_ptr<target_group>> groups() const;
 };
 
 } // namespace vanillagauge::node
--- a/src/node/target_group.cpp
+++ b/src/node/target_group.cpp
@@ -138,10 +138,10 @@
     return std::chrono::ceil<milliseconds>(scheduler_.pool().hedge_delay());
 }
 
-std::size_t target_group::waiting() const
+std::size_t target_group::requests_held() const
 {
     const std::lock_guard lock(mutex_);
-    return scheduler_.waiting();
+    return scheduler_.waiting() + static_cast<std::size_t>(scheduler_.pool().in_flight());
 }
 
 result<target_group::slot> target_group::slot_of(const policy::placed& place) const
--- a/src/node/target_group.hpp
+++ b/src/node/target_group.hpp
@@ -50,7 +50,8 @@
     milliseconds hedge_delay() const;
     /// The plain baseline retries without end and never hedges.
     bool limited() const { return options_.limited; }
-    std::size_t waiting() const;
+    /// In flight at targets and waiting for them.
+    std::size_t requests_held() const;
 
 private:
     struct woken {
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -10,6 +10,8 @@
 /// Long against the pauses after which a caller sends its request again, short enough to end by itself once
 /// the targets have been mended.
 constexpr std::chrono::minutes record_life{10};
+/// Longer than pooled connections to a lost target stay unused under any load worth the name.
+constexpr seconds loss_memory{30};
 /// About 200 bytes each: a crash that takes 500 requests with it fits twice.
 constexpr std::size_t most_records = 1024;
 
@@ -26,8 +28,16 @@
 // Every request in flight at a lost target is suspected, also the innocent ones. An answer clears a suspect,
 // and a request that others send as well is answered somewhere before a second target is lost to it; the
 // poisonous one never is.
-void quarantine::on_crash(std::uint64_t fingerprint, std::string_view target, time_point now)
+//
+// A lost target leaves connections in our pools that break when the next requests are sent on them. These
+// came after the loss and cannot have caused it; counting them would hold innocent requests as soon as two
+// targets are down.
+void quarantine::on_crash(std::uint64_t fingerprint, std::string_view target, time_point began,
+                          time_point now)
 {
+    if (lost_before(hash64(target), began, now)) {
+        return;
+    }
     if (!records_.contains(fingerprint)) {
         make_room(now);
     }
@@ -39,6 +49,13 @@
     entry.expires = now + record_life;
 }
 
+bool quarantine::lost_before(std::uint64_t target, time_point began, time_point now)
+{
+    std::erase_if(lost_, [now](const auto& item) { return now - item.second > loss_memory; });
+    const auto [found, first] = lost_.emplace(target, now);
+    return !first && began > found->second;
+}
+
 void quarantine::on_answer(std::uint64_t fingerprint)
 {
     records_.erase(fingerprint);
--- a/src/policy/quarantine.hpp
+++ b/src/policy/quarantine.hpp
@@ -25,8 +25,8 @@
 
 class quarantine {
 public:
-    /// The connection to `target` broke while it ran the request.
-    void on_crash(std::uint64_t fingerprint, std::string_view target, time_point now);
+    /// The connection to `target` broke after the request had been sent at `began`.
+    void on_crash(std::uint64_t fingerprint, std::string_view target, time_point began, time_point now);
     /// The request was answered: it does not crash targets.
     void on_answer(std::uint64_t fingerprint);
     /// Takes over what another node knows; true where that was new here.
@@ -44,7 +44,9 @@
         time_point expires;
     };
     std::map<std::uint64_t, record> records_;
+    std::map<std::uint64_t, time_point> lost_; ///< by target: when its loss was noticed
 
+    bool lost_before(std::uint64_t target, time_point began, time_point now);
     void make_room(time_point now);
 };
 
--- a/src/policy/target_pool.hpp
+++ b/src/policy/target_pool.hpp
@@ -59,6 +59,7 @@
     std::size_t size() const { return usable_.size(); }
     std::size_t ejected() const { return ejection_.out(); }
     int in_flight(const std::string& id) const;
+    int in_flight() const { return total_in_flight_; }
     int limit(const std::string& id, time_point now) const;
     /// How long to wait for an answer before another target is asked as well.
     duration hedge_delay() const;
--- /dev/null
+++ b/tests/entry/locate_tests.cpp
@@ -0,0 +1,78 @@
+#include "entry/locate.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace vanillagauge::entry {
+namespace {
+
+const time_point now{std::chrono::hours{1}};
+
+fleet::member entry_at(const std::string& vm, const std::string& domain, double load = 0,
+                       fleet::member_state state = fleet::member_state::alive)
+{
+    fleet::member member;
+    member.info.vm = vm;
+    member.info.failure_domain = domain;
+    member.info.processes.push_back({"entry", 1, vm + ":80", vm + ":90", false, load});
+    member.state = state;
+    member.since = now;
+    return member;
+}
+
+std::vector<std::string> advice(const node::view& view, const std::string& caller)
+{
+    return value(locate(view, {"piraeus", caller, "vm-1", now, 0})).addresses;
+}
+
+node::view view_of(std::vector<fleet::member> members)
+{
+    node::view view;
+    view.nodes = std::move(members);
+    return view;
+}
+
+TEST(locate, names_near_entries_first_and_less_loaded_before_others)
+{
+    const auto view = view_of(
+        {entry_at("vm-1", "marousi"), entry_at("vm-2", "piraeus", 3), entry_at("vm-3", "piraeus", 1)});
+    EXPECT_EQ(advice(view, "phone"), (std::vector<std::string>{"vm-3:80", "vm-2:80", "vm-1:80"}));
+}
+
+// Entries that are equally loaded share the callers; each caller keeps its own while nothing changes.
+TEST(locate, spreads_callers_over_entries_of_equal_load)
+{
+    const auto view = view_of({entry_at("vm-1", "piraeus"), entry_at("vm-2", "piraeus")});
+    std::set<std::string> firsts;
+    for (int place = 0; place < 50; ++place) {
+        const auto caller = "phone-" + std::to_string(place);
+        firsts.insert(advice(view, caller).front());
+        EXPECT_EQ(advice(view, caller), advice(view, caller));
+    }
+    EXPECT_EQ(firsts.size(), 2U);
+}
+
+TEST(locate, leaves_out_what_drains)
+{
+    auto draining = entry_at("vm-2", "piraeus");
+    draining.info.processes.front().draining = true;
+    const auto view = view_of({entry_at("vm-1", "marousi"), draining});
+    EXPECT_EQ(advice(view, "phone"), (std::vector<std::string>{"vm-1:80"}));
+}
+
+// The node that answers has lost all its peers at once: it is probably cut off itself. Callers are sent to
+// the others first and get no call keys, since no backup would record a claim.
+TEST(locate, a_node_that_lost_all_its_peers_names_itself_last)
+{
+    const auto view =
+        view_of({entry_at("vm-1", "piraeus"), entry_at("vm-2", "piraeus", 0, fleet::member_state::dead),
+                 entry_at("vm-3", "marousi", 0, fleet::member_state::suspect)});
+    EXPECT_EQ(advice(view, "phone"), (std::vector<std::string>{"vm-2:80", "vm-3:80", "vm-1:80"}));
+    EXPECT_EQ(value(locate(view, {"piraeus", "phone", "vm-1", now, 0})).key_prefix, "");
+    const locate_question later{"piraeus", "phone", "vm-1", now + seconds{120}, 0};
+    EXPECT_EQ(value(locate(view, later)).addresses, (std::vector<std::string>{"vm-1:80"}));
+}
+
+} // namespace
+} // namespace vanillagauge::entry
