--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -3,6 +3,8 @@
 #include "platform.pb.h"
 #include "wire/call.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <random>
 
 namespace vanillagauge::platform {
@@ -68,21 +70,40 @@
     return item.version == 0 || item.deleted ? "none" : "version " + std::to_string(item.version);
 }
 
+/// The object that stands, for the operator whose change it keeps out.
+std::string to_json(const stored_object& item)
+{
+    if (item.version == 0 || item.deleted) {
+        return "";
+    }
+    const nlohmann::json spec = nlohmann::json::parse(item.value, nullptr, false);
+    const nlohmann::json object{{"kind", item.kind},
+                                {"name", item.name},
+                                {"version", std::to_string(item.version)},
+                                {"spec", spec.is_discarded() ? nlohmann::json(item.value) : spec}};
+    return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 error to_error(const write_conflict& conflict, std::uint64_t expected_version)
 {
     const auto& current = conflict.current;
     const std::string wanted = expected_version == 0 ? "none" : "version " + std::to_string(expected_version);
-    return {error_code::conflict, run_state::not_run,
-            "expected " + wanted + " of " + current.kind + "/" + current.name + ", found " +
-                version_text(current) + ": get it, make the change again and apply"};
+    error refused{error_code::conflict, run_state::not_run,
+                  "expected " + wanted + " of " + current.kind + "/" + current.name + ", found " +
+                      version_text(current)};
+    refused.current = to_json(current);
+    return refused;
 }
 
 error to_error(const write_superseded& superseded)
 {
     const auto& current = superseded.current;
-    return {error_code::conflict, run_state::in_doubt,
-            "the reply to the write of " + current.kind + "/" + current.name + " was lost, and " +
-                version_text(current) + " of somebody else stands now: it may have replaced this change"};
+    error refused{error_code::conflict, run_state::in_doubt,
+                  "the reply to the write of " + current.kind + "/" + current.name + " was lost, and " +
+                      version_text(current) +
+                      " of somebody else stands now: it may have replaced this change"};
+    refused.current = to_json(current);
+    return refused;
 }
 
 } // namespace
--- a/src/wire/internal/http_connection.cpp
+++ b/src/wire/internal/http_connection.cpp
@@ -282,6 +282,7 @@
     call.path = target.substr(0, target.find('?'));
     call.authorization = to_text(request[http::field::authorization]);
     call.trace = observe::parse_traceparent(to_text(request["traceparent"]));
+    call.traced = true;
     call.timeout = value(parse_timeout(to_text(request["X-Timeout-Ms"])));
     form_.traceparent = observe::traceparent(call.trace);
     const std::string body = std::move(request.body());
--- a/tests/observe/metrics_tests.cpp
+++ b/tests/observe/metrics_tests.cpp
@@ -20,6 +20,24 @@
     EXPECT_NE(page.find("quantile=\"0.99"), std::string::npos) << page;
 }
 
+TEST(metrics_page, names_each_type_once_with_its_lines_together)
+{
+    metrics series;
+    series.add("calls_total{code=\"ok\"}");
+    series.add("calls_total{code=\"overloaded\"}");
+    series.add("calls_total_refused");
+    series.record("call_seconds{kind=\"a\"}", milliseconds{10});
+    series.record("call_seconds{kind=\"b\"}", milliseconds{10});
+    const auto page = series.page();
+    EXPECT_NE(page.find("# TYPE calls_total counter\ncalls_total{code=\"ok\"} 1\ncalls_total{code="),
+              std::string::npos)
+        << page;
+    const auto first = page.find("# TYPE call_seconds summary\n");
+    ASSERT_NE(first, std::string::npos) << page;
+    EXPECT_EQ(page.find("# TYPE call_seconds summary\n", first + 1), std::string::npos) << page;
+    EXPECT_NE(page.find("call_seconds_count{kind=\"b\"} 1"), std::string::npos) << page;
+}
+
 TEST(traceparent_header, survives_a_hop)
 {
     const trace_context sent{"0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331"};
