--- a/src/entry/locate.cpp
+++ b/src/entry/locate.cpp
@@ -16,6 +16,12 @@
     fleet::process process;
 };
 
+std::uint64_t nonce()
+{
+    thread_local std::mt19937_64 random{std::random_device{}()};
+    return random();
+}
+
 std::vector<front> entries_of(const fleet::member& member)
 {
     std::vector<front> fronts;
@@ -44,9 +50,11 @@
 // keeps its entry from one answer to the next.
 void sort_fronts(std::vector<front>& fronts, const locate_question& question)
 {
-    const auto rank = [&question](const front& item) {
+    // A caller without a name gets another order with each answer.
+    const auto seed = question.caller.empty() ? nonce() : hash64(question.caller);
+    const auto rank = [&question, seed](const front& item) {
         const bool far = item.node.failure_domain != question.near_domain;
-        const auto turn = hash64(item.node.vm, hash64(question.caller));
+        const auto turn = hash64(item.node.vm, seed);
         return std::make_tuple(far, item.process.load, turn);
     };
     std::sort(fronts.begin(), fronts.end(),
@@ -88,12 +96,6 @@
     return {item.node.vm, item.process.incarnation};
 }
 
-std::uint64_t nonce()
-{
-    thread_local std::mt19937_64 random{std::random_device{}()};
-    return random();
-}
-
 } // namespace
 
 result<location> locate(const node::view& view, const locate_question& question)
--- a/tests/entry/locate_tests.cpp
+++ b/tests/entry/locate_tests.cpp
@@ -53,6 +53,16 @@
     EXPECT_EQ(firsts.size(), 2U);
 }
 
+TEST(locate, spreads_callers_without_a_name)
+{
+    const auto view = view_of({entry_at("vm-1", "piraeus"), entry_at("vm-2", "piraeus")});
+    std::set<std::string> firsts;
+    for (int place = 0; place < 100; ++place) {
+        firsts.insert(advice(view, "").front());
+    }
+    EXPECT_EQ(firsts.size(), 2U);
+}
+
 TEST(locate, leaves_out_what_drains)
 {
     auto draining = entry_at("vm-2", "piraeus");
