--- a/tests/entry/plain_call_tests.cpp
+++ b/tests/entry/plain_call_tests.cpp
@@ -22,8 +22,13 @@
 
     ~scripted_target() override
     {
-        for (auto* waiting : silent_) {
-            waiting->Run();
+        std::vector<google::protobuf::Closure*> waiting;
+        {
+            const std::lock_guard lock(mutex_);
+            waiting.swap(silent_);
+        }
+        for (auto* closure : waiting) {
+            closure->Run();
         }
         http_.close();
     }
