--- /dev/null
+++ b/fuzzing/input_tests.cpp
@@ -0,0 +1,121 @@
+#include "claims/claims.hpp"
+#include "config/config.hpp"
+#include "mutation.hpp"
+#include "samples/samples.hpp"
+#include "wire/wire.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+// What strangers send and operators write, damaged in every place. Each reader answers with a value or a
+// typed error; under the sanitizers the same runs show reads out of bounds.
+
+namespace vanillagauge {
+namespace {
+
+const std::string valid_settings = R"({
+  "vm": "vm-1", "failure_domain": "piraeus", "platform": "127.0.0.1:7000", "http_threads": 4,
+  "tokens": {"caller": "12345678", "trainer": "12345678", "operator": "12345678", "peer": "12345678"},
+  "keeper": {"address": "127.0.0.1:7101", "seeds": ["127.0.0.1:7101"]},
+  "entry": {"http_listen": "127.0.0.1:0"}
+})";
+
+RC_GTEST_PROP(settings_text, that_is_damaged_is_read_or_refused_by_name, ())
+{
+    const auto parsed = config::parse_settings(fuzzing::damaged(valid_settings), "vm.json");
+    if (ok(parsed)) {
+        RC_ASSERT(!value(parsed).vm.empty());
+        RC_ASSERT(value(parsed).http_threads >= 2 && value(parsed).http_threads <= 64);
+    }
+    else {
+        RC_ASSERT(failure(parsed).code == error_code::invalid_argument);
+        RC_ASSERT(failure(parsed).detail.starts_with("vm.json: "));
+        RC_ASSERT(failure(parsed).detail.find("expected") != std::string::npos);
+    }
+}
+
+RC_GTEST_PROP(call_key_text, of_a_pair_names_the_same_pair_again, ())
+{
+    const claims::claim_pair pair{{"aph-1", *rc::gen::arbitrary<std::uint64_t>()},
+                                  {"aph-2", *rc::gen::arbitrary<std::uint64_t>()}};
+    const auto expires = *rc::gen::inRange<std::int64_t>(0, 4000000000000);
+    const auto prefix = claims::format_prefix(pair, expires, *rc::gen::arbitrary<std::uint64_t>());
+    const auto parsed = claims::parse_key(prefix + "s1");
+    RC_ASSERT(ok(parsed));
+    RC_ASSERT(value(parsed).pair == pair);
+    RC_ASSERT(value(parsed).expires_ms == expires);
+}
+
+RC_GTEST_PROP(call_key_text, that_is_damaged_is_a_key_or_refused_as_not_run, ())
+{
+    const auto prefix = claims::format_prefix({{"aph-1", 17}, {"aph-2", 18}}, 1700000000000, 99);
+    const auto parsed = claims::parse_key(fuzzing::damaged(prefix + "s1"));
+    if (!ok(parsed)) {
+        RC_ASSERT(failure(parsed).code == error_code::invalid_argument);
+        RC_ASSERT(failure(parsed).ran == run_state::not_run);
+    }
+}
+
+/// A trainer's cursor is the only ledger of its samples: a damaged one that passed would skip or double some.
+RC_GTEST_PROP(cursor_text, that_is_damaged_is_never_taken_for_another_position, ())
+{
+    samples::cursor position = samples::step_start("reply-tuning", 3, 24);
+    for (std::size_t slot = 0; slot < position.taken.size(); ++slot) {
+        position.taken[slot] = *rc::gen::arbitrary<bool>();
+    }
+    const auto opened = samples::open_cursor(fuzzing::damaged(samples::seal(position, "secret")), "secret");
+    if (ok(opened)) {
+        RC_ASSERT(value(opened) == position);
+    }
+    else {
+        RC_ASSERT(failure(opened).code == error_code::forged_cursor);
+    }
+}
+
+std::string stream_of(wire::codec encoding, const std::vector<std::string>& payloads)
+{
+    std::string bytes;
+    for (const auto& payload : payloads) {
+        bytes += wire::frame(encoding, payload);
+    }
+    return bytes;
+}
+
+/// Feeds in pieces as a socket would; the frames are what the pieces cannot change.
+RC_GTEST_PROP(frames, come_out_whole_and_in_order_however_the_bytes_are_cut, ())
+{
+    const auto encoding = *rc::gen::element(wire::codec::json, wire::codec::protobuf);
+    const auto payloads = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::container<std::string>(rc::gen::inRange<char>('a', 'z')));
+    const auto bytes = stream_of(encoding, payloads);
+    wire::frame_reader reader(encoding);
+    std::vector<std::string> received;
+    std::size_t place = 0;
+    while (place < bytes.size()) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, 8);
+        const auto fed = reader.feed(std::string_view(bytes).substr(place, size),
+                                     [&received](std::string_view whole) { received.emplace_back(whole); });
+        RC_ASSERT(ok(fed));
+        place += size;
+    }
+    RC_ASSERT(reader.at_boundary());
+    RC_ASSERT(received == payloads);
+}
+
+RC_GTEST_PROP(frames, of_a_damaged_stream_stay_within_its_bytes, ())
+{
+    const auto encoding = *rc::gen::element(wire::codec::json, wire::codec::protobuf);
+    const auto bytes = fuzzing::damaged(stream_of(encoding, {"one", R"({"a": 1})", "three"}) +
+                                        wire::error_frame(encoding, {error_code::unavailable}));
+    wire::frame_reader reader(encoding);
+    std::vector<std::string> received;
+    const auto fed =
+        reader.feed(bytes, [&received](std::string_view whole) { received.emplace_back(whole); });
+    for (const auto& whole : received) {
+        RC_ASSERT(bytes.find(whole) != std::string::npos);
+    }
+    RC_CLASSIFY(!ok(fed));
+}
+
+} // namespace
+} // namespace vanillagauge
