--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -118,6 +118,7 @@
         line += "," + observe::json_text(key) + ":" + observe::json_text(text);
     }
     std::cout << line << "}" << std::endl;
+    observe::log(observe::log_level::info, "ready", {{"version", std::string(version())}});
 }
 
 void wait_for_stop()
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -74,7 +74,8 @@
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     const auto log4cxx_level = to_level(level);
-    if (!logger()->isEnabledFor(log4cxx_level)) {
+    // A program without a log would have log4cxx complain of it on standard error, in a form of its own.
+    if (fixed_fields().empty() || !logger()->isEnabledFor(log4cxx_level)) {
         return;
     }
     std::string line = "{\"time_ms\":" + std::to_string(wall_milliseconds());
