--- /dev/null
+++ b/tests/keeper/operator_watch_tests.cpp
@@ -0,0 +1,102 @@
+#include "keeper/operator_watch.hpp"
+
+#include <google/protobuf/stubs/callback.h>
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace vanillagauge::keeper {
+namespace {
+
+/// One watch and its answer.
+struct watcher {
+    v1::WatchReply reply;
+    std::promise<void> answered;
+
+    google::protobuf::Closure* done() { return google::protobuf::NewCallback(&watcher::set, this); }
+    static void set(watcher* self) { self->answered.set_value(); }
+    bool is_answered() { return answered_.wait_for(std::chrono::seconds{0}) == std::future_status::ready; }
+    void wait() { answered_.wait(); }
+
+private:
+    std::future<void> answered_{answered.get_future()};
+};
+
+class operators_watch : public testing::Test {
+protected:
+    wire::event_loop loop;
+    keeper_state state{fleet::node{}, steady::now()};
+    operator_watch watches{state, loop};
+
+    void change(const std::string& kind, std::uint64_t version)
+    {
+        state.merge_config({{kind, "a", version, "{}", false}}, config::object_source::store);
+        watches.wake();
+    }
+
+    static v1::WatchRequest request(const std::string& kind, std::uint64_t since, milliseconds wait)
+    {
+        v1::WatchRequest asked;
+        asked.set_kind(kind);
+        asked.set_since_revision(since);
+        asked.set_wait_ms(wait.count());
+        return asked;
+    }
+};
+
+constexpr milliseconds long_wait{20000};
+
+TEST_F(operators_watch, is_answered_by_a_change_of_its_kind_alone)
+{
+    watcher jobs;
+    watches.wait(request("job", state.config_revision(), long_wait), &jobs.reply, jobs.done());
+    change("deployment", 1);
+    EXPECT_FALSE(jobs.is_answered());
+    change("job", 2);
+    jobs.wait();
+    ASSERT_EQ(jobs.reply.objects_size(), 1);
+    EXPECT_EQ(jobs.reply.objects(0).kind(), "job");
+    EXPECT_EQ(jobs.reply.revision(), state.config_revision());
+}
+
+TEST_F(operators_watch, is_answered_at_once_by_a_change_that_came_before_it)
+{
+    change("job", 1);
+    watcher late;
+    watches.wait(request("", 0, long_wait), &late.reply, late.done());
+    EXPECT_TRUE(late.is_answered());
+    EXPECT_EQ(late.reply.objects_size(), 1);
+}
+
+TEST_F(operators_watch, is_answered_empty_when_its_time_is_over)
+{
+    watcher idle;
+    watches.wait(request("", 0, milliseconds{10}), &idle.reply, idle.done());
+    idle.wait();
+    EXPECT_EQ(idle.reply.objects_size(), 0);
+}
+
+/// The keeper was replaced: an operator's revision is from its former life and beyond the new one's. Waiting
+/// for that number would hide every change until it is reached, so all that is held is told again.
+TEST_F(operators_watch, from_an_earlier_life_of_the_keeper_is_told_everything)
+{
+    change("job", 1);
+    watcher other;
+    watches.wait(request("", 1000, long_wait), &other.reply, other.done());
+    EXPECT_TRUE(other.is_answered());
+    EXPECT_EQ(other.reply.objects_size(), 1);
+}
+
+TEST_F(operators_watch, holds_no_stop)
+{
+    watcher before;
+    watches.wait(request("", 0, long_wait), &before.reply, before.done());
+    watches.stop();
+    EXPECT_TRUE(before.is_answered());
+    watcher after;
+    watches.wait(request("", 0, long_wait), &after.reply, after.done());
+    EXPECT_TRUE(after.is_answered());
+}
+
+} // namespace
+} // namespace vanillagauge::keeper
