--- a/src/config/specs.hpp
+++ b/src/config/specs.hpp
@@ -41,7 +41,8 @@
     int max_tokens = 64;
     int weight = 1; ///< share of the engines beside other jobs
     job_preference preference = job_preference::staleness;
-    bool plain = false; ///< the baseline for comparisons: no lookahead, whole steps, drain-all swap, round robin
+    bool plain =
+        false; ///< the baseline for comparisons: no lookahead, whole steps, drain-all swap, round robin
     std::vector<std::string> prompts;
 };
 
