--- a/src/rollout/job_runner.cpp
+++ b/src/rollout/job_runner.cpp
@@ -2,16 +2,13 @@
 
 #include "observe/log.hpp"
 #include "rollout/core/core.hpp"
-#include "rollout/sample_message.hpp"
 #include "rollout/scoring.hpp"
 
 namespace vanillagauge::rollout {
 namespace {
 
-constexpr milliseconds longest_wait{20000};
 constexpr milliseconds retry_pause{100};
 constexpr milliseconds weights_every{1000};
-constexpr std::size_t default_pull = 64;
 
 } // namespace
 
@@ -37,160 +34,6 @@
     return spec_.prompts[(static_cast<std::size_t>(slot.step) * groups + group) % spec_.prompts.size()];
 }
 
-// ---- The trainer's side ----
-
-void job_runner::pull(const v1::PullRequest& request, pull_done on_done)
-{
-    pull_terms terms;
-    terms.trainer_version = request.trainer_version();
-    terms.most = request.max_samples() > 0 ? static_cast<std::size_t>(request.max_samples()) : default_pull;
-    terms.wait = std::min(milliseconds{request.wait_ms()}, longest_wait);
-    if (request.cursor().empty()) {
-        find_lost_cursor(request, terms, std::move(on_done));
-        return;
-    }
-    const auto opened = samples::open_cursor(request.cursor(), context_.settings.tokens.peer);
-    if (!ok(opened)) {
-        on_done(failure(opened));
-        return;
-    }
-    pull_at(value(opened), terms, std::move(on_done));
-}
-
-void job_runner::find_lost_cursor(const v1::PullRequest& request, const pull_terms& terms, pull_done on_done)
-{
-    samples::lost_cursor_facts facts{request.trainer_version(), std::nullopt, {}, {}};
-    if (request.has_begin_step()) {
-        facts.begin_step = request.begin_step();
-    }
-    {
-        const std::lock_guard lock(mutex_);
-        facts.known = {state_.now().step(), state_.now().trainer_version()};
-    }
-    auto settle = [self = shared_from_this(), facts, terms,
-                   on_done = std::move(on_done)](result<std::optional<samples::checkpoint>> stored) mutable {
-        facts.stored = std::move(stored);
-        const auto step = samples::step_for_lost_cursor(facts);
-        if (!ok(step)) {
-            on_done(failure(step));
-            return;
-        }
-        auto restart = terms;
-        restart.restarted = value(step) > 0 || facts.known.trainer_version > 0;
-        self->pull_at(samples::step_start(self->spec_.name, value(step), self->state_.now().shape().slots()),
-                      restart, std::move(on_done));
-    };
-    if (facts.begin_step) {
-        settle(std::optional<samples::checkpoint>());
-        return;
-    }
-    checkpoint_->read(std::move(settle));
-}
-
-void job_runner::pull_at(const samples::cursor& presented, const pull_terms& terms, pull_done on_done)
-{
-    std::optional<result<v1::PullReply>> reply;
-    std::vector<samples::attempt> ended;
-    std::uint64_t ticket = 0;
-    samples::checkpoint reached;
-    {
-        const std::lock_guard lock(mutex_);
-        const auto position = state_.now().locate(presented);
-        if (stopped_) {
-            reply = error{error_code::draining, run_state::not_run, "the job moves to another node",
-                          milliseconds{200}};
-        }
-        else if (!ok(position)) {
-            reply = failure(position);
-        }
-        else {
-            ended = state_.on_pull(value(position), terms.trainer_version);
-            auto ready = collect(value(position), terms);
-            reached = {state_.now().step(), state_.now().trainer_version()};
-            if (ready.samples_size() > 0 || terms.wait == milliseconds{0}) {
-                reply = std::move(ready);
-            }
-            else {
-                ticket = ++next_ticket_;
-                waiting_.push_back({ticket, value(position), terms, on_done});
-            }
-        }
-    }
-    if (reply) {
-        on_done(std::move(*reply));
-    }
-    else {
-        context_.loop.after(terms.wait, [self = shared_from_this(), ticket] { self->expire(ticket); });
-    }
-    cancel_streams(ended);
-    checkpoint_->reach(reached);
-    pump();
-}
-
-v1::PullReply job_runner::collect(const samples::cursor& position, const pull_terms& terms)
-{
-    const auto found = state_.collect(position, terms.trainer_version, terms.most);
-    v1::PullReply reply;
-    for (const auto& item : found.samples) {
-        *reply.add_samples() = to_message(item, spec_, sample_id(item.slot), prompt(item.slot));
-    }
-    reply.set_cursor(samples::seal(found.next, context_.settings.tokens.peer));
-    reply.set_step(position.step);
-    reply.set_step_complete(found.step_complete);
-    reply.set_discarded_stale(state_.now().counts().discarded_stale);
-    reply.set_restarted(terms.restarted);
-    return reply;
-}
-
-// A pull that waits at a step which another pull has closed gets its answer now; it would wait in vain.
-void job_runner::answer_waiting()
-{
-    std::vector<answer> answers;
-    {
-        const std::lock_guard lock(mutex_);
-        for (auto it = waiting_.begin(); it != waiting_.end();) {
-            const auto position = state_.now().locate(it->position);
-            if (!ok(position)) {
-                answers.emplace_back(std::move(it->on_done), failure(position));
-                it = waiting_.erase(it);
-                continue;
-            }
-            auto reply = collect(it->position, it->terms);
-            if (reply.samples_size() == 0) {
-                ++it;
-                continue;
-            }
-            answers.emplace_back(std::move(it->on_done), std::move(reply));
-            it = waiting_.erase(it);
-        }
-    }
-    for (auto& [on_done, reply] : answers) {
-        on_done(std::move(reply));
-    }
-}
-
-void job_runner::expire(std::uint64_t ticket)
-{
-    std::optional<waiting_pull> found;
-    v1::PullReply reply;
-    {
-        const std::lock_guard lock(mutex_);
-        for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
-            if (it->ticket == ticket) {
-                found = std::move(*it);
-                waiting_.erase(it);
-                reply = collect(found->position, found->terms);
-                break;
-            }
-        }
-    }
-    if (found) {
-        found->on_done(std::move(reply));
-    }
-}
-
-// ---- The engines' side ----
-
 void job_runner::tick()
 {
     rescue_stragglers();
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -46,7 +46,7 @@
 
 std::optional<run_options> read_options(int argc, char** argv)
 {
-    TCLAP::CmdLine line("Open-loop load on vanillagauge's entries", ' ', "0.1.0");
+    TCLAP::CmdLine line("Open-loop load on vanillagauge's entries", ' ', node::version());
     const TCLAP::MultiArg<std::string> entries("e", "entry", "Address of an entry", true, "IP:PORT", line);
     const TCLAP::ValueArg<std::string> token("t", "token", "Callers' token", false, "", "TOKEN", line);
     const TCLAP::ValueArg<std::string> mix("m", "mix", "aphrodisia, casco-limpo or calls", false, "calls",
--- a/tools/slopes/fleet_probe.cpp
+++ b/tools/slopes/fleet_probe.cpp
@@ -126,7 +126,7 @@
 
 int main(int argc, char** argv)
 {
-    TCLAP::CmdLine line("Measures a running fleet of keepers", ' ', "0.1.0");
+    TCLAP::CmdLine line("Measures a running fleet of keepers", ' ', node::version());
     const TCLAP::MultiArg<std::string> keepers("k", "keeper", "Operators' address", true, "IP:PORT", line);
     const TCLAP::ValueArg<std::string> token("t", "token", "Operators' token", true, "", "TOKEN", line);
     const TCLAP::ValueArg<int> trials("n", "trials", "Changes of configuration", false, 0, "N", line);
