--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -33,15 +33,14 @@
 // - a request that by the present drain rate would wait longer than it may is turned away on arrival, and one
 //   whose wait turns out longer than that is turned away then: half of its time is left to go elsewhere. The
 //   answer is final and comes as soon as it is known;
-// - a line that stands serves nobody: it makes every request late and lets no more through. A burst may use
-// the
-//   whole wait; once the line has not been empty for a second, newcomers may wait a tenth of a second only
-//   (controlled delay, decided on arrival, so that nobody is held who will be refused);
+// - a line that stands serves nobody: it makes every request late and lets no more through. A burst may
+//   use the whole wait; once the line has not been empty for a second, newcomers may wait a tenth of a second
+//   only (controlled delay, decided on arrival, so that nobody is held who will be refused);
 // - classes are served in strict order: gate terminals block a driver, members wait, batches come again;
 // - within a class callers take turns (start-time fair queueing over hashed buckets): a caller with a hundred
 //   waiting requests gets the same turns as one with a single request. Buckets bound the memory whatever the
-//   number of callers; with 256, two given callers collide in one process out of 256, and differently in
-//   each;
+//   number of callers; with 256, two given callers collide in one process out of 256, and not in
+//   the next;
 // - within a caller the order is first come, first served. Last come, first served would keep the newest
 //   fresh, but it holds the others until they expire, which is what must not happen to a refused request; the
 //   refusal on arrival already keeps the line short.
--- a/src/wire/http_channel.cpp
+++ b/src/wire/http_channel.cpp
@@ -160,12 +160,14 @@
     }
 
     /// An open connection can go silent for good: without this check the stream would hold its slot until the
-    /// deadline. Silence is counted from the last byte, so a slow but living stream is left alone.
+    /// deadline. Silence is counted from the last byte, so a slow but living stream is left alone. The timer
+    /// does not keep an ended call: many short streams would each hold their buffers for a whole
+    /// `progress_timeout`.
     void watch_progress()
     {
-        auto self = shared_from_this();
-        loop_.after(options_.progress_timeout, [self] {
-            if (self->finished_) {
+        loop_.after(options_.progress_timeout, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self || self->finished_) {
                 return;
             }
             if (steady::now() - self->progress() >= self->options_.progress_timeout) {
--- a/tests/wire/call_tests.cpp
+++ b/tests/wire/call_tests.cpp
@@ -266,5 +266,31 @@
     EXPECT_GT(chunks, 0);
 }
 
+// Thousands of short streams run in a step, each watched for silence by a timer of some seconds. A timer that
+// kept its ended call would keep the buffers too: with 2,048 samples a step the process held 200 MB in place
+// of 70.
+TEST(http_call, an_ended_stream_is_let_go_before_its_progress_timer_fires)
+{
+    served server;
+    http_channel link(server.loop, server.http_address);
+    auto held = std::make_shared<int>(0);
+    const std::weak_ptr<int> watched = held;
+    std::promise<void> ended;
+    target::v1::GenerateRequest request;
+    request.set_max_tokens(3);
+    call_options options;
+    options.timeout = seconds{600};
+    options.progress_timeout = seconds{600};
+    stream<target::v1::GenerateChunk>(
+        link, method<target::v1::Engine>("Generate"), request, options,
+        [held = std::move(held)](const target::v1::GenerateChunk&) { ++*held; },
+        [&ended](const result<done>&) { ended.set_value(); });
+    ended.get_future().wait();
+    for (int round = 0; round < 1000 && !watched.expired(); ++round) {
+        std::this_thread::sleep_for(milliseconds{5});
+    }
+    EXPECT_TRUE(watched.expired());
+}
+
 } // namespace
 } // namespace vanillagauge::wire
