--- a/src/wire/internal/http_connection.cpp
+++ b/src/wire/internal/http_connection.cpp
@@ -42,6 +42,12 @@
     return milliseconds{std::stol(text)};
 }
 
+error body_too_large(const http_limits& limits)
+{
+    return refused(vanillagauge::error_code::too_large,
+                   "expected a body of at most " + std::to_string(limits.body_bytes) + " bytes");
+}
+
 } // namespace
 
 http_connection::http_connection(socket peer, const http_site& site)
@@ -148,9 +154,7 @@
         return;
     }
     if (failed == http::error::body_limit) {
-        reject(refused(code::too_large,
-                       "expected a body of at most " + std::to_string(site_.limits.body_bytes) + " bytes"),
-               0);
+        reject(body_too_large(site_.limits), 0);
         return;
     }
     if (failed && failed.category() == http::make_error_code(http::error::bad_method).category() &&
@@ -229,9 +233,7 @@
         return;
     }
     if (failed == http::error::body_limit) {
-        reject(refused(code::too_large,
-                       "expected a body of at most " + std::to_string(site_.limits.body_bytes) + " bytes"),
-               0);
+        reject(body_too_large(site_.limits), 0);
         return;
     }
     if (failed) {
