--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -4,11 +4,15 @@
 find_package(OpenSSL REQUIRED)
 find_package(cpprestsdk REQUIRED)
 find_package(Protobuf REQUIRED)
-find_package(GTest REQUIRED)
+if(NOT VG_PRODUCT_ONLY)
+  find_package(GTest REQUIRED)
+endif()
 
 add_library(vg_flags INTERFACE)
 target_compile_options(vg_flags INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast
                                           -Woverloaded-virtual -Werror)
+# GCC 12 takes `"text" + std::string` for an overlapping copy once it optimises; other versions do not.
+target_compile_options(vg_flags INTERFACE $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
 target_include_directories(vg_flags INTERFACE ${PROJECT_SOURCE_DIR}/src)
 target_link_libraries(vg_flags INTERFACE Threads::Threads)
 if(VG_SANITIZE)
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -18,6 +18,8 @@
   "definitions": {
     "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+:[0-9]{1,5}$",
                 "description": "an address as IP:PORT"},
+    "optional_address": {"type": "string", "pattern": "^([0-9a-fA-F.:]+:[0-9]{1,5})?$",
+                         "description": "an address as IP:PORT, or nothing"},
     "token": {"type": "string", "minLength": 8, "description": "a token of at least 8 characters"},
     "listen": {
       "type": "object",
@@ -69,7 +71,24 @@
         "policy": {"enum": ["adaptive", "plain"]}
       }
     },
-    "rollout": {"$ref": "#/definitions/listen"}
+    "rollout": {"$ref": "#/definitions/listen"},
+    "gateway": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["relay_listen"],
+      "properties": {
+        "front_listen": {"$ref": "#/definitions/optional_address"},
+        "ready_listen": {"$ref": "#/definitions/optional_address"},
+        "directory_listen": {"$ref": "#/definitions/optional_address"},
+        "metrics_listen": {"$ref": "#/definitions/optional_address"},
+        "relay_listen": {"$ref": "#/definitions/address"},
+        "model_order_holder": {"type": "string"},
+        "stop_grace_s": {"type": "number", "minimum": 0, "maximum": 600},
+        "order_lease_ms": {"type": "number", "minimum": 100, "maximum": 600000},
+        "advice_time_ms": {"type": "number", "minimum": 100, "maximum": 600000},
+        "fencing_enforced": {"type": "boolean"}
+      }
+    }
   }
 })json";
 
@@ -93,6 +112,35 @@
     return parsed;
 }
 
+milliseconds read_time(const json& from, const char* key, milliseconds unit, milliseconds fallback)
+{
+    const auto found = from.find(key);
+    if (found == from.end()) {
+        return fallback;
+    }
+    return milliseconds{static_cast<std::int64_t>(found->get<double>() * static_cast<double>(unit.count()))};
+}
+
+gateway_settings parse_gateway(const json& all)
+{
+    gateway_settings parsed;
+    const auto found = all.find("gateway");
+    if (found == all.end()) {
+        return parsed;
+    }
+    read(*found, "front_listen", parsed.front_listen);
+    read(*found, "ready_listen", parsed.ready_listen);
+    read(*found, "directory_listen", parsed.directory_listen);
+    read(*found, "metrics_listen", parsed.metrics_listen);
+    read(*found, "relay_listen", parsed.relay_listen);
+    read(*found, "model_order_holder", parsed.model_order_holder);
+    read(*found, "fencing_enforced", parsed.fencing_enforced);
+    parsed.stop_grace = read_time(*found, "stop_grace_s", seconds{1}, parsed.stop_grace);
+    parsed.order_lease = read_time(*found, "order_lease_ms", milliseconds{1}, parsed.order_lease);
+    parsed.advice_time = read_time(*found, "advice_time_ms", milliseconds{1}, parsed.advice_time);
+    return parsed;
+}
+
 settings fill(const json& all)
 {
     settings parsed;
@@ -119,6 +167,7 @@
     const bool plain = all.value("/entry/policy"_json_pointer, "adaptive") == "plain";
     parsed.entry_policy = plain ? entry_policy::plain : entry_policy::adaptive;
     parsed.rollout = parse_listen(all, "rollout");
+    parsed.gateway = parse_gateway(all);
     return parsed;
 }
 
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -28,6 +28,20 @@
     std::string peer_listen = "127.0.0.1:0";
 };
 
+/// What vg-gateway listens on, and the bounds that the operator of the machines promised or asks for.
+struct gateway_settings {
+    std::string front_listen;       ///< callers; empty: this VM serves none
+    std::string ready_listen;       ///< the platform's own checks; empty: none
+    std::string directory_listen;   ///< callers that ask where to connect; empty: none
+    std::string relay_listen;       ///< other gateways; empty: vg-gateway cannot run here
+    std::string metrics_listen;     ///< empty: no metrics page
+    std::string model_order_holder; ///< the name under which weights are ordered; empty: the VM's
+    milliseconds stop_grace{8000};  ///< from SIGTERM to SIGKILL
+    milliseconds order_lease{3000}; ///< orders of two holders must lie this far apart
+    milliseconds advice_time{2000}; ///< how long callers may keep an address
+    bool fencing_enforced = false;  ///< engines refuse an order with an old fencing number
+};
+
 /// How vg-entry decides under load: `plain` (targets in turn, no limits, unlimited retries) is the baseline
 /// of measurements and no mode to serve in.
 enum class entry_policy { adaptive, plain };
@@ -47,6 +61,7 @@
     listen_settings entry;
     config::entry_policy entry_policy = config::entry_policy::adaptive;
     listen_settings rollout;
+    gateway_settings gateway;
 };
 
 /// Reads and checks a settings file. An error names the file, the path in it, what was expected and what was
--- /dev/null
+++ b/src/gateway/batch.cpp
@@ -0,0 +1,206 @@
+#include "gateway/batch.hpp"
+
+#include <boost/beast/core/detail/base64.hpp>
+
+#include <charconv>
+#include <cstdio>
+
+namespace vanillagauge::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+std::int64_t unix_ms(wall_time at)
+{
+    return std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count();
+}
+
+json to_json(const batch_item& item)
+{
+    json fields = json::array();
+    for (const auto& field : item.fields) {
+        fields.push_back({field.name, field.value});
+    }
+    return {{"id", item.id},
+            {"path", item.path},
+            {"fields", std::move(fields)},
+            {"body", item.body_base64},
+            {"group", item.group},
+            {"tokens", item.tokens},
+            {"hint", item.length_hint}};
+}
+
+batch_item item_from_json(const json& text)
+{
+    batch_item item;
+    item.id = text.at("id").get<std::string>();
+    item.path = text.at("path").get<std::string>();
+    for (const auto& field : text.at("fields")) {
+        item.fields.push_back({field.at(0).get<std::string>(), field.at(1).get<std::string>()});
+    }
+    item.body_base64 = text.at("body").get<std::string>();
+    item.group = text.at("group").get<std::string>();
+    item.tokens = text.at("tokens").get<std::uint64_t>();
+    item.length_hint = text.at("hint").get<double>();
+    return item;
+}
+
+error unreadable(const std::string& what, const json::exception& why)
+{
+    return {error_code::invalid_argument, run_state::not_run, what + ": " + why.what()};
+}
+
+} // namespace
+
+std::string log_kind(const std::string& batch)
+{
+    return "results-" + batch;
+}
+
+std::string part_name(const std::string& batch, std::size_t part)
+{
+    return batch + "." + std::to_string(part);
+}
+
+std::string segment_name(std::size_t first)
+{
+    constexpr int digits = 8;
+    auto text = std::to_string(first);
+    return std::string(digits - std::min<std::size_t>(digits, text.size()), '0') + text;
+}
+
+json to_json(const batch_header& header)
+{
+    return {{"host", header.host},
+            {"route", header.route},
+            {"service", header.service},
+            {"model", header.model},
+            {"owner", header.owner_vm},
+            {"incarnation", header.owner_incarnation},
+            {"least_version", header.least_version},
+            {"step", header.step},
+            {"total", header.total},
+            {"wanted_groups", header.wanted_groups},
+            {"parts", header.parts},
+            {"single_version", header.single_version},
+            {"attempts", header.attempts},
+            {"max_age_ms", header.max_age.count()},
+            {"result_time_ms", header.result_time.count()},
+            {"accepted_unix_ms", unix_ms(header.accepted)}};
+}
+
+result<batch_header> header_from_json(const std::string& id, const json& value, const json& status)
+{
+    try {
+        batch_header header;
+        header.id = id;
+        header.host = value.at("host").get<std::string>();
+        header.route = value.at("route").get<std::string>();
+        header.service = value.at("service").get<std::string>();
+        header.model = value.at("model").get<std::string>();
+        header.owner_vm = value.at("owner").get<std::string>();
+        header.owner_incarnation = value.at("incarnation").get<std::uint64_t>();
+        header.least_version = value.at("least_version").get<std::uint64_t>();
+        header.step = value.at("step").get<std::uint64_t>();
+        header.total = value.at("total").get<std::size_t>();
+        header.wanted_groups = value.at("wanted_groups").get<std::size_t>();
+        header.parts = value.at("parts").get<std::size_t>();
+        header.single_version = value.at("single_version").get<bool>();
+        header.attempts = value.at("attempts").get<int>();
+        header.max_age = milliseconds{value.at("max_age_ms").get<std::int64_t>()};
+        header.result_time = milliseconds{value.at("result_time_ms").get<std::int64_t>()};
+        header.accepted = wall_time{milliseconds{value.at("accepted_unix_ms").get<std::int64_t>()}};
+        header.ended = status.is_object() && status.value("ended", false);
+        return header;
+    }
+    catch (const json::exception& why) {
+        return unreadable("the batch " + id, why);
+    }
+}
+
+json to_json(const log_segment& segment)
+{
+    json results = json::array();
+    for (const auto& entry : segment.results) {
+        results.push_back({{"id", entry.id},
+                           {"completed", entry.state == item_state::completed},
+                           {"text", entry.text},
+                           {"versions", entry.versions}});
+    }
+    return {{"writer", segment.writer}, {"results", std::move(results)}};
+}
+
+result<log_segment> segment_from_json(const std::string& name, const json& value)
+{
+    try {
+        log_segment segment;
+        const auto parsed = std::from_chars(name.data(), name.data() + name.size(), segment.first);
+        if (parsed.ec != std::errc{}) {
+            return error{error_code::invalid_argument, run_state::not_run,
+                         "expected a position, found: " + name};
+        }
+        segment.writer = value.at("writer").get<std::string>();
+        for (const auto& entry : value.at("results")) {
+            item_result result;
+            result.id = entry.at("id").get<std::string>();
+            result.state = entry.at("completed").get<bool>() ? item_state::completed : item_state::terminated;
+            result.text = entry.at("text").get<std::string>();
+            result.versions = entry.at("versions").get<std::vector<std::uint64_t>>();
+            segment.results.push_back(std::move(result));
+        }
+        return segment;
+    }
+    catch (const json::exception& why) {
+        return unreadable("the segment " + name, why);
+    }
+}
+
+std::vector<json> to_parts(const std::vector<batch_item>& items, std::size_t most_bytes)
+{
+    constexpr std::size_t other_bytes = 400; // ids, names and punctuation of an item
+    std::vector<json> parts;
+    std::size_t filled = most_bytes;
+    for (const auto& item : items) {
+        auto size = item.body_base64.size() + item.path.size() + other_bytes;
+        for (const auto& field : item.fields) {
+            size += field.name.size() + field.value.size();
+        }
+        if (parts.empty() || filled + size > most_bytes) {
+            parts.push_back({{"items", json::array()}});
+            filled = 0;
+        }
+        filled += size;
+        parts.back()["items"].push_back(to_json(item));
+    }
+    return parts;
+}
+
+result<std::vector<batch_item>> items_from_json(const json& part)
+{
+    try {
+        std::vector<batch_item> items;
+        for (const auto& entry : part.at("items")) {
+            items.push_back(item_from_json(entry));
+        }
+        return items;
+    }
+    catch (const json::exception& why) {
+        return unreadable("a batch's items", why);
+    }
+}
+
+result<std::string> decode_base64(std::string_view text)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string plain(base64::decoded_size(text.size()), '\0');
+    const auto [written, taken] = base64::decode(plain.data(), text.data(), text.size());
+    const auto rest = text.substr(taken).find_first_not_of('=');
+    if (rest != std::string_view::npos || text.size() % 4 != 0) {
+        return error{error_code::invalid_argument, run_state::not_run, "expected base64"};
+    }
+    plain.resize(written);
+    return plain;
+}
+
+} // namespace vanillagauge::gateway
--- /dev/null
+++ b/src/gateway/batch.hpp
@@ -0,0 +1,97 @@
+/// A batch of generations for a trainer: what it holds, and how it is kept in the store.
+#ifndef VANILLAGAUGE_GATEWAY_BATCH_HPP
+#define VANILLAGAUGE_GATEWAY_BATCH_HPP
+
+#include "base/base.hpp"
+#include "net/http_message.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace vanillagauge::gateway {
+
+using wall_time = std::chrono::system_clock::time_point;
+
+struct batch_item {
+    std::string id;
+    std::string path;
+    std::vector<net::http_field> fields;
+    std::string body_base64;
+    std::string group;        ///< items of a group share their prompt
+    std::uint64_t tokens = 0; ///< of the prompt and the longest output
+    double length_hint = 0;   ///< the caller's guess of the output's tokens; 0: none
+};
+
+/// What every gateway holds of every batch; the items stand in objects of their own.
+struct batch_header {
+    std::string id;
+    std::string host;
+    std::string route;
+    std::string service;
+    std::string model;
+    std::string owner_vm; ///< of the gateway that accepted it and runs it while it lives
+    std::uint64_t owner_incarnation = 0;
+    std::uint64_t least_version = 0; ///< the oldest weights that may generate its tokens
+    std::uint64_t step = 0;
+    std::size_t total = 0;
+    std::size_t wanted_groups = 0;
+    std::size_t parts = 0; ///< objects that hold the items
+    bool single_version = false;
+    int attempts = 1;
+    milliseconds max_age{0};
+    milliseconds result_time{0};
+    wall_time accepted{};
+    bool ended = false; ///< nobody waits for it any more; kept in the object's status
+};
+
+struct batch_submission {
+    batch_header header;
+    std::vector<batch_item> items;
+};
+
+enum class item_state { completed, terminated };
+
+struct item_result {
+    std::string id;
+    item_state state = item_state::completed;
+    std::string text;
+    std::vector<std::uint64_t> versions; ///< that made its events, ascending
+
+    friend bool operator==(const item_result&, const item_result&) = default;
+};
+
+/// Results at consecutive positions, written once and never changed.
+struct log_segment {
+    std::size_t first = 0; ///< position of its first result
+    std::string writer;
+    std::vector<item_result> results;
+};
+
+/// Kinds and names of the objects.
+constexpr const char* batch_kind = "batches";
+constexpr const char* item_kind = "batch-items";
+std::string log_kind(const std::string& batch);
+std::string part_name(const std::string& batch, std::size_t part);
+/// Ordered as the positions are.
+std::string segment_name(std::size_t first);
+
+nlohmann::json to_json(const batch_header& header);
+nlohmann::json to_json(const log_segment& segment);
+/// Parts of at most `most_bytes` each, but for an item that is larger alone.
+std::vector<nlohmann::json> to_parts(const std::vector<batch_item>& items, std::size_t most_bytes);
+
+/// An entry that is not what this project writes is an `invalid_argument`.
+result<batch_header> header_from_json(const std::string& id, const nlohmann::json& value,
+                                      const nlohmann::json& status);
+result<log_segment> segment_from_json(const std::string& name, const nlohmann::json& value);
+result<std::vector<batch_item>> items_from_json(const nlohmann::json& part);
+
+result<std::string> decode_base64(std::string_view text);
+
+} // namespace vanillagauge::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/batch_progress.cpp
@@ -0,0 +1,185 @@
+#include "gateway/batch_progress.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace vanillagauge::gateway {
+
+batch_progress::batch_progress(batch_header header, std::vector<batch_item> items)
+    : header_(std::move(header))
+{
+    for (auto& item : items) {
+        places_[item.id] = items_.size();
+        ++open_in_group_[item.group];
+        items_.push_back({std::move(item)});
+    }
+    header_.total = items_.size();
+    order_.resize(items_.size());
+    std::iota(order_.begin(), order_.end(), std::size_t{0});
+    // Load pattern: long among short. A long item that starts last ends last and holds its whole group back,
+    // while the replicas that finished the short ones stand idle.
+    std::stable_sort(order_.begin(), order_.end(), [this](std::size_t left, std::size_t right) {
+        return items_[left].item.length_hint > items_[right].item.length_hint;
+    });
+}
+
+void batch_progress::close_in_group(const item_progress& entry)
+{
+    auto& open = open_in_group_[entry.item.group];
+    open -= open > 0 ? 1 : 0;
+}
+
+// Positions are facts once their segment stands in the store. A result of this owner for an item that another
+// owner listed first is dropped: the trainer has read the other one, or will.
+void batch_progress::take_segment(const log_segment& segment)
+{
+    if (segment.first != listed_) {
+        return;
+    }
+    listed_ += segment.results.size();
+    for (const auto& listed : segment.results) {
+        const auto found = places_.find(listed.id);
+        if (found == places_.end()) {
+            continue;
+        }
+        auto& entry = items_[found->second];
+        if (entry.state == work_state::finished) {
+            --finished_;
+        }
+        else if (entry.state != work_state::listed) {
+            close_in_group(entry);
+        }
+        entry.state = work_state::listed;
+        entry.text.clear();
+        entry.text.shrink_to_fit();
+        entry.result = {};
+    }
+    writing_ = false;
+}
+
+run_break batch_progress::begin_run(std::size_t place, std::uint64_t version)
+{
+    auto& entry = items_[place];
+    if (version < header_.least_version) {
+        return run_break::old_weights;
+    }
+    const bool mixes = !entry.versions.empty() && !entry.versions.contains(version);
+    if (header_.single_version && mixes) {
+        return run_break::mixed_weights;
+    }
+    entry.state = work_state::running;
+    entry.current_version = version;
+    return run_break::none;
+}
+
+run_break batch_progress::take_event(std::size_t place, const net::stream_event& event,
+                                     std::optional<std::uint64_t> new_version)
+{
+    auto& entry = items_[place];
+    if (event.id && entry.last_event && *event.id != *entry.last_event + 1) {
+        return run_break::wrong_event;
+    }
+    if (new_version) {
+        entry.current_version = *new_version;
+    }
+    if (entry.current_version < header_.least_version) {
+        return run_break::old_weights;
+    }
+    if (header_.single_version && !entry.versions.empty() &&
+        !entry.versions.contains(entry.current_version)) {
+        return run_break::mixed_weights;
+    }
+    entry.text += entry.events > 0 ? "\n" : "";
+    entry.text += event.data;
+    ++entry.events;
+    entry.versions.insert(entry.current_version);
+    entry.last_event = event.id ? event.id : entry.last_event;
+    return run_break::none;
+}
+
+void batch_progress::restart(std::size_t place)
+{
+    auto& entry = items_[place];
+    entry.text.clear();
+    entry.events = 0;
+    entry.last_event.reset();
+    entry.versions.clear();
+}
+
+void batch_progress::finish(std::size_t place, item_result result)
+{
+    auto& entry = items_[place];
+    if (entry.state == work_state::listed || entry.state == work_state::finished) {
+        return;
+    }
+    close_in_group(entry);
+    entry.state = work_state::finished;
+    entry.result = std::move(result);
+    ++finished_;
+}
+
+void batch_progress::complete(std::size_t place)
+{
+    auto& entry = items_[place];
+    finish(place, {entry.item.id,
+                   item_state::completed,
+                   std::move(entry.text),
+                   {entry.versions.begin(), entry.versions.end()}});
+    entry.text.clear();
+}
+
+void batch_progress::terminate(std::size_t place)
+{
+    finish(place, {items_[place].item.id, item_state::terminated, {}, {}});
+    items_[place].text.clear();
+}
+
+void batch_progress::release(std::size_t place, time_point not_before, const std::string& avoid)
+{
+    auto& entry = items_[place];
+    if (entry.state == work_state::running) {
+        entry.state = work_state::waiting;
+        entry.not_before = not_before;
+        entry.avoid = avoid;
+    }
+}
+
+bool batch_progress::fail_attempt(std::size_t place)
+{
+    restart(place);
+    return ++items_[place].failures >= header_.attempts;
+}
+
+std::optional<log_segment> batch_progress::next_segment(const std::string& writer)
+{
+    if (writing_ || finished_ == 0) {
+        return std::nullopt;
+    }
+    // A segment must fit into one object of the store, and a reader's answer.
+    constexpr std::size_t most_bytes = 600U << 10U;
+    log_segment segment;
+    segment.first = listed_;
+    segment.writer = writer;
+    std::size_t bytes = 0;
+    for (const auto& entry : items_) {
+        if (entry.state != work_state::finished) {
+            continue;
+        }
+        bytes += entry.result.text.size() + entry.result.id.size() + 64;
+        if (bytes > most_bytes && !segment.results.empty()) {
+            break;
+        }
+        segment.results.push_back(entry.result);
+    }
+    writing_ = true;
+    return segment;
+}
+
+bool batch_progress::group_waits() const
+{
+    return std::any_of(items_.begin(), items_.end(), [this](const item_progress& entry) {
+        return entry.state == work_state::finished && open_in_group_.at(entry.item.group) == 0;
+    });
+}
+
+} // namespace vanillagauge::gateway
--- /dev/null
+++ b/src/gateway/batch_progress.hpp
@@ -0,0 +1,91 @@
+/// What the owner of a batch knows of its items, and which results it lists next. No network, no clock.
+#ifndef VANILLAGAUGE_GATEWAY_BATCH_PROGRESS_HPP
+#define VANILLAGAUGE_GATEWAY_BATCH_PROGRESS_HPP
+
+#include "gateway/batch.hpp"
+#include "net/event_stream.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace vanillagauge::gateway {
+
+enum class work_state { waiting, running, finished, listed };
+
+/// The text of one item as far as it has been generated.
+struct item_progress {
+    batch_item item;
+    work_state state = work_state::waiting;
+    int failures = 0;        ///< answers that count as failed attempts
+    time_point not_before{}; ///< waits until then
+    std::string avoid{};     ///< the replica that it left last
+    std::string text{};
+    std::size_t events = 0;
+    std::optional<std::uint64_t> last_event{};
+    std::set<std::uint64_t> versions{};
+    std::uint64_t current_version = 0; ///< of the run in flight
+    item_result result{};              ///< once finished
+};
+
+/// Why a run's answer does not continue the text that is there.
+enum class run_break { none, old_weights, mixed_weights, wrong_event };
+
+class batch_progress {
+public:
+    batch_progress(batch_header header, std::vector<batch_item> items);
+
+    // Commands.
+    /// What the log holds at the next position, whoever wrote it. Items listed by others are finished.
+    void take_segment(const log_segment& segment);
+    /// A run began under this version of the weights, behind what is there already.
+    run_break begin_run(std::size_t place, std::uint64_t version);
+    run_break take_event(std::size_t place, const net::stream_event& event,
+                         std::optional<std::uint64_t> new_version);
+    /// Drops the text, which a run cannot continue.
+    void restart(std::size_t place);
+    /// The run is over and its text is whole.
+    void complete(std::size_t place);
+    /// The item can never be done, or may be given up.
+    void terminate(std::size_t place);
+    /// The run ended early; the item goes on, or begins, elsewhere.
+    void release(std::size_t place, time_point not_before, const std::string& avoid);
+    /// An answer that counts as a failed attempt; true where it was the last that the route allows.
+    bool fail_attempt(std::size_t place);
+    /// The segment to write next: results that are finished and not listed. None while one is being written.
+    std::optional<log_segment> next_segment(const std::string& writer);
+    void segment_failed() { writing_ = false; }
+
+    // Queries.
+    const batch_header& header() const { return header_; }
+    std::vector<item_progress>& items() { return items_; }
+    const std::vector<item_progress>& items() const { return items_; }
+    std::size_t listed() const { return listed_; }
+    bool all_listed() const { return listed_ >= header_.total; }
+    std::size_t unlisted_results() const { return finished_; }
+    /// Finished results that make a group whole, so that the trainer should hear of them at once.
+    bool group_waits() const;
+    /// Waiting items in the order in which they are to run: carried-over groups stand first, the longest of a
+    /// group's items before the shorter ones.
+    const std::vector<std::size_t>& order() const { return order_; }
+
+private:
+    batch_header header_;
+    std::vector<item_progress> items_;
+    std::vector<std::size_t> order_;
+    std::map<std::string, std::size_t> places_;
+    std::map<std::string, std::size_t>
+        open_in_group_; ///< items of a group that are neither finished nor listed
+    std::size_t listed_ = 0;
+    std::size_t finished_ = 0;
+    bool writing_ = false;
+
+    void finish(std::size_t place, item_result result);
+    void close_in_group(const item_progress& entry);
+};
+
+} // namespace vanillagauge::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/batch_runner.hpp
@@ -0,0 +1,79 @@
+/// Runs the batches that are this gateway's to run: items to engines, results to the store.
+#ifndef VANILLAGAUGE_GATEWAY_BATCH_RUNNER_HPP
+#define VANILLAGAUGE_GATEWAY_BATCH_RUNNER_HPP
+
+#include "gateway/batch_progress.hpp"
+#include "gateway/fleet_view.hpp"
+#include "gateway/object_store.hpp"
+#include "gateway/target_protocol.hpp"
+#include "gateway/target_registry.hpp"
+#include "net/signal.hpp"
+#include "observe/metrics.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace vanillagauge::gateway {
+
+class batch_runner {
+public:
+    /// All must outlive it.
+    batch_runner(net::loop& loop, object_store& store, const fleet_view& fleet,
+                 const target_registry& targets, const target_protocol& protocol, observe::metrics& counts);
+
+    // Commands.
+    /// Keeps the items of a batch that is being accepted here, so that they need not be read back.
+    void keep_items(const std::string& batch, std::vector<batch_item> items);
+    /// What the store now says of a batch.
+    void take_header(const batch_header& header);
+    /// The members of the fleet changed: batches of those that are gone may be this gateway's.
+    void review();
+    /// Replicas came, went or changed.
+    void wake();
+    /// Starts no batch any more; those that run go on.
+    void stop_taking() { taking_ = false; }
+
+    // Queries.
+    const batch_header* find(const std::string& batch) const;
+    std::size_t running() const { return active_.size(); }
+
+private:
+    struct run;
+    using run_ref = std::shared_ptr<run>;
+    struct stream;
+
+    net::loop& loop_;
+    object_store& store_;
+    const fleet_view& fleet_;
+    const target_registry& targets_;
+    const target_protocol& protocol_;
+    observe::metrics& counts_;
+    std::map<std::string, batch_header> headers_;
+    std::map<std::string, std::vector<batch_item>> kept_items_;
+    std::map<std::string, run_ref> active_;
+    bool taking_ = true;
+
+    bool is_mine(const batch_header& header) const;
+    void start(const batch_header& header);
+    net::task<void> drive(batch_header header);
+    net::task_of<std::vector<batch_item>> load_items(const batch_header& header);
+    net::task<bool> load_log(run& batch);
+    net::task<void> work_through(run_ref batch);
+    void place_items();
+    bool place_items_of(const run_ref& batch, const std::vector<target_ref>& engines);
+    net::task<void> run_item(run_ref batch, std::size_t place, target_ref at);
+    net::task<void> read_answer(run_ref batch, std::size_t place, target_ref at,
+                                std::shared_ptr<stream> open);
+    void take_failure(run& batch, std::size_t place, target_ref at, int status, bool not_run);
+    net::task<void> list_results(run_ref batch);
+    void give_up_old(run& batch);
+    void move_stragglers(run& batch);
+    void end(const run_ref& batch, const char* why);
+    bool someone_waits() const;
+};
+
+} // namespace vanillagauge::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/batch_service.cpp
@@ -0,0 +1,283 @@
+#include "gateway/batch_service.hpp"
+
+#include "observe/log.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+/// Below the store's limit of a megabyte a value, with room for what JSON adds.
+constexpr std::size_t most_part_bytes = 800U << 10U;
+
+/// Bytes of results in one answer.
+constexpr std::size_t most_page_bytes = 900U << 10U;
+
+/// How long an acceptance whose outcome is not known is tried to be settled. Its client waits a few seconds.
+constexpr milliseconds settle_time{3000};
+constexpr milliseconds settle_pause{150};
+
+/// When to bring a batch again that the store could not take.
+constexpr milliseconds store_retry_after{500};
+
+/// Bodies are asked for now and then, of few batches; each item list takes some 200 KB.
+constexpr std::size_t most_cached = 1;
+
+/// Logs whose segment ends are known here, a few dozen numbers each.
+constexpr std::size_t most_known_logs = 128;
+
+/// A shorter wait for results is not worth a call.
+constexpr milliseconds least_wait{50};
+
+error doubtful(const error& why)
+{
+    return {why.code, run_state::in_doubt, why.detail};
+}
+
+} // namespace
+
+batch_service::batch_service(net::loop& loop, object_store& store, feed& headers, batch_runner& runner,
+                             const fleet_view& fleet)
+    : loop_(loop), store_(store), headers_(headers), runner_(runner), fleet_(fleet)
+{
+}
+
+// The batch stands once its header does, and is created once: whoever brings it again finds it. Its items are
+// stored before, so a gateway that reads the header can run it. An acceptance without an answer may have
+// taken effect, so it is no refusal.
+net::task_of<done> batch_service::submit(batch_submission submission)
+{
+    auto& header = submission.header;
+    if (headers_.objects().contains(header.id)) {
+        co_return done{};
+    }
+    auto parts = to_parts(submission.items, most_part_bytes);
+    header.parts = parts.size();
+    header.total = submission.items.size();
+    header.owner_vm = fleet_.self();
+    header.owner_incarnation = fleet_.incarnation();
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        const auto stored =
+            co_await store_.create(item_kind, part_name(header.id, part), std::move(parts[part]));
+        if (!ok(stored) && failure(stored).code != error_code::conflict) {
+            co_return error{error_code::unavailable, run_state::not_run, describe(failure(stored)),
+                            store_retry_after};
+        }
+    }
+    runner_.keep_items(header.id, std::move(submission.items));
+    const auto until = steady::now() + settle_time;
+    bool doubt = false;
+    while (true) {
+        const auto created = co_await store_.create(batch_kind, header.id, to_json(header));
+        if (ok(created)) {
+            headers_.take_own(value(created));
+            co_return done{};
+        }
+        if (failure(created).code == error_code::conflict) {
+            co_return done{};
+        }
+        doubt = doubt || failure(created).ran != run_state::not_run;
+        if (!doubt) {
+            co_return error{error_code::unavailable, run_state::not_run, describe(failure(created)),
+                            store_retry_after};
+        }
+        if (steady::now() >= until) {
+            co_return doubtful(failure(created));
+        }
+        co_await net::sleep_for(loop_, settle_pause);
+    }
+}
+
+net::task_of<batch_header> batch_service::find(std::string batch)
+{
+    const auto known = headers_.objects().find(batch);
+    if (known != headers_.objects().end()) {
+        co_return header_from_json(batch, known->second.value, known->second.status);
+    }
+    const auto stored = co_await store_.read(batch_kind, batch);
+    if (!ok(stored)) {
+        co_return failure(stored);
+    }
+    co_return header_from_json(batch, value(stored).value, value(stored).status);
+}
+
+net::task_of<std::vector<log_segment>> batch_service::list_from(std::string batch, std::string after,
+                                                                std::uint64_t& as_of)
+{
+    std::vector<log_segment> segments;
+    bool more = true;
+    while (more) {
+        const auto page = co_await store_.list(log_kind(batch), after);
+        if (!ok(page)) {
+            co_return failure(page);
+        }
+        as_of = value(page).as_of;
+        more = value(page).more;
+        for (const auto& object : value(page).objects) {
+            after = object.name;
+            auto segment = segment_from_json(object.name, object.value);
+            if (!ok(segment)) {
+                co_return failure(segment);
+            }
+            note_ends(batch, value(segment));
+            segments.push_back(std::move(value(segment)));
+        }
+    }
+    co_return segments;
+}
+
+void batch_service::note_ends(const std::string& batch, const log_segment& segment)
+{
+    auto& ends = segment_ends_[batch];
+    ends.insert(segment.first + segment.results.size());
+    if (segment_ends_.size() > most_known_logs) {
+        segment_ends_.erase(segment_ends_.begin()->first == batch ? std::next(segment_ends_.begin())
+                                                                  : segment_ends_.begin());
+    }
+}
+
+// Segments are named by their first position. A reader goes on where a segment ended, so the segments named
+// behind the position before it are the ones it wants; from any other position all are read.
+net::task_of<std::vector<log_segment>> batch_service::segments_from(std::string batch, std::size_t first,
+                                                                    std::uint64_t& as_of)
+{
+    if (first > 0 && segment_ends_[batch].contains(first)) {
+        co_return co_await list_from(batch, segment_name(first - 1), as_of);
+    }
+    co_return co_await list_from(batch, {}, as_of);
+}
+
+namespace {
+
+void add_results(result_page& page, const std::vector<log_segment>& segments)
+{
+    std::size_t bytes = 0;
+    for (const auto& segment : segments) {
+        for (std::size_t at = 0; at < segment.results.size(); ++at) {
+            const auto& entry = segment.results[at];
+            const bool fits = page.results.empty() || bytes + entry.text.size() < most_page_bytes;
+            if (segment.first + at == page.first + page.results.size() && fits) {
+                bytes += entry.text.size() + entry.id.size();
+                page.results.push_back(entry);
+            }
+        }
+    }
+}
+
+std::vector<log_segment> segments_of(const object_changes& changes)
+{
+    std::vector<log_segment> segments;
+    for (const auto& change : changes.events) {
+        auto segment = segment_from_json(change.object.name, change.object.value);
+        if (ok(segment) && !change.removed) {
+            segments.push_back(std::move(value(segment)));
+        }
+    }
+    std::sort(segments.begin(), segments.end(),
+              [](const log_segment& left, const log_segment& right) { return left.first < right.first; });
+    return segments;
+}
+
+} // namespace
+
+net::task_of<result_page> batch_service::read(std::string batch, std::size_t first, milliseconds wait)
+{
+    const auto until = steady::now() + wait;
+    const auto header = co_await find(batch);
+    if (!ok(header)) {
+        co_return failure(header);
+    }
+    result_page page;
+    page.total = value(header).total;
+    page.first = first;
+    if (first >= page.total) {
+        co_return page;
+    }
+    std::uint64_t as_of = 0;
+    const auto listed = co_await segments_from(batch, first, as_of);
+    if (!ok(listed)) {
+        co_return failure(listed);
+    }
+    add_results(page, value(listed));
+    const auto left = std::chrono::duration_cast<milliseconds>(until - steady::now());
+    if (!page.results.empty() || left <= least_wait) {
+        co_return page;
+    }
+    const auto changed = co_await store_.watch(log_kind(batch), as_of, left);
+    if (ok(changed)) {
+        const auto segments = segments_of(value(changed));
+        for (const auto& segment : segments) {
+            note_ends(batch, segment);
+        }
+        add_results(page, segments);
+    }
+    co_return page;
+}
+
+net::task_of<std::vector<batch_item>> batch_service::items_of(batch_header header)
+{
+    const auto cached = std::find_if(cache_.begin(), cache_.end(), [&header](const cached_items& entry) {
+        return entry.batch == header.id;
+    });
+    if (cached != cache_.end()) {
+        co_return cached->items;
+    }
+    std::vector<batch_item> items;
+    for (std::size_t part = 0; part < header.parts; ++part) {
+        const auto stored = co_await store_.read(item_kind, part_name(header.id, part));
+        if (!ok(stored)) {
+            co_return failure(stored);
+        }
+        auto parsed = items_from_json(value(stored).value);
+        if (!ok(parsed)) {
+            co_return failure(parsed);
+        }
+        std::move(value(parsed).begin(), value(parsed).end(), std::back_inserter(items));
+    }
+    cache_.push_front({header.id, items});
+    if (cache_.size() > most_cached) {
+        cache_.pop_back();
+    }
+    co_return items;
+}
+
+net::task_of<std::string> batch_service::item_body(std::string batch, std::string item)
+{
+    const auto header = co_await find(batch);
+    if (!ok(header)) {
+        co_return failure(header);
+    }
+    const auto items = co_await items_of(value(header));
+    if (!ok(items)) {
+        co_return failure(items);
+    }
+    for (const auto& entry : value(items)) {
+        if (entry.id == item) {
+            co_return decode_base64(entry.body_base64);
+        }
+    }
+    co_return error{error_code::not_found, run_state::not_run, "the batch has no such item"};
+}
+
+net::task_of<done> batch_service::end(std::string batch)
+{
+    const auto header = co_await find(batch);
+    if (!ok(header)) {
+        co_return failure(header);
+    }
+    if (value(header).ended) {
+        co_return done{};
+    }
+    const json status{{"ended", true}};
+    auto ended = co_await store_.set_status(batch_kind, batch, status);
+    if (!ok(ended)) {
+        co_return failure(ended);
+    }
+    headers_.take_own(std::move(value(ended)));
+    co_return done{};
+}
+
+} // namespace vanillagauge::gateway
--- /dev/null
+++ b/src/gateway/batch_service.hpp
@@ -0,0 +1,66 @@
+/// Callers' side of batches, the same at every gateway: accept, read, end.
+#ifndef VANILLAGAUGE_GATEWAY_BATCH_SERVICE_HPP
+#define VANILLAGAUGE_GATEWAY_BATCH_SERVICE_HPP
+
+#include "gateway/batch.hpp"
+#include "gateway/batch_runner.hpp"
+#include "gateway/feed.hpp"
+#include "gateway/object_store.hpp"
+
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+
+namespace vanillagauge::gateway {
+
+/// Results at the positions from `first` on.
+struct result_page {
+    std::size_t total = 0;
+    std::size_t first = 0;
+    std::vector<item_result> results;
+};
+
+class batch_service {
+public:
+    /// All must outlive it. `headers` is the feed of batches.
+    batch_service(net::loop& loop, object_store& store, feed& headers, batch_runner& runner,
+                  const fleet_view& fleet);
+
+    /// Done: the fleet keeps the whole batch from now on, or has kept it before. `not_run` errors promise
+    /// that no part of it runs; `in_doubt` ones promise nothing.
+    net::task_of<done> submit(batch_submission submission);
+    /// Waits at most `wait` for a result. `not_found` only where the store says so now; `unavailable` where a
+    /// result that another gateway listed may be missing here.
+    net::task_of<result_page> read(std::string batch, std::size_t first, milliseconds wait);
+    /// The decoded body of an item.
+    net::task_of<std::string> item_body(std::string batch, std::string item);
+    /// Nobody waits for the batch any more.
+    net::task_of<done> end(std::string batch);
+
+private:
+    struct cached_items {
+        std::string batch;
+        std::vector<batch_item> items;
+    };
+    net::loop& loop_;
+    object_store& store_;
+    feed& headers_;
+    batch_runner& runner_;
+    const fleet_view& fleet_;
+    std::list<cached_items> cache_; ///< the newest first
+
+    net::task_of<batch_header> find(std::string batch);
+    std::map<std::string, std::set<std::size_t>> segment_ends_; ///< positions behind a segment, by batch
+
+    net::task_of<std::vector<log_segment>> list_from(std::string batch, std::string after,
+                                                     std::uint64_t& as_of);
+    void note_ends(const std::string& batch, const log_segment& segment);
+    net::task_of<std::vector<log_segment>> segments_from(std::string batch, std::size_t first,
+                                                         std::uint64_t& as_of);
+    net::task_of<std::vector<batch_item>> items_of(batch_header header);
+};
+
+} // namespace vanillagauge::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/forwarder.hpp
@@ -0,0 +1,74 @@
+/// Passes callers' requests to replicas and the answers back.
+#ifndef VANILLAGAUGE_GATEWAY_FORWARDER_HPP
+#define VANILLAGAUGE_GATEWAY_FORWARDER_HPP
+
+#include "gateway/configuration.hpp"
+#include "gateway/service_gate.hpp"
+#include "gateway/target_protocol.hpp"
+#include "gateway/target_registry.hpp"
+#include "net/http_service.hpp"
+#include "observe/metrics.hpp"
+#include "policy/quarantine.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace vanillagauge::gateway {
+
+/// A caller's request, decoded.
+struct caller_request {
+    net::http_request http;
+    std::string host;
+    std::string attempt_id;
+    std::optional<milliseconds> time_allowed{};  ///< how long the caller waits
+    std::optional<std::uint64_t> resume_after{}; ///< the last event of the stream that the caller has
+    time_point arrived{};
+};
+
+class forwarder {
+public:
+    /// All must outlive it.
+    forwarder(net::loop& loop, const target_registry& targets, const target_protocol& protocol,
+              observe::metrics& counts, std::string failure_domain);
+
+    /// Answers the request; the client gets exactly one answer, or sees its connection end.
+    net::task<void> forward(route chosen, caller_request request, net::responder& answer);
+    /// The replicas or the configuration changed.
+    void refresh(time_point now);
+
+private:
+    struct call;
+    struct attempt_outcome;
+    net::loop& loop_;
+    const target_registry& targets_;
+    const target_protocol& protocol_;
+    observe::metrics& counts_;
+    std::string failure_domain_;
+    std::map<std::string, std::unique_ptr<service_gate>> gates_;
+    policy::quarantine quarantine_;
+    std::mt19937_64 random_{std::random_device{}()};
+    std::uint64_t next_work_ = 1;
+
+    service_gate* gate_of(const std::string& service);
+    net::task<void> run(call& current);
+    net::task<attempt_outcome> attempt(call& current, target_ref at, time_point until);
+    net::task<attempt_outcome> stream(call& current, target_ref at, time_point until);
+    net::task<attempt_outcome> open_answer(call& current, target_ref at, time_point until,
+                                           std::shared_ptr<net::http_connection>& connection,
+                                           net::response_head& head);
+    net::task<attempt_outcome> forward_events(call& current, net::http_connection& connection,
+                                              net::response_head head);
+    bool may_go_on(const call& current, const attempt_outcome& outcome, time_point now) const;
+    time_point attempt_end(const call& current, time_point now) const;
+    void report(service_gate& gate, const target_ref& at, const attempt_outcome& outcome, duration took);
+    net::task<void> answer_with(call& current, attempt_outcome outcome);
+    void log_end(const call& current, const attempt_outcome& outcome) const;
+};
+
+} // namespace vanillagauge::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,370 @@
+#include "gateway/gateway.hpp"
+
+#include "net/http_service.hpp"
+#include "node/program.hpp"
+#include "observe/log.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+namespace vanillagauge::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* member_kind = "gateways";
+
+/// Entries of replicas that lapse while the store is away are back within some two seconds of its return, if
+/// the replica lives; until then the replica stays in use.
+constexpr milliseconds lapse_grace{2200};
+/// A removal this long after the store's last failure is no lapse of an outage any more.
+constexpr milliseconds outage_memory{3000};
+
+constexpr milliseconds housekeeping_every{100};
+constexpr milliseconds register_retry{1000};
+
+/// Callers are given at most this many addresses.
+constexpr std::size_t most_addresses = 64;
+
+void log_unreadable(const std::string& kind, const std::string& name, const error& why)
+{
+    observe::log(observe::log_level::warning, "entry_unreadable",
+                 {{"kind", kind}, {"name", name}, {"why", why.detail}});
+}
+
+} // namespace
+
+struct gateway::state {
+    state(wire::event_loop& events, const config::settings& chosen, object_store& store,
+          const target_protocol& protocol, foreign_objects known);
+
+    wire::event_loop& event_loop;
+    net::loop& loop;
+    config::settings settings;
+    foreign_objects foreign;
+    observe::metrics counts;
+    fleet_view fleet;
+    peer_relay relay;
+    target_registry targets;
+    configuration current;
+    forwarder forwarding;
+    batch_runner runner;
+    feed replicas;
+    feed configurations;
+    feed versions;
+    feed headers;
+    feed retirements;
+    batch_service batches;
+    weights_keeper weights;
+    net::http_service peers;
+    bool draining = false;
+
+    net::task<void> serve_peer(const net::http_request& request, net::responder& answer);
+    net::task<void> keep_house();
+    net::task<void> register_member();
+    net::task<void> mark_retired(std::string vm);
+    void take_replica(const object_change& change);
+    void take_configuration(const object_change& change);
+    void take_version(const object_change& change);
+    void take_header(const object_change& change);
+    void take_retirement(const object_change& change);
+    void replicas_changed();
+    bool ready() const;
+    bool serves_callers() const { return !settings.gateway.front_listen.empty(); }
+};
+
+gateway::state::state(wire::event_loop& events, const config::settings& chosen, object_store& store,
+                      const target_protocol& protocol, foreign_objects known)
+    : event_loop(events), loop(events.context()), settings(chosen), foreign(std::move(known)),
+      fleet(events, settings), relay(loop, store, fleet), targets(loop),
+      forwarding(loop, targets, protocol, counts, settings.failure_domain),
+      runner(loop, relay, fleet, targets, protocol, counts),
+      replicas(loop, foreign.replicas, store, relay, fleet,
+               [this](const object_change& change) { take_replica(change); }),
+      configurations(loop, foreign.configurations, store, relay, fleet,
+                     [this](const object_change& change) { take_configuration(change); }),
+      versions(loop, foreign.versions, store, relay, fleet,
+               [this](const object_change& change) { take_version(change); }),
+      headers(loop, batch_kind, store, relay, fleet,
+              [this](const object_change& change) { take_header(change); }),
+      retirements(loop, foreign.retirements, store, relay, fleet,
+                  [this](const object_change& change) { take_retirement(change); }),
+      batches(loop, relay, headers, runner, fleet),
+      weights(loop, relay, fleet, targets, protocol, settings,
+              [this]() -> const configuration& { return current; }),
+      peers(
+          loop, [] { return net::service_limits{}; },
+          [this](const net::http_request& request, net::responder& answer) {
+              return serve_peer(request, answer);
+          })
+{
+}
+
+void gateway::state::replicas_changed()
+{
+    forwarding.refresh(steady::now());
+    runner.wake();
+}
+
+void gateway::state::take_replica(const object_change& change)
+{
+    const auto& object = change.object;
+    if (change.removed) {
+        const auto now = steady::now();
+        const bool outage =
+            replicas.last_failure() != time_point{} && now - replicas.last_failure() < outage_memory;
+        targets.remove(object.name, outage ? now + lapse_grace : now);
+        replicas_changed();
+        return;
+    }
+    const auto decoded = foreign.to_replica(object);
+    if (!ok(decoded)) {
+        // Another writer's entry names no replica to use; the others hold.
+        log_unreadable(foreign.replicas, object.name, failure(decoded));
+        targets.remove(object.name, steady::now());
+        replicas_changed();
+        return;
+    }
+    targets.update(value(decoded));
+    replicas_changed();
+}
+
+void gateway::state::take_configuration(const object_change& change)
+{
+    if (change.removed || change.object.name != foreign.current_configuration) {
+        return;
+    }
+    auto decoded = foreign.to_configuration(change.object);
+    if (!ok(decoded)) {
+        log_unreadable(foreign.configurations, change.object.name, failure(decoded));
+        return;
+    }
+    if (value(decoded).version <= current.version) {
+        return;
+    }
+    observe::log(observe::log_level::info, "configuration_in_force",
+                 {{"version", static_cast<std::int64_t>(value(decoded).version)},
+                  {"before", static_cast<std::int64_t>(current.version)},
+                  {"revision", static_cast<std::int64_t>(change.object.revision)}});
+    current = std::move(value(decoded));
+    replicas_changed();
+}
+
+void gateway::state::take_version(const object_change& change)
+{
+    if (change.removed) {
+        return;
+    }
+    const auto decoded = foreign.to_version(change.object);
+    if (!ok(decoded)) {
+        log_unreadable(foreign.versions, change.object.name, failure(decoded));
+        return;
+    }
+    weights.name_version(value(decoded).model, value(decoded).version);
+}
+
+void gateway::state::take_header(const object_change& change)
+{
+    if (change.removed) {
+        return;
+    }
+    const auto header = header_from_json(change.object.name, change.object.value, change.object.status);
+    if (!ok(header)) {
+        log_unreadable(batch_kind, change.object.name, failure(header));
+        return;
+    }
+    runner.take_header(value(header));
+}
+
+// Nothing that must last stands on a VM: batches and their results are in the store. So a VM that is to be
+// emptied is empty at once.
+void gateway::state::take_retirement(const object_change& change)
+{
+    if (!change.removed && change.object.name == fleet.self() &&
+        change.object.status != foreign.retirement_done) {
+        net::start(loop, mark_retired(change.object.name));
+    }
+}
+
+net::task<void> gateway::state::mark_retired(std::string vm)
+{
+    while (true) {
+        const auto marked = co_await relay.set_status(foreign.retirements, vm, foreign.retirement_done);
+        if (ok(marked) || failure(marked).code != error_code::unavailable) {
+            observe::log(observe::log_level::info, "retired",
+                         {{"vm", vm}, {"outcome", ok(marked) ? "done" : describe(failure(marked))}});
+            co_return;
+        }
+        co_await net::sleep_for(loop, register_retry);
+    }
+}
+
+// The seeds of the settings may all be gone when a VM starts; the store names who was there.
+net::task<void> gateway::state::register_member()
+{
+    const json self{{"peer", fleet.peer_address()}, {"incarnation", fleet.incarnation()}};
+    while (true) {
+        const auto listed = co_await relay.list(member_kind, {});
+        if (ok(listed)) {
+            std::vector<std::string> addresses;
+            std::uint64_t own = 0;
+            for (const auto& object : value(listed).objects) {
+                const auto address =
+                    object.value.is_object() ? object.value.value("peer", std::string{}) : "";
+                if (object.name == fleet.self()) {
+                    own = object.revision;
+                }
+                else if (!address.empty()) {
+                    addresses.push_back(address);
+                }
+            }
+            fleet.learn_peers(std::move(addresses));
+            result<stored_object> written = error{};
+            if (own == 0) {
+                written = co_await relay.create(member_kind, fleet.self(), self);
+            }
+            else {
+                written = co_await relay.replace(member_kind, fleet.self(), self, own);
+            }
+            if (ok(written)) {
+                co_return;
+            }
+        }
+        co_await net::sleep_for(loop, register_retry);
+    }
+}
+
+bool gateway::state::ready() const
+{
+    return !draining && current.version > 0 && replicas.known();
+}
+
+net::task<void> gateway::state::keep_house()
+{
+    while (true) {
+        const auto generation = targets.generation();
+        targets.expire(steady::now());
+        if (targets.generation() != generation) {
+            replicas_changed();
+        }
+        fleet.set_front_open(serves_callers() && ready() && !fleet.isolated());
+        runner.review();
+        co_await net::sleep_for(loop, housekeeping_every);
+    }
+}
+
+net::task<void> gateway::state::serve_peer(const net::http_request& request, net::responder& answer)
+{
+    net::http_response response;
+    if (request.target == "/relay") {
+        response = co_await relay.serve(request);
+    }
+    else if (request.target == "/sync") {
+        const auto question = json::parse(request.body, nullptr, false);
+        const auto kind = question.is_object() ? question.value("kind", std::string{}) : std::string{};
+        response.status = 404;
+        for (auto* known : {&replicas, &configurations, &versions, &headers, &retirements}) {
+            if (known->kind() == kind) {
+                const auto found = co_await known->serve(question);
+                response.status = 200;
+                response.body = found.dump();
+                break;
+            }
+        }
+    }
+    else {
+        response.status = 404;
+    }
+    co_await answer.send(std::move(response));
+}
+
+gateway::gateway(wire::event_loop& loop, const config::settings& settings, object_store& store,
+                 const target_protocol& protocol, foreign_objects foreign)
+    : state_(std::make_unique<state>(loop, settings, store, protocol, std::move(foreign)))
+{
+}
+
+gateway::~gateway() = default;
+
+result<done> gateway::open()
+{
+    auto& held = *state_;
+    const auto relay_address = held.peers.open(held.settings.gateway.relay_listen);
+    if (!ok(relay_address)) {
+        return failure(relay_address);
+    }
+    const auto joined = held.fleet.open([] {});
+    if (!ok(joined)) {
+        return joined;
+    }
+    held.event_loop.post([this] {
+        auto& all = *state_;
+        net::start(all.loop, all.register_member());
+        net::start(all.loop, all.keep_house());
+        for (auto* known :
+             {&all.replicas, &all.configurations, &all.versions, &all.headers, &all.retirements}) {
+            known->start();
+        }
+        if (all.serves_callers()) {
+            all.weights.start();
+        }
+    });
+    return done{};
+}
+
+void gateway::drain()
+{
+    state_->draining = true;
+    state_->fleet.set_draining();
+    state_->runner.stop_taking();
+    state_->weights.stop();
+}
+
+void gateway::leave()
+{
+    state_->fleet.leave();
+}
+
+net::task<void> gateway::forward(route chosen, caller_request request, net::responder& answer)
+{
+    return state_->forwarding.forward(std::move(chosen), std::move(request), answer);
+}
+
+const configuration& gateway::current() const
+{
+    return state_->current;
+}
+
+bool gateway::ready() const
+{
+    return state_->ready();
+}
+
+std::size_t gateway::batches_running() const
+{
+    return state_->runner.running();
+}
+
+advice gateway::addresses() const
+{
+    advice found;
+    found.keep_for = state_->settings.gateway.advice_time;
+    for (const auto& peer : state_->fleet.peers()) {
+        if (!peer.front_address.empty() && !peer.draining && found.front_addresses.size() < most_addresses) {
+            found.front_addresses.push_back(peer.front_address);
+        }
+    }
+    return found;
+}
+
+batch_service& gateway::batches()
+{
+    return state_->batches;
+}
+
+std::string gateway::metrics_page() const
+{
+    return node::build_info("vg-gateway") + " 1\n" + state_->counts.page();
+}
+
+} // namespace vanillagauge::gateway
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,85 @@
+/// The gateway: callers' requests, batches and weights in front of a fleet of replicas.
+#ifndef VANILLAGAUGE_GATEWAY_GATEWAY_HPP
+#define VANILLAGAUGE_GATEWAY_GATEWAY_HPP
+
+#include "gateway/batch_runner.hpp"
+#include "gateway/batch_service.hpp"
+#include "gateway/configuration.hpp"
+#include "gateway/feed.hpp"
+#include "gateway/fleet_view.hpp"
+#include "gateway/forwarder.hpp"
+#include "gateway/object_store.hpp"
+#include "gateway/peer_relay.hpp"
+#include "gateway/target_protocol.hpp"
+#include "gateway/target_registry.hpp"
+#include "gateway/weights_keeper.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace vanillagauge::gateway {
+
+/// A model's version of weights, as a trainer named it.
+struct named_version {
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+/// Where the operator's, the replicas' and the trainers' objects stand in the store, and how they are read.
+struct foreign_objects {
+    std::string replicas; ///< kinds of objects
+    std::string configurations;
+    std::string versions;
+    std::string retirements;
+    std::string current_configuration; ///< the name of the one that counts
+    std::function<result<replica>(const stored_object&)> to_replica;
+    std::function<result<configuration>(const stored_object&)> to_configuration;
+    std::function<result<named_version>(const stored_object&)> to_version;
+    nlohmann::json retirement_done; ///< the status of a VM that holds nothing any more
+};
+
+/// A gateway that callers can be sent to.
+struct advice {
+    std::vector<std::string> front_addresses;
+    milliseconds keep_for{0};
+};
+
+class gateway {
+public:
+    /// All must outlive it.
+    gateway(wire::event_loop& loop, const config::settings& settings, object_store& store,
+            const target_protocol& protocol, foreign_objects foreign);
+    ~gateway();
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+
+    // Commands.
+    result<done> open();
+    /// No new work is to come; what is under way goes on.
+    void drain();
+    /// Nothing is under way, or the time is over.
+    void leave();
+    /// Forwards a request of a plain, once-only or streaming route.
+    net::task<void> forward(route chosen, caller_request request, net::responder& answer);
+
+    // Queries.
+    /// Version 0 while none is known.
+    const configuration& current() const;
+    bool ready() const;
+    /// Batches that run here.
+    std::size_t batches_running() const;
+    /// Gateways to connect to; empty where none can serve.
+    advice addresses() const;
+    batch_service& batches();
+    std::string metrics_page() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace vanillagauge::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/service_gate.hpp
@@ -0,0 +1,47 @@
+/// Admission to the replicas of one service: tasks wait here until a replica has room or they are turned
+/// away.
+#ifndef VANILLAGAUGE_GATEWAY_SERVICE_GATE_HPP
+#define VANILLAGAUGE_GATEWAY_SERVICE_GATE_HPP
+
+#include "gateway/target_registry.hpp"
+#include "net/signal.hpp"
+#include "policy/scheduler.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace vanillagauge::gateway {
+
+class service_gate {
+public:
+    service_gate(net::loop& loop, std::uint64_t seed, int slots);
+
+    /// Takes the service's present replicas.
+    void update(const std::vector<target_ref>& targets, time_point now);
+    /// Waits for a place. An error is `not_run` and final. `withdraw` may end the wait before.
+    net::task_of<std::string> admit(policy::work item);
+    /// Another replica for a request that was sent before; none where none has room or the budget is spent.
+    std::optional<std::string> retry(const policy::work& item);
+    /// Gives the place at a replica back.
+    void finish(const std::string& lifetime, const policy::ending_report& report);
+    void on_load(const std::string& lifetime, const policy::load_report& load);
+    /// The client of a waiting request has gone.
+    void withdraw(std::uint64_t work_id);
+
+private:
+    struct waiting {
+        std::optional<result<std::string>> outcome;
+    };
+    net::loop& loop_;
+    policy::scheduler scheduler_;
+    net::signal changed_;
+    std::map<std::uint64_t, waiting> waiting_;
+
+    void advance();
+};
+
+} // namespace vanillagauge::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/target_registry.cpp
@@ -0,0 +1,128 @@
+#include "gateway/target_registry.hpp"
+
+#include "observe/log.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::gateway {
+namespace {
+
+void log_target(const char* event, const replica& known)
+{
+    observe::log(observe::log_level::info, event,
+                 {{"replica", known.lifetime()},
+                  {"service", known.service},
+                  {"address", known.address},
+                  {"draining", std::int64_t{known.draining}}});
+}
+
+bool same_lifetime(const replica& left, const replica& right)
+{
+    return left.lifetime() == right.lifetime() && left.address == right.address &&
+           left.service == right.service;
+}
+
+} // namespace
+
+std::uint64_t target::version_of(const std::string& model) const
+{
+    const auto told = info.weights.find(model);
+    const auto reported = told == info.weights.end() ? std::uint64_t{0} : told->second;
+    // Its entry in the store lags behind; its own answers do not. Weights never go back within a lifetime.
+    return std::max(reported, seen_version);
+}
+
+void target_registry::update(const replica& known)
+{
+    ++generation_;
+    kept_until_.erase(known.id);
+    const auto found = targets_.find(known.id);
+    if (found != targets_.end() && same_lifetime(found->second->info, known)) {
+        if (found->second->info.draining != known.draining) {
+            log_target("replica_state", known);
+        }
+        found->second->info = known;
+        found->second->usable = !known.draining;
+        return;
+    }
+    if (found != targets_.end()) {
+        drop(known.id);
+    }
+    const auto fresh = std::make_shared<target>(loop_, known);
+    fresh->usable = !known.draining;
+    targets_[known.id] = fresh;
+    log_target("replica_added", known);
+}
+
+void target_registry::remove(const std::string& id, time_point keep_until)
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) {
+        return;
+    }
+    if (found->second->info.draining || keep_until <= steady::now()) {
+        ++generation_;
+        drop(id);
+        return;
+    }
+    kept_until_[id] = keep_until;
+}
+
+void target_registry::expire(time_point now)
+{
+    for (auto entry = kept_until_.begin(); entry != kept_until_.end();) {
+        if (now < entry->second) {
+            ++entry;
+            continue;
+        }
+        const auto id = entry->first;
+        entry = kept_until_.erase(entry);
+        ++generation_;
+        drop(id);
+    }
+}
+
+void target_registry::drop(const std::string& id)
+{
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) {
+        return;
+    }
+    log_target("replica_removed", found->second->info);
+    found->second->usable = false;
+    found->second->pool.clear();
+    targets_.erase(found);
+    kept_until_.erase(id);
+}
+
+std::vector<target_ref> target_registry::of_service(const std::string& service) const
+{
+    std::vector<target_ref> chosen;
+    for (const auto& [id, entry] : targets_) {
+        if (entry->usable && entry->info.service == service) {
+            chosen.push_back(entry);
+        }
+    }
+    return chosen;
+}
+
+std::vector<target_ref> target_registry::all() const
+{
+    std::vector<target_ref> chosen;
+    for (const auto& [id, entry] : targets_) {
+        chosen.push_back(entry);
+    }
+    return chosen;
+}
+
+target_ref target_registry::find(const std::string& lifetime) const
+{
+    for (const auto& [id, entry] : targets_) {
+        if (entry->info.lifetime() == lifetime) {
+            return entry;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace vanillagauge::gateway
--- /dev/null
+++ b/src/gateway/weights_keeper.cpp
@@ -0,0 +1,328 @@
+#include "gateway/weights_keeper.hpp"
+
+#include "fleet/rendezvous.hpp"
+#include "observe/log.hpp"
+
+#include <algorithm>
+#include <ctime>
+
+namespace vanillagauge::gateway {
+namespace {
+
+constexpr const char* lease_kind = "leases";
+constexpr const char* lease_name = "weights";
+
+constexpr milliseconds tend_every{100};
+
+/// Engines that load at once. Loads slow each other down beyond two or three, and an engine that loads starts
+/// nothing: the fewer at a time, the more places are left.
+constexpr std::size_t most_loading = 3;
+
+/// A load takes about a second; the report lags by some hundred milliseconds.
+constexpr milliseconds look_again{250};
+constexpr milliseconds longest_load{6000};
+/// An order without an answer may be carried out seconds later.
+constexpr milliseconds unanswered_pause{1500};
+constexpr milliseconds refused_pause{400};
+constexpr milliseconds call_time{1000};
+
+/// More than this between the two clocks means that the machine stood still meanwhile.
+constexpr milliseconds suspended_least{200};
+
+duration boot_clock()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+} // namespace
+
+weights_keeper::weights_keeper(net::loop& loop, object_store& store, const fleet_view& fleet,
+                               target_registry& targets, const target_protocol& protocol,
+                               const config::settings& settings,
+                               std::function<const configuration&()> current)
+    : loop_(loop), store_(store), fleet_(fleet), targets_(targets), protocol_(protocol),
+      current_(std::move(current)),
+      holder_(settings.gateway.model_order_holder.empty() ? settings.vm
+                                                          : settings.gateway.model_order_holder),
+      fence_({.self = settings.vm + "/" + std::to_string(fleet.incarnation()),
+              .enforced = settings.gateway.fencing_enforced,
+              .lease = settings.gateway.order_lease,
+              .longest_order = settings.gateway.order_lease}),
+      enforced_(settings.gateway.fencing_enforced),
+      clock_gap_(boot_clock() - steady::now().time_since_epoch())
+{
+}
+
+void weights_keeper::start()
+{
+    net::start(loop_, tend());
+    net::start(loop_, keep_lease());
+}
+
+void weights_keeper::name_version(const std::string& model, std::uint64_t version)
+{
+    auto& newest = named_[model];
+    if (version > newest) {
+        newest = version;
+        observe::log(observe::log_level::info, "version_named",
+                     {{"model", model}, {"version", static_cast<std::int64_t>(version)}});
+    }
+}
+
+// The steady clock stands still while the machine is suspended, so a holder that wakes believes its lease.
+// The other clock shows the gap; then the lease is read again and waited out like anybody else's.
+bool weights_keeper::was_suspended()
+{
+    const auto gap = boot_clock() - steady::now().time_since_epoch();
+    const bool suspended = gap - clock_gap_ > suspended_least;
+    clock_gap_ = gap;
+    return suspended;
+}
+
+net::task<void> weights_keeper::tend()
+{
+    while (!stopped_) {
+        const auto now = steady::now();
+        if (was_suspended()) {
+            observe::log(observe::log_level::warning, "machine_was_suspended", {});
+            fence_.on_view(false, now, now);
+            fence_.on_conflict();
+        }
+        std::vector<std::string> able;
+        for (const auto& peer : fleet_.peers()) {
+            if (!peer.draining && !peer.front_address.empty()) {
+                able.push_back(peer.vm);
+            }
+        }
+        const auto ranked = fleet::ranked_owners(lease_name, std::move(able));
+        const bool ours = !ranked.empty() && ranked.front() == fleet_.self() && !fleet_.isolated();
+        fence_.on_view(ours, now, now);
+        order_next(now);
+        co_await net::sleep_for(loop_, tend_every);
+    }
+}
+
+net::task<void> weights_keeper::keep_lease()
+{
+    while (!stopped_) {
+        switch (fence_.next(steady::now())) {
+        case policy::fence_action::read:
+            co_await read_lease();
+            break;
+        case policy::fence_action::write:
+            co_await write_lease();
+            break;
+        case policy::fence_action::none:
+            break;
+        }
+        co_await net::sleep_for(loop_, tend_every);
+    }
+}
+
+net::task<void> weights_keeper::read_lease()
+{
+    const auto stored = co_await store_.read(lease_kind, lease_name);
+    const auto now = steady::now();
+    if (ok(stored)) {
+        fence_.on_read(value(stored).value.value("holder", std::string{}), value(stored).revision, now);
+    }
+    else if (failure(stored).code == error_code::not_found) {
+        fence_.on_read({}, 0, now);
+    }
+    else {
+        fence_.on_failed(now);
+    }
+}
+
+net::task<void> weights_keeper::write_lease()
+{
+    const auto asked = steady::now();
+    const auto revision = fence_.expected_version();
+    const nlohmann::json lease{
+        {"holder", fleet_.self() + "/" + std::to_string(fleet_.incarnation())},
+        {"renewal", std::chrono::duration_cast<milliseconds>(asked.time_since_epoch()).count()}};
+    result<stored_object> written = error{};
+    if (revision == 0) {
+        written = co_await store_.create(lease_kind, lease_name, lease);
+    }
+    else {
+        written = co_await store_.replace(lease_kind, lease_name, lease, revision);
+    }
+    if (ok(written)) {
+        fence_.on_written(value(written).revision, asked);
+    }
+    else if (failure(written).code == error_code::conflict ||
+             failure(written).code == error_code::not_found) {
+        observe::log(observe::log_level::warning, "lease_lost", {{"why", describe(failure(written))}});
+        fence_.on_conflict();
+    }
+    else {
+        fence_.on_failed(steady::now());
+    }
+}
+
+std::vector<target_ref> weights_keeper::engines_of(const std::string& model) const
+{
+    std::vector<target_ref> engines;
+    for (const auto& [name, known] : current_().services) {
+        if (std::find(known.models.begin(), known.models.end(), model) == known.models.end()) {
+            continue;
+        }
+        const auto replicas = targets_.of_service(name);
+        engines.insert(engines.end(), replicas.begin(), replicas.end());
+    }
+    return engines;
+}
+
+bool weights_keeper::single_version(const std::string& service) const
+{
+    for (const auto& known : current_().routes) {
+        const bool leads_there =
+            std::any_of(known.services.begin(), known.services.end(),
+                        [&](const weighted_service& part) { return part.service == service; });
+        if (leads_there && known.single_version) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// The engines furthest behind load first: they are the next to be too old for any batch. Among equals the one
+// with the least work.
+void weights_keeper::order_next(time_point now)
+{
+    if (!fence_.may_order(now)) {
+        return;
+    }
+    for (const auto& [model, newest] : named_) {
+        auto engines = engines_of(model);
+        std::erase_if(engines, [&, wanted = newest, &served = model](const target_ref& at) {
+            const auto& order = orders_[at->info.lifetime()];
+            return at->version_of(served) >= wanted || loading_.contains(at->info.lifetime()) ||
+                   now < order.not_before;
+        });
+        std::sort(engines.begin(), engines.end(),
+                  [&served = model](const target_ref& left, const target_ref& right) {
+                      return std::pair(left->version_of(served), left->streams) <
+                             std::pair(right->version_of(served), right->streams);
+                  });
+        for (const auto& engine : engines) {
+            if (loading_.size() >= most_loading) {
+                return;
+            }
+            loading_.insert(engine->info.lifetime());
+            net::start(loop_, load(engine, model, newest));
+        }
+    }
+}
+
+net::task_of<engine_report> weights_keeper::ask_report(target_ref at)
+{
+    const auto until = steady::now() + call_time;
+    auto taken = co_await at->pool.take(until);
+    if (const auto* failed = std::get_if<net::http_failure>(&taken)) {
+        co_return error{error_code::unavailable, run_state::not_run, failed->detail};
+    }
+    const auto connection = std::get<std::shared_ptr<net::http_connection>>(taken);
+    const auto request = protocol_.report_request(at->info);
+    auto answer = co_await net::exchange(*connection, request, 1U << 20U, until);
+    if (const auto* failed = std::get_if<net::http_failure>(&answer)) {
+        co_return error{error_code::unavailable, run_state::in_doubt, failed->detail};
+    }
+    const auto& response = std::get<net::http_response>(answer);
+    at->pool.give_back(connection, net::idle_time_of(response.fields, seconds(4)));
+    co_return protocol_.parse_report(response);
+}
+
+net::task_of<order_outcome> weights_keeper::send_order(target_ref at, load_order order)
+{
+    const auto until = steady::now() + call_time;
+    auto taken = co_await at->pool.take(until);
+    if (const auto* failed = std::get_if<net::http_failure>(&taken)) {
+        co_return error{error_code::unavailable, run_state::not_run, failed->detail};
+    }
+    const auto connection = std::get<std::shared_ptr<net::http_connection>>(taken);
+    // The wait for the connection may have been longer than the lease.
+    const auto number = was_suspended() || stopped_ ? std::nullopt : fence_.may_order(steady::now());
+    if (!number) {
+        at->pool.give_back(connection, seconds(1));
+        co_return error{error_code::conflict, run_state::not_run, "the lease has ended"};
+    }
+    order.fencing = *number;
+    const auto request = protocol_.order_request(at->info, order);
+    auto answer = co_await net::exchange(*connection, request, 1U << 20U, until);
+    if (const auto* failed = std::get_if<net::http_failure>(&answer)) {
+        co_return error{error_code::unavailable, run_state::in_doubt, failed->detail};
+    }
+    const auto& response = std::get<net::http_response>(answer);
+    at->pool.give_back(connection, net::idle_time_of(response.fields, seconds(4)));
+    co_return protocol_.parse_order(response);
+}
+
+// One engine to one version. What the engine reports decides, not what was ordered: an order whose answer was
+// lost may have been taken, or may be taken seconds later, and names the count of orders that it expects, so
+// that a second one cannot be carried out beside it.
+net::task<void> weights_keeper::load(target_ref at, std::string model, std::uint64_t version)
+{
+    const auto lifetime = at->info.lifetime();
+    const auto began = steady::now();
+    auto pause = refused_pause;
+    std::string outcome = "failed";
+    const auto report = co_await ask_report(at);
+    bool ordered = false;
+    if (ok(report)) {
+        const auto found = value(report).weights.find(model);
+        const auto has = found == value(report).weights.end() ? std::uint64_t{0} : found->second;
+        if (has >= version) {
+            at->seen_version = std::max(at->seen_version, has);
+            outcome = "already there";
+        }
+        else if (value(report).busy) {
+            outcome = "busy";
+        }
+        else {
+            load_order order;
+            order.replica_id = at->info.id;
+            order.model = model;
+            order.version = version;
+            order.mode = single_version(at->info.service) ? load_mode::finish_first : load_mode::keep_running;
+            order.holder = holder_;
+            order.expected_orders = value(report).orders_taken;
+            const auto answer = co_await send_order(at, order);
+            if (!ok(answer)) {
+                pause = failure(answer).ran == run_state::not_run ? refused_pause : unanswered_pause;
+                outcome = describe(failure(answer));
+            }
+            else if (value(answer) == order_outcome::already_done) {
+                at->seen_version = std::max(at->seen_version, version);
+                outcome = "already there";
+            }
+            else if (value(answer) == order_outcome::accepted) {
+                ordered = true;
+                outcome = "accepted";
+            }
+            else {
+                outcome = "refused";
+            }
+        }
+    }
+    else {
+        outcome = describe(failure(report));
+    }
+    while (ordered && at->usable && at->version_of(model) < version && steady::now() - began < longest_load) {
+        co_await net::sleep_for(loop_, look_again);
+    }
+    observe::log(
+        observe::log_level::info, "weights_ordered",
+        {{"replica", lifetime},
+         {"model", model},
+         {"version", static_cast<std::int64_t>(version)},
+         {"outcome", outcome},
+         {"took_ms", std::int64_t{std::chrono::duration_cast<milliseconds>(steady::now() - began).count()}}});
+    orders_[lifetime].not_before = steady::now() + pause;
+    loading_.erase(lifetime);
+}
+
+} // namespace vanillagauge::gateway
--- /dev/null
+++ b/src/gateway/weights_keeper.hpp
@@ -0,0 +1,68 @@
+/// Brings engines to the versions of weights that trainers name, from one holder in the fleet at a time.
+#ifndef VANILLAGAUGE_GATEWAY_WEIGHTS_KEEPER_HPP
+#define VANILLAGAUGE_GATEWAY_WEIGHTS_KEEPER_HPP
+
+#include "gateway/configuration.hpp"
+#include "gateway/fleet_view.hpp"
+#include "gateway/object_store.hpp"
+#include "gateway/target_protocol.hpp"
+#include "gateway/target_registry.hpp"
+#include "policy/wave_fence.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace vanillagauge::gateway {
+
+class weights_keeper {
+public:
+    /// `current` tells the configuration in force. All must outlive it.
+    weights_keeper(net::loop& loop, object_store& store, const fleet_view& fleet, target_registry& targets,
+                   const target_protocol& protocol, const config::settings& settings,
+                   std::function<const configuration&()> current);
+
+    // Commands.
+    void start();
+    /// A trainer named a version; versions of a model only grow.
+    void name_version(const std::string& model, std::uint64_t version);
+    /// Orders nothing any more.
+    void stop() { stopped_ = true; }
+
+private:
+    struct order_record {
+        time_point not_before{};
+        int failures = 0;
+    };
+    net::loop& loop_;
+    object_store& store_;
+    const fleet_view& fleet_;
+    target_registry& targets_;
+    const target_protocol& protocol_;
+    std::function<const configuration&()> current_;
+    std::string holder_;
+    policy::wave_fence fence_;
+    bool enforced_;
+    duration clock_gap_{0}; ///< between the steady clock and one that runs on while the machine is suspended
+    std::map<std::string, std::uint64_t> named_;
+    std::set<std::string> loading_; ///< lifetimes
+    std::map<std::string, order_record> orders_;
+    bool stopped_ = false;
+
+    net::task<void> tend();
+    net::task<void> keep_lease();
+    net::task<void> read_lease();
+    net::task<void> write_lease();
+    void order_next(time_point now);
+    std::vector<target_ref> engines_of(const std::string& model) const;
+    net::task<void> load(target_ref at, std::string model, std::uint64_t version);
+    net::task_of<engine_report> ask_report(target_ref at);
+    net::task_of<order_outcome> send_order(target_ref at, load_order order);
+    bool was_suspended();
+    bool single_version(const std::string& service) const;
+};
+
+} // namespace vanillagauge::gateway
+
+#endif
--- a/src/keeper/config_feed.cpp
+++ b/src/keeper/config_feed.cpp
@@ -31,12 +31,12 @@
     return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
 }
 
-config::object to_config(const platform::stored_object& item)
+config::object to_config(const objects::stored_object& item)
 {
     return {item.kind, item.name, item.version, item.value, item.deleted};
 }
 
-void config_feed::take(const std::vector<platform::stored_object>& items)
+void config_feed::take(const std::vector<objects::stored_object>& items)
 {
     std::vector<config::object> objects;
     for (const auto& item : items) {
@@ -119,7 +119,7 @@
 {
     const auto& kind = config_kinds()[place];
     store_.list(kind, [this, place, revision, kind,
-                       on_done = std::move(on_done)](const result<platform::listing>& reply) mutable {
+                       on_done = std::move(on_done)](const result<objects::listing>& reply) mutable {
         if (!ok(reply)) {
             on_done(failure(reply));
             return;
@@ -140,7 +140,7 @@
 
 void config_feed::watch()
 {
-    store_.watch(config_kinds(), since_, watch_wait, [this](const result<platform::watch_events>& reply) {
+    store_.watch(config_kinds(), since_, watch_wait, [this](const result<objects::watch_events>& reply) {
         loop_.post([this, reply] {
             if (!ok(reply)) {
                 failed(failure(reply), true);
--- a/src/keeper/config_feed.hpp
+++ b/src/keeper/config_feed.hpp
@@ -3,7 +3,7 @@
 #define VANILLAGAUGE_KEEPER_CONFIG_FEED_HPP
 
 #include "keeper/keeper_state.hpp"
-#include "platform/object_client.hpp"
+#include "objects/object_client.hpp"
 #include "wire/event_loop.hpp"
 
 #include <optional>
@@ -13,12 +13,12 @@
 /// The kinds of the operators' objects.
 const std::vector<std::string>& config_kinds();
 bool is_config_kind(const std::string& kind);
-config::object to_config(const platform::stored_object& item);
+config::object to_config(const objects::stored_object& item);
 
 class config_feed {
 public:
     /// All three must outlive the feed.
-    config_feed(keeper_state& state, platform::object_client& store, wire::event_loop& loop)
+    config_feed(keeper_state& state, objects::object_client& store, wire::event_loop& loop)
         : state_(state), store_(store), loop_(loop)
     {
     }
@@ -29,7 +29,7 @@
 
 private:
     keeper_state& state_;
-    platform::object_client& store_;
+    objects::object_client& store_;
     wire::event_loop& loop_;
     std::uint64_t since_ = 0;
     int failures_ = 0;
@@ -42,7 +42,7 @@
     void watch();
     void succeeded();
     void failed(const error& failure, bool by_watch);
-    void take(const std::vector<platform::stored_object>& items);
+    void take(const std::vector<objects::stored_object>& items);
 };
 
 } // namespace vanillagauge::keeper
--- a/src/keeper/lease_keeper.cpp
+++ b/src/keeper/lease_keeper.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-lease_keeper::lease_keeper(keeper_state& state, platform::object_client& store, wire::event_loop& loop)
+lease_keeper::lease_keeper(keeper_state& state, objects::object_client& store, wire::event_loop& loop)
     : state_(state), store_(store), loop_(loop), vm_(state.self().vm), cycle_(vm_, fleet::lease_timing_for(1))
 {
 }
@@ -50,7 +50,7 @@
     }
     store_.list(
         lease_kind,
-        [this](const result<platform::listing>& reply) {
+        [this](const result<objects::listing>& reply) {
             if (ok(reply)) {
                 listed(value(reply));
             }
@@ -58,10 +58,10 @@
                 failed();
             }
         },
-        platform::call_priority::lease);
+        objects::call_priority::lease);
 }
 
-void lease_keeper::listed(const platform::listing& leases)
+void lease_keeper::listed(const objects::listing& leases)
 {
     std::vector<fleet::lease_record> records;
     std::vector<std::string> peers;
@@ -79,12 +79,12 @@
         const std::lock_guard lock(mutex_);
         return cycle_.listed(records, steady::now());
     }();
-    const platform::write change{lease_kind, vm_, to_text(renewal.length, state_.self().peer_address),
-                                 renewal.expected_version};
+    const objects::write change{lease_kind, vm_, to_text(renewal.length, state_.self().peer_address),
+                                renewal.expected_version};
     store_.write_object(
         change,
-        [this, change](const platform::write_outcome& outcome) {
-            const auto stored = platform::settled(outcome, change.expected_version);
+        [this, change](const objects::write_outcome& outcome) {
+            const auto stored = objects::settled(outcome, change.expected_version);
             if (!ok(stored)) {
                 observe::log(observe::log_level::warning, "lease_not_renewed",
                              {{"detail", failure(stored).detail}});
@@ -97,7 +97,7 @@
             }
             remove_abandoned();
         },
-        platform::call_priority::lease);
+        objects::call_priority::lease);
 }
 
 void lease_keeper::remove_abandoned()
@@ -115,8 +115,8 @@
     // One in a cycle, and only in the version that was seen: a VM that renews it in the meantime keeps it.
     const auto& oldest = left_behind.front();
     store_.write_object(
-        {lease_kind, oldest.vm, "", oldest.version, true}, [](const platform::write_outcome&) {},
-        platform::call_priority::status);
+        {lease_kind, oldest.vm, "", oldest.version, true}, [](const objects::write_outcome&) {},
+        objects::call_priority::status);
 }
 
 void lease_keeper::failed()
--- a/src/keeper/lease_keeper.hpp
+++ b/src/keeper/lease_keeper.hpp
@@ -4,7 +4,7 @@
 
 #include "fleet/lease.hpp"
 #include "keeper/keeper_state.hpp"
-#include "platform/object_client.hpp"
+#include "objects/object_client.hpp"
 #include "wire/event_loop.hpp"
 
 #include <functional>
@@ -17,7 +17,7 @@
 class lease_keeper {
 public:
     /// All three must outlive it.
-    lease_keeper(keeper_state& state, platform::object_client& store, wire::event_loop& loop);
+    lease_keeper(keeper_state& state, objects::object_client& store, wire::event_loop& loop);
 
     void start() { turn(); }
     /// Runs with the peer addresses that the leases name, after each list.
@@ -27,7 +27,7 @@
 
 private:
     keeper_state& state_;
-    platform::object_client& store_;
+    objects::object_client& store_;
     wire::event_loop& loop_;
     const std::string vm_;
     mutable std::mutex mutex_;
@@ -35,7 +35,7 @@
     std::function<void(std::vector<std::string>)> on_peers_;
 
     void turn();
-    void listed(const platform::listing& leases);
+    void listed(const objects::listing& leases);
     void failed();
     void remove_abandoned();
 };
--- a/src/keeper/local_service.cpp
+++ b/src/keeper/local_service.cpp
@@ -90,12 +90,12 @@
 void local_service::Store(google::protobuf::RpcController* control, const v1::StoreRequest* request,
                           v1::StoreReply* reply, google::protobuf::Closure* done)
 {
-    const platform::write change{request->kind(), request->name(), request->spec_json(),
-                                 request->expected_version()};
+    const objects::write change{request->kind(), request->name(), request->spec_json(),
+                                request->expected_version()};
     store_.write_object(
         change,
-        [control, reply, done, change](const platform::write_outcome& outcome) {
-            const auto stored = platform::settled(outcome, change.expected_version);
+        [control, reply, done, change](const objects::write_outcome& outcome) {
+            const auto stored = objects::settled(outcome, change.expected_version);
             if (ok(stored)) {
                 reply->set_version(value(stored).version);
             }
@@ -104,7 +104,7 @@
             }
             done->Run();
         },
-        platform::call_priority::status);
+        objects::call_priority::status);
 }
 
 void local_service::Load(google::protobuf::RpcController* control, const v1::LoadRequest* request,
@@ -112,7 +112,7 @@
 {
     store_.read(
         request->kind(), request->name(),
-        [control, reply, done](const result<std::optional<platform::stored_object>>& found) {
+        [control, reply, done](const result<std::optional<objects::stored_object>>& found) {
             if (!ok(found)) {
                 wire::from(control).fail(failure(found));
             }
@@ -123,7 +123,7 @@
             }
             done->Run();
         },
-        platform::call_priority::status);
+        objects::call_priority::status);
 }
 
 void peer_service::Exchange(google::protobuf::RpcController* /*control*/, const v1::ExchangeRequest* request,
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -28,7 +28,7 @@
 }
 
 std::string page(const keeper::keeper_state& state, const keeper::gossip& exchange,
-                 const platform::object_client& store)
+                 const objects::object_client& store)
 {
     const auto datagrams = exchange.counts();
     const auto exchanges = exchange.exchanges();
@@ -49,7 +49,7 @@
 {
     wire::event_loop loop;
     wire::http_channel store_link(loop, settings.platform);
-    platform::object_client store(store_link, loop);
+    objects::object_client store(store_link, loop);
 
     fleet::node self;
     self.vm = settings.vm;
--- a/src/keeper/operator_service.cpp
+++ b/src/keeper/operator_service.cpp
@@ -48,11 +48,11 @@
         done->Run();
         return;
     }
-    const platform::write change{wanted.kind(), wanted.name(), spec, wanted.version()};
+    const objects::write change{wanted.kind(), wanted.name(), spec, wanted.version()};
     const milliseconds wait{request->wait_ms()};
     store_.write_object(change, [this, control, reply, done, change,
-                                 wait](const platform::write_outcome& outcome) {
-        const auto stored = platform::settled(outcome, change.expected_version);
+                                 wait](const objects::write_outcome& outcome) {
+        const auto stored = objects::settled(outcome, change.expected_version);
         if (!ok(stored)) {
             wire::from(control).fail(failure(stored));
             done->Run();
@@ -86,14 +86,14 @@
 void operator_service::Delete(google::protobuf::RpcController* control, const v1::DeleteRequest* request,
                               v1::DeleteReply* reply, google::protobuf::Closure* done)
 {
-    const platform::write change{request->kind(), request->name(), "{}", request->version(), true};
+    const objects::write change{request->kind(), request->name(), "{}", request->version(), true};
     if (!is_config_kind(request->kind())) {
         wire::from(control).fail(not_found(request->kind(), request->name()));
         done->Run();
         return;
     }
-    store_.write_object(change, [this, control, reply, done, change](const platform::write_outcome& outcome) {
-        const auto stored = platform::settled(outcome, change.expected_version);
+    store_.write_object(change, [this, control, reply, done, change](const objects::write_outcome& outcome) {
+        const auto stored = objects::settled(outcome, change.expected_version);
         if (ok(stored)) {
             state_.merge_config({{change.kind, change.name, value(stored).version, change.value, true}},
                                 config::object_source::store);
@@ -149,7 +149,7 @@
         *reply->add_nodes() = node::to_message(member);
     }
     reply->set_config_revision(state_.config_revision());
-    reply->set_store(platform::name(store_.health()));
+    reply->set_store(objects::name(store_.health()));
     done->Run();
 }
 
@@ -176,9 +176,9 @@
         done->Run();
         return;
     }
-    const platform::write change{"drain", request->vm(), "{}", 0};
-    store_.write_object(change, [this, control, done, change](const platform::write_outcome& outcome) {
-        const auto stored = platform::settled(outcome, change.expected_version);
+    const objects::write change{"drain", request->vm(), "{}", 0};
+    store_.write_object(change, [this, control, done, change](const objects::write_outcome& outcome) {
+        const auto stored = objects::settled(outcome, change.expected_version);
         if (ok(stored)) {
             state_.merge_config({{change.kind, change.name, value(stored).version, change.value, false}},
                                 config::object_source::store);
--- a/src/keeper/services.hpp
+++ b/src/keeper/services.hpp
@@ -7,7 +7,7 @@
 #include "keeper/keeper_state.hpp"
 #include "keeper/lease_keeper.hpp"
 #include "keeper/operator_watch.hpp"
-#include "platform/object_client.hpp"
+#include "objects/object_client.hpp"
 
 #include "vanillagauge.pb.h"
 
@@ -34,7 +34,7 @@
 
 class local_service final : public v1::KeeperLocal {
 public:
-    local_service(keeper_state& state, platform::object_client& store, const lease_keeper& lease,
+    local_service(keeper_state& state, objects::object_client& store, const lease_keeper& lease,
                   wire::event_loop& loop)
         : state_(state), store_(store), lease_(lease), loop_(loop)
     {
@@ -58,7 +58,7 @@
         google::protobuf::Closure* done = nullptr;
     };
     keeper_state& state_;
-    platform::object_client& store_;
+    objects::object_client& store_;
     const lease_keeper& lease_;
     wire::event_loop& loop_;
     std::mutex mutex_;
@@ -71,7 +71,7 @@
 
 class operator_service final : public v1::Operator {
 public:
-    operator_service(keeper_state& state, platform::object_client& store, config_counter& census,
+    operator_service(keeper_state& state, objects::object_client& store, config_counter& census,
                      operator_watch& watch)
         : state_(state), store_(store), census_(census), watch_(watch)
     {
@@ -98,7 +98,7 @@
 
 private:
     keeper_state& state_;
-    platform::object_client& store_;
+    objects::object_client& store_;
     config_counter& census_;
     operator_watch& watch_;
 };
--- /dev/null
+++ b/src/net/connection_pool.hpp
@@ -0,0 +1,44 @@
+/// Idle connections to one address.
+#ifndef VANILLAGAUGE_NET_CONNECTION_POOL_HPP
+#define VANILLAGAUGE_NET_CONNECTION_POOL_HPP
+
+#include "net/http_client.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace vanillagauge::net {
+
+class connection_pool {
+public:
+    connection_pool(loop& where, std::string address) : loop_(where), address_(std::move(address)) {}
+
+    /// The connection used last that is still sound, or a new one.
+    task<http_result<std::shared_ptr<http_connection>>> take(time_point until);
+    /// A connection that nobody used before.
+    task<http_result<std::shared_ptr<http_connection>>> take_new(time_point until);
+    /// Keeps it for at most `idle_time`; a connection that is not reusable ends here.
+    void give_back(std::shared_ptr<http_connection> connection, duration idle_time);
+    void clear() { idle_.clear(); }
+
+    const std::string& address() const { return address_; }
+
+private:
+    struct idle_connection {
+        std::shared_ptr<http_connection> connection;
+        time_point expires;
+    };
+    loop& loop_;
+    std::string address_;
+    std::vector<idle_connection> idle_;
+
+    void drop_expired();
+};
+
+/// How long a peer keeps an idle connection open by its Keep-Alive field, less the time on the way;
+/// `fallback` where it names none.
+duration idle_time_of(const http_fields& fields, duration fallback);
+
+} // namespace vanillagauge::net
+
+#endif
--- /dev/null
+++ b/src/net/event_stream.cpp
@@ -0,0 +1,62 @@
+#include "net/event_stream.hpp"
+
+#include <charconv>
+
+namespace vanillagauge::net {
+
+std::vector<stream_event> event_reader::take(std::string_view bytes)
+{
+    std::vector<stream_event> whole;
+    while (!bytes.empty()) {
+        const auto end = bytes.find('\n');
+        line_ += bytes.substr(0, end);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        bytes.remove_prefix(end + 1);
+        if (!line_.empty() && line_.back() == '\r') {
+            line_.pop_back();
+        }
+        take_line(whole);
+        line_.clear();
+    }
+    return whole;
+}
+
+void event_reader::take_line(std::vector<stream_event>& whole)
+{
+    if (line_.empty()) {
+        if (has_data_ || current_.id) {
+            whole.push_back(std::move(current_));
+        }
+        current_ = {};
+        has_data_ = false;
+        has_lines_ = false;
+        return;
+    }
+    has_lines_ = true;
+    const std::string_view line = line_;
+    const auto colon = line.find(':');
+    const auto name = line.substr(0, colon);
+    auto value = colon == std::string_view::npos ? std::string_view{} : line.substr(colon + 1);
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    if (name == "data") {
+        current_.data += has_data_ ? "\n" : "";
+        current_.data += value;
+        has_data_ = true;
+    }
+    else if (name == "id") {
+        std::uint64_t id = 0;
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), id);
+        if (parsed.ec == std::errc{}) {
+            current_.id = id;
+        }
+    }
+    else if (!name.empty()) {
+        current_.others.add(name, value);
+    }
+}
+
+} // namespace vanillagauge::net
--- /dev/null
+++ b/src/net/event_stream.hpp
@@ -0,0 +1,39 @@
+/// Reads a stream of server-sent events as its bytes arrive.
+#ifndef VANILLAGAUGE_NET_EVENT_STREAM_HPP
+#define VANILLAGAUGE_NET_EVENT_STREAM_HPP
+
+#include "net/http_message.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace vanillagauge::net {
+
+struct stream_event {
+    std::optional<std::uint64_t> id;
+    std::string data;   ///< lines joined by line feeds
+    http_fields others; ///< lines with other names
+};
+
+class event_reader {
+public:
+    /// The events that became whole with these bytes. Comments and events without data and id are dropped.
+    std::vector<stream_event> take(std::string_view bytes);
+    /// Whether bytes of an event that is not whole stand here.
+    bool mid_event() const { return !line_.empty() || has_lines_; }
+
+private:
+    std::string line_;
+    stream_event current_;
+    bool has_data_ = false;
+    bool has_lines_ = false;
+
+    void take_line(std::vector<stream_event>& whole);
+};
+
+} // namespace vanillagauge::net
+
+#endif
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,244 @@
+#include "net/http_client.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace vanillagauge::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t piece_bytes = 16U << 10U;
+constexpr std::uint32_t header_bytes = 64U << 10U;
+
+std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    error_code failed;
+    const auto host = asio::ip::make_address(address.substr(0, colon), failed);
+    unsigned short port = 0;
+    const auto parsed = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    if (failed || parsed.ec != std::errc{} || port == 0) {
+        return std::nullopt;
+    }
+    return asio::ip::tcp::endpoint(host, port);
+}
+
+std::string serialized(const http_request& request)
+{
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto& field : request.fields.all()) {
+        text += field.name + ": " + field.value + "\r\n";
+    }
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+bool is_malformed(const error_code& code)
+{
+    const error_code any_http = http::error::bad_version;
+    return code.category() == any_http.category() && code != http::error::end_of_stream &&
+           code != http::error::partial_message;
+}
+
+} // namespace
+
+struct body_reader {
+    http::response_parser<http::buffer_body> parser;
+    std::array<char, piece_bytes> piece{};
+};
+
+const char* name(failure_kind kind)
+{
+    switch (kind) {
+    case failure_kind::refused:
+        return "refused";
+    case failure_kind::timeout:
+        return "timeout";
+    case failure_kind::closed:
+        return "closed";
+    case failure_kind::malformed:
+        return "malformed";
+    case failure_kind::cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+http_connection::http_connection(loop& where) : stream_(where) {}
+
+http_connection::~http_connection() = default;
+
+http_failure http_connection::failed(const error_code& code) const
+{
+    if (closed_) {
+        return {failure_kind::cancelled, sent_, "closed by this side"};
+    }
+    if (code == beast::error::timeout) {
+        return {failure_kind::timeout, sent_, "no progress in time"};
+    }
+    if (code == asio::error::connection_refused) {
+        return {failure_kind::refused, sent_, code.message()};
+    }
+    return {is_malformed(code) ? failure_kind::malformed : failure_kind::closed, sent_, code.message()};
+}
+
+task<http_result<done>> http_connection::connect(std::string address, time_point until)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint) {
+        co_return http_failure{failure_kind::refused, false, "expected IP:PORT, found: " + address};
+    }
+    stream_.expires_at(until);
+    error_code failure;
+    co_await stream_.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_return failed(failure);
+    }
+    error_code ignored; // without it small requests are only slower
+    stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return done{};
+}
+
+task<http_result<done>> http_connection::send(const http_request& request, time_point until)
+{
+    ++requests_;
+    sent_ = true;
+    reader_.reset();
+    const auto text = serialized(request);
+    stream_.expires_at(until);
+    error_code failure;
+    co_await asio::async_write(stream_, asio::buffer(text),
+                               asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_return failed(failure);
+    }
+    co_return done{};
+}
+
+task<http_result<response_head>> http_connection::read_head(time_point until)
+{
+    reader_ = std::make_unique<body_reader>();
+    reader_->parser.header_limit(header_bytes);
+    reader_->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    stream_.expires_at(until);
+    error_code failure;
+    co_await http::async_read_header(stream_, buffer_, reader_->parser,
+                                     asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_return failed(failure);
+    }
+    response_head head;
+    const auto& message = reader_->parser.get();
+    head.status = static_cast<int>(message.result_int());
+    for (const auto& field : message) {
+        const auto field_name = field.name_string();
+        const auto value = field.value();
+        head.fields.add({field_name.data(), field_name.size()}, {value.data(), value.size()});
+    }
+    head.keep_alive = reader_->parser.keep_alive();
+    co_return head;
+}
+
+task<http_result<body_piece>> http_connection::read_piece(time_point until)
+{
+    auto& parser = reader_->parser;
+    if (parser.is_done()) {
+        co_return body_piece{{}, true};
+    }
+    auto& body = parser.get().body();
+    body.data = reader_->piece.data();
+    body.size = reader_->piece.size();
+    stream_.expires_at(until);
+    error_code failure;
+    co_await http::async_read_some(stream_, buffer_, parser,
+                                   asio::redirect_error(asio::use_awaitable, failure));
+    const auto filled = piece_bytes - body.size;
+    if (failure && failure != http::error::need_buffer) {
+        co_return failed(failure);
+    }
+    co_return body_piece{std::string(reader_->piece.data(), filled), parser.is_done()};
+}
+
+task<http_result<std::string>> http_connection::read_body(std::size_t most, time_point until)
+{
+    std::string whole;
+    while (true) {
+        auto read = co_await read_piece(until);
+        if (auto* failure = std::get_if<http_failure>(&read)) {
+            co_return std::move(*failure);
+        }
+        auto& piece = std::get<body_piece>(read);
+        whole += piece.bytes;
+        if (whole.size() > most) {
+            co_return http_failure{failure_kind::malformed, true, "a body beyond the limit"};
+        }
+        if (piece.last) {
+            co_return whole;
+        }
+    }
+}
+
+void http_connection::close()
+{
+    closed_ = true;
+    stream_.close();
+}
+
+// An answer that comes late, or twice, stands unread on the connection when the next request is to be sent.
+// Whoever read it then would take it for its own.
+bool http_connection::reusable()
+{
+    if (closed_ || !stream_.socket().is_open() || buffer_.size() > 0) {
+        return false;
+    }
+    if (reader_ && (!reader_->parser.is_done() || !reader_->parser.keep_alive())) {
+        return false;
+    }
+    char byte = 0;
+    const auto seen = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+task<http_result<http_response>> exchange(http_connection& connection, const http_request& request,
+                                          std::size_t most_body, time_point until)
+{
+    const auto sent = co_await connection.send(request, until);
+    if (const auto* failure = std::get_if<http_failure>(&sent)) {
+        co_return *failure;
+    }
+    auto head = co_await connection.read_head(until);
+    if (auto* failure = std::get_if<http_failure>(&head)) {
+        co_return std::move(*failure);
+    }
+    auto body = co_await connection.read_body(most_body, until);
+    if (auto* failure = std::get_if<http_failure>(&body)) {
+        co_return std::move(*failure);
+    }
+    auto& found = std::get<response_head>(head);
+    co_return http_response{found.status, std::move(found.fields), std::move(std::get<std::string>(body))};
+}
+
+} // namespace vanillagauge::net
--- /dev/null
+++ b/src/net/http_message.hpp
@@ -0,0 +1,58 @@
+/// HTTP messages as plain values.
+#ifndef VANILLAGAUGE_NET_HTTP_MESSAGE_HPP
+#define VANILLAGAUGE_NET_HTTP_MESSAGE_HPP
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace vanillagauge::net {
+
+struct http_field {
+    std::string name;
+    std::string value;
+};
+
+/// In the order of the message; names compare without case.
+class http_fields {
+public:
+    void add(std::string_view name, std::string_view value);
+    /// Replaces every field of this name.
+    void set(std::string_view name, std::string_view value);
+    void erase(std::string_view name);
+
+    /// The first value; empty where the field is absent.
+    std::string_view find(std::string_view name) const;
+    bool contains(std::string_view name) const;
+    const std::vector<http_field>& all() const { return fields_; }
+
+private:
+    std::vector<http_field> fields_;
+};
+
+bool equal_names(std::string_view left, std::string_view right);
+
+/// Whether the field concerns one connection only, by its name or because `Connection` lists it.
+bool concerns_connection(std::string_view name, std::string_view connection_value);
+
+struct http_request {
+    std::string method = "GET";
+    std::string target = "/";
+    http_fields fields{};
+    std::string body{};
+};
+
+struct http_response {
+    int status = 200;
+    http_fields fields{};
+    std::string body{};
+};
+
+/// The path of a request's target, without its query.
+std::string_view path_of(std::string_view target);
+/// The value of a query parameter, with percent escapes decoded; empty where it is absent.
+std::string query_value(std::string_view target, std::string_view name);
+
+} // namespace vanillagauge::net
+
+#endif
--- /dev/null
+++ b/src/net/net.hpp
@@ -0,0 +1,13 @@
+/// HTTP/1.1 connections whose every state is visible: what was sent, whose answer came, whether it is whole.
+#ifndef VANILLAGAUGE_NET_NET_HPP
+#define VANILLAGAUGE_NET_NET_HPP
+
+#include "net/connection_pool.hpp"
+#include "net/event_stream.hpp"
+#include "net/http_client.hpp"
+#include "net/http_message.hpp"
+#include "net/http_service.hpp"
+#include "net/signal.hpp"
+#include "net/task.hpp"
+
+#endif
--- /dev/null
+++ b/src/net/signal.hpp
@@ -0,0 +1,29 @@
+/// Wakes tasks of one loop that wait for something to change.
+#ifndef VANILLAGAUGE_NET_SIGNAL_HPP
+#define VANILLAGAUGE_NET_SIGNAL_HPP
+
+#include "net/task.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace vanillagauge::net {
+
+/// All waiters wake at each `notify`; a waiter checks its condition again. Belongs to the loop's thread.
+class signal {
+public:
+    explicit signal(loop& where);
+
+    void notify();
+    /// Returns after the next `notify` or at `until`, whichever is first.
+    task<void> wait_until(time_point until);
+
+private:
+    loop& loop_;
+    std::shared_ptr<boost::asio::steady_timer> turn_; ///< expires at the next notify
+};
+
+} // namespace vanillagauge::net
+
+#endif
--- a/src/platform/call_budget.cpp
+++ b/src/objects/call_budget.cpp
@@ -1,9 +1,9 @@
-#include "platform/call_budget.hpp"
+#include "objects/call_budget.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-namespace vanillagauge::platform {
+namespace vanillagauge::objects {
 
 double call_budget::calls_per_second() const
 {
@@ -49,4 +49,4 @@
         static_cast<std::int64_t>(std::ceil(std::max(0.0, missing) / calls_per_second() * 1000))};
 }
 
-} // namespace vanillagauge::platform
+} // namespace vanillagauge::objects
--- a/src/platform/call_budget.hpp
+++ b/src/objects/call_budget.hpp
@@ -1,13 +1,13 @@
 /// Holds a VM's calls of the Object API to its share of a rate fixed for the whole fleet.
-#ifndef VANILLAGAUGE_PLATFORM_CALL_BUDGET_HPP
-#define VANILLAGAUGE_PLATFORM_CALL_BUDGET_HPP
+#ifndef VANILLAGAUGE_OBJECTS_CALL_BUDGET_HPP
+#define VANILLAGAUGE_OBJECTS_CALL_BUDGET_HPP
 
 #include "base/clock.hpp"
 
 #include <cstddef>
 #include <cstdint>
 
-namespace vanillagauge::platform {
+namespace vanillagauge::objects {
 
 /// The most important first.
 enum class call_priority { lease, config, status };
@@ -41,6 +41,6 @@
     double kept_from(call_priority priority) const;
 };
 
-} // namespace vanillagauge::platform
+} // namespace vanillagauge::objects
 
 #endif
--- a/src/platform/object_client.cpp
+++ b/src/objects/object_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/object_client.hpp"
+#include "objects/object_client.hpp"
 
 #include "platform.pb.h"
 #include "wire/call.hpp"
@@ -7,7 +7,7 @@
 
 #include <random>
 
-namespace vanillagauge::platform {
+namespace vanillagauge::objects {
 namespace {
 
 namespace pb = ::platform::v1;
@@ -303,4 +303,4 @@
                                });
 }
 
-} // namespace vanillagauge::platform
+} // namespace vanillagauge::objects
--- a/src/platform/object_client.hpp
+++ b/src/objects/object_client.hpp
@@ -1,10 +1,10 @@
 /// The Object API's client: conditional writes whose outcome is always known or said to be unknown.
-#ifndef VANILLAGAUGE_PLATFORM_OBJECT_CLIENT_HPP
-#define VANILLAGAUGE_PLATFORM_OBJECT_CLIENT_HPP
+#ifndef VANILLAGAUGE_OBJECTS_OBJECT_CLIENT_HPP
+#define VANILLAGAUGE_OBJECTS_OBJECT_CLIENT_HPP
 
 #include "base/base.hpp"
-#include "platform/call_budget.hpp"
-#include "platform/store_health.hpp"
+#include "objects/call_budget.hpp"
+#include "objects/store_health.hpp"
 #include "wire/channel.hpp"
 #include "wire/event_loop.hpp"
 
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace vanillagauge::platform {
+namespace vanillagauge::objects {
 
 struct stored_object {
     std::string kind;
@@ -116,6 +116,6 @@
                  std::function<void(write_outcome)> on_done);
 };
 
-} // namespace vanillagauge::platform
+} // namespace vanillagauge::objects
 
 #endif
--- a/src/platform/store_health.cpp
+++ b/src/objects/store_health.cpp
@@ -1,6 +1,6 @@
-#include "platform/store_health.hpp"
+#include "objects/store_health.hpp"
 
-namespace vanillagauge::platform {
+namespace vanillagauge::objects {
 namespace {
 
 /// The store answers in milliseconds; at a hundred times that, operators should know before anything fails.
@@ -44,4 +44,4 @@
     return failures_ > 0 || usual_ >= slow_answer ? store_state::slow : store_state::up;
 }
 
-} // namespace vanillagauge::platform
+} // namespace vanillagauge::objects
--- a/src/platform/store_health.hpp
+++ b/src/objects/store_health.hpp
@@ -1,10 +1,10 @@
 /// Tells an outage of the Object API from slowness, by the calls that are made anyway.
-#ifndef VANILLAGAUGE_PLATFORM_STORE_HEALTH_HPP
-#define VANILLAGAUGE_PLATFORM_STORE_HEALTH_HPP
+#ifndef VANILLAGAUGE_OBJECTS_STORE_HEALTH_HPP
+#define VANILLAGAUGE_OBJECTS_STORE_HEALTH_HPP
 
 #include "base/clock.hpp"
 
-namespace vanillagauge::platform {
+namespace vanillagauge::objects {
 
 enum class store_state { up, slow, down };
 
@@ -22,6 +22,6 @@
     bool heard_ = false;
 };
 
-} // namespace vanillagauge::platform
+} // namespace vanillagauge::objects
 
 #endif
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -63,7 +63,11 @@
 
 void start_log(std::string_view program, std::string_view vm, log_level least)
 {
-    fixed_fields() = ",\"program\":" + json_text(program) + ",\"vm\":" + json_text(vm);
+    auto& fields = fixed_fields();
+    fields = ",\"program\":";
+    fields += json_text(program);
+    fields += ",\"vm\":";
+    fields += json_text(vm);
     auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
     logger()->addAppender(appender);
@@ -79,11 +83,15 @@
         return;
     }
     std::string line = "{\"time_ms\":" + std::to_string(wall_milliseconds());
-    line += ",\"level\":" + json_text(level_name(level));
+    line += ",\"level\":";
+    line += json_text(level_name(level));
     line += fixed_fields();
-    line += ",\"event\":" + json_text(event);
+    line += ",\"event\":";
+    line += json_text(event);
     for (const auto& field : fields) {
-        line += "," + json_text(field.name) + ":";
+        line += ',';
+        line += json_text(field.name);
+        line += ':';
         if (const auto* text = std::get_if<std::string>(&field.value)) {
             line += json_text(*text);
         }
--- a/tests/platform/call_budget_tests.cpp
+++ b/tests/objects/call_budget_tests.cpp
@@ -1,11 +1,11 @@
-#include "platform/call_budget.hpp"
-#include "platform/store_health.hpp"
+#include "objects/call_budget.hpp"
+#include "objects/store_health.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 
-namespace vanillagauge::platform {
+namespace vanillagauge::objects {
 namespace {
 
 const time_point start = time_point{} + seconds{1};
@@ -73,4 +73,4 @@
 }
 
 } // namespace
-} // namespace vanillagauge::platform
+} // namespace vanillagauge::objects
--- a/tests/platform/object_client_tests.cpp
+++ b/tests/objects/object_client_tests.cpp
@@ -1,4 +1,4 @@
-#include "platform/object_client.hpp"
+#include "objects/object_client.hpp"
 
 #include "platform.pb.h"
 
@@ -7,7 +7,7 @@
 #include <deque>
 #include <future>
 
-namespace vanillagauge::platform {
+namespace vanillagauge::objects {
 namespace {
 
 namespace pb = ::platform::v1;
@@ -114,4 +114,4 @@
 }
 
 } // namespace
-} // namespace vanillagauge::platform
+} // namespace vanillagauge::objects
