Engines keep up with one model each; a batch whose results are all listed is not taken again

The first model's loads kept the holder busy, the second's engines fell behind and its steps found no engine fresh enough; and a batch that was listed whole but not yet ended was taken again each 100 ms (57 takings of 20 batches).

Change: policy/load_plan assigns each engine one model to keep up with and loads a fifth of the engines at once; the end of a load is asked from the engine (its entry in the store lags by over a second).

--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -118,12 +118,13 @@
     const auto found = active_.find(header.id);
     if (header.ended) {
         kept_items_.erase(header.id);
+        finished_.erase(header.id);
         if (found != active_.end() && found->second) {
             end(found->second, "ended by its trainer");
         }
         return;
     }
-    if (found == active_.end() && is_mine(header)) {
+    if (found == active_.end() && !finished_.contains(header.id) && is_mine(header)) {
         start(header);
     }
 }
@@ -131,7 +132,7 @@
 void batch_runner::review()
 {
     for (const auto& [id, header] : headers_) {
-        if (!header.ended && !active_.contains(id) && is_mine(header)) {
+        if (!header.ended && !finished_.contains(id) && !active_.contains(id) && is_mine(header)) {
             start(header);
         }
     }
@@ -250,6 +251,7 @@
             net::start(loop_, list_results(batch));
         }
         if (progress.all_listed()) {
+            finished_.insert(progress.header().id);
             end(batch, "all items are listed");
             break;
         }
@@ -445,7 +447,7 @@
     }
     const auto marks = protocol_.marks(head->status, head->fields, sent.attempt_id);
     if (marks.weights_version > 0) {
-        at->seen_version = std::max(at->seen_version, marks.weights_version);
+        at->saw_version(progress.header().model, marks.weights_version);
     }
     const auto idle = head->keep_alive ? net::idle_time_of(head->fields, seconds(4)) : duration{0};
     if (head->status != 200 || marks.not_run) {
@@ -494,7 +496,7 @@
             open->last_event = now;
         }
         if (bytes->last && !reader.mid_event()) {
-            at->seen_version = std::max(at->seen_version, progress.items()[place].current_version);
+            at->saw_version(progress.header().model, progress.items()[place].current_version);
             progress.complete(place);
             counts_.add("items_completed_total");
             at->pool.give_back(open->connection, idle);
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,7 @@
     std::map<std::string, batch_header> headers_;
     std::map<std::string, std::vector<batch_item>> kept_items_;
     std::map<std::string, run_ref> active_;
+    std::set<std::string> finished_; ///< all is listed, and their trainers have not ended them yet
     bool taking_ = true;
 
     bool is_mine(const batch_header& header) const;
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -29,7 +29,14 @@
     const auto told = info.weights.find(model);
     const auto reported = told == info.weights.end() ? std::uint64_t{0} : told->second;
     // Its entry in the store lags behind; its own answers do not. Weights never go back within a lifetime.
-    return std::max(reported, seen_version);
+    const auto seen = seen_versions.find(model);
+    return std::max(reported, seen == seen_versions.end() ? std::uint64_t{0} : seen->second);
+}
+
+void target::saw_version(const std::string& model, std::uint64_t version)
+{
+    auto& newest = seen_versions[model];
+    newest = std::max(newest, version);
 }
 
 void target_registry::update(const replica& known)
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -22,9 +22,10 @@
     time_point back_off_until{};    ///< gets no generation before
     double piece_gap_ms = 0;        ///< moving mean of the time between its events; 0: not known
     bool usable = true;             ///< not draining and not gone
-    std::uint64_t seen_version = 0; ///< of weights, by its last answer
+    std::map<std::string, std::uint64_t> seen_versions; ///< of weights by model, from its own answers
 
     std::uint64_t version_of(const std::string& model) const;
+    void saw_version(const std::string& model, std::uint64_t version);
 };
 
 using target_ref = std::shared_ptr<target>;
--- a/src/gateway/weights_keeper.cpp
+++ b/src/gateway/weights_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/rendezvous.hpp"
 #include "observe/log.hpp"
+#include "policy/load_plan.hpp"
 
 #include <algorithm>
 #include <ctime>
@@ -14,12 +15,10 @@
 
 constexpr milliseconds tend_every{100};
 
-/// Engines that load at once. Loads slow each other down beyond two or three, and an engine that loads starts
-/// nothing: the fewer at a time, the more places are left.
-constexpr std::size_t most_loading = 3;
-
-/// A load takes about a second; the report lags by some hundred milliseconds.
-constexpr milliseconds look_again{250};
+/// A load takes about a second; then the engine is asked until it reports the version. Its report lags by some
+/// hundred milliseconds, its entry in the store by more than a second.
+constexpr milliseconds usual_load{900};
+constexpr milliseconds look_again{150};
 constexpr milliseconds longest_load{6000};
 /// An order without an answer may be carried out seconds later.
 constexpr milliseconds unanswered_pause{1500};
@@ -189,31 +188,37 @@
     return false;
 }
 
-// The engines furthest behind load first: they are the next to be too old for any batch. Among equals the one
-// with the least work.
 void weights_keeper::order_next(time_point now)
 {
-    if (!fence_.may_order(now)) {
+    if (named_.empty() || !fence_.may_order(now)) {
         return;
     }
-    for (const auto& [model, newest] : named_) {
-        auto engines = engines_of(model);
-        std::erase_if(engines, [&, wanted = newest, &served = model](const target_ref& at) {
-            const auto& order = orders_[at->info.lifetime()];
-            return at->version_of(served) >= wanted || loading_.contains(at->info.lifetime()) ||
-                   now < order.not_before;
-        });
-        std::sort(engines.begin(), engines.end(),
-                  [&served = model](const target_ref& left, const target_ref& right) {
-                      return std::pair(left->version_of(served), left->streams) <
-                             std::pair(right->version_of(served), right->streams);
-                  });
-        for (const auto& engine : engines) {
-            if (loading_.size() >= most_loading) {
-                return;
+    std::map<std::string, std::map<std::string, std::uint64_t>> newest; // by the models that share engines
+    std::map<std::string, std::vector<target_ref>> engines;
+    for (const auto& [model, version] : named_) {
+        auto serving = engines_of(model);
+        if (!serving.empty()) {
+            const auto service = serving.front()->info.service;
+            newest[service][model] = version;
+            engines[service] = std::move(serving);
+        }
+    }
+    for (const auto& [service, versions] : newest) {
+        std::vector<policy::load_engine> views;
+        for (const auto& at : engines[service]) {
+            policy::load_engine view;
+            view.id = at->info.lifetime();
+            for (const auto& [model, version] : versions) {
+                view.versions[model] = at->version_of(model);
             }
-            loading_.insert(engine->info.lifetime());
-            net::start(loop_, load(engine, model, newest));
+            view.in_flight = at->streams;
+            view.loading = loading_.contains(view.id);
+            view.resting = now < orders_[view.id].not_before;
+            views.push_back(std::move(view));
+        }
+        for (const auto& next : policy::plan_loads(views, versions)) {
+            loading_.insert(next.engine);
+            net::start(loop_, load(targets_.find(next.engine), next.model, next.version));
         }
     }
 }
@@ -276,7 +281,7 @@
         const auto found = value(report).weights.find(model);
         const auto has = found == value(report).weights.end() ? std::uint64_t{0} : found->second;
         if (has >= version) {
-            at->seen_version = std::max(at->seen_version, has);
+            at->saw_version(model, has);
             outcome = "already there";
         }
         else if (value(report).busy) {
@@ -296,7 +301,7 @@
                 outcome = describe(failure(answer));
             }
             else if (value(answer) == order_outcome::already_done) {
-                at->seen_version = std::max(at->seen_version, version);
+                at->saw_version(model, version);
                 outcome = "already there";
             }
             else if (value(answer) == order_outcome::accepted) {
@@ -311,8 +316,18 @@
     else {
         outcome = describe(failure(report));
     }
+    if (ordered) {
+        co_await net::sleep_for(loop_, usual_load);
+    }
     while (ordered && at->usable && at->version_of(model) < version && steady::now() - began < longest_load) {
-        co_await net::sleep_for(loop_, look_again);
+        const auto now_has = co_await ask_report(at);
+        if (ok(now_has)) {
+            const auto found = value(now_has).weights.find(model);
+            at->saw_version(model, found == value(now_has).weights.end() ? std::uint64_t{0} : found->second);
+        }
+        if (at->version_of(model) < version) {
+            co_await net::sleep_for(loop_, look_again);
+        }
     }
     observe::log(
         observe::log_level::info, "weights_ordered",
@@ -321,7 +336,7 @@
          {"version", static_cast<std::int64_t>(version)},
          {"outcome", outcome},
          {"took_ms", std::int64_t{std::chrono::duration_cast<milliseconds>(steady::now() - began).count()}}});
-    orders_[lifetime].not_before = steady::now() + pause;
+    orders_[lifetime].not_before = ordered ? time_point{} : steady::now() + pause;
     loading_.erase(lifetime);
 }
 
--- a/src/gateway/weights_keeper.hpp
+++ b/src/gateway/weights_keeper.hpp
@@ -33,7 +33,6 @@
 private:
     struct order_record {
         time_point not_before{};
-        int failures = 0;
     };
     net::loop& loop_;
     object_store& store_;
--- /dev/null
+++ b/src/policy/load_plan.cpp
@@ -0,0 +1,93 @@
+#include "policy/load_plan.hpp"
+
+#include "base/digest.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace vanillagauge::policy {
+namespace {
+
+/// Loads slow each other down once more than about a fifth of the engines load: then more at once end no
+/// sooner, and each takes its engine's places away for longer.
+constexpr std::size_t share_at_once = 5;
+constexpr std::size_t least_at_once = 2;
+
+std::uint64_t version_at(const load_engine& engine, const std::string& model)
+{
+    const auto found = engine.versions.find(model);
+    return found == engine.versions.end() ? 0 : found->second;
+}
+
+struct assignment {
+    const load_engine* engine = nullptr;
+    std::string model;
+    std::uint64_t newest = 0;
+
+    std::uint64_t lag() const { return newest - std::min(newest, version_at(*engine, model)); }
+};
+
+/// Models take turns in choosing an engine, each the one that is least behind for it, so that an engine keeps
+/// its model while others come and go.
+std::vector<assignment> assign(const std::vector<load_engine>& engines,
+                               const std::map<std::string, std::uint64_t>& newest)
+{
+    std::vector<const load_engine*> left;
+    for (const auto& engine : engines) {
+        left.push_back(&engine);
+    }
+    std::vector<assignment> assigned;
+    while (!left.empty() && !newest.empty()) {
+        for (const auto& [model, version] : newest) {
+            if (left.empty()) {
+                break;
+            }
+            const auto best =
+                std::max_element(left.begin(), left.end(), [&model = model](const auto* one, const auto* other) {
+                    return std::tuple(version_at(*one, model), hash64(one->id + model)) <
+                           std::tuple(version_at(*other, model), hash64(other->id + model));
+                });
+            assigned.push_back({*best, model, version});
+            left.erase(best);
+        }
+    }
+    return assigned;
+}
+
+} // namespace
+
+std::size_t loads_at_once(std::size_t engines)
+{
+    return std::max(least_at_once, engines / share_at_once);
+}
+
+// Load pattern: several trainers name a new version every few seconds for models on the same engines. If every
+// engine loaded every model, loads would follow each other without end (two models on nine engines: 18 loads
+// of a second in four seconds, two at a time), no engine would reach the newest version before the next is
+// named, and the steps of one trainer would find none that is fresh enough. So each engine keeps up with one
+// model only; the other models it holds age, and serve as long as they are fresh enough.
+// Those furthest behind load first: they are the next to be too old for any batch.
+std::vector<planned_load> plan_loads(const std::vector<load_engine>& engines,
+                                     const std::map<std::string, std::uint64_t>& newest)
+{
+    const auto loading = static_cast<std::size_t>(
+        std::count_if(engines.begin(), engines.end(), [](const load_engine& engine) { return engine.loading; }));
+    const auto most = loads_at_once(engines.size());
+    auto behind = assign(engines, newest);
+    std::erase_if(behind, [](const assignment& item) {
+        return item.lag() == 0 || item.engine->loading || item.engine->resting;
+    });
+    std::stable_sort(behind.begin(), behind.end(), [](const assignment& left, const assignment& right) {
+        return std::tuple(right.lag(), left.engine->in_flight) < std::tuple(left.lag(), right.engine->in_flight);
+    });
+    std::vector<planned_load> plan;
+    for (const auto& item : behind) {
+        if (loading + plan.size() >= most) {
+            break;
+        }
+        plan.push_back({item.engine->id, item.model, item.newest});
+    }
+    return plan;
+}
+
+} // namespace vanillagauge::policy
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -6,6 +6,7 @@
 #include "policy/fair_queue.hpp"
 #include "policy/latency_quantile.hpp"
 #include "policy/load_hint.hpp"
+#include "policy/load_plan.hpp"
 #include "policy/outlier_ejection.hpp"
 #include "policy/placement.hpp"
 #include "policy/quarantine.hpp"
