--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -407,6 +407,23 @@
     batch.progress.release(place, now + full_back_off, at->info.lifetime());
 }
 
+void batch_runner::log_completed(const batch_progress& progress, std::size_t place, const stream& open) const
+{
+    const auto& entry = progress.items()[place];
+    const auto run_ms = std::chrono::duration_cast<milliseconds>(steady::now() - open.began);
+    const auto age_ms =
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now() - progress.header().accepted);
+    observe::log(observe::log_level::info, "item_completed",
+                 {{"request", entry.item.id},
+                  {"batch", progress.header().id},
+                  {"replica", open.at->info.lifetime()},
+                  {"runs", std::int64_t{entry.runs}},
+                  {"events", static_cast<std::int64_t>(entry.events)},
+                  {"run_ms", std::int64_t{run_ms.count()}},
+                  {"age_ms", std::int64_t{age_ms.count()}},
+                  {"newest_version", static_cast<std::int64_t>(entry.current_version)}});
+}
+
 // The text of an item may be made by several runs, each asked to go on behind the event that stands here.
 // What does not continue it is dropped with its connection.
 net::task<void> batch_runner::read_answer(run_ref batch, std::size_t place, target_ref at,
@@ -417,7 +434,8 @@
     net::http_request request;
     attempt_request sent;
     {
-        const auto& entry = progress.items()[place];
+        auto& entry = progress.items()[place];
+        ++entry.runs;
         request.method = "POST";
         request.target = entry.item.path;
         request.fields.add("Host", progress.header().host);
@@ -497,6 +515,7 @@
         }
         if (bytes->last && !reader.mid_event()) {
             at->saw_version(progress.header().model, progress.items()[place].current_version);
+            log_completed(progress, place, *open);
             progress.complete(place);
             counts_.add("items_completed_total");
             at->pool.give_back(open->connection, idle);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client.hpp"
 
+#include "net/internal/keep_alive.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -117,8 +119,7 @@
     if (failure) {
         co_return failed(failure);
     }
-    error_code ignored; // without it small requests are only slower
-    stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    internal::prepare(stream_.socket());
     co_return done{};
 }
 
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -1,5 +1,7 @@
 #include "net/http_service.hpp"
 
+#include "net/internal/keep_alive.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -199,8 +201,7 @@
 
 task<void> service_connection::serve_requests()
 {
-    error_code ignored;
-    stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    internal::prepare(stream_.socket());
     while (keep_alive_ && !aborted_) {
         const auto limits = owner_->limits();
         if (!co_await wait_for_request(limits)) {
