An item that another owner has listed is not run again

Cause: two owners of a batch after a final fault.

Ruled out: the log itself. Each segment was created once; the second listing came from this owner's own state.

--- a/src/gateway/batch_progress.cpp
+++ b/src/gateway/batch_progress.cpp
@@ -60,6 +60,10 @@
 run_break batch_progress::begin_run(std::size_t place, std::uint64_t version)
 {
     auto& entry = items_[place];
+    // Another owner may have listed the item while this run was being opened; a position never changes.
+    if (entry.state != work_state::running) {
+        return run_break::not_wanted;
+    }
     if (version < header_.least_version) {
         return run_break::old_weights;
     }
@@ -67,7 +71,6 @@
     if (header_.single_version && mixes) {
         return run_break::mixed_weights;
     }
-    entry.state = work_state::running;
     entry.current_version = version;
     return run_break::none;
 }
@@ -97,6 +100,15 @@
     return run_break::none;
 }
 
+void batch_progress::start(std::size_t place)
+{
+    auto& entry = items_[place];
+    if (entry.state == work_state::waiting) {
+        entry.state = work_state::running;
+        ++entry.runs;
+    }
+}
+
 void batch_progress::restart(std::size_t place)
 {
     auto& entry = items_[place];
--- a/src/gateway/batch_progress.hpp
+++ b/src/gateway/batch_progress.hpp
@@ -32,7 +32,7 @@
 };
 
 /// Why a run's answer does not continue the text that is there.
-enum class run_break { none, old_weights, mixed_weights, wrong_event };
+enum class run_break { none, old_weights, mixed_weights, wrong_event, not_wanted };
 
 class batch_progress {
 public:
@@ -41,6 +41,8 @@
     // Commands.
     /// What the log holds at the next position, whoever wrote it. Items listed by others are finished.
     void take_segment(const log_segment& segment);
+    /// A waiting item is given to a replica.
+    void start(std::size_t place);
     /// A run began under this version of the weights, behind what is there already.
     run_break begin_run(std::size_t place, std::uint64_t version);
     run_break take_event(std::size_t place, const net::stream_event& event,
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -355,7 +355,7 @@
         }
         ++views[*chosen].in_flight;
         ++engines[*chosen]->streams;
-        entry.state = work_state::running;
+        progress.start(place);
         net::start(loop_, run_item(batch, place, engines[*chosen]));
     }
     return true;
@@ -435,7 +435,6 @@
     attempt_request sent;
     {
         auto& entry = progress.items()[place];
-        ++entry.runs;
         request.method = "POST";
         request.target = entry.item.path;
         request.fields.add("Host", progress.header().host);
