--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -190,7 +190,9 @@
     if (!ok(parsed)) {
         return failure(parsed);
     }
-    return fill(value(parsed));
+    auto filled = fill(value(parsed));
+    filled.file = origin;
+    return filled;
 }
 
 } // namespace vanillagauge::config
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -47,6 +47,7 @@
 enum class entry_policy { adaptive, plain };
 
 struct settings {
+    std::string file; ///< that they were read from
     std::string vm;
     std::string failure_domain;
     std::string data_folder; ///< empty: this VM keeps nothing
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -312,6 +312,19 @@
     return done{};
 }
 
+void gateway::reload(const config::settings& changed)
+{
+    auto& known = state_->settings;
+    const bool same_addresses = known.gateway.front_listen == changed.gateway.front_listen &&
+                                known.gateway.relay_listen == changed.gateway.relay_listen;
+    known.gateway.advice_time = changed.gateway.advice_time;
+    known.gateway.stop_grace = changed.gateway.stop_grace;
+    observe::log(observe::log_level::info, "reloaded",
+                 {{"advice_time_ms", std::int64_t{known.gateway.advice_time.count()}},
+                  {"stop_grace_ms", std::int64_t{known.gateway.stop_grace.count()}},
+                  {"needs_restart", std::int64_t{!same_addresses}}});
+}
+
 void gateway::drain()
 {
     state_->draining = true;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -57,6 +57,8 @@
 
     // Commands.
     result<done> open();
+    /// Takes over what may change while the program runs; the rest counts from the next start.
+    void reload(const config::settings& changed);
     /// No new work is to come; what is under way goes on.
     void drain();
     /// Nothing is under way, or the time is over.
--- a/src/gateway/weights_keeper.cpp
+++ b/src/gateway/weights_keeper.cpp
@@ -15,8 +15,8 @@
 
 constexpr milliseconds tend_every{100};
 
-/// A load takes about a second; then the engine is asked until it reports the version. Its report lags by some
-/// hundred milliseconds, its entry in the store by more than a second.
+/// A load takes about a second; then the engine is asked until it reports the version. Its report lags by
+/// some hundred milliseconds, its entry in the store by more than a second.
 constexpr milliseconds usual_load{900};
 constexpr milliseconds look_again{150};
 constexpr milliseconds longest_load{6000};
@@ -45,11 +45,9 @@
       current_(std::move(current)),
       holder_(settings.gateway.model_order_holder.empty() ? settings.vm
                                                           : settings.gateway.model_order_holder),
-      fence_({.self = settings.vm + "/" + std::to_string(fleet.incarnation()),
-              .enforced = settings.gateway.fencing_enforced,
-              .lease = settings.gateway.order_lease,
+      lease_({.self = settings.vm,
+              .length = settings.gateway.order_lease,
               .longest_order = settings.gateway.order_lease}),
-      enforced_(settings.gateway.fencing_enforced),
       clock_gap_(boot_clock() - steady::now().time_since_epoch())
 {
 }
@@ -86,8 +84,7 @@
         const auto now = steady::now();
         if (was_suspended()) {
             observe::log(observe::log_level::warning, "machine_was_suspended", {});
-            fence_.on_view(false, now, now);
-            fence_.on_conflict();
+            lease_.on_suspended();
         }
         std::vector<std::string> able;
         for (const auto& peer : fleet_.peers()) {
@@ -96,8 +93,9 @@
             }
         }
         const auto ranked = fleet::ranked_owners(lease_name, std::move(able));
-        const bool ours = !ranked.empty() && ranked.front() == fleet_.self() && !fleet_.isolated();
-        fence_.on_view(ours, now, now);
+        // A holder keeps the lease while it can renew it: each change of holder costs seconds without orders.
+        const bool first = !ranked.empty() && ranked.front() == fleet_.self();
+        lease_.on_candidate(!stopped_ && (first || lease_.holds(now)));
         order_next(now);
         co_await net::sleep_for(loop_, tend_every);
     }
@@ -106,14 +104,14 @@
 net::task<void> weights_keeper::keep_lease()
 {
     while (!stopped_) {
-        switch (fence_.next(steady::now())) {
-        case policy::fence_action::read:
+        switch (lease_.next(steady::now())) {
+        case policy::lease_step::read:
             co_await read_lease();
             break;
-        case policy::fence_action::write:
+        case policy::lease_step::write:
             co_await write_lease();
             break;
-        case policy::fence_action::none:
+        case policy::lease_step::none:
             break;
         }
         co_await net::sleep_for(loop_, tend_every);
@@ -125,20 +123,20 @@
     const auto stored = co_await store_.read(lease_kind, lease_name);
     const auto now = steady::now();
     if (ok(stored)) {
-        fence_.on_read(value(stored).value.value("holder", std::string{}), value(stored).revision, now);
+        lease_.on_read(value(stored).value.value("holder", std::string{}), value(stored).revision, now);
     }
     else if (failure(stored).code == error_code::not_found) {
-        fence_.on_read({}, 0, now);
+        lease_.on_read({}, 0, now);
     }
     else {
-        fence_.on_failed(now);
+        lease_.on_failed(now);
     }
 }
 
 net::task<void> weights_keeper::write_lease()
 {
     const auto asked = steady::now();
-    const auto revision = fence_.expected_version();
+    const auto revision = lease_.expected_version();
     const nlohmann::json lease{
         {"holder", fleet_.self() + "/" + std::to_string(fleet_.incarnation())},
         {"renewal", std::chrono::duration_cast<milliseconds>(asked.time_since_epoch()).count()}};
@@ -150,15 +148,15 @@
         written = co_await store_.replace(lease_kind, lease_name, lease, revision);
     }
     if (ok(written)) {
-        fence_.on_written(value(written).revision, asked);
+        lease_.on_written(value(written).revision, asked);
     }
     else if (failure(written).code == error_code::conflict ||
              failure(written).code == error_code::not_found) {
         observe::log(observe::log_level::warning, "lease_lost", {{"why", describe(failure(written))}});
-        fence_.on_conflict();
+        lease_.on_conflict();
     }
     else {
-        fence_.on_failed(steady::now());
+        lease_.on_failed(steady::now());
     }
 }
 
@@ -190,7 +188,7 @@
 
 void weights_keeper::order_next(time_point now)
 {
-    if (named_.empty() || !fence_.may_order(now)) {
+    if (named_.empty() || !lease_.may_order(now)) {
         return;
     }
     std::map<std::string, std::map<std::string, std::uint64_t>> newest; // by the models that share engines
@@ -250,7 +248,7 @@
     }
     const auto connection = std::get<std::shared_ptr<net::http_connection>>(taken);
     // The wait for the connection may have been longer than the lease.
-    const auto number = was_suspended() || stopped_ ? std::nullopt : fence_.may_order(steady::now());
+    const auto number = was_suspended() || stopped_ ? std::nullopt : lease_.may_order(steady::now());
     if (!number) {
         at->pool.give_back(connection, seconds(1));
         co_return error{error_code::conflict, run_state::not_run, "the lease has ended"};
--- a/src/gateway/weights_keeper.hpp
+++ b/src/gateway/weights_keeper.hpp
@@ -7,7 +7,7 @@
 #include "gateway/object_store.hpp"
 #include "gateway/target_protocol.hpp"
 #include "gateway/target_registry.hpp"
-#include "policy/wave_fence.hpp"
+#include "policy/order_lease.hpp"
 
 #include <functional>
 #include <map>
@@ -28,7 +28,11 @@
     /// A trainer named a version; versions of a model only grow.
     void name_version(const std::string& model, std::uint64_t version);
     /// Orders nothing any more.
-    void stop() { stopped_ = true; }
+    void stop()
+    {
+        stopped_ = true;
+        lease_.on_candidate(false);
+    }
 
 private:
     struct order_record {
@@ -41,8 +45,7 @@
     const target_protocol& protocol_;
     std::function<const configuration&()> current_;
     std::string holder_;
-    policy::wave_fence fence_;
-    bool enforced_;
+    policy::order_lease lease_;
     duration clock_gap_{0}; ///< between the steady clock and one that runs on while the machine is suspended
     std::map<std::string, std::uint64_t> named_;
     std::set<std::string> loading_; ///< lifetimes
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -34,7 +34,7 @@
 
 task<http_result<std::shared_ptr<http_connection>>> connection_pool::take_new(time_point until)
 {
-    auto connection = std::make_shared<http_connection>(loop_);
+    auto connection = std::make_shared<http_connection>(*loop_);
     auto connected = co_await connection->connect(address_, until);
     if (auto* failure = std::get_if<http_failure>(&connected)) {
         co_return std::move(*failure);
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -11,7 +11,7 @@
 
 class connection_pool {
 public:
-    connection_pool(loop& where, std::string address) : loop_(where), address_(std::move(address)) {}
+    connection_pool(loop& where, std::string address) : loop_(&where), address_(std::move(address)) {}
 
     /// The connection used last that is still sound, or a new one.
     task<http_result<std::shared_ptr<http_connection>>> take(time_point until);
@@ -28,7 +28,7 @@
         std::shared_ptr<http_connection> connection;
         time_point expires;
     };
-    loop& loop_;
+    loop* loop_;
     std::string address_;
     std::vector<idle_connection> idle_;
 
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -47,6 +47,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     return set;
 }
 
@@ -121,12 +122,24 @@
     observe::log(observe::log_level::info, "ready", {{"version", std::string(version())}});
 }
 
-void wait_for_stop()
+node_signal wait_for_signal()
 {
     const auto set = stop_signals();
     int received = 0;
     sigwait(&set, &received);
-    observe::log(observe::log_level::info, "stop_requested", {{"signal", std::int64_t{received}}});
+    const bool reload = received == SIGHUP;
+    observe::log(observe::log_level::info, reload ? "reload_requested" : "stop_requested",
+                 {{"signal", std::int64_t{received}}});
+    return reload ? node_signal::reload : node_signal::stop;
+}
+
+// Without the wait for another signal a hang-up would end the program and cut every request in flight.
+void wait_for_stop()
+{
+    while (wait_for_signal() == node_signal::reload) {
+        observe::log(observe::log_level::info, "reload_ignored",
+                     {{"why", std::string("this program reads its settings at its start only")}});
+    }
 }
 
 wire::access_table access_of(const config::token_settings& tokens)
--- a/src/node/program.hpp
+++ b/src/node/program.hpp
@@ -28,8 +28,8 @@
     int code = exit_success;
 };
 
-/// Reads the command line and the settings, then starts logs and spans. Blocks SIGTERM and SIGINT for this
-/// thread and all that it starts, so call it first.
+/// Reads the command line and the settings, then starts logs and spans. Blocks SIGTERM, SIGINT and SIGHUP for
+/// this thread and all that it starts, so call it first.
 std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv);
 
 /// The project's version, from the build.
@@ -41,14 +41,19 @@
 /// Parses a command line that is the program's own: prints help, version or what is wrong. Empty: go on.
 std::optional<exit_now> parse_command_line(TCLAP::CmdLine& line, int argc, char** argv);
 
-/// Blocks SIGTERM and SIGINT and ignores SIGPIPE, for programs with a command line of their own.
+/// Blocks SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE, for programs with a command line of their own.
 void block_stop_signals();
 
 /// Prints the one line that says the program is up, as JSON with the given fields.
 void print_ready(const std::string& program,
                  std::initializer_list<std::pair<const char*, std::string>> fields);
 
-/// Waits for SIGTERM or SIGINT.
+enum class node_signal { stop, reload };
+
+/// Waits for SIGTERM or SIGINT, which ask to stop, or SIGHUP, which says that the settings have changed.
+node_signal wait_for_signal();
+
+/// Waits for SIGTERM or SIGINT; a SIGHUP is logged and changes nothing.
 void wait_for_stop();
 
 wire::access_table access_of(const config::token_settings& tokens);
--- /dev/null
+++ b/src/policy/order_lease.cpp
@@ -0,0 +1,93 @@
+#include "policy/order_lease.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::policy {
+namespace {
+
+constexpr int renewals_a_lease = 3;
+constexpr milliseconds store_retry{500};
+/// For clocks that run at slightly different speeds over one length.
+constexpr milliseconds clock_margin{200};
+
+} // namespace
+
+void order_lease::on_read(const std::string& holder, std::uint64_t version, time_point now)
+{
+    busy_ = false;
+    known_ = true;
+    if (version != version_ || version_since_ == time_point{}) {
+        version_since_ = now;
+    }
+    holder_ = holder;
+    version_ = version;
+}
+
+// A lease taken over from another VM gives no right to order yet: the last order of that holder may have been
+// sent up to the end of its lease, and two holders' orders must not follow each other closely.
+void order_lease::on_written(std::uint64_t version, time_point asked)
+{
+    busy_ = false;
+    const bool taken_over = holder_ != terms_.self && version_ != 0;
+    if (taken_over) {
+        acting_from_ = version_since_ + terms_.length + terms_.longest_order;
+    }
+    holder_ = terms_.self;
+    version_ = version;
+    version_since_ = asked;
+    lease_end_ = asked + terms_.length;
+    next_renewal_ = asked + terms_.length / renewals_a_lease;
+}
+
+void order_lease::on_conflict()
+{
+    busy_ = false;
+    known_ = false;
+    lease_end_ = time_point{};
+}
+
+void order_lease::on_failed(time_point now)
+{
+    busy_ = false;
+    known_ = false;
+    next_try_ = now + store_retry;
+}
+
+void order_lease::on_suspended()
+{
+    known_ = false;
+    lease_end_ = time_point{};
+}
+
+// The holder's own end of the lease is counted from before it asked for the renewal, so it lies before the
+// first moment at which anybody reads that renewal plus one length. Whoever has seen one version for a whole
+// length, by its own clock, may replace just that version: a holder that renewed meanwhile makes the write
+// fail. No view of the fleet is needed; a wrong one costs a failed write.
+lease_step order_lease::next(time_point now)
+{
+    if (busy_ || !candidate_ || now < next_try_) {
+        return lease_step::none;
+    }
+    if (!known_) {
+        busy_ = true;
+        return lease_step::read;
+    }
+    const bool own = version_ == 0 || holder_ == terms_.self;
+    const bool due = own ? now >= next_renewal_ : now >= version_since_ + terms_.length + clock_margin;
+    if (!due) {
+        return lease_step::none;
+    }
+    busy_ = true;
+    return lease_step::write;
+}
+
+std::optional<std::uint64_t> order_lease::may_order(time_point now) const
+{
+    const bool held = now + terms_.stop_before < lease_end_;
+    if (!candidate_ || !held || now < acting_from_) {
+        return std::nullopt;
+    }
+    return version_;
+}
+
+} // namespace vanillagauge::policy
--- /dev/null
+++ b/src/policy/order_lease.hpp
@@ -0,0 +1,68 @@
+/// The lease under which one process at a time orders engines that ignore fencing numbers. No network, no
+/// clock.
+#ifndef VANILLAGAUGE_POLICY_ORDER_LEASE_HPP
+#define VANILLAGAUGE_POLICY_ORDER_LEASE_HPP
+
+#include "base/clock.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace vanillagauge::policy {
+
+struct order_lease_terms {
+    std::string self;                 ///< the VM; its processes follow each other
+    milliseconds length{3000};        ///< from the asking of a renewal
+    milliseconds longest_order{3000}; ///< orders of two holders lie at least this far apart
+    milliseconds stop_before{400};    ///< the end of the lease: an order takes that long to arrive
+};
+
+enum class lease_step { none, read, write };
+
+class order_lease {
+public:
+    explicit order_lease(order_lease_terms terms) : terms_(std::move(terms)) {}
+
+    // Events.
+    /// Whether this process is the one to hold the lease once nobody else does.
+    void on_candidate(bool candidate) { candidate_ = candidate; }
+    /// The lease as stored; version 0: there is none.
+    void on_read(const std::string& holder, std::uint64_t version, time_point now);
+    /// A write took effect that was asked for at `asked`.
+    void on_written(std::uint64_t version, time_point asked);
+    /// The write's condition failed: the lease is another's, or a write thought lost has been done.
+    void on_conflict();
+    /// The store did not answer, or not in time to tell.
+    void on_failed(time_point now);
+    /// The machine stood still for a while that the steady clock did not count.
+    void on_suspended();
+
+    // Decisions.
+    /// What to do at the store; the event that answers it must follow.
+    lease_step next(time_point now);
+    /// The number to order with. To be asked again after every wait.
+    std::optional<std::uint64_t> may_order(time_point now) const;
+
+    // Queries.
+    /// What the next write replaces; 0: the lease is to be created.
+    std::uint64_t expected_version() const { return version_; }
+    bool holds(time_point now) const { return now < lease_end_; }
+
+private:
+    order_lease_terms terms_;
+    bool candidate_ = false;
+    bool busy_ = false;
+    bool known_ = false;
+    std::string holder_;
+    std::uint64_t version_ = 0;
+    time_point version_since_{}; ///< when this version was first read here
+    time_point lease_end_{};
+    time_point acting_from_{};
+    time_point next_renewal_{};
+    time_point next_try_{};
+};
+
+} // namespace vanillagauge::policy
+
+#endif
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -7,6 +7,7 @@
 #include "policy/latency_quantile.hpp"
 #include "policy/load_hint.hpp"
 #include "policy/load_plan.hpp"
+#include "policy/order_lease.hpp"
 #include "policy/outlier_ejection.hpp"
 #include "policy/placement.hpp"
 #include "policy/quarantine.hpp"
