--- a/src/gateway/feed_hub.cpp
+++ b/src/gateway/feed_hub.cpp
@@ -104,7 +104,10 @@
 {
     last_failure_ = steady::now();
     if (!store_down_) {
-        const auto age_ms = std::chrono::duration_cast<milliseconds>(last_failure_ - confirmed()).count();
+        const auto known = confirmed();
+        const auto age_ms = known == time_point{} // nothing was known yet
+                                ? std::int64_t{-1}
+                                : std::chrono::duration_cast<milliseconds>(last_failure_ - known).count();
         observe::log(observe::log_level::warning, "feeds_lost",
                      {{"why", describe(why)}, {"confirmed_ms_ago", std::int64_t{age_ms}}});
     }
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -53,7 +53,8 @@
 
 } // namespace
 
-std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv)
+std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv,
+                                               observe::log_target target)
 {
     auto parsed = parse_arguments(program, argc, argv);
     if (const auto* end = std::get_if<exit_now>(&parsed)) {
@@ -71,7 +72,7 @@
     }
     block_stop_signals();
     auto& settings = value(loaded);
-    observe::start_log(program, settings.vm, to_level(settings.log_level));
+    observe::start_log(program, settings.vm, to_level(settings.log_level), target);
     observe::start_spans(settings.span_file, program, settings.vm);
     wire::set_http_threads(static_cast<std::size_t>(settings.http_threads));
     return std::move(settings);
--- a/src/node/program.hpp
+++ b/src/node/program.hpp
@@ -3,6 +3,7 @@
 #define VANILLAGAUGE_NODE_PROGRAM_HPP
 
 #include "config/settings.hpp"
+#include "observe/log.hpp"
 #include "wire/access.hpp"
 
 #include <initializer_list>
@@ -30,7 +31,9 @@
 
 /// Reads the command line and the settings, then starts logs and spans. Blocks SIGTERM, SIGINT and SIGHUP for
 /// this thread and all that it starts, so call it first.
-std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv);
+std::variant<config::settings, exit_now>
+start(const std::string& program, int argc, char** argv,
+      observe::log_target target = observe::log_target::standard_error);
 
 /// The project's version, from the build.
 const char* version();
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -2,9 +2,15 @@
 
 #include "observe/json_text.hpp"
 
+#include "observe/internal/line_queue.hpp"
+
 #include <log4cxx/consoleappender.h>
+#include <log4cxx/helpers/writer.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <log4cxx/writerappender.h>
+
+#include <unistd.h>
 
 #include <chrono>
 
@@ -23,6 +29,33 @@
     return shared;
 }
 
+/// Some two thousand lines: what a busy gateway writes in ten seconds.
+constexpr std::size_t most_queued_bytes = 512U << 10U;
+
+class queue_writer final : public log4cxx::helpers::Writer {
+public:
+    void write(const log4cxx::LogString& text, log4cxx::helpers::Pool& /*pool*/) override
+    {
+        lines_.push(text);
+    }
+    void flush(log4cxx::helpers::Pool& /*pool*/) override {}
+    void close(log4cxx::helpers::Pool& /*pool*/) override {}
+
+private:
+    internal::line_queue lines_{STDOUT_FILENO, most_queued_bytes};
+};
+
+class queue_appender final : public log4cxx::WriterAppender {
+public:
+    explicit queue_appender(const log4cxx::LayoutPtr& layout)
+    {
+        setLayout(layout);
+        setWriter(std::make_shared<queue_writer>());
+        log4cxx::helpers::Pool pool;
+        activateOptions(pool);
+    }
+};
+
 log4cxx::LevelPtr to_level(log_level level)
 {
     switch (level) {
@@ -61,7 +94,7 @@
 
 } // namespace
 
-void start_log(std::string_view program, std::string_view vm, log_level least)
+void start_log(std::string_view program, std::string_view vm, log_level least, log_target target)
 {
     auto& fields = fixed_fields();
     fields = ",\"program\":";
@@ -69,8 +102,12 @@
     fields += ",\"vm\":";
     fields += json_text(vm);
     auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
-    logger()->addAppender(appender);
+    if (target == log_target::standard_output) {
+        logger()->addAppender(std::make_shared<queue_appender>(layout));
+    }
+    else {
+        logger()->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err"));
+    }
     logger()->setAdditivity(false);
     logger()->setLevel(to_level(least));
 }
--- a/src/observe/log.hpp
+++ b/src/observe/log.hpp
@@ -17,8 +17,15 @@
     std::variant<std::int64_t, double, std::string> value;
 };
 
-/// Starts the log of this process; lines go to standard error. Call once, before other threads start.
-void start_log(std::string_view program, std::string_view vm, log_level least);
+enum class log_target {
+    standard_error,
+    /// Through a bounded queue: a reader that takes nothing costs lines, never time.
+    standard_output,
+};
+
+/// Starts the log of this process. Call once, before other threads start.
+void start_log(std::string_view program, std::string_view vm, log_level least,
+               log_target target = log_target::standard_error);
 
 /// Writes one event. An event's name, level and field names are constants of the code.
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
