--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/rendezvous.hpp"
 #include "observe/log.hpp"
+#include "policy/engine_speed.hpp"
 #include "policy/step_placement.hpp"
 
 #include <algorithm>
@@ -13,7 +14,7 @@
 constexpr milliseconds look_every{50};
 
 /// Between two writes of results. Trainers read about twice a second; a write costs a call.
-constexpr milliseconds list_every{250};
+constexpr milliseconds list_every{400};
 /// A result whose group is not whole waits this long for others to be listed with it.
 constexpr milliseconds list_wait{600};
 
@@ -27,15 +28,23 @@
 /// The first event may wait in the engine's line.
 constexpr milliseconds first_silence{2000};
 
-/// A run on an engine this many times slower than the usual one is moved, once others have room: what it has
-/// is kept, and the prompt is read again in a few milliseconds.
-constexpr double slow_factor = 1.8;
-constexpr milliseconds least_run{250};
-constexpr double gap_smoothing = 0.1;
+/// A run this old is moved from a slow engine, once others have room: what it has is kept, and the prompt is
+/// read again in a few milliseconds. Shorter ones are over soon.
+constexpr milliseconds least_run{600};
 
 constexpr milliseconds store_retry{300};
 constexpr milliseconds connect_time{1000};
 
+double slow_gap_of(const std::vector<target_ref>& engines)
+{
+    std::vector<double> gaps;
+    gaps.reserve(engines.size());
+    for (const auto& engine : engines) {
+        gaps.push_back(engine->piece_gap_ms);
+    }
+    return policy::slow_gap(std::move(gaps));
+}
+
 std::uint64_t prompt_hash(const batch_item& item)
 {
     return hash64(item.group.empty() ? item.id : item.group);
@@ -336,6 +345,12 @@
         view.usable = now >= engine->back_off_until;
         views.push_back(std::move(view));
     }
+    // An engine's step grows by some 0.3% with each request that it runs, so the fast ones are filled first.
+    auto fast = views;
+    const auto slow = slow_gap_of(engines);
+    for (std::size_t place = 0; place < engines.size(); ++place) {
+        fast[place].usable = fast[place].usable && (slow <= 0 || engines[place]->piece_gap_ms < slow);
+    }
     for (const auto place : progress.order()) {
         auto& entry = progress.items()[place];
         if (entry.state != work_state::waiting || entry.not_before > now) {
@@ -345,7 +360,10 @@
         sample.prefix_hash = prompt_hash(entry.item);
         sample.least_version = progress.header().least_version;
         sample.avoid = entry.avoid;
-        const auto chosen = policy::place_sample(views, sample);
+        auto chosen = policy::place_sample(fast, sample);
+        if (!chosen) {
+            chosen = policy::place_sample(views, sample);
+        }
         if (!chosen) {
             if (entry.avoid.empty()) {
                 return false;
@@ -353,6 +371,7 @@
             entry.avoid.clear();
             continue;
         }
+        ++fast[*chosen].in_flight;
         ++views[*chosen].in_flight;
         ++engines[*chosen]->streams;
         progress.start(place);
@@ -504,10 +523,7 @@
             }
             const auto now = steady::now();
             if (open->heard) {
-                const std::chrono::duration<double, std::milli> gap = now - open->last_event;
-                at->piece_gap_ms = at->piece_gap_ms == 0
-                                       ? gap.count()
-                                       : at->piece_gap_ms * (1 - gap_smoothing) + gap.count() * gap_smoothing;
+                at->saw_gap(now - open->last_event);
             }
             open->heard = true;
             open->last_event = now;
@@ -554,34 +570,25 @@
     if (batch.streams.empty() || someone_waits()) {
         return;
     }
-    std::vector<double> gaps;
     const auto engines = targets_.of_service(batch.progress.header().service);
-    for (const auto& engine : engines) {
-        if (engine->piece_gap_ms > 0) {
-            gaps.push_back(engine->piece_gap_ms);
-        }
-    }
-    if (gaps.size() < 2) {
+    const auto slow_from = slow_gap_of(engines);
+    if (slow_from <= 0) {
         return;
     }
-    std::nth_element(gaps.begin(), gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2), gaps.end());
-    const auto usual = gaps[gaps.size() / 2];
     const auto now = steady::now();
     for (const auto& entry : batch.streams) {
         const auto& open = entry.second;
-        const bool slow = open->at->piece_gap_ms > usual * slow_factor;
+        const bool slow = open->at->piece_gap_ms >= slow_from;
         if (!slow || !open->connection || now - open->began < least_run) {
             continue;
         }
         const bool better = std::any_of(engines.begin(), engines.end(), [&](const target_ref& engine) {
             return engine != open->at && engine->streams < engine->info.slots &&
                    now >= engine->back_off_until && engine->piece_gap_ms > 0 &&
-                   engine->piece_gap_ms <= usual &&
+                   engine->piece_gap_ms < slow_from &&
                    engine->version_of(batch.progress.header().model) >= batch.progress.header().least_version;
         });
         if (better) {
-            // Its new work goes elsewhere too, until it is as fast as the others again.
-            open->at->back_off_until = now + broken_back_off;
             open->connection->close();
             return;
         }
--- a/src/gateway/feed_hub.cpp
+++ b/src/gateway/feed_hub.cpp
@@ -34,6 +34,10 @@
 constexpr milliseconds retry_most{700};
 constexpr milliseconds idle_pause{100};
 
+/// Changes come in bursts: replicas load new weights two by two, batches end and begin together. What comes
+/// within this time of a change is told by the next call, a third fewer calls for a tenth of the time allowed.
+constexpr milliseconds gather_time{150};
+
 std::mt19937_64& random()
 {
     static std::mt19937_64 shared{std::random_device{}()};
@@ -140,9 +144,8 @@
         }
         entry.serving = served;
         fleet_.set_watch_failing(!served);
-        if (!served) {
-            co_await net::sleep_for(loop_, retry_pause());
-        }
+        const auto pause = served ? duration{gather_time} : retry_pause();
+        co_await net::sleep_for(loop_, pause);
     }
 }
 
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -33,6 +33,21 @@
     return std::max(reported, seen == seen_versions.end() ? std::uint64_t{0} : seen->second);
 }
 
+// A load of weights stops the runs for a second; taken whole, that one gap would make a fast engine look slow
+// and move its runs away.
+void target::saw_gap(duration gap)
+{
+    constexpr double smoothing = 0.1;
+    constexpr double most_times = 2.5;
+    const std::chrono::duration<double, std::milli> measured = gap;
+    if (piece_gap_ms == 0) {
+        piece_gap_ms = measured.count();
+        return;
+    }
+    const auto bounded = std::min(measured.count(), piece_gap_ms * most_times);
+    piece_gap_ms = piece_gap_ms * (1 - smoothing) + bounded * smoothing;
+}
+
 void target::saw_version(const std::string& model, std::uint64_t version)
 {
     auto& newest = seen_versions[model];
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -25,6 +25,8 @@
     std::map<std::string, std::uint64_t> seen_versions; ///< of weights by model, from its own answers
 
     std::uint64_t version_of(const std::string& model) const;
+    /// The time between two events of one run here.
+    void saw_gap(duration gap);
     void saw_version(const std::string& model, std::uint64_t version);
 };
 
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -3,6 +3,7 @@
 #define VANILLAGAUGE_POLICY_POLICY_HPP
 
 #include "policy/concurrency_limit.hpp"
+#include "policy/engine_speed.hpp"
 #include "policy/fair_queue.hpp"
 #include "policy/latency_quantile.hpp"
 #include "policy/load_hint.hpp"
