--- a/src/gateway/feed.cpp
+++ b/src/gateway/feed.cpp
@@ -96,7 +96,10 @@
 {
     const auto as_of = answer.value("as_of", std::uint64_t{0});
     if (as_of < as_of_) {
-        return; // older than what is known here
+        // Its watch waits since an earlier revision than this copy was listed at: nothing has changed since.
+        // Taken for no word at all, it would make this gateway list everything again each second.
+        confirmed_ = std::max(confirmed_, asked);
+        return;
     }
     if (answer.contains("names")) {
         for (const auto& entry : answer.at("changed")) {
--- a/tests/gateway/feed_tests.cpp
+++ b/tests/gateway/feed_tests.cpp
@@ -66,6 +66,19 @@
     EXPECT_TRUE(quick.content.objects().contains("b"));
 }
 
+// A gateway lists the whole kind later than the watcher's watch began, on a day without changes. The watcher's word
+// is as good as new; a gateway that does not believe it asks the store for everything again and again.
+TEST(feed, is_confirmed_by_a_watcher_whose_watch_began_earlier)
+{
+    watched_feed watcher;
+    watched_feed other;
+    watcher.content.take_listing({{"a", make_object("a", 5)}}, 10, start);
+    other.content.take_listing({{"a", make_object("a", 5)}}, 30, start);
+    other.content.take_answer(watcher.content.answer(30), start + seconds{5});
+    EXPECT_EQ(other.content.confirmed(), start + seconds{5});
+    EXPECT_EQ(other.content.as_of(), 30U);
+}
+
 TEST(feed, keeps_what_this_gateway_wrote_until_the_watch_tells_it)
 {
     watched_feed watched;
