--- a/src/gateway/weights_keeper.cpp
+++ b/src/gateway/weights_keeper.cpp
@@ -148,7 +148,13 @@
         written = co_await store_.replace(lease_kind, lease_name, lease, revision);
     }
     if (ok(written)) {
+        const bool taken = !lease_.holds(asked);
         lease_.on_written(value(written).revision, asked);
+        if (taken) {
+            observe::log(observe::log_level::info, "lease_taken",
+                         {{"version", static_cast<std::int64_t>(value(written).revision)},
+                          {"replaced", static_cast<std::int64_t>(revision)}});
+        }
     }
     else if (failure(written).code == error_code::conflict ||
              failure(written).code == error_code::not_found) {
@@ -156,6 +162,10 @@
         lease_.on_conflict();
     }
     else {
+        observe::log(observe::log_level::warning, "lease_not_renewed",
+                     {{"why", describe(failure(written))},
+                      {"held", std::int64_t{lease_.holds(steady::now())}},
+                      {"version", static_cast<std::int64_t>(revision)}});
         lease_.on_failed(steady::now());
     }
 }
