Split the batch runner by its jobs; one reader of a batch's items and segments

No behaviour changes: ownership and listing, placement, and runs of items are files of their own; runner and service read the store by the same two functions.

--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -69,6 +69,7 @@
     net::task<void> run_item(run_ref batch, std::size_t place, target_ref at);
     net::task<void> read_answer(run_ref batch, std::size_t place, target_ref at,
                                 std::shared_ptr<stream> open);
+    net::task<bool> read_events(run_ref batch, std::size_t place, std::shared_ptr<stream> open);
     void take_failure(run& batch, std::size_t place, target_ref at, int status, bool not_run);
     void log_completed(const batch_progress& progress, std::size_t place, const stream& open) const;
     net::task<void> list_results(run_ref batch);
--- /dev/null
+++ b/src/gateway/batch_runner_items.cpp
@@ -0,0 +1,203 @@
+// The runs of items at replicas.
+#include "gateway/internal/batch_run.hpp"
+#include "observe/log.hpp"
+
+namespace vanillagauge::gateway {
+namespace {
+
+/// A full engine refuses until a request of its ends, which takes some hundred milliseconds.
+constexpr milliseconds full_back_off{100};
+/// A replica whose connection failed: crashed ones are back after some seconds.
+constexpr milliseconds broken_back_off{500};
+
+/// An engine makes an event in some 40 ms and reads a prompt in a few; a second of silence is a hung run.
+constexpr milliseconds silence{1000};
+/// The first event may wait in the engine's line.
+constexpr milliseconds first_silence{2000};
+
+constexpr milliseconds connect_time{1000};
+
+net::http_request item_request(const batch_header& header, const batch_item& item)
+{
+    net::http_request request;
+    request.method = "POST";
+    request.target = item.path;
+    request.fields.add("Host", header.host);
+    for (const auto& field : item.fields) {
+        request.fields.add(field.name, field.value);
+    }
+    // The body was checked when the batch was accepted.
+    auto body = decode_base64(item.body_base64);
+    request.body = ok(body) ? std::move(value(body)) : std::string{};
+    return request;
+}
+
+} // namespace
+
+net::task<void> batch_runner::run_item(run_ref batch, std::size_t place, target_ref at)
+{
+    const auto open = std::make_shared<stream>();
+    open->at = at;
+    open->began = steady::now();
+    open->last_event = open->began;
+    batch->streams[place] = open;
+    auto taken = co_await at->pool.take(steady::now() + connect_time);
+    if (auto* connection = std::get_if<std::shared_ptr<net::http_connection>>(&taken)) {
+        open->connection = *connection;
+        if (!batch->ended && batch->progress.items()[place].state == work_state::running) {
+            co_await read_answer(batch, place, at, open);
+        }
+    }
+    else {
+        at->back_off_until = steady::now() + broken_back_off;
+        batch->progress.release(place, {}, at->info.lifetime());
+    }
+    --at->streams;
+    batch->streams.erase(place);
+    batch->changed.notify();
+}
+
+void batch_runner::take_failure(run& batch, std::size_t place, target_ref at, int status, bool not_run)
+{
+    const auto now = steady::now();
+    const auto& item = batch.progress.items()[place].item;
+    if (not_run) {
+        at->back_off_until = now + full_back_off;
+        batch.progress.release(place, {}, at->info.lifetime());
+        return;
+    }
+    observe::log(observe::log_level::warning, "item_failed",
+                 {{"request", item.id},
+                  {"batch", batch.progress.header().id},
+                  {"replica", at->info.lifetime()},
+                  {"status", std::int64_t{status}}});
+    constexpr int never = 422;
+    constexpr int attempt_failed = 500;
+    if (status == never || (status == attempt_failed && batch.progress.fail_attempt(place))) {
+        batch.progress.terminate(place);
+        return;
+    }
+    batch.progress.release(place, now + full_back_off, at->info.lifetime());
+}
+
+void batch_runner::log_completed(const batch_progress& progress, std::size_t place, const stream& open) const
+{
+    const auto& entry = progress.items()[place];
+    const auto run_ms = std::chrono::duration_cast<milliseconds>(steady::now() - open.began);
+    const auto age_ms = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now() -
+                                                                 progress.header().accepted);
+    observe::log(observe::log_level::info, "item_completed",
+                 {{"request", entry.item.id},
+                  {"batch", progress.header().id},
+                  {"replica", open.at->info.lifetime()},
+                  {"runs", std::int64_t{entry.runs}},
+                  {"events", static_cast<std::int64_t>(entry.events)},
+                  {"run_ms", std::int64_t{run_ms.count()}},
+                  {"age_ms", std::int64_t{age_ms.count()}},
+                  {"newest_version", static_cast<std::int64_t>(entry.current_version)}});
+}
+
+// The text of an item may be made by several runs, each asked to go on behind the event that stands here.
+// What does not continue it is dropped with its connection.
+net::task<void> batch_runner::read_answer(run_ref batch, std::size_t place, target_ref at,
+                                          std::shared_ptr<stream> open)
+{
+    auto& progress = batch->progress;
+    const auto lifetime = at->info.lifetime();
+    const auto& item = progress.items()[place].item;
+    attempt_request sent;
+    sent.attempt_id = item.id;
+    sent.replica_id = at->info.id;
+    sent.resume_after = progress.items()[place].last_event;
+    const auto request = protocol_.to_replica(item_request(progress.header(), item), sent);
+    auto& connection = *open->connection;
+    const auto written = co_await connection.send(request, steady::now() + connect_time);
+    net::http_result<net::response_head> read = net::http_failure{};
+    if (std::holds_alternative<done>(written)) {
+        read = co_await connection.read_head(steady::now() + first_silence);
+    }
+    const auto* head = std::get_if<net::response_head>(&read);
+    if (head == nullptr) {
+        if (!connection.reused()) {
+            at->back_off_until = steady::now() + broken_back_off;
+        }
+        progress.release(place, {}, lifetime);
+        co_return;
+    }
+    const auto marks = protocol_.marks(head->status, head->fields, sent.attempt_id);
+    if (marks.weights_version > 0) {
+        at->saw_version(progress.header().model, marks.weights_version);
+    }
+    const auto idle = head->keep_alive ? net::idle_time_of(head->fields, seconds(4)) : duration{0};
+    if (head->status != 200 || marks.not_run) {
+        const auto status = head->status;
+        const auto rest = co_await connection.read_body(64U << 10U, steady::now() + connect_time);
+        if (std::holds_alternative<std::string>(rest)) {
+            at->pool.give_back(open->connection, idle);
+        }
+        take_failure(*batch, place, at, status, marks.not_run);
+        co_return;
+    }
+    const bool sound = marks.echoes_attempt && marks.authenticated;
+    const auto began = sound ? progress.begin_run(place, marks.weights_version) : run_break::wrong_event;
+    if (began != run_break::none) {
+        if (began == run_break::mixed_weights) {
+            progress.restart(place);
+        }
+        connection.close();
+        progress.release(place, steady::now() + full_back_off, lifetime);
+        co_return;
+    }
+    const bool whole = co_await read_events(batch, place, open);
+    if (whole) {
+        at->pool.give_back(open->connection, idle);
+        co_return;
+    }
+    connection.close();
+    progress.release(place, {}, lifetime);
+}
+
+// True where the text is whole.
+net::task<bool> batch_runner::read_events(run_ref batch, std::size_t place, std::shared_ptr<stream> open)
+{
+    auto& progress = batch->progress;
+    auto& connection = *open->connection;
+    const auto at = open->at;
+    const auto lifetime = at->info.lifetime();
+    net::event_reader reader;
+    while (!batch->ended && progress.items()[place].state == work_state::running) {
+        const auto patience = open->heard ? silence : first_silence;
+        auto piece = co_await connection.read_piece(steady::now() + patience);
+        auto* bytes = std::get_if<net::body_piece>(&piece);
+        if (bytes == nullptr || progress.items()[place].state != work_state::running) {
+            break;
+        }
+        for (const auto& event : reader.take(bytes->bytes)) {
+            const auto broken = progress.take_event(place, event, protocol_.weights_version(event));
+            if (broken != run_break::none) {
+                progress.restart(place);
+                progress.release(place, steady::now() + full_back_off, lifetime);
+                co_return false;
+            }
+            const auto now = steady::now();
+            if (open->heard) {
+                at->saw_gap(now - open->last_event);
+            }
+            open->heard = true;
+            open->last_event = now;
+        }
+        if (bytes->last && !reader.mid_event()) {
+            at->saw_version(progress.header().model, progress.items()[place].current_version);
+            log_completed(progress, place, *open);
+            progress.complete(place);
+            counts_.add("items_completed_total");
+            co_return true;
+        }
+        if (bytes->last) {
+            break;
+        }
+    }
+    co_return false;
+}
+
+} // namespace vanillagauge::gateway
--- /dev/null
+++ b/src/gateway/batch_runner_placement.cpp
@@ -0,0 +1,149 @@
+// Which items start now, where, and which runs move.
+#include "gateway/internal/batch_run.hpp"
+#include "policy/engine_speed.hpp"
+#include "policy/step_placement.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::gateway {
+namespace {
+
+/// A run this old is moved from a slow engine, once others have room: what it has is kept, and the prompt is
+/// read again in a few milliseconds. Shorter ones are over soon.
+constexpr milliseconds least_run{600};
+
+double slow_gap_of(const std::vector<target_ref>& engines)
+{
+    std::vector<double> gaps;
+    gaps.reserve(engines.size());
+    for (const auto& engine : engines) {
+        gaps.push_back(engine->piece_gap_ms);
+    }
+    return policy::slow_gap(std::move(gaps));
+}
+
+std::uint64_t prompt_hash(const batch_item& item)
+{
+    return hash64(item.group.empty() ? item.id : item.group);
+}
+
+} // namespace
+
+bool batch_runner::someone_waits() const
+{
+    for (const auto& [id, batch] : active_) {
+        if (!batch) {
+            continue;
+        }
+        const auto& items = batch->progress.items();
+        if (std::any_of(items.begin(), items.end(),
+                        [](const item_progress& entry) { return entry.state == work_state::waiting; })) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// The batch that is due first goes first: its trainer stands idle until it is whole.
+void batch_runner::place_items()
+{
+    std::vector<run_ref> batches;
+    for (const auto& [id, batch] : active_) {
+        if (batch && !batch->ended) {
+            batches.push_back(batch);
+        }
+    }
+    std::sort(batches.begin(), batches.end(), [](const run_ref& left, const run_ref& right) {
+        const auto& a = left->progress.header();
+        const auto& b = right->progress.header();
+        return a.accepted + a.result_time < b.accepted + b.result_time;
+    });
+    for (const auto& batch : batches) {
+        const auto engines = targets_.of_service(batch->progress.header().service);
+        place_items_of(batch, engines);
+    }
+}
+
+bool batch_runner::place_items_of(const run_ref& batch, const std::vector<target_ref>& engines)
+{
+    const auto now = steady::now();
+    auto& progress = batch->progress;
+    std::vector<policy::engine_view> views;
+    for (const auto& engine : engines) {
+        policy::engine_view view;
+        view.id = engine->info.lifetime();
+        view.in_flight = engine->streams;
+        view.limit = engine->info.slots;
+        view.version = engine->version_of(progress.header().model);
+        view.usable = now >= engine->back_off_until;
+        views.push_back(std::move(view));
+    }
+    // An engine's step grows by some 0.3% with each request that it runs, so the fast ones are filled first.
+    auto fast = views;
+    const auto slow = slow_gap_of(engines);
+    for (std::size_t place = 0; place < engines.size(); ++place) {
+        fast[place].usable = fast[place].usable && (slow <= 0 || engines[place]->piece_gap_ms < slow);
+    }
+    for (const auto place : progress.order()) {
+        auto& entry = progress.items()[place];
+        if (entry.state != work_state::waiting || entry.not_before > now) {
+            continue;
+        }
+        policy::sample_view sample;
+        sample.prefix_hash = prompt_hash(entry.item);
+        sample.least_version = progress.header().least_version;
+        sample.avoid = entry.avoid;
+        auto chosen = policy::place_sample(fast, sample);
+        if (!chosen) {
+            chosen = policy::place_sample(views, sample);
+        }
+        if (!chosen) {
+            if (entry.avoid.empty()) {
+                return false;
+            }
+            entry.avoid.clear();
+            continue;
+        }
+        ++fast[*chosen].in_flight;
+        ++views[*chosen].in_flight;
+        ++engines[*chosen]->streams;
+        progress.start(place);
+        net::start(loop_, run_item(batch, place, engines[*chosen]));
+    }
+    return true;
+}
+
+// Load pattern: a few engines several times slower than the rest, and a step that waits for its last items.
+// Without moving them, a long item on a slow engine takes longer than the whole step may. Only while nothing
+// waits for a place: then the places of faster engines are free.
+void batch_runner::move_stragglers(run& batch)
+{
+    if (batch.streams.empty() || someone_waits()) {
+        return;
+    }
+    const auto engines = targets_.of_service(batch.progress.header().service);
+    const auto slow_from = slow_gap_of(engines);
+    if (slow_from <= 0) {
+        return;
+    }
+    const auto now = steady::now();
+    for (const auto& entry : batch.streams) {
+        const auto& open = entry.second;
+        const bool slow = open->at->piece_gap_ms >= slow_from;
+        if (!slow || !open->connection || now - open->began < least_run) {
+            continue;
+        }
+        const bool better = std::any_of(engines.begin(), engines.end(), [&](const target_ref& engine) {
+            return engine != open->at && engine->streams < engine->info.slots &&
+                   now >= engine->back_off_until && engine->piece_gap_ms > 0 &&
+                   engine->piece_gap_ms < slow_from &&
+                   engine->version_of(batch.progress.header().model) >= batch.progress.header().least_version;
+        });
+        if (better) {
+            open->connection->close();
+            return;
+        }
+    }
+}
+
+} // namespace vanillagauge::gateway
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -111,31 +111,6 @@
     co_return header_from_json(batch, value(stored).value, value(stored).status);
 }
 
-net::task_of<std::vector<log_segment>> batch_service::list_from(std::string batch, std::string after,
-                                                                std::uint64_t& as_of)
-{
-    std::vector<log_segment> segments;
-    bool more = true;
-    while (more) {
-        const auto page = co_await store_.list(log_kind(batch), after);
-        if (!ok(page)) {
-            co_return failure(page);
-        }
-        as_of = value(page).as_of;
-        more = value(page).more;
-        for (const auto& object : value(page).objects) {
-            after = object.name;
-            auto segment = segment_from_json(object.name, object.value);
-            if (!ok(segment)) {
-                co_return failure(segment);
-            }
-            note_ends(batch, value(segment));
-            segments.push_back(std::move(value(segment)));
-        }
-    }
-    co_return segments;
-}
-
 void batch_service::note_ends(const std::string& batch, const log_segment& segment)
 {
     auto& ends = segment_ends_[batch];
@@ -148,13 +123,17 @@
 
 // Segments are named by their first position. A reader goes on where a segment ended, so the segments named
 // behind the position before it are the ones it wants; from any other position all are read.
-net::task_of<std::vector<log_segment>> batch_service::segments_from(std::string batch, std::size_t first,
-                                                                    std::uint64_t& as_of)
+net::task_of<segment_listing> batch_service::segments_from(std::string batch, std::size_t first)
 {
-    if (first > 0 && segment_ends_[batch].contains(first)) {
-        co_return co_await list_from(batch, segment_name(first - 1), as_of);
+    const bool at_an_end = first > 0 && segment_ends_[batch].contains(first);
+    auto after = at_an_end ? segment_name(first - 1) : std::string{};
+    auto listing = co_await read_segments(store_, batch, std::move(after));
+    if (ok(listing)) {
+        for (const auto& segment : value(listing).segments) {
+            note_ends(batch, segment);
+        }
     }
-    co_return co_await list_from(batch, {}, as_of);
+    co_return listing;
 }
 
 namespace {
@@ -203,17 +182,16 @@
     if (first >= page.total) {
         co_return page;
     }
-    std::uint64_t as_of = 0;
-    const auto listed = co_await segments_from(batch, first, as_of);
+    const auto listed = co_await segments_from(batch, first);
     if (!ok(listed)) {
         co_return failure(listed);
     }
-    add_results(page, value(listed));
+    add_results(page, value(listed).segments);
     const auto left = std::chrono::duration_cast<milliseconds>(until - steady::now());
     if (!page.results.empty() || left <= least_wait) {
         co_return page;
     }
-    const auto changed = co_await store_.watch(log_kind(batch), as_of, left);
+    const auto changed = co_await store_.watch(log_kind(batch), value(listed).as_of, left);
     if (ok(changed)) {
         const auto segments = segments_of(value(changed));
         for (const auto& segment : segments) {
@@ -232,18 +210,11 @@
     if (cached != cache_.end()) {
         co_return cached->items;
     }
-    std::vector<batch_item> items;
-    for (std::size_t part = 0; part < header.parts; ++part) {
-        const auto stored = co_await store_.read(item_kind, part_name(header.id, part));
-        if (!ok(stored)) {
-            co_return failure(stored);
-        }
-        auto parsed = items_from_json(value(stored).value);
-        if (!ok(parsed)) {
-            co_return failure(parsed);
-        }
-        std::move(value(parsed).begin(), value(parsed).end(), std::back_inserter(items));
+    auto read = co_await read_items(store_, header);
+    if (!ok(read)) {
+        co_return failure(read);
     }
+    auto& items = value(read);
     cache_.push_front({header.id, items});
     if (cache_.size() > most_cached) {
         cache_.pop_back();
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/batch.hpp"
 #include "gateway/batch_runner.hpp"
+#include "gateway/batch_store.hpp"
 #include "gateway/feed.hpp"
 #include "gateway/object_store.hpp"
 
@@ -55,11 +56,8 @@
     net::task_of<batch_header> find(std::string batch);
     std::map<std::string, std::set<std::size_t>> segment_ends_; ///< positions behind a segment, by batch
 
-    net::task_of<std::vector<log_segment>> list_from(std::string batch, std::string after,
-                                                     std::uint64_t& as_of);
     void note_ends(const std::string& batch, const log_segment& segment);
-    net::task_of<std::vector<log_segment>> segments_from(std::string batch, std::size_t first,
-                                                         std::uint64_t& as_of);
+    net::task_of<segment_listing> segments_from(std::string batch, std::size_t first);
     net::task_of<std::vector<batch_item>> items_of(batch_header header);
 };
 
