End the channels between gateways before the loop

Ruled out: a suppression; the cycle is real, though a process that ends does not feel it.

Change: channels can be closed; a gateway stops its probes and ends its channels and its peers' sessions before its loop. Test: the whole gateway test program under the sanitizer, which failed before.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -152,6 +152,12 @@
     state_->exchange.leave();
 }
 
+void fleet_view::close()
+{
+    state_->loop.post([this] { state_->exchange.stop(); });
+    state_->server.close();
+}
+
 std::vector<gateway_peer> fleet_view::peers() const
 {
     std::vector<gateway_peer> living;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -45,6 +45,8 @@
     void set_draining();
     /// Tells the others that this VM leaves; its batches are theirs.
     void leave();
+    /// Ends the connections with the others; from another thread, before the loop stops.
+    void close();
 
     // Queries.
     /// Living gateways, this one among them, by VM.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -331,6 +331,11 @@
     state_->fleet.leave();
 }
 
+void gateway::close()
+{
+    state_->fleet.close();
+}
+
 net::task<void> gateway::forward(route chosen, caller_request request, net::responder& answer)
 {
     return state_->forwarding.forward(std::move(chosen), std::move(request), answer);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -64,6 +64,8 @@
     void drain();
     /// Nothing is under way, or the time is over.
     void leave();
+    /// Ends the connections with other gateways; from another thread, before the loop stops.
+    void close();
     /// Forwards a request of a plain, once-only or streaming route.
     net::task<void> forward(route chosen, caller_request request, net::responder& answer);
 
--- a/src/keeper/gossip.cpp
+++ b/src/keeper/gossip.cpp
@@ -44,8 +44,17 @@
     return chosen;
 }
 
+void gossip::stop()
+{
+    stopped_ = true;
+    peers_.close_all();
+}
+
 void gossip::tick()
 {
+    if (stopped_) {
+        return;
+    }
     const auto now = steady::now();
     perform(state_.tick(now));
     ask_a_seed(now);
@@ -109,6 +118,9 @@
 
 void gossip::compare(const std::string& address)
 {
+    if (stopped_) {
+        return;
+    }
     v1::ExchangeRequest request;
     for (const auto& line : state_.summary()) {
         *request.add_members() = node::to_message(line);
@@ -126,6 +138,9 @@
 
 void gossip::hand_over(const std::string& address, const v1::ExchangeReply& reply)
 {
+    if (stopped_) {
+        return;
+    }
     state_.merge_claims(claims_of(reply.claims()), steady::now());
     const std::vector<std::uint64_t> wanted(reply.wanted().begin(), reply.wanted().end());
     if (wanted.empty()) {
@@ -179,6 +194,9 @@
 
 void gossip::pull(const std::string& address, bool whole)
 {
+    if (stopped_) {
+        return;
+    }
     v1::ConfigPullRequest request;
     const auto mark = state_.config_mark();
     const auto base = whole ? 0 : mark.newest_version - std::min(mark.newest_version, overlap);
--- a/src/keeper/gossip.hpp
+++ b/src/keeper/gossip.hpp
@@ -38,6 +38,8 @@
     void on_list_needed(std::function<void()> handler) { list_needed_ = std::move(handler); }
     /// Tells peers that this VM leaves.
     void leave();
+    /// Ends the probes and the calls to peers; on the loop's thread.
+    void stop();
 
     // Queries.
     v1::ExchangeReply answer(const v1::ExchangeRequest& request);
@@ -57,6 +59,7 @@
     std::function<void()> list_needed_;
     time_point next_seed_;
     std::size_t seed_turn_ = 0;
+    bool stopped_ = false;
     std::atomic<std::uint64_t> calls_{0};
     std::atomic<std::uint64_t> call_bytes_{0};
 
--- a/src/keeper/idle_channels.cpp
+++ b/src/keeper/idle_channels.cpp
@@ -33,4 +33,13 @@
     }
 }
 
+void idle_channels::close_all()
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto& [address, entry] : slots_) {
+        entry.channel->close();
+    }
+    slots_.clear();
+}
+
 } // namespace vanillagauge::keeper
--- a/src/keeper/idle_channels.hpp
+++ b/src/keeper/idle_channels.hpp
@@ -21,10 +21,12 @@
     std::shared_ptr<wire::channel> at(const std::string& address, time_point now);
     /// Closes what was not used for a while.
     void close_idle(time_point now);
+    /// Ends every channel with its calls; further ones are opened as before.
+    void close_all();
 
 private:
     struct slot {
-        std::shared_ptr<wire::channel> channel;
+        std::shared_ptr<wire::peer_channel> channel;
         time_point used;
     };
     wire::event_loop& loop_;
--- a/src/wire/peer_channel.cpp
+++ b/src/wire/peer_channel.cpp
@@ -268,6 +268,11 @@
 }
 
 peer_channel::~peer_channel()
+{
+    close();
+}
+
+void peer_channel::close()
 {
     state_->loop.post([shared = state_] { shared->close(); });
 }
--- a/src/wire/peer_channel.hpp
+++ b/src/wire/peer_channel.hpp
@@ -27,6 +27,9 @@
     /// Streamed answers are not offered between peers: `chunk` must be empty.
     call_cancel start(const std::string& path, std::string body, const call_options& options, on_chunk chunk,
                       on_done done) override;
+    /// Ends the connection and every call; their callbacks may hold the channel and would otherwise keep it,
+    /// and themselves, once the loop has ended.
+    void close();
 
 private:
     struct state;
--- a/tests/gateway/deployment.hpp
+++ b/tests/gateway/deployment.hpp
@@ -47,13 +47,19 @@
             throw std::runtime_error(describe(failure(opened)));
         }
     }
-    ~running_gateway() { loop_.stop(); }
+    ~running_gateway() { kill(); }
     running_gateway(const running_gateway&) = delete;
     running_gateway& operator=(const running_gateway&) = delete;
 
     const std::string& address() const { return address_; }
-    /// Stops as a killed process does: says nothing to anybody.
-    void kill() { loop_.stop(); }
+    /// Ends as a killed process does: its connections close, and it says nothing to anybody.
+    void kill()
+    {
+        if (!std::exchange(killed_, true)) {
+            gateway_.close();
+            loop_.stop();
+        }
+    }
 
     template <class Answer>
     Answer ask(std::function<Answer(gateway&)> question)
@@ -75,6 +81,7 @@
     gateway gateway_;
     platform::callers front_;
     std::string address_;
+    bool killed_ = false;
 };
 
 /// The outside world on a loop of its own, with a client that waits for its answers.
