--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -3,6 +3,7 @@
 #include "net/internal/keep_alive.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -369,9 +370,13 @@
 {
 }
 
+// The acceptor belongs to the loop's thread; the service may end on another.
 http_service::~http_service()
 {
-    stop_accepting();
+    asio::post(state_->context, [held = state_] {
+        error_code ignored;
+        held->acceptor.close(ignored);
+    });
 }
 
 result<std::string> http_service::open(const std::string& address)
