Find a store that is silent to the gateways that watch it; meet the others also after a common start

Where the store is silent to all watchers at once, every gateway kept the old configuration: until keep-alive probes end the connections, 3 s, or for good where the store takes connections and stays silent.

Change: a watcher that heard nothing for 0.6 s asks for a sign of life by a stale read (a tenth of a call) with 0.5 s; silent, it says so to the others, and lists again. A watch that was cut is followed by a listing at once. A gateway reads who there is after it has written its own name, and each peer that the store names and no member has is asked once.

--- a/src/gateway/feed_hub.cpp
+++ b/src/gateway/feed_hub.cpp
@@ -17,9 +17,17 @@
 constexpr std::size_t least_watchers = 3;
 constexpr std::size_t gateways_a_watcher = 12;
 
-/// A watch counts as one call however long it waits; a silent connection is found by keep-alive probes.
+/// A watch counts as one call however long it waits.
 constexpr milliseconds store_wait{20000};
 
+/// A watch that waits looks the same whether nothing changes or the store no longer answers this VM, and
+/// the others would be told "nothing new" until keep-alive probes end the connection, some three seconds
+/// later, or never where the store itself is silent. Changes must be in force everywhere within two
+/// seconds, so a watcher that heard nothing asks for a sign of life; the store answers in 4 ms, up to some
+/// 90 times slower on bad days. A tenth of a call each, these checks are some 4% of the calls.
+constexpr milliseconds check_every{600};
+constexpr milliseconds check_time{500};
+
 /// Changes must be in force everywhere within two seconds. A watcher may have gone silent, or be cut off from
 /// the store without knowing it yet; asking them in turn, each for no longer than this, finds another one in
 /// time.
@@ -55,7 +63,7 @@
 
 feed_hub::feed_hub(net::loop& loop, object_store& direct, peer_relay& peers, fleet_view& fleet,
                    std::vector<feed*> feeds)
-    : loop_(loop), direct_(direct), peers_(peers), fleet_(fleet), changed_(loop)
+    : loop_(loop), direct_(direct), peers_(peers), fleet_(fleet), changed_(loop), watch_ended_(loop)
 {
     for (auto* content : feeds) {
         feeds_.push_back({content});
@@ -68,6 +76,7 @@
         net::start(loop_, follow_store(place));
     }
     net::start(loop_, follow_peers());
+    net::start(loop_, check_store());
 }
 
 std::vector<std::string> feed_hub::watchers() const
@@ -174,32 +183,78 @@
     }
     entry.content->take_listing(std::move(listed), as_of, asked);
     entry.listed = true;
+    last_answer_ = steady::now();
     store_down_ = false;
     note_source("store");
     changed_.notify();
     co_return true;
 }
 
+net::task<void> feed_hub::run_watch(std::string kind, std::uint64_t since, std::shared_ptr<watch_call> call)
+{
+    call->answer = co_await direct_.watch(std::move(kind), since, store_wait);
+    watch_ended_.notify();
+}
+
 net::task<bool> feed_hub::watch(followed& entry)
 {
     const auto asked = steady::now();
     const auto since = entry.content->as_of();
-    auto seen = co_await direct_.watch(entry.content->kind(), since, store_wait);
+    const auto call = std::make_shared<watch_call>();
+    const auto silences = silences_;
+    net::start(loop_, run_watch(entry.content->kind(), since, call));
+    const auto until = asked + 2 * store_wait;
+    while (!call->answer && silences == silences_) {
+        co_await watch_ended_.wait_until(until);
+    }
+    // What happened since the watch was cut is not known; listing again is sure.
+    if (!call->answer) {
+        entry.listed = false;
+        co_return false;
+    }
+    const auto& seen = *call->answer;
     if (ok(seen)) {
-        entry.content->take_changes(std::move(value(seen)), asked);
+        last_answer_ = steady::now();
+        entry.content->take_changes(value(seen), asked);
         store_down_ = false;
         changed_.notify();
         co_return true;
     }
-    // What happened since the watch was cut is not known; listing again is sure.
     entry.listed = false;
     if (failure(seen).code == error_code::stale_cursor) {
         observe::log(observe::log_level::warning, "feed_history_gone",
                      {{"kind", entry.content->kind()}, {"as_of", static_cast<std::int64_t>(since)}});
-        co_return co_await list(entry);
     }
-    note_failure(failure(seen));
-    co_return false;
+    // A store that has dropped its history cuts the watches and serves on. To wait before the first try would
+    // keep from everybody what changed while the watches heard nothing.
+    co_return co_await list(entry);
+}
+
+net::task<void> feed_hub::check_store()
+{
+    while (true) {
+        co_await net::sleep_for(loop_, check_every);
+        if (!serves() || steady::now() - last_answer_ < check_every) {
+            continue;
+        }
+        const auto silences = silences_;
+        const auto answered = co_await direct_.check(feeds_.front().content->kind(), check_time);
+        if (ok(answered)) {
+            last_answer_ = steady::now();
+            continue;
+        }
+        if (!serves() || silences != silences_) {
+            continue;
+        }
+        note_failure(failure(answered));
+        ++silences_;
+        for (auto& entry : feeds_) {
+            entry.serving = false;
+        }
+        fleet_.set_watch_failing(true);
+        watch_ended_.notify();
+        changed_.notify();
+    }
 }
 
 // Also a gateway that watches asks the others in turn: the store may have stopped to answer this VM alone, on
--- a/src/gateway/feed_hub.hpp
+++ b/src/gateway/feed_hub.hpp
@@ -6,6 +6,8 @@
 #include "gateway/fleet_view.hpp"
 #include "gateway/peer_relay.hpp"
 
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,10 @@
     time_point last_failure() const { return last_failure_; }
 
 private:
+    /// A watch under way, shared with the task that waits for it.
+    struct watch_call {
+        std::optional<result<object_changes>> answer;
+    };
     struct followed {
         feed* content = nullptr;
         bool listed = false;  ///< its revision may be watched from
@@ -38,14 +44,19 @@
     fleet_view& fleet_;
     std::vector<followed> feeds_;
     net::signal changed_;
-    std::string source_; ///< where news came from last: "store", a relay's address, or nothing
+    net::signal watch_ended_; ///< a watch has its answer, or the store was found silent
+    std::string source_;      ///< where news came from last: "store", a relay's address, or nothing
     std::size_t turn_ = 0;
     time_point last_failure_{};
     bool store_down_ = false;
+    time_point last_answer_{};   ///< of the store, to any call
+    std::uint64_t silences_ = 0; ///< how often the store was found silent
 
     net::task<void> follow_store(std::size_t place);
     net::task<bool> list(followed& entry);
     net::task<bool> watch(followed& entry);
+    net::task<void> run_watch(std::string kind, std::uint64_t since, std::shared_ptr<watch_call> call);
+    net::task<void> check_store();
     net::task<void> follow_peers();
     net::task<bool> ask_peer(std::string address);
     std::vector<std::string> watchers() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds outage_memory{3000};
 
 constexpr milliseconds housekeeping_every{100};
+/// A VM that knows no other asks the store again who there is, after the first pause and then twice as long
+/// each time: a list that failed is made up for soon, and a fleet of one costs two calls a minute.
+constexpr milliseconds alone_pause_least{500};
+constexpr milliseconds alone_pause_most{30000};
 constexpr milliseconds register_retry{1000};
 
 /// Callers are given at most this many addresses.
@@ -62,7 +66,9 @@
 
     net::task<void> serve_peer(const net::http_request& request, net::responder& answer);
     net::task<void> keep_house();
-    net::task<void> register_member();
+    net::task<bool> register_member();
+    net::task<void> learn_members();
+    net::task<void> meet_the_others();
     net::task<void> mark_retired(std::string vm);
     void take_replica(const object_change& change);
     void take_configuration(const object_change& change);
@@ -197,39 +203,58 @@
     }
 }
 
-// The seeds of the settings may all be gone when a VM starts; the store names who was there.
-net::task<void> gateway::state::register_member()
+net::task<bool> gateway::state::register_member()
 {
     const json self{{"peer", fleet.peer_address()}, {"incarnation", fleet.incarnation()}};
-    while (true) {
-        const auto listed = co_await relay.list(member_kind, {});
-        if (ok(listed)) {
-            std::vector<std::string> addresses;
-            std::uint64_t own = 0;
-            for (const auto& object : value(listed).objects) {
-                const auto address =
-                    object.value.is_object() ? object.value.value("peer", std::string{}) : "";
-                if (object.name == fleet.self()) {
-                    own = object.revision;
-                }
-                else if (!address.empty()) {
-                    addresses.push_back(address);
-                }
-            }
-            fleet.learn_peers(std::move(addresses));
-            result<stored_object> written = error{};
-            if (own == 0) {
-                written = co_await relay.create(member_kind, fleet.self(), self);
-            }
-            else {
-                written = co_await relay.replace(member_kind, fleet.self(), self, own);
-            }
-            if (ok(written)) {
-                co_return;
-            }
+    const auto created = co_await relay.create(member_kind, fleet.self(), self);
+    if (ok(created)) {
+        co_return true;
+    }
+    if (failure(created).code != error_code::conflict) {
+        co_return false;
+    }
+    const auto earlier = co_await relay.read(member_kind, fleet.self());
+    if (!ok(earlier)) {
+        co_return false;
+    }
+    const auto written = co_await relay.replace(member_kind, fleet.self(), self, value(earlier).revision);
+    co_return ok(written);
+}
+
+net::task<void> gateway::state::learn_members()
+{
+    const auto listed = co_await relay.list(member_kind, {});
+    if (!ok(listed)) {
+        co_return;
+    }
+    std::vector<std::string> addresses;
+    for (const auto& object : value(listed).objects) {
+        const auto address = object.value.is_object() ? object.value.value("peer", std::string{}) : "";
+        if (object.name != fleet.self() && !address.empty()) {
+            addresses.push_back(address);
         }
+    }
+    fleet.learn_peers(std::move(addresses));
+}
+
+// The seeds of the settings may all be gone when a VM starts; the store names who was there. Of VMs that
+// start at the same moment each reads the names after it has written its own, so the later of any two finds
+// the other; read before, all of them may find nobody and stay apart for good.
+net::task<void> gateway::state::meet_the_others()
+{
+    while (!co_await register_member()) {
         co_await net::sleep_for(loop, register_retry);
     }
+    co_await learn_members();
+    auto pause = alone_pause_least;
+    while (true) {
+        co_await net::sleep_for(loop, pause);
+        const bool alone = fleet.peers().size() <= 1;
+        pause = alone ? std::min(pause * 2, alone_pause_most) : alone_pause_least;
+        if (alone) {
+            co_await learn_members();
+        }
+    }
 }
 
 bool gateway::state::ready() const
@@ -295,7 +320,7 @@
     }
     held.event_loop.post([this] {
         auto& all = *state_;
-        net::start(all.loop, all.register_member());
+        net::start(all.loop, all.meet_the_others());
         net::start(all.loop, all.keep_house());
         all.feeds.start();
         if (all.serves_callers()) {
--- a/src/gateway/object_store.hpp
+++ b/src/gateway/object_store.hpp
@@ -53,6 +53,8 @@
     virtual net::task_of<stored_object> read(std::string kind, std::string name) = 0;
     /// Objects whose names come after `after`.
     virtual net::task_of<object_listing> list(std::string kind, std::string after) = 0;
+    /// Whether the store answers at all: the cheapest call there is, and what it reads may be old.
+    virtual net::task_of<done> check(std::string kind, milliseconds within) = 0;
     /// Waits at most `wait` for a change behind the revision.
     virtual net::task_of<object_changes> watch(std::string kind, std::uint64_t since, milliseconds wait) = 0;
     /// `conflict` where the name is taken; the error's `current` holds the value that stands there, as JSON.
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -299,6 +299,11 @@
     co_return listing_from_json(value(answer));
 }
 
+net::task_of<done> peer_relay::check(std::string kind, milliseconds within)
+{
+    return direct_.check(std::move(kind), within);
+}
+
 net::task_of<object_changes> peer_relay::watch(std::string kind, std::uint64_t since, milliseconds wait)
 {
     auto outcome = co_await direct_.watch(std::move(kind), since, wait);
--- a/src/gateway/peer_relay.hpp
+++ b/src/gateway/peer_relay.hpp
@@ -22,6 +22,7 @@
 
     net::task_of<stored_object> read(std::string kind, std::string name) override;
     net::task_of<object_listing> list(std::string kind, std::string after) override;
+    net::task_of<done> check(std::string kind, milliseconds within) override;
     net::task_of<object_changes> watch(std::string kind, std::uint64_t since, milliseconds wait) override;
     net::task_of<stored_object> create(std::string kind, std::string name, nlohmann::json value) override;
     net::task_of<stored_object> replace(std::string kind, std::string name, nlohmann::json value,
--- a/src/keeper/gossip.cpp
+++ b/src/keeper/gossip.cpp
@@ -91,23 +91,49 @@
 // is there now.
 void gossip::ask_a_seed(time_point now)
 {
-    auto candidates = seeds_;
-    candidates.insert(candidates.end(), learned_.begin(), learned_.end());
-    if (candidates.empty() || now < next_seed_) {
+    if ((seeds_.empty() && learned_.empty()) || now < next_seed_) {
         return;
     }
     next_seed_ = now + seed_every;
+    const auto address = knows_somebody() ? next_stranger() : next_seed();
+    if (!address.empty() && address != state_.self().peer_address) {
+        compare(address);
+        pull(address, false);
+    }
+}
+
+bool gossip::knows_somebody() const
+{
     const auto self = state_.self();
-    for (const auto& member : state_.members()) {
-        if (member.info.vm != self.vm && member.state == fleet::member_state::alive) {
-            return;
+    const auto members = state_.members();
+    return std::any_of(members.begin(), members.end(), [&self](const fleet::member& known) {
+        return known.info.vm != self.vm && known.state == fleet::member_state::alive;
+    });
+}
+
+std::string gossip::next_seed()
+{
+    auto candidates = seeds_;
+    candidates.insert(candidates.end(), learned_.begin(), learned_.end());
+    return candidates[seed_turn_++ % candidates.size()];
+}
+
+// VMs that meet in pairs at a common start know somebody each and would stay two fleets for good. So each
+// peer that the store names and no member is known by is asked once.
+std::string gossip::next_stranger()
+{
+    const auto members = state_.members();
+    while (!learned_.empty()) {
+        auto address = std::move(learned_.back());
+        learned_.pop_back();
+        const bool known = std::any_of(members.begin(), members.end(), [&address](const fleet::member& one) {
+            return one.state == fleet::member_state::alive && one.info.peer_address == address;
+        });
+        if (!known) {
+            return address;
         }
     }
-    const auto& seed = candidates[seed_turn_++ % candidates.size()];
-    if (seed != self.peer_address) {
-        compare(seed);
-        pull(seed, false);
-    }
+    return {};
 }
 
 void gossip::count(const google::protobuf::Message& request)
--- a/src/keeper/gossip.hpp
+++ b/src/keeper/gossip.hpp
@@ -67,6 +67,9 @@
     void receive(const fleet::datagram& message);
     void perform(const fleet::detector_actions& actions);
     void ask_a_seed(time_point now);
+    bool knows_somebody() const;
+    std::string next_seed();
+    std::string next_stranger();
     void compare(const std::string& address);
     void hand_over(const std::string& address, const v1::ExchangeReply& reply);
     void consider_pull(const fleet::datagram& message, time_point now);
--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::string_view objects_path = "/api/objects/";
 
+constexpr milliseconds silence_step{20};
+
 net::http_response respond(int status, const json& body)
 {
     net::http_response response;
@@ -40,10 +42,16 @@
 } // namespace
 
 fake_store::fake_store(net::loop& loop)
-    : loop_(loop), changed_(loop),
-      service_(
+    : loop_(loop), changed_(loop), service_(
+                                       loop, [] { return net::service_limits{}; },
+                                       [this](const net::http_request& request, net::responder& answer) {
+                                           return serve(door::first, request, answer);
+                                       }),
+      second_service_(
           loop, [] { return net::service_limits{}; },
-          [this](const net::http_request& request, net::responder& answer) { return serve(request, answer); })
+          [this](const net::http_request& request, net::responder& answer) {
+              return serve(door::second, request, answer);
+          })
 {
 }
 
@@ -142,11 +150,19 @@
     write(request);
 }
 
-net::task<void> fake_store::watch(std::string kind, std::uint64_t since, milliseconds wait,
+net::task<void> fake_store::outlast_silence(door used, net::responder& answer)
+{
+    while (used == door::second && faults.second_silent && !answer.client_gone()) {
+        co_await net::sleep_for(loop_, silence_step);
+    }
+}
+
+net::task<void> fake_store::watch(door used, std::string kind, std::uint64_t since, milliseconds wait,
                                   net::responder& answer)
 {
     const auto until = steady::now() + wait;
     while (true) {
+        co_await outlast_silence(used, answer);
         if (since < oldest_known_) {
             auto gone = respond(410, json::object());
             co_await answer.send(std::move(gone));
@@ -173,9 +189,10 @@
     }
 }
 
-net::task<void> fake_store::serve(const net::http_request& request, net::responder& answer)
+net::task<void> fake_store::serve(door used, const net::http_request& request, net::responder& answer)
 {
     ++calls_;
+    co_await outlast_silence(used, answer);
     if (faults.refuse) {
         auto refused = respond(503, json::object());
         co_await answer.send(std::move(refused));
@@ -202,7 +219,7 @@
     if (!since.empty()) {
         const auto wait =
             milliseconds{static_cast<std::int64_t>(to_number(net::query_value(request.target, "WaitMs")))};
-        co_await watch(parts[0], to_number(since), wait, answer);
+        co_await watch(used, parts[0], to_number(since), wait, answer);
         co_return;
     }
     if (parts[1].empty()) {
--- a/standins/users/fake_store.hpp
+++ b/standins/users/fake_store.hpp
@@ -21,6 +21,7 @@
     int lose_answers = 0; ///< so many writes are done and their connection closed without an answer
     int delay_writes = 0; ///< so many writes get no answer and are done later, where their condition holds
     milliseconds write_delay{0}; ///< that much later
+    bool second_silent = false;  ///< calls at the second address, waiting ones too, get no answer
 };
 
 class fake_store {
@@ -28,6 +29,8 @@
     explicit fake_store(net::loop& loop);
 
     result<std::string> open() { return service_.open("127.0.0.1:0"); }
+    /// Another address of the same store, for callers that a fault concerns alone.
+    result<std::string> open_second() { return second_service_.open("127.0.0.1:0"); }
     /// Writes as the operator or a replica does.
     void put(const std::string& kind, const std::string& name, nlohmann::json specification);
     void remove(const std::string& kind, const std::string& name);
@@ -57,9 +60,13 @@
     std::uint64_t oldest_known_ = 0;
     std::uint64_t calls_ = 0;
     net::http_service service_;
+    net::http_service second_service_;
 
-    net::task<void> serve(const net::http_request& request, net::responder& answer);
-    net::task<void> watch(std::string kind, std::uint64_t since, milliseconds wait, net::responder& answer);
+    enum class door { first, second };
+    net::task<void> serve(door used, const net::http_request& request, net::responder& answer);
+    net::task<void> watch(door used, std::string kind, std::uint64_t since, milliseconds wait,
+                          net::responder& answer);
+    net::task<void> outlast_silence(door used, net::responder& answer);
     net::task<void> write_later(net::http_request request);
     net::http_response list(const std::string& kind, const std::string& after) const;
     net::http_response write(const net::http_request& request);
--- a/tests/gateway/deployment.hpp
+++ b/tests/gateway/deployment.hpp
@@ -90,6 +90,7 @@
     deployment() : store_(loop_.context())
     {
         store_address_ = value(store_.open());
+        second_store_address_ = value(store_.open_second());
         put_configuration(1);
     }
     ~deployment()
@@ -121,6 +122,7 @@
         return told.get_future().get();
     }
 
+    /// Versions from 2 on have one more route, under /added/.
     void put_configuration(std::uint64_t version)
     {
         const auto text = nlohmann::json::parse(R"({"Routes":[
@@ -135,6 +137,12 @@
             "Services":[{"Name":"plain"},{"Name":"lm","Engine":{"Models":[{"Name":"m"}]}}]})");
         auto whole = text;
         whole["Version"] = version;
+        if (version > 1) {
+            auto added = whole["Routes"][0];
+            added["Name"] = "added";
+            added["PathPrefix"] = "/added/";
+            whole["Routes"].push_back(std::move(added));
+        }
         change([&](standins::fake_store& store) { store.put("config", "main", whole); });
     }
 
@@ -156,6 +164,13 @@
         gateways.push_back(std::make_unique<running_gateway>(vm, store_address_, std::vector<std::string>{}));
         return *gateways.back();
     }
+    /// One that reaches the store at its second address.
+    running_gateway& add_gateway_at_second(const std::string& vm)
+    {
+        gateways.push_back(
+            std::make_unique<running_gateway>(vm, second_store_address_, std::vector<std::string>{}));
+        return *gateways.back();
+    }
 
     /// Waits until the condition holds; false after ten seconds.
     static bool eventually(const std::function<bool()>& holds)
@@ -211,6 +226,7 @@
     wire::event_loop loop_;
     standins::fake_store store_;
     std::string store_address_;
+    std::string second_store_address_;
     std::vector<std::unique_ptr<standins::fake_replica>> replicas_;
 };
 
