A fault soak of the gateways; signals are held from the first line of a start

All programs share the start.

Change: tests/soak: vg-soak is the store, the replicas, the operator, callers and trainers, each link to store and replicas behind a proxy that delays, resets, holds one way or both; the script kills, stops, pauses, reloads and restarts real gateways by signals, two series at once. What callers were told is compared with what replicas ran (MIXED, ORDER, TWICE, REFUSED, UNASKED, LOST, VERSION, ONE, recovery). node::start blocks the signals first.

Ruled out as faults of the gateways, with the trace of each: items given up after 20 s (the stand-in replicas did not show new weights in their entries, and the age was counted from the answer), runs after an end (bytes that the proxy held back), a port taken by a connection while its gateway was down.

--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -56,6 +56,8 @@
 std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv,
                                                observe::log_target target)
 {
+    // First of all: a reload asked for while the settings are read would end the program.
+    block_stop_signals();
     auto parsed = parse_arguments(program, argc, argv);
     if (const auto* end = std::get_if<exit_now>(&parsed)) {
         return *end;
@@ -70,7 +72,6 @@
         std::cout << chosen.settings_file << ": settings are valid\n";
         return exit_now{exit_success};
     }
-    block_stop_signals();
     auto& settings = value(loaded);
     observe::start_log(program, settings.vm, to_level(settings.log_level), target);
     observe::start_spans(settings.span_file, program, settings.vm);
--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -85,6 +85,7 @@
 {
     const auto order = json::parse(request.body);
     orders.push_back(order);
+    order_times.push_back(steady::now());
     net::http_response response;
     response.status = 409;
     if (order.at("Expected").get<std::uint64_t>() == orders_taken_) {
@@ -107,7 +108,7 @@
     }
     ran.push_back({std::string(request.fields.find("Attempt-Id")), request.method, request.target,
                    request.body, std::string(request.fields.find("Last-Event-Id")),
-                   std::string(request.fields.find("Deadline-Ms"))});
+                   std::string(request.fields.find("Deadline-Ms")), steady::now()});
     if (fault == replica_fault::reset) {
         answer.abort();
         co_return;
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -34,6 +34,7 @@
     std::string body;
     std::string last_event_id;
     std::string deadline_ms;
+    time_point at{};
 };
 
 class fake_replica {
@@ -47,14 +48,15 @@
     nlohmann::json entry(const std::string& service, const std::string& model,
                          const std::string& state) const;
 
-    int events = 4;                     ///< of each stream
-    milliseconds event_time{5};         ///< between two of them
-    milliseconds work_time{0};          ///< before an answer
-    std::uint64_t version = 1;          ///< of its weights
-    std::vector<replica_fault> script;  ///< for the next requests, in order
-    std::vector<seen_request> ran;      ///< requests that began to run
-    std::vector<nlohmann::json> orders; ///< in the order of their arrival
-    int cancelled = 0;                  ///< runs whose client left before the end
+    int events = 4;                      ///< of each stream
+    milliseconds event_time{5};          ///< between two of them
+    milliseconds work_time{0};           ///< before an answer
+    std::uint64_t version = 1;           ///< of its weights
+    std::vector<replica_fault> script;   ///< for the next requests, in order
+    std::vector<seen_request> ran;       ///< requests that began to run
+    std::vector<nlohmann::json> orders;  ///< in the order of their arrival
+    std::vector<time_point> order_times; ///< of each of them
+    int cancelled = 0;                   ///< runs whose client left before the end
 
 private:
     net::loop& loop_;
--- /dev/null
+++ b/tests/soak/fault_proxy.hpp
@@ -0,0 +1,49 @@
+/// A TCP proxy on loopback that spoils the link behind it on demand.
+#ifndef VANILLAGAUGE_TESTS_SOAK_FAULT_PROXY_HPP
+#define VANILLAGAUGE_TESTS_SOAK_FAULT_PROXY_HPP
+
+#include "net/task.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <list>
+#include <memory>
+#include <string>
+
+namespace vanillagauge::soak {
+
+enum class link_fault {
+    none,
+    delay,     ///< every piece waits
+    reset,     ///< open connections are reset, new ones at once
+    cut_there, ///< bytes to the target are held back until the fault ends
+    cut_back,  ///< bytes from the target are held back until the fault ends
+    silent,    ///< both
+};
+
+class fault_proxy {
+public:
+    fault_proxy(net::loop& loop, std::string target);
+
+    /// Listens on a free port; returns its address.
+    std::string open();
+    void set(link_fault fault, milliseconds delay = milliseconds{0});
+
+private:
+    struct link;
+    net::loop& loop_;
+    std::string target_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::list<std::weak_ptr<link>> links_;
+    link_fault fault_ = link_fault::none;
+    milliseconds delay_{0};
+
+    net::task<void> accept();
+    net::task<void> join(std::shared_ptr<link> joined);
+    net::task<void> pump(std::shared_ptr<link> joined, bool there);
+    bool held(bool there) const;
+};
+
+} // namespace vanillagauge::soak
+
+#endif
