--- a/src/wire/internal/address.cpp
+++ b/src/base/address.cpp
@@ -1,10 +1,10 @@
-#include "wire/internal/address.hpp"
+#include "base/address.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/address.hpp>
 
 #include <charconv>
 
-namespace vanillagauge::wire::internal {
+namespace vanillagauge {
 
 result<endpoint> parse_endpoint(const std::string& address)
 {
@@ -25,4 +25,4 @@
     return parsed;
 }
 
-} // namespace vanillagauge::wire::internal
+} // namespace vanillagauge
--- a/src/base/base.hpp
+++ b/src/base/base.hpp
@@ -2,6 +2,7 @@
 #ifndef VANILLAGAUGE_BASE_BASE_HPP
 #define VANILLAGAUGE_BASE_BASE_HPP
 
+#include "base/address.hpp"
 #include "base/clock.hpp"
 #include "base/digest.hpp"
 #include "base/error.hpp"
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -39,7 +39,6 @@
     milliseconds stop_grace{8000};  ///< from SIGTERM to SIGKILL
     milliseconds order_lease{3000}; ///< orders of two holders must lie this far apart
     milliseconds advice_time{2000}; ///< how long callers may keep an address
-    bool fencing_enforced = false;  ///< engines refuse an order with an old fencing number
 };
 
 /// How vg-entry decides under load: `plain` (targets in turn, no limits, unlimited retries) is the baseline
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -26,6 +26,7 @@
     ctl::apply_options apply;
     int count = 0;
     std::vector<std::string> spans;
+    std::vector<std::string> logs;
     std::vector<std::string> words;
 };
 
@@ -62,6 +63,11 @@
         files.insert(files.end(), words.begin() + 2, words.end());
         return to_outcome(ctl::trace(std::cout, chosen.form, words[1], files));
     }
+    if (words.front() == "explain" && words.size() >= 2 && !chosen.logs.empty()) {
+        auto files = chosen.logs;
+        files.insert(files.end(), words.begin() + 2, words.end());
+        return to_outcome(ctl::explain_logs(std::cout, chosen.form, words[1], files));
+    }
     return std::nullopt;
 }
 
@@ -123,6 +129,8 @@
     const TCLAP::ValueArg<int> count("n", "count", "watch: end after this many changes", false, 0, "N", line);
     const TCLAP::MultiArg<std::string> spans("", "spans", "trace, explain: a file of spans", false, "FILE",
                                              line);
+    const TCLAP::MultiArg<std::string> logs("", "logs", "explain: a file of collected log lines", false,
+                                            "FILE", line);
     const TCLAP::UnlabeledMultiArg<std::string> words("command", "Command and its words", true, "WORD", line);
     if (const auto end = node::parse_command_line(line, argc, argv)) {
         return *end;
@@ -139,6 +147,7 @@
     chosen.apply.wait_time = seconds{wait_s.getValue()};
     chosen.count = count.getValue();
     chosen.spans = spans.getValue();
+    chosen.logs = logs.getValue();
     chosen.words = words.getValue();
     if (chosen.words.size() == 2 && (chosen.words[0] == "apply" || chosen.words[0] == "check")) {
         chosen.apply.file = chosen.words[1];
--- a/src/ctl/queries.cpp
+++ b/src/ctl/queries.cpp
@@ -1,6 +1,7 @@
 #include "ctl/queries.hpp"
 
 #include "ctl/format.hpp"
+#include "ctl/request_story.hpp"
 #include "ctl/span_tree.hpp"
 
 #include <thread>
@@ -135,6 +136,22 @@
     return done{};
 }
 
+result<done> explain_logs(std::ostream& out, output form, const std::string& id,
+                          const std::vector<std::string>& files)
+{
+    const auto read = read_logs(files);
+    if (!ok(read)) {
+        return failure(read);
+    }
+    const auto story = find_story(value(read), id);
+    if (story.lines.empty()) {
+        return error{error_code::not_found, run_state::not_run,
+                     "no line of \"" + id + "\" in these files: expected the id of a request, batch or item"};
+    }
+    out << (form == output::json ? json_story(id, story) : text_story(id, story));
+    return done{};
+}
+
 result<done> trace(std::ostream& out, output form, const std::string& id,
                    const std::vector<std::string>& files)
 {
--- a/src/ctl/queries.hpp
+++ b/src/ctl/queries.hpp
@@ -17,6 +17,10 @@
 /// KIND/NAME is asked of the keeper; a request id or a trace id is looked for in the span files.
 result<done> explain(const session& to, const std::string& subject, const std::vector<std::string>& files);
 
+/// What collected log lines say about a request, batch or item. Needs no keeper.
+result<done> explain_logs(std::ostream& out, output form, const std::string& id,
+                          const std::vector<std::string>& files);
+
 /// The hops of one trace or request, from files of spans. Needs no keeper.
 result<done> trace(std::ostream& out, output form, const std::string& id,
                    const std::vector<std::string>& files);
--- /dev/null
+++ b/src/ctl/request_story.cpp
@@ -0,0 +1,224 @@
+#include "ctl/request_story.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iomanip>
+#include <set>
+#include <sstream>
+
+namespace vanillagauge::ctl {
+
+using nlohmann::json;
+
+namespace {
+
+/// A belief that is older than this when the request came decides rarely; what a gateway knows is confirmed
+/// every second or so.
+constexpr milliseconds context_before{10000};
+/// Enough for an evening's reader; the lines nearest to the request are kept.
+constexpr std::size_t most_context = 40;
+
+/// Beliefs of a whole VM: they count where that VM handled the request.
+constexpr std::array vm_events{"ready",         "stop_requested",        "stopped",
+                               "store_lost",    "store_reached_again",   "feeds_lost",
+                               "feeds_source",  "feed_history_gone",     "configuration_in_force",
+                               "reload_failed", "machine_was_suspended", "version_named"};
+/// Who ordered weights: few, and they count wherever they were written, for batches.
+constexpr std::array order_events{"lease_taken", "lease_lost", "lease_not_taken", "lease_not_renewed",
+                                  "lease_given_up"};
+
+template <std::size_t Count>
+bool is_one_of(const std::array<const char*, Count>& events, const std::string& event)
+{
+    return std::find(events.begin(), events.end(), event) != events.end();
+}
+
+std::string text_of(const log_line& line, const char* field)
+{
+    const auto found = line.fields.find(field);
+    return found != line.fields.end() && found->is_string() ? found->get<std::string>() : std::string{};
+}
+
+bool names(const log_line& line, const std::string& id)
+{
+    return text_of(line, "request") == id || text_of(line, "batch") == id;
+}
+
+struct subject {
+    std::set<std::string> batches;
+    std::set<std::string> vms;
+    std::set<std::string> replicas;
+    milliseconds first{milliseconds::max()};
+    milliseconds last{milliseconds::min()};
+};
+
+subject look_up(const std::vector<log_line>& lines, const std::string& id)
+{
+    subject found;
+    for (const auto& line : lines) {
+        if (!names(line, id)) {
+            continue;
+        }
+        found.vms.insert(line.vm);
+        found.first = std::min(found.first, line.time);
+        found.last = std::max(found.last, line.time);
+        if (const auto batch = text_of(line, "batch"); !batch.empty() && batch != id) {
+            found.batches.insert(batch);
+        }
+        if (const auto replica = text_of(line, "replica"); !replica.empty()) {
+            found.replicas.insert(replica);
+        }
+    }
+    return found;
+}
+
+bool is_context(const log_line& line, const subject& about, bool of_batch)
+{
+    if (line.time < about.first - context_before || line.time > about.last) {
+        return false;
+    }
+    if (about.replicas.contains(text_of(line, "replica")) && text_of(line, "request").empty()) {
+        return about.vms.contains(line.vm) || line.event == "weights_ordered";
+    }
+    return (about.vms.contains(line.vm) && is_one_of(vm_events, line.event)) ||
+           (of_batch && is_one_of(order_events, line.event));
+}
+
+/// The context that lies nearest before the end of the request.
+void bound(request_story& story, std::vector<story_line> context)
+{
+    if (context.size() > most_context) {
+        story.left_out = context.size() - most_context;
+        context.erase(context.begin(), context.end() - most_context);
+    }
+    std::move(context.begin(), context.end(), std::back_inserter(story.lines));
+}
+
+bool earlier(const story_line& left, const story_line& right)
+{
+    return left.line.time < right.line.time;
+}
+
+const char* name(line_role role)
+{
+    switch (role) {
+    case line_role::own:
+        return "own";
+    case line_role::batch:
+        return "batch";
+    case line_role::context:
+        break;
+    }
+    return "context";
+}
+
+std::string said(const log_line& line)
+{
+    std::string text;
+    for (const auto& [field, content] : line.fields.items()) {
+        text += " " + field + "=" + (content.is_string() ? content.get<std::string>() : content.dump());
+    }
+    return text;
+}
+
+} // namespace
+
+std::vector<log_line> parse_log(const std::string& text)
+{
+    std::vector<log_line> lines;
+    std::istringstream from(text);
+    for (std::string raw; std::getline(from, raw);) {
+        const auto begin = raw.find('{');
+        auto fields = begin == std::string::npos ? json() : json::parse(raw.substr(begin), nullptr, false);
+        if (!fields.is_object() || !fields.contains("event") || !fields["event"].is_string()) {
+            continue;
+        }
+        log_line line;
+        line.time = milliseconds{fields.value("time_ms", std::int64_t{0})};
+        line.level = fields.value("level", std::string{});
+        line.vm = fields.value("vm", std::string{});
+        line.event = fields["event"].get<std::string>();
+        for (const auto* known : {"time_ms", "level", "program", "vm", "event"}) {
+            fields.erase(known);
+        }
+        line.fields = std::move(fields);
+        lines.push_back(std::move(line));
+    }
+    return lines;
+}
+
+result<std::vector<log_line>> read_logs(const std::vector<std::string>& files)
+{
+    std::vector<log_line> lines;
+    for (const auto& file : files) {
+        std::ifstream from(file);
+        if (!from) {
+            return error{error_code::invalid_argument, run_state::not_run,
+                         "expected a file of log lines, found none to read: " + file};
+        }
+        const std::string text{std::istreambuf_iterator<char>(from), {}};
+        auto read = parse_log(text);
+        std::move(read.begin(), read.end(), std::back_inserter(lines));
+    }
+    return lines;
+}
+
+request_story find_story(const std::vector<log_line>& lines, const std::string& id)
+{
+    request_story story;
+    const auto about = look_up(lines, id);
+    std::vector<story_line> context;
+    for (const auto& line : lines) {
+        const bool of_batch = about.batches.contains(text_of(line, "batch")) ||
+                              about.batches.contains(text_of(line, "request"));
+        const bool of_another =
+            !text_of(line, "request").empty() && !about.batches.contains(text_of(line, "request"));
+        if (names(line, id)) {
+            story.lines.push_back({line_role::own, line});
+        }
+        else if (of_batch && !of_another) {
+            story.lines.push_back({line_role::batch, line});
+        }
+        else if (is_context(line, about, !about.batches.empty())) {
+            context.push_back({line_role::context, line});
+        }
+    }
+    std::stable_sort(context.begin(), context.end(), earlier);
+    bound(story, std::move(context));
+    std::stable_sort(story.lines.begin(), story.lines.end(), earlier);
+    return story;
+}
+
+std::string text_story(const std::string& id, const request_story& story)
+{
+    std::ostringstream out;
+    const auto first = std::find_if(story.lines.begin(), story.lines.end(),
+                                    [](const story_line& line) { return line.role == line_role::own; });
+    out << id << ", times from its first line\n";
+    if (story.left_out > 0) {
+        out << "  (" << story.left_out << " earlier lines of context left out)\n";
+    }
+    for (const auto& [role, line] : story.lines) {
+        const auto since = std::chrono::duration<double>(line.time - first->line.time).count();
+        out << (role == line_role::own ? "* " : "  ") << std::showpos << std::fixed << std::setprecision(3)
+            << since << std::noshowpos << " s  " << line.vm << "  " << line.event << said(line) << "\n";
+    }
+    return out.str();
+}
+
+std::string json_story(const std::string& id, const request_story& story)
+{
+    json lines = json::array();
+    for (const auto& [role, line] : story.lines) {
+        lines.push_back({{"role", name(role)},
+                         {"time_ms", line.time.count()},
+                         {"level", line.level},
+                         {"vm", line.vm},
+                         {"event", line.event},
+                         {"fields", line.fields}});
+    }
+    return json{{"id", id}, {"left_out", story.left_out}, {"lines", std::move(lines)}}.dump(2) + "\n";
+}
+
+} // namespace vanillagauge::ctl
--- a/src/gateway/weights_keeper.cpp
+++ b/src/gateway/weights_keeper.cpp
@@ -176,7 +176,10 @@
     }
     else if (failure(written).code == error_code::conflict ||
              failure(written).code == error_code::not_found) {
-        observe::log(observe::log_level::warning, "lease_lost", {{"why", describe(failure(written))}});
+        // Who waits for the lease finds that its holder has renewed it; only a holder loses it.
+        const bool held = lease_.holds(asked);
+        observe::log(held ? observe::log_level::warning : observe::log_level::info,
+                     held ? "lease_lost" : "lease_not_taken", {{"why", describe(failure(written))}});
         lease_.on_conflict();
     }
     else {
@@ -239,7 +242,7 @@
             }
             view.in_flight = at->streams;
             view.loading = loading_.contains(view.id);
-            view.resting = now < orders_[view.id].not_before;
+            view.resting = now < resting_until_[view.id];
             views.push_back(std::move(view));
         }
         for (const auto& next : policy::plan_loads(views, versions)) {
@@ -362,7 +365,7 @@
          {"version", static_cast<std::int64_t>(version)},
          {"outcome", outcome},
          {"took_ms", std::int64_t{std::chrono::duration_cast<milliseconds>(steady::now() - began).count()}}});
-    orders_[lifetime].not_before = ordered ? time_point{} : steady::now() + pause;
+    resting_until_[lifetime] = ordered ? time_point{} : steady::now() + pause;
     loading_.erase(lifetime);
 }
 
--- a/src/gateway/weights_keeper.hpp
+++ b/src/gateway/weights_keeper.hpp
@@ -31,9 +31,6 @@
     void stop();
 
 private:
-    struct order_record {
-        time_point not_before{};
-    };
     net::loop& loop_;
     object_store& store_;
     const fleet_view& fleet_;
@@ -44,8 +41,8 @@
     policy::order_lease lease_;
     duration clock_gap_{0}; ///< between the steady clock and one that runs on while the machine is suspended
     std::map<std::string, std::uint64_t> named_;
-    std::set<std::string> loading_; ///< lifetimes
-    std::map<std::string, order_record> orders_;
+    std::set<std::string> loading_;                   ///< lifetimes
+    std::map<std::string, time_point> resting_until_; ///< by lifetime
     bool stopped_ = false;
 
     net::task<void> tend();
--- a/src/keeper/datagram_link.cpp
+++ b/src/keeper/datagram_link.cpp
@@ -1,5 +1,6 @@
 #include "keeper/datagram_link.hpp"
 
+#include "base/address.hpp"
 #include "node/convert.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -10,8 +11,6 @@
 
 #include <array>
 #include <atomic>
-#include <charconv>
-#include <optional>
 
 namespace vanillagauge::keeper {
 namespace {
@@ -32,23 +31,6 @@
     return {reinterpret_cast<const char*>(digest.data()), mac_size};
 }
 
-std::optional<udp::endpoint> parse_endpoint(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    boost::system::error_code failed;
-    const auto host = boost::asio::ip::make_address(address.substr(0, colon), failed);
-    unsigned short port = 0;
-    const auto* end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    if (failed || parsed.ec != std::errc{} || port == 0) {
-        return std::nullopt;
-    }
-    return udp::endpoint(host, port);
-}
-
 } // namespace
 
 struct datagram_link::state : std::enable_shared_from_this<state> {
@@ -136,14 +118,15 @@
 
 void datagram_link::send(const std::string& address, const fleet::datagram& message)
 {
-    const auto to = parse_endpoint(address);
-    if (!to) {
+    const auto parsed = parse_endpoint(address);
+    if (!ok(parsed)) {
         return;
     }
+    const udp::endpoint to(boost::asio::ip::make_address(value(parsed).host), value(parsed).port);
     const auto body = node::to_message(message).SerializeAsString();
     const auto bytes = mac_of(state_->token, body) + body;
     boost::system::error_code ignored; // a lost datagram is an ordinary event
-    state_->socket.send_to(boost::asio::buffer(bytes), *to, 0, ignored);
+    state_->socket.send_to(boost::asio::buffer(bytes), to, 0, ignored);
     ++state_->sent;
     state_->sent_bytes += bytes.size();
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.hpp"
 
+#include "base/address.hpp"
 #include "net/internal/keep_alive.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -13,7 +14,6 @@
 #include <sys/socket.h>
 
 #include <array>
-#include <charconv>
 #include <limits>
 
 namespace vanillagauge::net {
@@ -28,22 +28,6 @@
 constexpr std::size_t piece_bytes = 16U << 10U;
 constexpr std::uint32_t header_bytes = 64U << 10U;
 
-std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    error_code failed;
-    const auto host = asio::ip::make_address(address.substr(0, colon), failed);
-    unsigned short port = 0;
-    const auto parsed = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    if (failed || parsed.ec != std::errc{} || port == 0) {
-        return std::nullopt;
-    }
-    return asio::ip::tcp::endpoint(host, port);
-}
-
 std::string serialized(const http_request& request)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -109,15 +93,16 @@
 
 task<http_result<done>> http_connection::connect(std::string address, time_point until)
 {
-    const auto endpoint = parse_endpoint(address);
-    if (!endpoint) {
-        co_return http_failure{failure_kind::refused, false, "expected IP:PORT, found: " + address};
+    const auto parsed = parse_endpoint(address);
+    if (!ok(parsed)) {
+        co_return http_failure{failure_kind::refused, false, failure(parsed).detail};
     }
+    const asio::ip::tcp::endpoint to(asio::ip::make_address(value(parsed).host), value(parsed).port);
     stream_.expires_at(until);
-    error_code failure;
-    co_await stream_.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, failure));
-    if (failure) {
-        co_return failed(failure);
+    error_code unconnected;
+    co_await stream_.async_connect(to, asio::redirect_error(asio::use_awaitable, unconnected));
+    if (unconnected) {
+        co_return failed(unconnected);
     }
     internal::prepare(stream_.socket());
     co_return done{};
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -1,6 +1,6 @@
 #include "wire/http_server.hpp"
 
-#include "wire/internal/address.hpp"
+#include "base/address.hpp"
 #include "wire/internal/http_connection.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -192,7 +192,7 @@
 
 result<std::string> http_server::open(const std::string& address)
 {
-    const auto parsed = internal::parse_endpoint(address);
+    const auto parsed = parse_endpoint(address);
     if (!ok(parsed)) {
         return failure(parsed);
     }
--- a/src/wire/peer_channel.cpp
+++ b/src/wire/peer_channel.cpp
@@ -1,7 +1,7 @@
 #include "wire/peer_channel.hpp"
 
+#include "base/address.hpp"
 #include "vanillagauge.pb.h"
-#include "wire/internal/address.hpp"
 #include "wire/internal/http2_session.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -130,7 +130,7 @@
         if (connecting) {
             return;
         }
-        const auto parsed = internal::parse_endpoint(address);
+        const auto parsed = parse_endpoint(address);
         if (!ok(parsed)) {
             refuse_unsent(failure(parsed).detail);
             return;
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -1,7 +1,7 @@
 #include "wire/peer_server.hpp"
 
+#include "base/address.hpp"
 #include "vanillagauge.pb.h"
-#include "wire/internal/address.hpp"
 #include "wire/internal/http2_session.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -135,7 +135,7 @@
 
 result<std::string> peer_server::open(const std::string& address)
 {
-    const auto parsed = internal::parse_endpoint(address);
+    const auto parsed = parse_endpoint(address);
     if (!ok(parsed)) {
         return failure(parsed);
     }
--- /dev/null
+++ b/tests/ctl/request_story_tests.cpp
@@ -0,0 +1,87 @@
+#include "ctl/request_story.hpp"
+
+#include <gtest/gtest.h>
+
+namespace vanillagauge::ctl {
+namespace {
+
+std::string event(int time_ms, const std::string& vm, const std::string& name, const std::string& more = "")
+{
+    return R"({"time_ms":)" + std::to_string(time_ms) + R"(,"level":"info","program":"vg-gateway","vm":")" +
+           vm + R"(","event":")" + name + "\"" + (more.empty() ? "" : "," + more) + "}\n";
+}
+
+std::vector<std::string> events_of(const request_story& story)
+{
+    std::vector<std::string> events;
+    for (const auto& entry : story.lines) {
+        events.push_back(entry.line.vm + " " + entry.line.event);
+    }
+    return events;
+}
+
+// A caller's check was refused since the gateway took every replica for gone. Its knowledge was old: the
+// store had been lost on that VM shortly before. What another VM believed has nothing to do with it.
+TEST(request_story, puts_what_the_deciding_vm_believed_before_the_refusal)
+{
+    const auto lines =
+        parse_log(event(50, "a", "configuration_in_force", R"("version":2)") +
+                  event(9000, "a", "store_lost", R"("why":"refused")") +
+                  event(9100, "b", "store_lost", R"("why":"refused")") +
+                  event(9500, "a", "request_ended", R"("request":"another","outcome":"status 200")") +
+                  event(19000, "a", "request_ended", R"("request":"x1","outcome":"no replica")") +
+                  event(19500, "a", "store_reached_again"));
+    const auto story = find_story(lines, "x1");
+    EXPECT_EQ(events_of(story), (std::vector<std::string>{"a store_lost", "a request_ended"}));
+    EXPECT_EQ(story.lines.back().role, line_role::own);
+    const auto text = text_story("x1", story);
+    EXPECT_NE(text.find("  -10.000 s  a  store_lost why=refused\n"), std::string::npos) << text;
+    EXPECT_NE(text.find("* +0.000 s  a  request_ended outcome=no replica request=x1\n"), std::string::npos)
+        << text;
+}
+
+// A sample came late: its batch went to another VM, and the engines got their weights late.
+TEST(request_story, joins_an_item_with_its_batch_and_with_the_orders_of_weights)
+{
+    const auto lines = parse_log(
+        event(1000, "a", "batch_submitted", R"("request":"b1","outcome":"accepted")") +
+        event(1001, "a", "batch_taken", R"("batch":"b1","least_version":2)") +
+        event(1500, "c", "lease_lost", R"("why":"conflict")") +
+        event(1600, "d", "version_named", R"("version":2)") +
+        event(1600, "b", "version_named", R"("version":2)") +
+        event(2000, "b", "batch_taken", R"("batch":"b1")") +
+        event(3000, "c", "weights_ordered", R"("replica":"r1@0","version":2)") +
+        event(3000, "c", "weights_ordered", R"("replica":"r2@0","version":2)") +
+        event(3400, "b", "item_completed", R"("request":"i8","batch":"b1","replica":"r2@0")") +
+        event(3500, "b", "item_completed", R"("request":"i7","batch":"b1","replica":"r1@0","age_ms":2500)"));
+    EXPECT_EQ(
+        events_of(find_story(lines, "i7")),
+        (std::vector<std::string>{"a batch_submitted", "a batch_taken", "c lease_lost", "b version_named",
+                                  "b batch_taken", "c weights_ordered", "b item_completed"}));
+}
+
+TEST(request_story, passes_over_what_is_no_event_and_what_a_collector_puts_before_a_line)
+{
+    const auto lines =
+        parse_log("12.5 front-1 " + event(7, "a", "ready") + "half a li\n{\"event\":3}\n{\"time");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_EQ(lines.front().event, "ready");
+    EXPECT_EQ(lines.front().time, milliseconds(7));
+    EXPECT_TRUE(find_story(lines, "none").lines.empty());
+}
+
+TEST(request_story, keeps_the_context_that_is_nearest_and_says_how_much_it_left_out)
+{
+    std::string text;
+    for (int at = 0; at < 100; ++at) {
+        text += event(at, "a", "feeds_source", R"("source":"store")");
+    }
+    const auto story =
+        find_story(parse_log(text + event(200, "a", "request_ended", R"("request":"x1")")), "x1");
+    EXPECT_EQ(story.left_out, 60U);
+    EXPECT_EQ(story.lines.front().line.time, milliseconds(60));
+    EXPECT_EQ(story.lines.size(), 41U);
+}
+
+} // namespace
+} // namespace vanillagauge::ctl
