--- a/src/gateway/weights_keeper.cpp
+++ b/src/gateway/weights_keeper.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds unanswered_pause{1500};
 constexpr milliseconds refused_pause{400};
 constexpr milliseconds call_time{1000};
+constexpr std::size_t largest_answer = 1U << 20U;
+/// Of an engine that names no time for idle connections.
+constexpr milliseconds idle_time{4000};
 
 /// More than this between the two clocks means that the machine stood still meanwhile.
 constexpr milliseconds suspended_least{200};
@@ -35,6 +38,19 @@
     return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
 }
 
+net::task_of<net::http_response> exchange_with(target_ref at,
+                                               std::shared_ptr<net::http_connection> connection,
+                                               net::http_request request, time_point until)
+{
+    auto answer = co_await net::exchange(*connection, request, largest_answer, until);
+    if (const auto* failed = std::get_if<net::http_failure>(&answer)) {
+        co_return error{error_code::unavailable, run_state::in_doubt, failed->detail};
+    }
+    auto& response = std::get<net::http_response>(answer);
+    at->pool.give_back(connection, net::idle_time_of(response.fields, idle_time));
+    co_return std::move(response);
+}
+
 } // namespace
 
 weights_keeper::weights_keeper(net::loop& loop, object_store& store, const fleet_view& fleet,
@@ -261,13 +277,11 @@
     }
     const auto connection = std::get<std::shared_ptr<net::http_connection>>(taken);
     const auto request = protocol_.report_request(at->info);
-    auto answer = co_await net::exchange(*connection, request, 1U << 20U, until);
-    if (const auto* failed = std::get_if<net::http_failure>(&answer)) {
-        co_return error{error_code::unavailable, run_state::in_doubt, failed->detail};
+    const auto response = co_await exchange_with(at, connection, request, until);
+    if (!ok(response)) {
+        co_return failure(response);
     }
-    const auto& response = std::get<net::http_response>(answer);
-    at->pool.give_back(connection, net::idle_time_of(response.fields, seconds(4)));
-    co_return protocol_.parse_report(response);
+    co_return protocol_.parse_report(value(response));
 }
 
 net::task_of<order_outcome> weights_keeper::send_order(target_ref at, load_order order)
@@ -286,13 +300,11 @@
     }
     order.fencing = *number;
     const auto request = protocol_.order_request(at->info, order);
-    auto answer = co_await net::exchange(*connection, request, 1U << 20U, until);
-    if (const auto* failed = std::get_if<net::http_failure>(&answer)) {
-        co_return error{error_code::unavailable, run_state::in_doubt, failed->detail};
+    const auto response = co_await exchange_with(at, connection, request, until);
+    if (!ok(response)) {
+        co_return failure(response);
     }
-    const auto& response = std::get<net::http_response>(answer);
-    at->pool.give_back(connection, net::idle_time_of(response.fields, seconds(4)));
-    co_return protocol_.parse_order(response);
+    co_return protocol_.parse_order(value(response));
 }
 
 // One engine to one version. What the engine reports decides, not what was ordered: an order whose answer was
--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -191,7 +191,6 @@
 
 net::task<void> fake_store::serve(door used, const net::http_request& request, net::responder& answer)
 {
-    ++calls_;
     co_await outlast_silence(used, answer);
     if (faults.refuse) {
         auto refused = respond(503, json::object());
--- a/standins/users/fake_store.hpp
+++ b/standins/users/fake_store.hpp
@@ -42,7 +42,6 @@
     /// Null where there is none.
     nlohmann::json find(const std::string& kind, const std::string& name) const;
     std::size_t count(const std::string& kind) const;
-    std::uint64_t calls() const { return calls_; }
 
 private:
     using key = std::pair<std::string, std::string>;
@@ -58,7 +57,6 @@
     std::vector<event> history_;
     std::uint64_t revision_ = 100;
     std::uint64_t oldest_known_ = 0;
-    std::uint64_t calls_ = 0;
     net::http_service service_;
     net::http_service second_service_;
 
--- a/tests/policy/order_lease_tests.cpp
+++ b/tests/policy/order_lease_tests.cpp
@@ -47,13 +47,19 @@
     }
 }
 
+/// Reads that there is none, and writes it.
+void take_lease(order_lease& lease, lease_object& store, const std::string& vm)
+{
+    lease.on_candidate(true);
+    step(lease, store, vm, start);
+    step(lease, store, vm, start);
+}
+
 TEST(order_lease, lets_the_first_holder_order_at_once)
 {
     order_lease lease(terms("a"));
     lease_object store;
-    lease.on_candidate(true);
-    step(lease, store, "a", start);
-    step(lease, store, "a", start);
+    take_lease(lease, store, "a");
     EXPECT_EQ(lease.may_order(start), store.version);
 }
 
@@ -65,10 +71,8 @@
     order_lease holder(terms("a"));
     order_lease other(terms("b"));
     lease_object store;
-    holder.on_candidate(true);
+    take_lease(holder, store, "a");
     other.on_candidate(true);
-    step(holder, store, "a", start);
-    step(holder, store, "a", start);
     for (auto now = start; now < start + seconds{30}; now += milliseconds{100}) {
         step(holder, store, "a", now);
         step(other, store, "b", now);
@@ -84,10 +88,8 @@
     order_lease holder(terms("a"));
     order_lease other(terms("b"));
     lease_object store;
-    holder.on_candidate(true);
+    take_lease(holder, store, "a");
     other.on_candidate(true);
-    step(holder, store, "a", start);
-    step(holder, store, "a", start);
     auto now = start;
     std::optional<time_point> last_of_holder;
     std::optional<time_point> first_of_other;
@@ -114,9 +116,7 @@
 {
     order_lease lease(terms("a"));
     lease_object store;
-    lease.on_candidate(true);
-    step(lease, store, "a", start);
-    step(lease, store, "a", start);
+    take_lease(lease, store, "a");
     const auto renewal = start + milliseconds{1100};
     ASSERT_EQ(lease.next(renewal), lease_step::write);
     ASSERT_TRUE(store.replace(lease.expected_version(), "a"));
@@ -131,9 +131,7 @@
 {
     order_lease lease(terms("a"));
     lease_object store;
-    lease.on_candidate(true);
-    step(lease, store, "a", start);
-    step(lease, store, "a", start);
+    take_lease(lease, store, "a");
     EXPECT_TRUE(lease.may_order(start + milliseconds{2500}));
     EXPECT_FALSE(lease.may_order(start + milliseconds{2700}));
 }
@@ -145,9 +143,7 @@
     order_lease holder(terms("a"));
     order_lease other(terms("b"));
     lease_object store;
-    holder.on_candidate(true);
-    step(holder, store, "a", start);
-    step(holder, store, "a", start);
+    take_lease(holder, store, "a");
     const auto given_up = holder.give_up(start);
     ASSERT_TRUE(given_up);
     ASSERT_TRUE(store.replace(*given_up, ""));
@@ -169,9 +165,7 @@
 {
     order_lease lease(terms("a"));
     lease_object store;
-    lease.on_candidate(true);
-    step(lease, store, "a", start);
-    step(lease, store, "a", start);
+    take_lease(lease, store, "a");
     lease.on_candidate(false);
     EXPECT_FALSE(lease.may_order(start));
     EXPECT_EQ(lease.next(start + seconds{2}), lease_step::none);
