Read results on from the last answer's revision, without listing them again

A read of results cost two calls of the store, a listing and a watch, also where the same gateway had answered the reader just before and knew that nothing stood behind its position.

A gateway remembers for each log where it ended and at which revision, and watches from there. Where the watch can't tell (history gone, store away, an entry that can't be read) the listing decides as before.

--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -111,27 +111,37 @@
     co_return header_from_json(batch, value(stored).value, value(stored).status);
 }
 
-void batch_service::note_ends(const std::string& batch, const log_segment& segment)
+void batch_service::note(const std::string& batch, const std::vector<log_segment>& segments,
+                         std::uint64_t as_of)
 {
-    auto& ends = segment_ends_[batch];
-    ends.insert(segment.first + segment.results.size());
-    if (segment_ends_.size() > most_known_logs) {
-        segment_ends_.erase(segment_ends_.begin()->first == batch ? std::next(segment_ends_.begin())
-                                                                  : segment_ends_.begin());
+    auto& known = logs_[batch];
+    for (const auto& segment : segments) {
+        const auto end = segment.first + segment.results.size();
+        known.segment_ends.insert(end);
+        known.end = std::max(known.end, end);
+    }
+    known.as_of = std::max(known.as_of, as_of);
+    if (logs_.size() > most_known_logs) {
+        logs_.erase(logs_.begin()->first == batch ? std::next(logs_.begin()) : logs_.begin());
     }
 }
 
+std::uint64_t batch_service::empty_as_of(const std::string& batch, std::size_t first) const
+{
+    const auto known = logs_.find(batch);
+    return known != logs_.end() && known->second.end == first ? known->second.as_of : 0;
+}
+
 // Segments are named by their first position. A reader goes on where a segment ended, so the segments named
 // behind the position before it are the ones it wants; from any other position all are read.
 net::task_of<segment_listing> batch_service::segments_from(std::string batch, std::size_t first)
 {
-    const bool at_an_end = first > 0 && segment_ends_[batch].contains(first);
+    const auto known = logs_.find(batch);
+    const bool at_an_end = first > 0 && known != logs_.end() && known->second.segment_ends.contains(first);
     auto after = at_an_end ? segment_name(first - 1) : std::string{};
     auto listing = co_await read_segments(store_, batch, std::move(after));
     if (ok(listing)) {
-        for (const auto& segment : value(listing).segments) {
-            note_ends(batch, segment);
-        }
+        note(batch, value(listing).segments, value(listing).as_of);
     }
     co_return listing;
 }
@@ -153,14 +163,19 @@
     }
 }
 
-std::vector<log_segment> segments_of(const object_changes& changes)
+/// An unreadable one among them fails.
+result<std::vector<log_segment>> segments_of(const object_changes& changes)
 {
     std::vector<log_segment> segments;
     for (const auto& change : changes.events) {
+        if (change.removed) {
+            continue;
+        }
         auto segment = segment_from_json(change.object.name, change.object.value);
-        if (ok(segment) && !change.removed) {
-            segments.push_back(std::move(value(segment)));
+        if (!ok(segment)) {
+            return failure(segment);
         }
+        segments.push_back(std::move(value(segment)));
     }
     std::sort(segments.begin(), segments.end(),
               [](const log_segment& left, const log_segment& right) { return left.first < right.first; });
@@ -169,6 +184,23 @@
 
 } // namespace
 
+net::task<bool> batch_service::add_new_results(result_page& page, std::string batch, std::uint64_t since,
+                                               time_point until)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(until - steady::now());
+    const auto changed = co_await store_.watch(log_kind(batch), since, left);
+    if (!ok(changed)) {
+        co_return false;
+    }
+    const auto segments = segments_of(value(changed));
+    if (!ok(segments)) {
+        co_return false;
+    }
+    note(batch, value(segments), value(changed).as_of);
+    add_results(page, value(segments));
+    co_return true;
+}
+
 net::task_of<result_page> batch_service::read(std::string batch, std::size_t first, milliseconds wait)
 {
     const auto until = steady::now() + wait;
@@ -182,22 +214,23 @@
     if (first >= page.total) {
         co_return page;
     }
+    // A reader that goes on where the last answer ended needs no listing: a watch from that answer's revision
+    // tells what came since, for one call of the store instead of two.
+    const auto since = empty_as_of(batch, first);
+    bool told = false;
+    if (since > 0 && wait > least_wait) {
+        told = co_await add_new_results(page, batch, since, until);
+    }
+    if (told) {
+        co_return page;
+    }
     const auto listed = co_await segments_from(batch, first);
     if (!ok(listed)) {
         co_return failure(listed);
     }
     add_results(page, value(listed).segments);
-    const auto left = std::chrono::duration_cast<milliseconds>(until - steady::now());
-    if (!page.results.empty() || left <= least_wait) {
-        co_return page;
-    }
-    const auto changed = co_await store_.watch(log_kind(batch), value(listed).as_of, left);
-    if (ok(changed)) {
-        const auto segments = segments_of(value(changed));
-        for (const auto& segment : segments) {
-            note_ends(batch, segment);
-        }
-        add_results(page, segments);
+    if (page.results.empty() && until - steady::now() > least_wait) {
+        co_await add_new_results(page, batch, value(listed).as_of, until);
     }
     co_return page;
 }
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -54,10 +54,21 @@
     net::task_of<stored_object> create_surely(std::string kind, std::string name, nlohmann::json value,
                                               time_point until);
     net::task_of<batch_header> find(std::string batch);
-    std::map<std::string, std::set<std::size_t>> segment_ends_; ///< positions behind a segment, by batch
+    /// What earlier reads have shown of a batch's results.
+    struct known_log {
+        std::set<std::size_t> segment_ends; ///< positions behind a segment
+        std::size_t end = 0;                ///< no result stood from here on
+        std::uint64_t as_of = 0;            ///< at this revision of the store; 0: never seen
+    };
+    std::map<std::string, known_log> logs_;
 
-    void note_ends(const std::string& batch, const log_segment& segment);
+    void note(const std::string& batch, const std::vector<log_segment>& segments, std::uint64_t as_of);
+    /// The revision at which nothing stood from the position on; 0: not known.
+    std::uint64_t empty_as_of(const std::string& batch, std::size_t first) const;
     net::task_of<segment_listing> segments_from(std::string batch, std::size_t first);
+    /// Waits for results behind the revision and adds them; false: what there is now is not known.
+    net::task<bool> add_new_results(result_page& page, std::string batch, std::uint64_t since,
+                                    time_point until);
     net::task_of<std::vector<batch_item>> items_of(batch_header header);
 };
 
--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -114,6 +114,12 @@
         objects_.begin(), objects_.end(), [&](const auto& entry) { return entry.first.first == kind; }));
 }
 
+std::uint64_t fake_store::list_calls(const std::string& kind) const
+{
+    const auto known = list_calls_.find(kind);
+    return known == list_calls_.end() ? 0 : known->second;
+}
+
 net::http_response fake_store::list(const std::string& kind, const std::string& after) const
 {
     json items = json::array();
@@ -250,6 +256,7 @@
         co_return;
     }
     if (parts[1].empty()) {
+        ++list_calls_[parts[0]];
         auto listed = list(parts[0], net::query_value(request.target, "After"));
         co_await answer.send(std::move(listed));
         co_return;
--- a/standins/users/fake_store.hpp
+++ b/standins/users/fake_store.hpp
@@ -45,6 +45,7 @@
     std::size_t count(const std::string& kind) const;
     /// Calls that would change something, refused ones too.
     std::uint64_t write_calls() const { return write_calls_; }
+    std::uint64_t list_calls(const std::string& kind) const;
 
 private:
     using key = std::pair<std::string, std::string>;
@@ -61,6 +62,7 @@
     std::uint64_t revision_ = 100;
     std::uint64_t oldest_known_ = 0;
     std::uint64_t write_calls_ = 0;
+    std::map<std::string, std::uint64_t> list_calls_; ///< by kind
     net::http_service service_;
     net::http_service second_service_;
 
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -275,6 +275,38 @@
     }));
 }
 
+// A reader waits for results that take long and asks again and again where the last answer ended. Each of its
+// questions cost the store a listing and a watch; the watch alone tells as much.
+TEST(batches, are_read_on_without_being_listed_again)
+{
+    batches all;
+    auto& served = all.ready_gateway("a");
+    EXPECT_EQ(all.status_of(served.address(), make_batch("b1", 9)), 202);
+    EXPECT_EQ(all.body_of(served.address(), make_read("b1", 0))["Total"], item_count);
+    const auto lists = [&] {
+        return all.look<std::uint64_t>(
+            [](standins::fake_store& store) { return store.list_calls("results-b1"); });
+    };
+    const auto before = lists();
+    for (int turn = 0; turn < 5; ++turn) {
+        EXPECT_EQ(all.body_of(served.address(), make_read("b1", 0))["Total"], item_count);
+    }
+    EXPECT_EQ(lists(), before);
+    // Without its history the store can't tell what came since: the listing does.
+    all.change([](standins::fake_store& store) {
+        store.put(
+            "results-b1", "00000000",
+            {{"writer", "x"},
+             {"results",
+              json::array(
+                  {{{"id", "b1-i0"}, {"completed", false}, {"text", ""}, {"versions", json::array()}}})}});
+        store.forget_history();
+    });
+    const auto page = all.body_of(served.address(), make_read("b1", 0));
+    ASSERT_EQ(page["Results"].size(), 1U) << page;
+    EXPECT_EQ(page["Results"][0]["Id"], "b1-i0");
+}
+
 // Another writer's entry stands where the batch's first results belong and can't be read. The batch can't go
 // on; tried again at once and for good, its results took all calls that the store gives this gateway.
 TEST(batches, with_an_unreadable_entry_among_their_results_leave_the_store_alone)
