Write spans on the gateway's path

Each hop of the product's own interface writes a span; a request through the gateway left none, and a caller's traceparent went on to the replica without the hops between.

Change. forward for the request, attempt for each replica it went to, item_run for each run of a batch's item, all runs of a batch in a trace made of its id, so that those of several gateways join. The replica gets the attempt's context where the caller sent one; otherwise nothing is added to its request.

Weight orders and calls between gateways carry no context (limitations).

--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -1,6 +1,7 @@
 // The runs of items at replicas.
 #include "gateway/internal/batch_run.hpp"
 #include "observe/log.hpp"
+#include "observe/trace.hpp"
 
 namespace vanillagauge::gateway {
 namespace {
@@ -41,6 +42,9 @@
     open->began = steady::now();
     open->last_event = open->began;
     batch->streams[place] = open;
+    observe::span hop(observe::trace_of(batch->progress.header().id), "item_run");
+    hop.note("request_id", batch->progress.items()[place].item.id);
+    hop.note("replica", at->info.lifetime());
     auto taken = co_await at->pool.take(steady::now() + connect_time);
     if (auto* connection = std::get_if<std::shared_ptr<net::http_connection>>(&taken)) {
         open->connection = *connection;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "gateway/forwarder.hpp"
 
 #include "observe/log.hpp"
+#include "observe/trace.hpp"
 
 #include <algorithm>
 #include <variant>
@@ -27,6 +28,9 @@
 /// A stream is silent for at most this long before it is taken for broken.
 constexpr milliseconds stream_silence{5000};
 
+/// W3C trace context.
+constexpr const char* trace_field = "traceparent";
+
 error not_run(error_code code, std::string detail, milliseconds retry_after)
 {
     return {code, run_state::not_run, std::move(detail), retry_after};
@@ -82,6 +86,8 @@
     const caller_request& request;
     net::responder& answer;
     time_point deadline;
+    observe::span hop;                        ///< the request's way through this gateway
+    observe::trace_context attempt_context{}; ///< of the attempt in flight
     std::string service{};
     policy::work work{};
     std::uint64_t fingerprint = 0;
@@ -106,6 +112,15 @@
     std::optional<policy::load_report> load{};
     std::string replica{};
 
+    std::string text() const
+    {
+        if (finished_stream) {
+            return "stream_finished";
+        }
+        const auto* response = std::get_if<net::http_response>(&result);
+        return response != nullptr ? "status " + std::to_string(response->status)
+                                   : describe(std::get<error>(result));
+    }
     bool succeeded() const
     {
         const auto* response = std::get_if<net::http_response>(&result);
@@ -147,7 +162,10 @@
 {
     const auto allowed = request.time_allowed.value_or(longest_call);
     const auto kept = chosen.timeout.count() > 0 ? std::min(allowed, chosen.timeout) : allowed;
-    call current{chosen, request, answer, request.arrived + kept};
+    call current{chosen, request, answer, request.arrived + kept,
+                 observe::span(observe::parse_traceparent(request.http.fields.find(trace_field)), "forward")};
+    current.hop.note("request_id", request.attempt_id);
+    current.hop.note("route", chosen.name);
     current.service = pick_service(chosen, std::uniform_real_distribution<double>(0, 1)(random_));
     current.work.id = next_work_++;
     current.work.caller = request.host;
@@ -201,6 +219,9 @@
         }
         else {
             ++current.attempts;
+            observe::span hop(current.hop.context(), "attempt");
+            hop.note("replica", lifetime);
+            current.attempt_context = hop.context();
             if (current.chosen.kind == route_kind::stream) {
                 outcome = co_await stream(current, at, current.deadline);
             }
@@ -208,6 +229,7 @@
                 outcome = co_await attempt(current, at, attempt_end(current, began));
             }
             outcome.replica = lifetime;
+            hop.note("outcome", outcome.text());
             report(*gate, at, outcome, steady::now() - began);
         }
         const auto now = steady::now();
@@ -309,7 +331,10 @@
     sent.replica_id = at->info.id;
     sent.time_left = remaining(steady::now(), current.deadline);
     sent.resume_after = current.last_event;
-    const auto request = protocol_.to_replica(current.request.http, sent);
+    auto request = protocol_.to_replica(current.request.http, sent);
+    if (request.fields.contains(trace_field)) {
+        request.fields.set(trace_field, observe::traceparent(current.attempt_context));
+    }
     const auto began = steady::now();
     const auto written = co_await connection->send(request, until);
     // A replica may answer and close before it has read a long body; the answer counts.
@@ -454,18 +479,14 @@
     co_await current.answer.send(protocol_.to_response(reason));
 }
 
-void forwarder::log_end(const call& current, const attempt_outcome& outcome) const
+void forwarder::log_end(call& current, const attempt_outcome& outcome) const
 {
     const auto took = std::chrono::duration_cast<milliseconds>(steady::now() - current.request.arrived);
-    const auto* response = std::get_if<net::http_response>(&outcome.result);
-    const auto* failed = std::get_if<error>(&outcome.result);
     counts_.record("request_time", steady::now() - current.request.arrived);
     const bool good = outcome.succeeded();
     counts_.add(good ? "requests_total{outcome=\"answered\"}" : "requests_total{outcome=\"failed\"}");
-    std::string text = "stream_finished";
-    if (!outcome.finished_stream) {
-        text = response != nullptr ? "status " + std::to_string(response->status) : describe(*failed);
-    }
+    const auto text = outcome.text();
+    current.hop.note("outcome", text);
     observe::log(good ? observe::log_level::info : observe::log_level::warning, "request_ended",
                  {{"request", current.request.attempt_id},
                   {"route", current.chosen.name},
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -66,7 +66,7 @@
     time_point attempt_end(const call& current, time_point now) const;
     void report(service_gate& gate, const target_ref& at, const attempt_outcome& outcome, duration took);
     net::task<void> answer_with(call& current, attempt_outcome outcome);
-    void log_end(const call& current, const attempt_outcome& outcome) const;
+    void log_end(call& current, const attempt_outcome& outcome) const;
 };
 
 } // namespace vanillagauge::gateway
--- a/src/observe/trace.cpp
+++ b/src/observe/trace.cpp
@@ -55,6 +55,11 @@
     return {hex(random_bits()) + hex(random_bits()), std::string()};
 }
 
+trace_context trace_of(std::string_view id)
+{
+    return {hex(hash64(id, 0)) + hex(hash64(id, 1)), std::string()};
+}
+
 trace_context parse_traceparent(std::string_view header)
 {
     const bool shaped = header.size() >= traceparent_length && header[2] == '-' && header[35] == '-';
--- a/src/observe/trace.hpp
+++ b/src/observe/trace.hpp
@@ -19,6 +19,9 @@
 /// A context for a new trace.
 trace_context new_trace();
 
+/// The trace of what bears this id: the same in every program.
+trace_context trace_of(std::string_view id);
+
 /// The context a traceparent header carries; a new trace where the header is absent or malformed.
 trace_context parse_traceparent(std::string_view header);
 std::string traceparent(const trace_context& context);
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -34,6 +34,7 @@
     std::string body;
     std::string last_event_id;
     std::string deadline_ms;
+    std::string traceparent;
     time_point at{};
 };
 
--- a/tests/gateway/forwarding_tests.cpp
+++ b/tests/gateway/forwarding_tests.cpp
@@ -1,7 +1,14 @@
 #include "deployment.hpp"
 
+#include "observe/trace.hpp"
+
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
 namespace vanillagauge::gateway {
 namespace {
 
@@ -34,6 +41,20 @@
             return runs;
         });
     }
+    /// The trace context with which a replica got the request.
+    std::string trace_of(const std::string& id)
+    {
+        return look<std::string>([&](standins::fake_store&) {
+            for (const auto* replica : {&first, &second}) {
+                for (const auto& seen : replica->ran) {
+                    if (seen.attempt_id == id) {
+                        return seen.traceparent;
+                    }
+                }
+            }
+            return std::string{};
+        });
+    }
     /// Whether to go on with requests: the first replica has not yet shown all its faults.
     bool first_has_faults_left(int turn)
     {
@@ -223,6 +244,43 @@
     return request;
 }
 
+std::vector<nlohmann::json> spans_in(const std::string& path)
+{
+    std::vector<nlohmann::json> spans;
+    std::ifstream file(path);
+    for (std::string line; std::getline(file, line);) {
+        spans.push_back(nlohmann::json::parse(line)["resourceSpans"][0]["scopeSpans"][0]["spans"][0]);
+    }
+    return spans;
+}
+
+// A caller's trace goes on through the gateway to the replica: one hop for the request, one for each attempt.
+TEST(forwarding, writes_a_span_for_each_hop_of_a_callers_trace)
+{
+    const auto path = testing::TempDir() + "vg-gateway-spans-" + std::to_string(getpid());
+    const std::string trace(32, 'a');
+    observe::start_spans(path, "vg-gateway", "a");
+    one_gateway all;
+    auto request = make_request("/once/1", "traced");
+    request.fields.add("traceparent", "00-" + trace + "-" + std::string(16, 'b') + "-01");
+    EXPECT_EQ(all.status_of(all.served.address(), request), 200);
+    std::vector<nlohmann::json> spans;
+    EXPECT_TRUE(deployment::eventually([&] {
+        spans = spans_in(path);
+        std::erase_if(spans, [&](const nlohmann::json& span) { return span["traceId"] != trace; });
+        return spans.size() == 2;
+    }));
+    std::remove(path.c_str());
+    ASSERT_EQ(spans.size(), 2U);
+    const auto& attempt = spans.front();
+    const auto& hop = spans.back();
+    EXPECT_EQ(attempt["name"], "attempt");
+    EXPECT_EQ(attempt["parentSpanId"], hop["spanId"]);
+    EXPECT_EQ(hop["name"], "forward");
+    EXPECT_EQ(hop["parentSpanId"], std::string(16, 'b'));
+    EXPECT_EQ(all.trace_of("traced"), "00-" + trace + "-" + attempt["spanId"].get<std::string>() + "-01");
+}
+
 // A replica breaks off in the middle of an event. The client sees one stream, whole and in order, because
 // another replica goes on behind the last event that was whole.
 TEST(forwarding, resumes_a_stream_at_another_replica)
