Hold a request that crashes replicas at every gateway

A request that crashes each replica that begins to run it, brought again by its caller at any machine, was held by each gateway only after two losses of its own: a fleet of many gateways lost two replicas to each of them. Looking at it, three more gaps: a loss on a pooled connection was never counted, so that a repeatable request which finds pooled connections was never held; a refusal that did not run the request cleared it; and a stream was never cleared by its answer.

Gateways tell each other their records with the questions and answers of the feeds, only what changed since the last exchange. An answer clears a suspect everywhere, also against late word of its crashes. A gateway holds after two losses that it saw or three in all. After a doubtful loss the request goes on new connections only.

Ruled out: counting streams that break after their first event: links and releases cut such streams too, and an innocent one would be refused for ten minutes.

--- a/src/gateway/feed_hub.cpp
+++ b/src/gateway/feed_hub.cpp
@@ -1,6 +1,6 @@
 #include "gateway/feed_hub.hpp"
 
-#include "gateway/foreign_json.hpp"
+#include "gateway/internal/news_messages.hpp"
 #include "observe/log.hpp"
 
 #include <algorithm>
@@ -57,83 +57,24 @@
     return shared;
 }
 
-/// What a gateway asks of one that watches.
-struct news_question {
-    milliseconds wait{0};                       ///< for news, where there is none
-    std::map<std::string, std::uint64_t> since; ///< by kind, the revision that the asker knows
-};
-
-struct news_answer {
-    bool serves = false;                    ///< the store serves the gateway that answers
-    std::optional<milliseconds> failed_ago; ///< since the store was last found not to serve it
-    std::map<std::string, feed_news> by_kind;
-};
-
-/// No gateway remembers a failure for longer; an answer that says so is no gateway's.
-constexpr std::int64_t longest_memory_ms = 24LL * 3600 * 1000;
-
-json to_json(const news_question& question)
-{
-    return {{"wait_ms", question.wait.count()}, {"since", question.since}};
-}
-
-result<news_question> question_from_json(const json& text)
-{
-    error malformed{error_code::invalid_argument, run_state::not_run,
-                    "expected a gateway's question for news"};
-    return decoded<news_question>(text, std::move(malformed), [](const json& from) {
-        const auto wait_ms = from.at("wait_ms").get<std::int64_t>();
-        return news_question{milliseconds{std::clamp<std::int64_t>(wait_ms, 0, peer_wait.count())},
-                             from.at("since").get<std::map<std::string, std::uint64_t>>()};
-    });
-}
-
-json to_json(const news_answer& answer)
-{
-    json text;
-    text["serves"] = answer.serves;
-    if (answer.failed_ago) {
-        text["failed_ms_ago"] = answer.failed_ago->count();
-    }
-    for (const auto& [kind, news] : answer.by_kind) {
-        text["feeds"][kind] = to_json(news);
-    }
-    return text;
-}
-
-result<news_answer> answer_from_json(const json& text)
-{
-    error malformed{error_code::unavailable, run_state::in_doubt, "expected a gateway's news"};
-    return decoded<news_answer>(text, std::move(malformed), [](const json& from) -> result<news_answer> {
-        news_answer answer;
-        answer.serves = from.at("serves").get<bool>();
-        if (const auto failed = from.find("failed_ms_ago"); failed != from.end()) {
-            answer.failed_ago =
-                milliseconds{std::clamp<std::int64_t>(failed->get<std::int64_t>(), 0, longest_memory_ms)};
-        }
-        const auto feeds = from.value("feeds", json::object());
-        for (const auto& [kind, told] : feeds.items()) {
-            auto news = feed_news_from_json(told);
-            if (!ok(news)) {
-                return failure(news);
-            }
-            answer.by_kind[kind] = std::move(value(news));
-        }
-        return answer;
-    });
-}
-
 duration retry_pause()
 {
     std::uniform_int_distribution<std::int64_t> pause(retry_least.count(), retry_most.count());
     return milliseconds{pause(random())};
 }
 
+std::uint64_t revision_in(const internal::news_question& question, const feed& content)
+{
+    const auto found = question.since.find(content.kind());
+    return found == question.since.end() ? 0 : found->second;
+}
+
 } // namespace
 
 feed_hub::feed_hub(net::loop& loop, object_store& direct, peer_relay& peers, fleet_view& fleet,
-                   std::vector<feed*> feeds)
-    : loop_(loop), direct_(direct), peers_(peers), fleet_(fleet), changed_(loop), watch_ended_(loop)
+                   policy::quarantine& crashes, std::vector<feed*> feeds)
+    : loop_(loop), direct_(direct), peers_(peers), fleet_(fleet), crashes_(crashes), changed_(loop),
+      watch_ended_(loop)
 {
     for (auto* content : feeds) {
         feeds_.push_back({content});
@@ -355,51 +296,66 @@
 net::task<bool> feed_hub::ask_peer(std::string address)
 {
     const auto asked = steady::now();
-    news_question question{peer_wait, {}};
+    const auto known = exchanged_[address];
+    internal::news_question question{peer_wait, {}, crashes_.news(known.told, asked), known.heard};
     for (const auto& entry : feeds_) {
         question.since[entry.content->kind()] = entry.content->known() ? entry.content->as_of() : 0;
     }
-    auto text = to_json(question);
+    auto text = internal::to_json(question);
     const auto answer =
         co_await peers_.ask(address, "/sync", std::move(text), asked + peer_wait + peer_margin);
     if (!ok(answer)) {
         co_return false;
     }
-    const auto read = answer_from_json(value(answer));
-    if (!ok(read)) {
+    auto told = internal::answer_from_json(value(answer));
+    if (!ok(told)) {
         observe::log(observe::log_level::warning, "peer_unreadable",
-                     {{"address", address}, {"why", describe(failure(read))}});
+                     {{"address", address}, {"why", describe(failure(told))}});
         co_return false;
     }
-    auto told = value(read);
-    if (!told.serves) {
-        co_return false;
+    exchanged_[address] = {question.crashes.as_of, value(told).crashes.as_of};
+    bool news = crashes_.merge(value(told).crashes, steady::now());
+    if (value(told).serves) {
+        news = take(std::move(value(told)), asked) || news;
+        if (!serves()) {
+            note_source(address);
+        }
     }
-    if (told.failed_ago) {
-        last_failure_ = std::max(last_failure_, asked - *told.failed_ago);
+    if (news) {
+        changed_.notify();
+    }
+    co_return value(told).serves;
+}
+
+bool feed_hub::take(internal::news_answer answer, time_point asked)
+{
+    if (answer.failed_ago) {
+        last_failure_ = std::max(last_failure_, asked - *answer.failed_ago);
     }
     bool news = false;
     for (auto& entry : feeds_) {
-        const auto found = told.by_kind.find(entry.content->kind());
-        if (found != told.by_kind.end()) {
+        const auto found = answer.by_kind.find(entry.content->kind());
+        if (found != answer.by_kind.end()) {
             const auto before = entry.content->as_of();
             entry.content->take_news(std::move(found->second), asked);
             news = news || entry.content->has_news(before);
         }
     }
-    if (!serves()) {
-        note_source(address);
-    }
-    if (news) {
-        changed_.notify();
-    }
-    co_return true;
+    return news;
+}
+
+bool feed_hub::has_news(const internal::news_question& question) const
+{
+    return crashes_.has_news(question.crashes_since) ||
+           std::any_of(feeds_.begin(), feeds_.end(), [&question](const followed& entry) {
+               return entry.content->has_news(revision_in(question, *entry.content));
+           });
 }
 
 net::task<net::http_response> feed_hub::serve(const net::http_request& request)
 {
     net::http_response response;
-    const auto read = question_from_json(json::parse(request.body, nullptr, false));
+    const auto read = internal::question_from_json(json::parse(request.body, nullptr, false));
     if (!ok(read)) {
         observe::log(observe::log_level::warning, "news_call_refused", {{"why", describe(failure(read))}});
         response.status = 400;
@@ -407,30 +363,27 @@
         co_return response;
     }
     const auto& question = value(read);
-    const auto until = steady::now() + question.wait;
-    const auto known_to_asker = [&question](const feed& content) {
-        const auto found = question.since.find(content.kind());
-        return found == question.since.end() ? 0 : found->second;
-    };
-    const auto has_news = [&] {
-        return std::any_of(feeds_.begin(), feeds_.end(), [&](const followed& entry) {
-            return entry.content->has_news(known_to_asker(*entry.content));
-        });
-    };
-    while (serves() && !has_news() && steady::now() < until) {
+    const auto asked = steady::now();
+    if (crashes_.merge(question.crashes, asked)) {
+        changed_.notify();
+    }
+    const auto until = asked + std::min(question.wait, peer_wait);
+    while (serves() && !has_news(question) && steady::now() < until) {
         co_await changed_.wait_until(until);
     }
-    news_answer answer;
+    internal::news_answer answer;
     answer.serves = serves();
+    answer.crashes = crashes_.news(question.crashes_since, steady::now());
     if (last_failure_ != time_point{}) {
         answer.failed_ago = std::chrono::duration_cast<milliseconds>(steady::now() - last_failure_);
     }
     if (answer.serves) {
         for (const auto& entry : feeds_) {
-            answer.by_kind[entry.content->kind()] = entry.content->news(known_to_asker(*entry.content));
+            answer.by_kind[entry.content->kind()] =
+                entry.content->news(revision_in(question, *entry.content));
         }
     }
-    response.body = to_json(answer).dump();
+    response.body = internal::to_json(answer).dump();
     co_return response;
 }
 
--- a/src/gateway/feed_hub.hpp
+++ b/src/gateway/feed_hub.hpp
@@ -1,9 +1,11 @@
-/// Keeps all feeds of a gateway up to date: a few gateways watch the store, the others ask those in turn.
+/// Keeps all feeds of a gateway up to date: a few gateways watch the store, the others ask those in turn. On
+/// the same way they tell each other of requests that crash replicas.
 #ifndef VANILLAGAUGE_GATEWAY_FEED_HUB_HPP
 #define VANILLAGAUGE_GATEWAY_FEED_HUB_HPP
 
 #include "gateway/feed.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/internal/news_messages.hpp"
 #include "gateway/peer_relay.hpp"
 
 #include <memory>
@@ -17,7 +19,7 @@
 public:
     /// All must outlive it; the feeds' order decides which one tries the store first after a failure.
     feed_hub(net::loop& loop, object_store& direct, peer_relay& peers, fleet_view& fleet,
-             std::vector<feed*> feeds);
+             policy::quarantine& crashes, std::vector<feed*> feeds);
 
     // Commands.
     void start();
@@ -33,6 +35,11 @@
     struct watch_call {
         std::optional<result<object_changes>> answer;
     };
+    /// Counts of changes to the crashes that two gateways know.
+    struct exchange {
+        std::uint64_t told = 0;  ///< of this gateway's, the other knows so far
+        std::uint64_t heard = 0; ///< of the other's, this one knows so far
+    };
     struct followed {
         feed* content = nullptr;
         bool listed = false;  ///< its revision may be watched from
@@ -42,6 +49,8 @@
     object_store& direct_;
     peer_relay& peers_;
     fleet_view& fleet_;
+    policy::quarantine& crashes_;
+    std::map<std::string, exchange> exchanged_; ///< by the other gateway's address
     std::vector<followed> feeds_;
     net::signal changed_;
     net::signal watch_ended_; ///< a watch has its answer, or the store was found silent
@@ -59,6 +68,9 @@
     net::task<void> check_store();
     net::task<void> follow_peers();
     net::task<bool> ask_peer(std::string address);
+    /// True where the answer had something new.
+    bool take(internal::news_answer answer, time_point asked);
+    bool has_news(const internal::news_question& question) const;
     std::vector<std::string> watchers() const;
     bool watches() const;
     bool serves() const;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -88,6 +88,8 @@
     time_point deadline;
     observe::span hop;                        ///< the request's way through this gateway
     observe::trace_context attempt_context{}; ///< of the attempt in flight
+    std::string replica{};                    ///< of the attempt in flight
+    time_point sent{};                        ///< when it was sent there
     std::string service{};
     policy::work work{};
     std::uint64_t fingerprint = 0;
@@ -129,8 +131,8 @@
 };
 
 forwarder::forwarder(net::loop& loop, const target_registry& targets, const target_protocol& protocol,
-                     observe::metrics& counts, std::string failure_domain)
-    : loop_(loop), targets_(targets), protocol_(protocol), counts_(counts),
+                     observe::metrics& counts, policy::quarantine& crashes, std::string failure_domain)
+    : loop_(loop), targets_(targets), protocol_(protocol), counts_(counts), crashes_(crashes),
       failure_domain_(std::move(failure_domain))
 {
 }
@@ -198,7 +200,7 @@
         co_await answer_with(current, std::move(outcome));
         co_return;
     }
-    const auto suspect = quarantine_.check(current.fingerprint, steady::now());
+    const auto suspect = crashes_.check(current.fingerprint, steady::now());
     if (!ok(suspect)) {
         outcome.result = failure(suspect);
         co_await answer_with(current, std::move(outcome));
@@ -221,6 +223,7 @@
             ++current.attempts;
             observe::span hop(current.hop.context(), "attempt");
             hop.note("replica", lifetime);
+            current.replica = lifetime;
             current.attempt_context = hop.context();
             if (current.chosen.kind == route_kind::stream) {
                 outcome = co_await stream(current, at, current.deadline);
@@ -305,6 +308,22 @@
 
 } // namespace
 
+void forwarder::note_crash(const call& current, bool reused)
+{
+    const auto now = steady::now();
+    if (reused) {
+        crashes_.on_doubtful_crash(current.fingerprint, now);
+    }
+    else {
+        crashes_.on_crash(current.fingerprint, current.replica, current.sent, now);
+    }
+    observe::log(observe::log_level::warning, "replica_lost_under_request",
+                 {{"request", current.request.attempt_id},
+                  {"replica", current.replica},
+                  {"certain", std::int64_t{reused ? 0 : 1}},
+                  {"held", std::int64_t{ok(crashes_.check(current.fingerprint, now)) ? 0 : 1}}});
+}
+
 // Opens a connection, sends the request and reads the head. An answer whose id is another one's, or a success
 // that the replica did not authenticate, belongs to nobody: its connection ends here.
 net::task<forwarder::attempt_outcome>
@@ -313,8 +332,9 @@
 {
     attempt_outcome outcome;
     // A pooled connection may be closed by the replica while the request is under way, which leaves open
-    // whether it ran; only what may run again takes that chance.
-    auto connecting = current.repeatable() ? at->pool.take(until) : at->pool.take_new(until);
+    // whether it ran; only what may run again takes that chance, and nothing that may have crashed a replica.
+    const bool may_reuse = current.repeatable() && !crashes_.suspects(current.fingerprint, steady::now());
+    auto connecting = may_reuse ? at->pool.take(until) : at->pool.take_new(until);
     auto taken = co_await std::move(connecting);
     if (const auto* failed = std::get_if<net::http_failure>(&taken)) {
         outcome.result = broken(*failed, current.repeatable());
@@ -335,7 +355,7 @@
     if (request.fields.contains(trace_field)) {
         request.fields.set(trace_field, observe::traceparent(current.attempt_context));
     }
-    const auto began = steady::now();
+    current.sent = steady::now();
     const auto written = co_await connection->send(request, until);
     // A replica may answer and close before it has read a long body; the answer counts.
     const auto* unwritten = std::get_if<net::http_failure>(&written);
@@ -345,8 +365,8 @@
     }
     auto read = co_await connection->read_head(until);
     if (const auto* failed = std::get_if<net::http_failure>(&read)) {
-        if (failed->kind == net::failure_kind::closed && !connection->reused()) {
-            quarantine_.on_crash(current.fingerprint, at->info.lifetime(), began, steady::now());
+        if (failed->kind == net::failure_kind::closed) {
+            note_crash(current, connection->reused());
         }
         outcome.result = broken(*failed, current.repeatable());
         co_return outcome;
@@ -378,7 +398,9 @@
         }
         else {
             std::get<net::http_response>(outcome.result).body = std::move(std::get<std::string>(body));
-            quarantine_.on_answer(current.fingerprint);
+            if (!outcome.not_run) {
+                crashes_.on_answer(current.fingerprint, steady::now());
+            }
             at->pool.give_back(connection,
                                head.keep_alive ? net::idle_time_of(head.fields, idle_time) : duration{0});
         }
@@ -397,6 +419,9 @@
         const auto load = outcome.load;
         outcome = co_await forward_events(current, *connection, std::move(head));
         outcome.load = load;
+        if (outcome.finished_stream) {
+            crashes_.on_answer(current.fingerprint, steady::now());
+        }
     }
     else if (response != nullptr) {
         auto body = co_await connection->read_body(largest_answer, until);
@@ -428,15 +453,20 @@
     }
     whole_events events;
     net::event_reader reader;
+    bool any_event = false; // a replica that is lost later had begun to run the request safely
     while (true) {
         auto read = co_await connection.read_piece(steady::now() + stream_silence);
         if (const auto* failed = std::get_if<net::http_failure>(&read)) {
+            if (failed->kind == net::failure_kind::closed && !any_event) {
+                note_crash(current, false);
+            }
             outcome.result = broken(*failed, current.repeatable());
             co_return outcome;
         }
         auto& piece = std::get<net::body_piece>(read);
         auto text = current.chosen.resumable ? events.take(piece.bytes) : std::move(piece.bytes);
         for (const auto& event : reader.take(text)) {
+            any_event = true;
             current.last_event = event.id ? event.id : current.last_event;
         }
         bool handed_over = true;
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -33,7 +33,7 @@
 public:
     /// All must outlive it.
     forwarder(net::loop& loop, const target_registry& targets, const target_protocol& protocol,
-              observe::metrics& counts, std::string failure_domain);
+              observe::metrics& counts, policy::quarantine& crashes, std::string failure_domain);
 
     /// Answers the request; the client gets exactly one answer, or sees its connection end.
     net::task<void> forward(route chosen, caller_request request, net::responder& answer);
@@ -47,9 +47,9 @@
     const target_registry& targets_;
     const target_protocol& protocol_;
     observe::metrics& counts_;
+    policy::quarantine& crashes_;
     std::string failure_domain_;
     std::map<std::string, std::unique_ptr<service_gate>> gates_;
-    policy::quarantine quarantine_;
     std::mt19937_64 random_{std::random_device{}()};
     std::uint64_t next_work_ = 1;
 
@@ -62,6 +62,8 @@
                                            net::response_head& head);
     net::task<attempt_outcome> forward_events(call& current, net::http_connection& connection,
                                               net::response_head head);
+    /// The replica closed the connection before its answer.
+    void note_crash(const call& current, bool reused);
     bool may_go_on(const call& current, const attempt_outcome& outcome, time_point now) const;
     time_point attempt_end(const call& current, time_point now) const;
     void report(service_gate& gate, const target_ref& at, const attempt_outcome& outcome, duration took);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,10 @@
 /// A removal this long after the store's last failure is no lapse of an outage any more.
 constexpr milliseconds outage_memory{3000};
 
+/// A request is held after the loss of two replicas that this gateway sent it to, or of three in all: an
+/// innocent one may be under way at two gateways when replicas are lost at the same moment.
+constexpr policy::quarantine_limits crash_limits{2, 3};
+
 constexpr milliseconds housekeeping_every{100};
 /// A VM that knows no other asks the store again who there is, after the first pause and then twice as long
 /// each time: a list that failed is made up for soon, and a fleet of one costs two calls a minute.
@@ -52,6 +56,7 @@
     peer_relay relay;
     target_registry targets;
     configuration current;
+    policy::quarantine crashes{crash_limits};
     forwarder forwarding;
     batch_runner runner;
     feed replicas;
@@ -85,7 +90,7 @@
                       const target_protocol& protocol, foreign_objects known)
     : event_loop(events), loop(events.context()), settings(chosen), foreign(std::move(known)),
       fleet(events, settings), relay(loop, store, fleet), targets(loop),
-      forwarding(loop, targets, protocol, counts, settings.failure_domain),
+      forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
       runner(loop, relay, fleet, targets, protocol, counts),
       replicas(foreign.replicas, [this](const object_change& change) { take_replica(change); }),
       configurations(foreign.configurations,
@@ -93,7 +98,8 @@
       versions(foreign.versions, [this](const object_change& change) { take_version(change); }),
       headers(batch_kind, [this](const object_change& change) { take_header(change); }),
       retirements(foreign.retirements, [this](const object_change& change) { take_retirement(change); }),
-      feeds(loop, store, relay, fleet, {&configurations, &replicas, &versions, &headers, &retirements}),
+      feeds(loop, store, relay, fleet, crashes,
+            {&configurations, &replicas, &versions, &headers, &retirements}),
       batches(loop, relay, headers, runner, fleet),
       weights(loop, relay, fleet, targets, protocol, settings,
               [this]() -> const configuration& { return current; }),
--- /dev/null
+++ b/src/gateway/internal/news_messages.hpp
@@ -0,0 +1,37 @@
+/// What gateways ask and tell each other about feeds and crashes, and its JSON.
+#ifndef VANILLAGAUGE_GATEWAY_INTERNAL_NEWS_MESSAGES_HPP
+#define VANILLAGAUGE_GATEWAY_INTERNAL_NEWS_MESSAGES_HPP
+
+#include "gateway/feed.hpp"
+#include "policy/quarantine.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace vanillagauge::gateway::internal {
+
+/// What a gateway asks of one that watches, and what it tells it.
+struct news_question {
+    milliseconds wait{0};                       ///< for news, where there is none; at most a minute
+    std::map<std::string, std::uint64_t> since; ///< by kind, the revision that the asker knows
+    policy::crash_news crashes{};               ///< since the asker last told this gateway
+    std::uint64_t crashes_since = 0;            ///< what the asker has heard of this gateway's crashes
+};
+
+struct news_answer {
+    bool serves = false;                      ///< the store serves the gateway that answers
+    std::optional<milliseconds> failed_ago{}; ///< since the store was last found not to serve it
+    std::map<std::string, feed_news> by_kind{};
+    policy::crash_news crashes{};
+};
+
+nlohmann::json to_json(const news_question& question);
+nlohmann::json to_json(const news_answer& answer);
+/// Errors say what was expected: `invalid_argument` for a question, `unavailable` for an answer.
+result<news_question> question_from_json(const nlohmann::json& text);
+result<news_answer> answer_from_json(const nlohmann::json& text);
+
+} // namespace vanillagauge::gateway::internal
+
+#endif
--- a/src/node/shared_quarantine.cpp
+++ b/src/node/shared_quarantine.cpp
@@ -16,7 +16,7 @@
 void shared_quarantine::on_answer(std::uint64_t fingerprint)
 {
     const std::lock_guard lock(mutex_);
-    held_.on_answer(fingerprint);
+    held_.on_answer(fingerprint, steady::now());
 }
 
 void shared_quarantine::merge(const std::vector<policy::crash_record>& records)
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -5,13 +5,13 @@
 namespace vanillagauge::policy {
 namespace {
 
-/// Two: one loss may be the target's own fault, and a deployment of four cannot spare a third target.
-constexpr std::size_t crashes_to_hold = 2;
 /// Long against the pauses after which a caller sends its request again, short enough to end by itself once
 /// the targets have been mended.
 constexpr std::chrono::minutes record_life{10};
 /// Longer than pooled connections to a lost target stay unused under any load worth the name.
 constexpr seconds loss_memory{30};
+/// Nodes tell each other of an answer within some two seconds; late word of the crash must not undo it.
+constexpr seconds clearance_life{30};
 /// About 200 bytes each: a crash that takes 500 requests with it fits twice.
 constexpr std::size_t most_records = 1024;
 
@@ -38,15 +38,31 @@
     if (lost_before(hash64(target), began, now)) {
         return;
     }
+    auto& entry = touch(fingerprint, now);
+    entry.seen_here += entry.targets.insert(hash64(target)).second ? 1 : 0;
+    entry.expires = now + record_life;
+}
+
+// Breaks of connections that waited in a pool are mostly the end of a target that was lost before. But a
+// request that only ever goes over such connections would never be found out: the next time it gets a new
+// one.
+void quarantine::on_doubtful_crash(std::uint64_t fingerprint, time_point now)
+{
+    touch(fingerprint, now).expires = now + record_life;
+}
+
+quarantine::record& quarantine::touch(std::uint64_t fingerprint, time_point now)
+{
+    cleared_.erase(fingerprint);
     if (!records_.contains(fingerprint)) {
         make_room(now);
     }
     auto& entry = records_[fingerprint];
     if (entry.expires <= now) {
-        entry.targets.clear();
+        entry = {};
     }
-    entry.targets.insert(hash64(target));
-    entry.expires = now + record_life;
+    entry.changed = ++changes_;
+    return entry;
 }
 
 bool quarantine::lost_before(std::uint64_t target, time_point began, time_point now)
@@ -56,34 +72,95 @@
     return !first && began > found->second;
 }
 
-void quarantine::on_answer(std::uint64_t fingerprint)
+// Only suspects are remembered as cleared, so that what nobody suspects costs nothing.
+void quarantine::on_answer(std::uint64_t fingerprint, time_point now)
+{
+    if (records_.contains(fingerprint)) {
+        clear(fingerprint, now);
+    }
+}
+
+void quarantine::clear(std::uint64_t fingerprint, time_point now)
 {
     records_.erase(fingerprint);
+    std::erase_if(cleared_, [now](const auto& item) { return item.second.expires <= now; });
+    cleared_[fingerprint] = {now + clearance_life, ++changes_};
+}
+
+bool quarantine::is_cleared(std::uint64_t fingerprint, time_point now) const
+{
+    const auto found = cleared_.find(fingerprint);
+    return found != cleared_.end() && found->second.expires > now;
 }
 
 bool quarantine::merge(const std::vector<crash_record>& records, time_point now)
 {
     bool learnt = false;
     for (const auto& told : records) {
-        if (!records_.contains(told.fingerprint)) {
+        if (is_cleared(told.fingerprint, now)) {
+            continue;
+        }
+        const bool is_new = !records_.contains(told.fingerprint);
+        if (is_new) {
             make_room(now);
         }
         auto& entry = records_[told.fingerprint];
         const auto known = entry.targets.size();
         entry.targets.insert(told.targets.begin(), told.targets.end());
-        learnt = learnt || entry.targets.size() > known;
         const auto life = std::min<milliseconds>(told.left, record_life);
         entry.expires = std::max(entry.expires, now + life);
+        if (is_new || entry.targets.size() > known) {
+            entry.changed = ++changes_;
+            learnt = true;
+        }
     }
     return learnt;
 }
 
+bool quarantine::merge(const crash_news& news, time_point now)
+{
+    bool learnt = false;
+    for (const auto fingerprint : news.cleared) {
+        if (records_.contains(fingerprint)) {
+            clear(fingerprint, now);
+            learnt = true;
+        }
+    }
+    return merge(news.suspects, now) || learnt;
+}
+
+bool quarantine::holds(const record& entry) const
+{
+    return entry.seen_here >= limits_.seen_here || entry.targets.size() >= limits_.seen_anywhere;
+}
+
+bool quarantine::suspects(std::uint64_t fingerprint, time_point now) const
+{
+    const auto found = records_.find(fingerprint);
+    return found != records_.end() && found->second.expires > now;
+}
+
+crash_news quarantine::news(std::uint64_t since, time_point now) const
+{
+    const auto from = since > changes_ ? 0 : since;
+    crash_news told{changes_, {}, {}};
+    for (const auto& [fingerprint, entry] : records_) {
+        if (entry.changed > from && entry.expires > now) {
+            told.suspects.push_back({fingerprint, entry.targets, remaining(now, entry.expires)});
+        }
+    }
+    for (const auto& [fingerprint, entry] : cleared_) {
+        if (entry.changed > from && entry.expires > now) {
+            told.cleared.push_back(fingerprint);
+        }
+    }
+    return told;
+}
+
 result<done> quarantine::check(std::uint64_t fingerprint, time_point now) const
 {
     const auto found = records_.find(fingerprint);
-    const bool held = found != records_.end() && found->second.expires > now &&
-                      found->second.targets.size() >= crashes_to_hold;
-    if (!held) {
+    if (found == records_.end() || found->second.expires <= now || !holds(found->second)) {
         return done{};
     }
     return error{error_code::quarantined, run_state::not_run,
@@ -114,9 +191,9 @@
     }
     // Suspects go before requests that are held.
     const auto oldest =
-        std::min_element(records_.begin(), records_.end(), [](const auto& left, const auto& right) {
-            const bool left_held = left.second.targets.size() >= crashes_to_hold;
-            const bool right_held = right.second.targets.size() >= crashes_to_hold;
+        std::min_element(records_.begin(), records_.end(), [this](const auto& left, const auto& right) {
+            const bool left_held = holds(left.second);
+            const bool right_held = holds(right.second);
             return std::tie(left_held, left.second.expires) < std::tie(right_held, right.second.expires);
         });
     records_.erase(oldest);
--- a/tests/gateway/forwarding_tests.cpp
+++ b/tests/gateway/forwarding_tests.cpp
@@ -18,6 +18,9 @@
 /// not come after so many has a chance below 10^-49.
 constexpr int turns_at_most = 400;
 
+/// Gateways know of each other's lost replicas within this time.
+constexpr milliseconds time_to_tell{2500};
+
 struct one_gateway : deployment {
     standins::fake_replica& first = add_replica("r1", "plain");
     standins::fake_replica& second = add_replica("r2", "plain");
@@ -244,6 +247,64 @@
     return request;
 }
 
+// A request resets the connection of each replica that begins to run it. Its caller brings it again, each
+// time at another gateway. After a few losses it is refused everywhere as not run; each gateway by itself
+// would let it take two replicas more.
+TEST(forwarding, holds_a_request_that_loses_replicas_at_every_gateway)
+{
+    deployment all;
+    std::vector<standins::fake_replica*> replicas;
+    for (const auto* id : {"r1", "r2", "r3", "r4", "r5", "r6"}) {
+        replicas.push_back(&all.add_replica(id, "plain"));
+    }
+    for (const auto* vm : {"a", "b", "c", "d"}) {
+        auto& served = all.add_gateway(vm);
+        EXPECT_TRUE(deployment::eventually([&] { return served.ready(); }));
+    }
+    EXPECT_TRUE(deployment::eventually([&] {
+        return all.gateways.back()->ask<std::size_t>(
+                   [](gateway& asked) { return asked.addresses().front_addresses.size(); }) == 4;
+    }));
+    all.change([&](standins::fake_store&) {
+        for (auto* replica : replicas) {
+            replica->script.assign(20, replica_fault::reset);
+        }
+    });
+    struct losses {
+        std::size_t runs = 0;
+        std::size_t replicas = 0;
+    };
+    const auto seen = [&] {
+        return all.look<losses>([&](standins::fake_store&) {
+            losses counted;
+            for (const auto* replica : replicas) {
+                counted.runs += replica->ran.size();
+                counted.replicas += replica->ran.empty() ? 0 : 1;
+            }
+            return counted;
+        });
+    };
+    for (int turn = 0; turn < 50 && seen().replicas < 3; ++turn) {
+        const auto id = "p" + std::to_string(turn);
+        all.status_of(all.gateways[static_cast<std::size_t>(turn) % 3]->address(),
+                      make_request("/once/bad", id));
+    }
+    ASSERT_EQ(seen().replicas, 3U);
+    const auto before = seen().runs;
+    std::this_thread::sleep_for(time_to_tell);
+    for (const auto& gateway : all.gateways) {
+        EXPECT_EQ(all.status_of(gateway->address(), make_request("/once/bad", "q")), 429);
+    }
+    EXPECT_EQ(seen().runs, before);
+    // Others are served all the while.
+    all.change([&](standins::fake_store&) {
+        for (auto* replica : replicas) {
+            replica->script.clear();
+        }
+    });
+    EXPECT_EQ(all.status_of(all.gateways.front()->address(), make_request("/once/good", "g")), 200);
+}
+
 std::vector<nlohmann::json> spans_in(const std::string& path)
 {
     std::vector<nlohmann::json> spans;
--- a/tests/policy/decision_tests.cpp
+++ b/tests/policy/decision_tests.cpp
@@ -66,7 +66,7 @@
 {
     quarantine node;
     node.on_crash(7, "engine-1", start, start);
-    node.on_answer(7);
+    node.on_answer(7, start);
     node.on_crash(7, "engine-2", start, start);
     EXPECT_TRUE(ok(node.check(7, start)));
 }
@@ -85,6 +85,72 @@
     EXPECT_TRUE(ok(node.check(8, later + milliseconds{3})));
 }
 
+// An innocent request was under way at two nodes when a target of each was lost, and is answered at a third.
+// Late word of the crashes must not hold it there, and word of the answer clears it at the other two.
+TEST(quarantine, clears_everywhere_what_was_answered_anywhere)
+{
+    quarantine first;
+    quarantine second;
+    quarantine third;
+    first.on_crash(7, "engine-1", start, start);
+    third.merge(first.news(0, start), start);
+    third.on_answer(7, start + seconds{1});
+    second.on_crash(7, "engine-2", start, start);
+    third.merge(second.news(0, start + seconds{2}), start + seconds{2});
+    EXPECT_TRUE(ok(third.check(7, start + seconds{2})));
+    for (auto* node : {&first, &second}) {
+        node->merge(third.news(0, start + seconds{2}), start + seconds{2});
+        EXPECT_FALSE(node->suspects(7, start + seconds{2}));
+    }
+}
+
+TEST(quarantine, tells_what_changed_since_it_was_asked_and_all_after_a_restart)
+{
+    quarantine node;
+    node.on_crash(1, "engine-1", start, start);
+    const auto before = node.news(0, start);
+    ASSERT_EQ(before.suspects.size(), 1U);
+    EXPECT_FALSE(node.has_news(before.as_of));
+    node.on_crash(2, "engine-2", start, start);
+    ASSERT_TRUE(node.has_news(before.as_of));
+    const auto after = node.news(before.as_of, start);
+    ASSERT_EQ(after.suspects.size(), 1U);
+    EXPECT_EQ(after.suspects.front().fingerprint, 2U);
+    EXPECT_EQ(node.news(1000, start).suspects.size(), 2U);
+    quarantine other;
+    EXPECT_TRUE(other.merge(after, start));
+    EXPECT_FALSE(other.merge(after, start)) << "what is known is no news, or it would be told for ever";
+}
+
+// Each target is lost under another node's eyes. With its own losses a node holds sooner than with those it
+// was told of: an innocent request may be under way at several nodes when targets are lost.
+TEST(quarantine, needs_more_losses_where_it_saw_none_itself)
+{
+    quarantine node({2, 3});
+    quarantine other({2, 3});
+    other.on_crash(7, "engine-1", start, start);
+    node.on_crash(7, "engine-2", start, start);
+    node.merge(other.news(0, start), start);
+    EXPECT_TRUE(ok(node.check(7, start)));
+    other.on_crash(7, "engine-3", start, start);
+    EXPECT_FALSE(ok(other.check(7, start)));
+    node.merge(other.news(0, start), start);
+    EXPECT_FALSE(ok(node.check(7, start)));
+}
+
+// A request whose crashes all show on connections from the pool would be sent on for ever, for such breaks
+// are mostly the ends of targets that were lost before.
+TEST(quarantine, suspects_after_a_doubtful_crash_without_holding)
+{
+    quarantine node;
+    node.on_doubtful_crash(7, start);
+    node.on_doubtful_crash(7, start);
+    EXPECT_TRUE(node.suspects(7, start));
+    EXPECT_TRUE(ok(node.check(7, start)));
+    node.on_answer(7, start);
+    EXPECT_FALSE(node.suspects(7, start));
+}
+
 TEST(quarantine, keeps_its_memory_bounded_and_what_it_holds)
 {
     quarantine node;
