--- a/src/gateway/feed_hub.cpp
+++ b/src/gateway/feed_hub.cpp
@@ -314,8 +314,9 @@
         co_return false;
     }
     exchanged_[address] = {question.crashes.as_of, value(told).crashes.as_of};
+    const bool served = value(told).serves;
     bool news = crashes_.merge(value(told).crashes, steady::now());
-    if (value(told).serves) {
+    if (served) {
         news = take(std::move(value(told)), asked) || news;
         if (!serves()) {
             note_source(address);
@@ -324,7 +325,7 @@
     if (news) {
         changed_.notify();
     }
-    co_return value(told).serves;
+    co_return served;
 }
 
 bool feed_hub::take(internal::news_answer answer, time_point asked)
--- /dev/null
+++ b/src/gateway/forwarder_attempts.cpp
@@ -0,0 +1,245 @@
+// Attempts of callers' requests at single replicas.
+#include "gateway/internal/forwarded_call.hpp"
+#include "observe/log.hpp"
+
+namespace vanillagauge::gateway {
+namespace {
+
+constexpr std::size_t largest_answer = 64U << 20U;
+
+/// Of a replica that names no time for idle connections.
+constexpr milliseconds idle_time{4000};
+
+/// A stream is silent for at most this long before it is taken for broken.
+constexpr milliseconds stream_silence{5000};
+
+net::http_fields forwarded(const net::http_fields& fields)
+{
+    net::http_fields kept;
+    const auto connection = fields.find("Connection");
+    for (const auto& field : fields.all()) {
+        if (!net::concerns_connection(field.name, connection)) {
+            kept.add(field.name, field.value);
+        }
+    }
+    return kept;
+}
+
+/// Whole events of a stream as they were sent, for a stream that may be resumed: half an event could not be
+/// completed by another replica.
+class whole_events {
+public:
+    /// The text up to the end of the last whole event.
+    std::string take(std::string_view bytes)
+    {
+        held_ += bytes;
+        const auto end = held_.rfind("\n\n");
+        if (end == std::string::npos) {
+            return {};
+        }
+        auto whole = held_.substr(0, end + 2);
+        held_.erase(0, end + 2);
+        return whole;
+    }
+    bool mid_event() const { return !held_.empty(); }
+
+private:
+    std::string held_;
+};
+
+error broken(const net::http_failure& failed, bool repeatable)
+{
+    const auto ran = failed.sent ? run_state::in_doubt : run_state::not_run;
+    if (failed.kind == net::failure_kind::cancelled) {
+        return {error_code::cancelled, ran, "the client has left"};
+    }
+    const auto code = failed.kind == net::failure_kind::timeout && !repeatable ? error_code::deadline_exceeded
+                                                                               : error_code::unavailable;
+    return {code, ran,
+            std::string("the replica's connection: ") + net::name(failed.kind) + ", " + failed.detail};
+}
+
+} // namespace
+
+void forwarder::note_crash(const call& current, bool reused)
+{
+    const auto now = steady::now();
+    if (reused) {
+        crashes_.on_doubtful_crash(current.fingerprint, now);
+    }
+    else {
+        crashes_.on_crash(current.fingerprint, current.replica, current.sent, now);
+    }
+    observe::log(observe::log_level::warning, "replica_lost_under_request",
+                 {{"request", current.request.attempt_id},
+                  {"replica", current.replica},
+                  {"certain", std::int64_t{reused ? 0 : 1}},
+                  {"held", std::int64_t{ok(crashes_.check(current.fingerprint, now)) ? 0 : 1}}});
+}
+
+// Opens a connection, sends the request and reads the head. An answer whose id is another one's, or a success
+// that the replica did not authenticate, belongs to nobody: its connection ends here.
+net::task<forwarder::attempt_outcome>
+forwarder::open_answer(call& current, target_ref at, time_point until,
+                       std::shared_ptr<net::http_connection>& connection, net::response_head& head)
+{
+    attempt_outcome outcome;
+    // A pooled connection may be closed by the replica while the request is under way, which leaves open
+    // whether it ran; only what may run again takes that chance, and nothing that may have crashed a replica.
+    const bool may_reuse = current.repeatable() && !crashes_.suspects(current.fingerprint, steady::now());
+    auto connecting = may_reuse ? at->pool.take(until) : at->pool.take_new(until);
+    auto taken = co_await std::move(connecting);
+    if (const auto* failed = std::get_if<net::http_failure>(&taken)) {
+        outcome.result = broken(*failed, current.repeatable());
+        co_return outcome;
+    }
+    connection = std::get<std::shared_ptr<net::http_connection>>(taken);
+    if (current.gone) {
+        outcome.result = error{error_code::cancelled, run_state::not_run, "the client has left"};
+        co_return outcome;
+    }
+    current.connection = connection;
+    attempt_request sent;
+    sent.attempt_id = current.request.attempt_id;
+    sent.replica_id = at->info.id;
+    sent.time_left = remaining(steady::now(), current.deadline);
+    sent.resume_after = current.last_event;
+    auto request = protocol_.to_replica(current.request.http, sent);
+    if (request.fields.contains(observe::traceparent_field)) {
+        request.fields.set(observe::traceparent_field, observe::traceparent(current.attempt_context));
+    }
+    current.sent = steady::now();
+    const auto written = co_await connection->send(request, until);
+    // A replica may answer and close before it has read a long body; the answer counts.
+    const auto* unwritten = std::get_if<net::http_failure>(&written);
+    if (unwritten != nullptr && unwritten->kind != net::failure_kind::closed) {
+        outcome.result = broken(*unwritten, current.repeatable());
+        co_return outcome;
+    }
+    auto read = co_await connection->read_head(until);
+    if (const auto* failed = std::get_if<net::http_failure>(&read)) {
+        if (failed->kind == net::failure_kind::closed) {
+            note_crash(current, connection->reused());
+        }
+        outcome.result = broken(*failed, current.repeatable());
+        co_return outcome;
+    }
+    head = std::move(std::get<net::response_head>(read));
+    const auto marks = protocol_.marks(head.status, head.fields, current.request.attempt_id);
+    outcome.load = marks.load;
+    outcome.not_run = marks.not_run;
+    const bool success = head.status >= 200 && head.status < 300;
+    if (!marks.not_run && (!marks.echoes_attempt || (success && !marks.authenticated))) {
+        connection->close();
+        outcome.result = error{error_code::incomplete, run_state::in_doubt,
+                               "the answer belongs to another request or is not the replica's"};
+        co_return outcome;
+    }
+    outcome.result = net::http_response{head.status, forwarded(head.fields), {}};
+    co_return outcome;
+}
+
+net::task<forwarder::attempt_outcome> forwarder::attempt(call& current, target_ref at, time_point until)
+{
+    std::shared_ptr<net::http_connection> connection;
+    net::response_head head;
+    auto outcome = co_await open_answer(current, at, until, connection, head);
+    if (std::holds_alternative<net::http_response>(outcome.result)) {
+        auto body = co_await connection->read_body(largest_answer, until);
+        if (const auto* failed = std::get_if<net::http_failure>(&body)) {
+            outcome.result = broken(*failed, current.repeatable());
+        }
+        else {
+            std::get<net::http_response>(outcome.result).body = std::move(std::get<std::string>(body));
+            if (!outcome.not_run) {
+                crashes_.on_answer(current.fingerprint, steady::now());
+            }
+            at->pool.give_back(connection,
+                               head.keep_alive ? net::idle_time_of(head.fields, idle_time) : duration{0});
+        }
+    }
+    current.connection.reset();
+    co_return outcome;
+}
+
+net::task<forwarder::attempt_outcome> forwarder::stream(call& current, target_ref at, time_point until)
+{
+    std::shared_ptr<net::http_connection> connection;
+    net::response_head head;
+    auto outcome = co_await open_answer(current, at, until, connection, head);
+    auto* response = std::get_if<net::http_response>(&outcome.result);
+    if (response != nullptr && !outcome.not_run && head.status >= 200 && head.status < 300) {
+        const auto load = outcome.load;
+        outcome = co_await forward_events(current, *connection, std::move(head));
+        outcome.load = load;
+        if (outcome.finished_stream) {
+            crashes_.on_answer(current.fingerprint, steady::now());
+        }
+    }
+    else if (response != nullptr) {
+        auto body = co_await connection->read_body(largest_answer, until);
+        if (auto* text = std::get_if<std::string>(&body)) {
+            response->body = std::move(*text);
+        }
+        else {
+            outcome.result = broken(std::get<net::http_failure>(body), current.repeatable());
+        }
+    }
+    if (connection) {
+        connection->close();
+    }
+    current.connection.reset();
+    co_return outcome;
+}
+
+net::task<forwarder::attempt_outcome>
+forwarder::forward_events(call& current, net::http_connection& connection, net::response_head head)
+{
+    attempt_outcome outcome;
+    if (!current.begun) {
+        current.begun = true;
+        const bool handed_over = co_await current.answer.begin(head.status, forwarded(head.fields));
+        if (!handed_over) {
+            outcome.result = error{error_code::cancelled, run_state::in_doubt, "the client has left"};
+            co_return outcome;
+        }
+    }
+    whole_events events;
+    net::event_reader reader;
+    bool any_event = false; // a replica that is lost later had begun to run the request safely
+    while (true) {
+        auto read = co_await connection.read_piece(steady::now() + stream_silence);
+        if (const auto* failed = std::get_if<net::http_failure>(&read)) {
+            if (failed->kind == net::failure_kind::closed && !any_event) {
+                note_crash(current, false);
+            }
+            outcome.result = broken(*failed, current.repeatable());
+            co_return outcome;
+        }
+        auto& piece = std::get<net::body_piece>(read);
+        auto text = current.chosen.resumable ? events.take(piece.bytes) : std::move(piece.bytes);
+        for (const auto& event : reader.take(text)) {
+            any_event = true;
+            current.last_event = event.id ? event.id : current.last_event;
+        }
+        bool handed_over = true;
+        if (!text.empty()) {
+            handed_over = co_await current.answer.write(std::move(text));
+        }
+        if (!handed_over) {
+            outcome.result = error{error_code::cancelled, run_state::in_doubt, "the client has left"};
+            co_return outcome;
+        }
+        if (piece.last && !events.mid_event()) {
+            co_await current.answer.finish();
+            outcome.finished_stream = true;
+            co_return outcome;
+        }
+        if (piece.last) {
+            outcome.result = error{error_code::incomplete, run_state::in_doubt, "the stream ended mid-event"};
+            co_return outcome;
+        }
+    }
+}
+
+} // namespace vanillagauge::gateway
--- /dev/null
+++ b/src/gateway/internal/forwarded_call.hpp
@@ -0,0 +1,63 @@
+/// One caller's request on its way through a gateway.
+#ifndef VANILLAGAUGE_GATEWAY_INTERNAL_FORWARDED_CALL_HPP
+#define VANILLAGAUGE_GATEWAY_INTERNAL_FORWARDED_CALL_HPP
+
+#include "gateway/forwarder.hpp"
+#include "observe/trace.hpp"
+
+#include <variant>
+
+namespace vanillagauge::gateway {
+
+struct forwarder::call {
+    const route& chosen;
+    const caller_request& request;
+    net::responder& answer;
+    time_point deadline;
+    observe::span hop;                        ///< the request's way through this gateway
+    observe::trace_context attempt_context{}; ///< of the attempt in flight
+    std::string replica{};                    ///< of the attempt in flight
+    time_point sent{};                        ///< when it was sent there
+    std::string service{};
+    policy::work work{};
+    std::uint64_t fingerprint = 0;
+    int attempts = 0;
+    bool gone = false;
+    bool begun = false; ///< the head of a stream has gone to the client
+    std::optional<std::uint64_t> last_event{};
+    std::shared_ptr<net::http_connection> connection{}; ///< of the attempt in flight
+
+    bool repeatable() const
+    {
+        return chosen.kind == route_kind::idempotent ||
+               (chosen.kind == route_kind::stream && chosen.resumable);
+    }
+};
+
+/// What one replica did with the request.
+struct forwarder::attempt_outcome {
+    std::variant<net::http_response, error> result = error{};
+    bool finished_stream = false; ///< the client has the whole stream
+    bool not_run = false;
+    std::optional<policy::load_report> load{};
+    std::string replica{};
+
+    std::string text() const
+    {
+        if (finished_stream) {
+            return "stream_finished";
+        }
+        const auto* response = std::get_if<net::http_response>(&result);
+        return response != nullptr ? "status " + std::to_string(response->status)
+                                   : describe(std::get<error>(result));
+    }
+    bool succeeded() const
+    {
+        const auto* response = std::get_if<net::http_response>(&result);
+        return finished_stream || (response != nullptr && response->status < 500 && !not_run);
+    }
+};
+
+} // namespace vanillagauge::gateway
+
+#endif
--- a/src/observe/trace.hpp
+++ b/src/observe/trace.hpp
@@ -25,6 +25,8 @@
 /// The context a traceparent header carries; a new trace where the header is absent or malformed.
 trace_context parse_traceparent(std::string_view header);
 std::string traceparent(const trace_context& context);
+/// The field of a request that carries it.
+constexpr const char* traceparent_field = "traceparent";
 
 /// Names the file that spans are appended to; an empty path turns them off. Call once at start.
 void start_spans(const std::string& path, std::string_view program, std::string_view vm);
