Score the texts of items that name a scoring call

Ruled out: calls in the callers' own gate. They take 200 ms where callers take 25, so one measure of latency would make each replica look slow or cut its limit; they have a gate apart of a third of the slots of each replica. Change: an item whose text is whole waits for its score, made through the route of the call's host and path by the forwarder, with its retries, deadline, configuration and draining. The last call of a group goes first; a call that is answered 500 as often as the route allows ends its item; the end of a batch ends its calls; no route: refused with 503 at submission. Results keep the score in the log. The model of the log has the step and a fault of its own. Tests: gateway 75 of 75, adapter 11 of 11, models of the batch log.

--- a/src/gateway/batch.cpp
+++ b/src/gateway/batch.cpp
@@ -18,19 +18,34 @@
     return std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count();
 }
 
+json to_json(const scoring_call& call)
+{
+    return {{"id", call.id}, {"host", call.host}, {"path", call.path}, {"body", call.body_base64}};
+}
+
+scoring_call scoring_from_json(const json& text)
+{
+    return {text.at("id").get<std::string>(), text.at("host").get<std::string>(),
+            text.at("path").get<std::string>(), text.at("body").get<std::string>()};
+}
+
 json to_json(const batch_item& item)
 {
     json fields = json::array();
     for (const auto& field : item.fields) {
         fields.push_back({field.name, field.value});
     }
-    return {{"id", item.id},
-            {"path", item.path},
-            {"fields", std::move(fields)},
-            {"body", item.body_base64},
-            {"group", item.group},
-            {"tokens", item.tokens},
-            {"hint", item.length_hint}};
+    json text{{"id", item.id},
+              {"path", item.path},
+              {"fields", std::move(fields)},
+              {"body", item.body_base64},
+              {"group", item.group},
+              {"tokens", item.tokens},
+              {"hint", item.length_hint}};
+    if (item.scoring) {
+        text["scoring"] = to_json(*item.scoring);
+    }
+    return text;
 }
 
 batch_item item_from_json(const json& text)
@@ -45,6 +60,9 @@
     item.group = text.at("group").get<std::string>();
     item.tokens = text.at("tokens").get<std::uint64_t>();
     item.length_hint = text.at("hint").get<double>();
+    if (const auto scoring = text.find("scoring"); scoring != text.end()) {
+        item.scoring = scoring_from_json(*scoring);
+    }
     return item;
 }
 
@@ -123,10 +141,14 @@
 {
     json results = json::array();
     for (const auto& entry : segment.results) {
-        results.push_back({{"id", entry.id},
-                           {"completed", entry.state == item_state::completed},
-                           {"text", entry.text},
-                           {"versions", entry.versions}});
+        json text{{"id", entry.id},
+                  {"completed", entry.state == item_state::completed},
+                  {"text", entry.text},
+                  {"versions", entry.versions}};
+        if (!entry.score.empty()) {
+            text["score"] = entry.score;
+        }
+        results.push_back(std::move(text));
     }
     return {{"writer", segment.writer}, {"results", std::move(results)}};
 }
@@ -149,6 +171,7 @@
                     entry.at("completed").get<bool>() ? item_state::completed : item_state::terminated;
                 result.text = entry.at("text").get<std::string>();
                 result.versions = entry.at("versions").get<std::vector<std::uint64_t>>();
+                result.score = entry.value("score", std::string{});
                 segment.results.push_back(std::move(result));
             }
             return segment;
@@ -165,6 +188,9 @@
         for (const auto& field : item.fields) {
             size += field.name.size() + field.value.size();
         }
+        if (item.scoring) {
+            size += item.scoring->body_base64.size() + item.scoring->path.size() + other_bytes;
+        }
         if (parts.empty() || filled + size > most_bytes) {
             parts.push_back({{"items", json::array()}});
             filled = 0;
--- a/src/gateway/batch.hpp
+++ b/src/gateway/batch.hpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,14 +17,25 @@
 
 using wall_time = std::chrono::system_clock::time_point;
 
+/// The call that scores an item's text, made once the text is whole. It may be repeated.
+struct scoring_call {
+    std::string id;
+    std::string host;
+    std::string path;
+    std::string body_base64;
+
+    friend bool operator==(const scoring_call&, const scoring_call&) = default;
+};
+
 struct batch_item {
     std::string id;
     std::string path;
     std::vector<net::http_field> fields;
     std::string body_base64;
-    std::string group;        ///< items of a group share their prompt
-    std::uint64_t tokens = 0; ///< of the prompt and the longest output
-    double length_hint = 0;   ///< the caller's guess of the output's tokens; 0: none
+    std::string group;                     ///< items of a group share their prompt
+    std::uint64_t tokens = 0;              ///< of the prompt and the longest output
+    double length_hint = 0;                ///< the caller's guess of the output's tokens; 0: none
+    std::optional<scoring_call> scoring{}; ///< none: the text alone is the result
 };
 
 /// What every gateway holds of every batch; the items stand in objects of their own.
@@ -60,6 +72,7 @@
     item_state state = item_state::completed;
     std::string text;
     std::vector<std::uint64_t> versions; ///< that made its events, ascending
+    std::string score{};                 ///< the scoring answer's authentication code; empty: not scored
 
     friend bool operator==(const item_result&, const item_result&) = default;
 };
--- a/src/gateway/batch_progress.cpp
+++ b/src/gateway/batch_progress.cpp
@@ -131,18 +131,36 @@
 }
 
 void batch_progress::complete(std::size_t place)
+{
+    auto& entry = items_[place];
+    if (entry.item.scoring && entry.state == work_state::running) {
+        entry.state = work_state::scoring;
+        return;
+    }
+    finish_completed(place, {});
+}
+
+void batch_progress::take_score(std::size_t place, const std::string& score)
+{
+    if (items_[place].state == work_state::scoring) {
+        finish_completed(place, score);
+    }
+}
+
+void batch_progress::finish_completed(std::size_t place, const std::string& score)
 {
     auto& entry = items_[place];
     finish(place, {entry.item.id,
                    item_state::completed,
                    std::move(entry.text),
-                   {entry.versions.begin(), entry.versions.end()}});
+                   {entry.versions.begin(), entry.versions.end()},
+                   score});
     entry.text.clear();
 }
 
 void batch_progress::terminate(std::size_t place)
 {
-    finish(place, {items_[place].item.id, item_state::terminated, {}, {}});
+    finish(place, {items_[place].item.id, item_state::terminated, {}, {}, {}});
     items_[place].text.clear();
 }
 
@@ -187,6 +205,11 @@
     return segment;
 }
 
+std::size_t batch_progress::open_in_group(std::size_t place) const
+{
+    return open_in_group_.at(items_[place].item.group);
+}
+
 bool batch_progress::group_waits() const
 {
     return std::any_of(items_.begin(), items_.end(), [this](const item_progress& entry) {
--- a/src/gateway/batch_progress.hpp
+++ b/src/gateway/batch_progress.hpp
@@ -13,7 +13,13 @@
 
 namespace vanillagauge::gateway {
 
-enum class work_state { waiting, running, finished, listed };
+enum class work_state {
+    waiting,
+    running,
+    scoring, ///< its text is whole, its score is not there yet
+    finished,
+    listed,
+};
 
 /// The text of one item as far as it has been generated.
 struct item_progress {
@@ -49,8 +55,10 @@
                          std::optional<std::uint64_t> new_version);
     /// Drops the text, which a run cannot continue.
     void restart(std::size_t place);
-    /// The run is over and its text is whole.
+    /// The run is over and its text is whole. The item is finished, or waits for its score.
     void complete(std::size_t place);
+    /// The score of an item whose text is whole.
+    void take_score(std::size_t place, const std::string& score);
     /// The item can never be done, or may be given up.
     void terminate(std::size_t place);
     /// The run ended early; the item goes on, or begins, elsewhere.
@@ -70,6 +78,8 @@
     std::size_t unlisted_results() const { return finished_; }
     /// Finished results that make a group whole, so that the trainer should hear of them at once.
     bool group_waits() const;
+    /// Items of the same group that are neither finished nor listed, this one with them.
+    std::size_t open_in_group(std::size_t place) const;
     /// Waiting items in the order in which they are to run: carried-over groups stand first, the longest of a
     /// group's items before the shorter ones.
     const std::vector<std::size_t>& order() const { return order_; }
@@ -86,6 +96,7 @@
     bool writing_ = false;
 
     void finish(std::size_t place, item_result result);
+    void finish_completed(std::size_t place, const std::string& score);
     void close_in_group(const item_progress& entry);
 };
 
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -29,9 +29,9 @@
 
 batch_runner::batch_runner(net::loop& loop, object_store& store, const fleet_view& fleet,
                            const target_registry& targets, const target_protocol& protocol,
-                           observe::metrics& counts)
-    : loop_(loop), store_(store), fleet_(fleet), targets_(targets), protocol_(protocol), counts_(counts),
-      started_(steady::now())
+                           item_scorer& scorer, observe::metrics& counts)
+    : loop_(loop), store_(store), fleet_(fleet), targets_(targets), protocol_(protocol), scorer_(scorer),
+      counts_(counts), started_(steady::now())
 {
 }
 
@@ -197,7 +197,7 @@
         return;
     }
     batch->ended = true;
-    batch->cancel_streams();
+    batch->cancel_work();
     const auto& progress = batch->progress;
     observe::log(observe::log_level::info, "batch_done",
                  {{"batch", progress.header().id},
@@ -227,14 +227,14 @@
     }
     for (std::size_t place = 0; place < batch.progress.items().size(); ++place) {
         const auto state = batch.progress.items()[place].state;
-        if (state == work_state::waiting || state == work_state::running) {
+        if (state != work_state::finished && state != work_state::listed) {
             observe::log(
                 observe::log_level::warning, "item_given_up",
                 {{"request", batch.progress.items()[place].item.id}, {"batch", batch.progress.header().id}});
             batch.progress.terminate(place);
         }
     }
-    batch.cancel_streams();
+    batch.cancel_work();
 }
 
 net::task<void> batch_runner::list_results(run_ref batch)
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/batch_progress.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/item_scorer.hpp"
 #include "gateway/object_store.hpp"
 #include "gateway/target_protocol.hpp"
 #include "gateway/target_registry.hpp"
@@ -22,7 +23,8 @@
 public:
     /// All must outlive it.
     batch_runner(net::loop& loop, object_store& store, const fleet_view& fleet,
-                 const target_registry& targets, const target_protocol& protocol, observe::metrics& counts);
+                 const target_registry& targets, const target_protocol& protocol, item_scorer& scorer,
+                 observe::metrics& counts);
 
     // Commands.
     /// Keeps the items of a batch that is being accepted here, so that they need not be read back.
@@ -50,6 +52,7 @@
     const fleet_view& fleet_;
     const target_registry& targets_;
     const target_protocol& protocol_;
+    item_scorer& scorer_;
     observe::metrics& counts_;
     std::map<std::string, batch_header> headers_;
     std::map<std::string, std::vector<batch_item>> kept_items_;
@@ -70,6 +73,7 @@
     net::task<void> read_answer(run_ref batch, std::size_t place, target_ref at,
                                 std::shared_ptr<stream> open);
     net::task<bool> read_events(run_ref batch, std::size_t place, std::shared_ptr<stream> open);
+    net::task<void> score_item(run_ref batch, std::size_t place);
     void take_failure(run& batch, std::size_t place, target_ref at, int status, bool not_run);
     void log_completed(const batch_progress& progress, std::size_t place, const stream& open) const;
     net::task<void> list_results(run_ref batch);
--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -3,6 +3,8 @@
 #include "observe/log.hpp"
 #include "observe/trace.hpp"
 
+#include <algorithm>
+
 namespace vanillagauge::gateway {
 namespace {
 
@@ -18,6 +20,9 @@
 
 constexpr milliseconds connect_time{1000};
 
+/// Before a scoring call is made again.
+constexpr milliseconds score_pause{100};
+
 net::http_request item_request(const batch_header& header, const batch_item& item)
 {
     net::http_request request;
@@ -101,6 +106,51 @@
                   {"newest_version", static_cast<std::int64_t>(entry.current_version)}});
 }
 
+// The calls of a group that waits for nothing else go first: a trainer takes whole groups. A call that fails
+// for good ends its item; the trainer hears of it at once instead of waiting for a score that never comes.
+net::task<void> batch_runner::score_item(run_ref batch, std::size_t place)
+{
+    auto& progress = batch->progress;
+    const auto& entry = progress.items()[place];
+    const auto began = steady::now();
+    int internal_errors = 0;
+    int calls = 0;
+    while (!batch->ended && entry.state == work_state::scoring) {
+        const auto ticket = std::make_shared<call_ticket>();
+        batch->scoring_calls[place] = ticket;
+        const bool last = progress.open_in_group(place) <= 1;
+        const auto urgency = last ? policy::priority::gate : policy::priority::member;
+        const auto outcome = co_await scorer_.score(*entry.item.scoring, urgency, ticket);
+        batch->scoring_calls.erase(place);
+        ++calls;
+        internal_errors += outcome.internal_errors;
+        const bool scored = ok(outcome.score);
+        const auto most_errors = std::max(outcome.most_internal_errors, progress.header().attempts);
+        const bool hopeless = !scored && internal_errors >= most_errors;
+        if (scored) {
+            progress.take_score(place, value(outcome.score));
+        }
+        else if (hopeless) {
+            progress.terminate(place);
+        }
+        const auto took = std::chrono::duration_cast<milliseconds>(steady::now() - began);
+        observe::log(
+            scored ? observe::log_level::info : observe::log_level::warning, "item_scored",
+            {{"request", entry.item.id},
+             {"batch", progress.header().id},
+             {"scoring_call", entry.item.scoring->id},
+             {"calls", std::int64_t{calls}},
+             {"internal_errors", std::int64_t{internal_errors}},
+             {"took_ms", std::int64_t{took.count()}},
+             {"outcome", scored ? std::string("scored")
+                                : (hopeless ? "given up: " : "") + describe(failure(outcome.score))}});
+        if (!scored && !hopeless) {
+            co_await net::sleep_for(loop_, score_pause);
+        }
+    }
+    batch->changed.notify();
+}
+
 // The text of an item may be made by several runs, each asked to go on behind the event that stands here.
 // What does not continue it is dropped with its connection.
 net::task<void> batch_runner::read_answer(run_ref batch, std::size_t place, target_ref at,
@@ -142,7 +192,7 @@
         take_failure(*batch, place, at, status, marks.not_run);
         co_return;
     }
-    const bool sound = marks.echoes_attempt && marks.authenticated;
+    const bool sound = marks.echoes_attempt && !marks.authentication_code.empty();
     const auto began = sound ? progress.begin_run(place, marks.weights_version) : run_break::wrong_event;
     if (began != run_break::none) {
         if (began == run_break::mixed_weights) {
@@ -194,6 +244,9 @@
             at->saw_version(progress.header().model, progress.items()[place].current_version);
             log_completed(progress, place, *open);
             progress.complete(place);
+            if (progress.items()[place].state == work_state::scoring) {
+                net::start(loop_, score_item(batch, place));
+            }
             counts_.add("items_completed_total");
             co_return true;
         }
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/forwarded_call.hpp"
 #include "observe/log.hpp"
+#include "policy/background_places.hpp"
 
 #include <algorithm>
 
@@ -40,15 +41,24 @@
 {
 }
 
-service_gate* forwarder::gate_of(const std::string& service)
+// Calls of the gateway's own have a gate apart: they take longer than callers' requests and come in bursts,
+// so one line and one measure of latency for both would make each replica look slow, and callers would wait.
+service_gate* forwarder::gate_of(const call& current)
 {
-    auto& gate = gates_[service];
+    const auto& service = current.service;
+    auto& gate = current.own() ? own_gates_[service] : gates_[service];
     if (!gate) {
         const auto replicas = targets_.of_service(service);
         if (replicas.empty()) {
             return nullptr;
         }
-        gate = std::make_unique<service_gate>(loop_, random_(), replicas.front()->info.slots);
+        const auto slots = replicas.front()->info.slots;
+        policy::pool_options options{.limited = true, .initial_limit = std::max(slots, 1)};
+        if (current.own()) {
+            options.initial_limit = policy::background_places(slots);
+            options.most_limit = options.initial_limit;
+        }
+        gate = std::make_unique<service_gate>(loop_, random_(), options);
         gate->update(replicas, steady::now());
     }
     return gate.get();
@@ -56,19 +66,21 @@
 
 void forwarder::refresh(time_point now)
 {
-    for (auto& [service, gate] : gates_) {
-        if (gate) {
-            gate->update(targets_.of_service(service), now);
+    for (auto* gates : {&gates_, &own_gates_}) {
+        for (auto& [service, gate] : *gates) {
+            if (gate) {
+                gate->update(targets_.of_service(service), now);
+            }
         }
     }
 }
 
-net::task<void> forwarder::forward(route chosen, caller_request request, net::responder& answer)
+forwarder::call forwarder::begin(const route& chosen, const caller_request& request)
 {
     const auto allowed = request.time_allowed.value_or(longest_call);
     const auto kept = chosen.timeout.count() > 0 ? std::min(allowed, chosen.timeout) : allowed;
     call current{
-        chosen, request, answer, request.arrived + kept,
+        chosen, request, nullptr, request.arrived + kept,
         observe::span(observe::parse_traceparent(request.http.fields.find(observe::traceparent_field)),
                       "forward")};
     current.hop.note("request_id", request.attempt_id);
@@ -82,34 +94,63 @@
     current.fingerprint = policy::request_fingerprint(
         current.service, request.http.method + request.http.target, request.http.body);
     current.last_event = request.resume_after;
-    answer.on_client_gone([this, &current] {
-        current.gone = true;
-        if (current.connection) {
-            current.connection->close();
-        }
-        const auto gate = gates_.find(current.service);
-        if (gate != gates_.end() && gate->second) {
-            gate->second->withdraw(current.work.id);
-        }
-    });
-    co_await run(current);
+    return current;
+}
+
+// Nobody waits for the answer any more.
+void forwarder::withdraw(call& current)
+{
+    current.gone = true;
+    if (current.connection) {
+        current.connection->close();
+    }
+    auto& gates = current.own() ? own_gates_ : gates_;
+    const auto gate = gates.find(current.service);
+    if (gate != gates.end() && gate->second) {
+        gate->second->withdraw(current.work.id);
+    }
 }
 
-net::task<void> forwarder::run(call& current)
+net::task<void> forwarder::forward(route chosen, caller_request request, net::responder& answer)
+{
+    auto current = begin(chosen, request);
+    current.answer = &answer;
+    answer.on_client_gone([this, &current] { withdraw(current); });
+    auto outcome = co_await run(current);
+    co_await answer_with(current, std::move(outcome));
+}
+
+net::task<own_call_outcome> forwarder::make_call(route chosen, caller_request request,
+                                                 policy::priority urgency,
+                                                 std::shared_ptr<call_ticket> ticket)
+{
+    auto current = begin(chosen, request);
+    current.work.urgency = urgency;
+    ticket->on_cancel([this, &current] { withdraw(current); });
+    auto outcome = co_await run(current);
+    ticket->on_cancel(nullptr);
+    log_end(current, outcome);
+    if (outcome.not_run) {
+        outcome.result = not_run(error_code::overloaded, "the replicas are full", no_replica_retry_after);
+    }
+    own_call_outcome told{error{}, current.internal_errors};
+    std::visit([&told](auto& ended) { told.response = std::move(ended); }, outcome.result);
+    co_return told;
+}
+
+net::task<forwarder::attempt_outcome> forwarder::run(call& current)
 {
     attempt_outcome outcome;
-    auto* gate = gate_of(current.service);
+    auto* gate = gate_of(current);
     if (gate == nullptr) {
         outcome.result =
             not_run(error_code::unavailable, "the service has no usable replica", no_replica_retry_after);
-        co_await answer_with(current, std::move(outcome));
-        co_return;
+        co_return outcome;
     }
     const auto suspect = crashes_.check(current.fingerprint, steady::now());
     if (!ok(suspect)) {
         outcome.result = failure(suspect);
-        co_await answer_with(current, std::move(outcome));
-        co_return;
+        co_return outcome;
     }
     auto admitted = co_await gate->admit(current.work);
     while (true) {
@@ -130,14 +171,15 @@
             hop.note("replica", lifetime);
             current.replica = lifetime;
             current.attempt_context = hop.context();
-            if (current.chosen.kind == route_kind::stream) {
+            if (current.chosen.kind == route_kind::stream && !current.own()) {
                 outcome = co_await stream(current, at, current.deadline);
             }
             else {
-                outcome = co_await attempt(current, at, attempt_end(current, began));
+                outcome = co_await attempt(current, at, attempt_end(current, *gate, began));
             }
             outcome.replica = lifetime;
             hop.note("outcome", outcome.text());
+            current.internal_errors += outcome.internal_error() ? 1 : 0;
             report(*gate, at, outcome, steady::now() - began);
         }
         const auto now = steady::now();
@@ -151,16 +193,17 @@
         }
         admitted = *next;
     }
-    co_await answer_with(current, std::move(outcome));
+    co_return outcome;
 }
 
-time_point forwarder::attempt_end(const call& current, time_point now) const
+time_point forwarder::attempt_end(const call& current, const service_gate& gate, time_point now) const
 {
     if (!current.repeatable() || current.attempts >= current.chosen.attempts) {
         return current.deadline;
     }
-    const auto patience = std::max(current.chosen.target_latency * hung_after_targets, hung_least);
-    return std::min(current.deadline, now + patience);
+    const duration of_route = current.chosen.target_latency * hung_after_targets;
+    const auto patience = current.own() ? gate.hedge_delay() : of_route;
+    return std::min(current.deadline, now + std::max<duration>(patience, hung_least));
 }
 
 // A request that is not idempotent goes on only where the replica itself, or a connection that was never
@@ -204,17 +247,17 @@
         co_return;
     }
     if (current.begun || current.gone) {
-        current.answer.abort(); // an answer that has begun and cannot be completed must not look whole
+        current.answer->abort(); // an answer that has begun and cannot be completed must not look whole
         co_return;
     }
     if (auto* response = std::get_if<net::http_response>(&outcome.result); response && !outcome.not_run) {
-        co_await current.answer.send(std::move(*response));
+        co_await current.answer->send(std::move(*response));
         co_return;
     }
     auto reason = outcome.not_run
                       ? not_run(error_code::overloaded, "the replicas are full", no_replica_retry_after)
                       : std::get<error>(outcome.result);
-    co_await current.answer.send(protocol_.to_response(reason));
+    co_await current.answer->send(protocol_.to_response(reason));
 }
 
 void forwarder::log_end(call& current, const attempt_outcome& outcome) const
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 
 namespace vanillagauge::gateway {
 
@@ -29,6 +30,30 @@
     time_point arrived{};
 };
 
+/// Ends a call of the gateway's own before its answer is there.
+class call_ticket {
+public:
+    void on_cancel(std::function<void()> callback) { callback_ = std::move(callback); }
+    void cancel()
+    {
+        cancelled_ = true;
+        if (callback_) {
+            std::exchange(callback_, nullptr)();
+        }
+    }
+    bool cancelled() const { return cancelled_; }
+
+private:
+    std::function<void()> callback_;
+    bool cancelled_ = false;
+};
+
+/// How a call of the gateway's own ended.
+struct own_call_outcome {
+    result<net::http_response> response;
+    int internal_errors = 0; ///< replicas that answered 500
+};
+
 class forwarder {
 public:
     /// All must outlive it.
@@ -37,6 +62,10 @@
 
     /// Answers the request; the client gets exactly one answer, or sees its connection end.
     net::task<void> forward(route chosen, caller_request request, net::responder& answer);
+    /// Makes a call for work that this gateway does for others. It may run more than once. Its places at the
+    /// replicas are its own, few, and given to urgent calls first.
+    net::task<own_call_outcome> make_call(route chosen, caller_request request, policy::priority urgency,
+                                          std::shared_ptr<call_ticket> ticket);
     /// The replicas or the configuration changed.
     void refresh(time_point now);
 
@@ -49,12 +78,15 @@
     observe::metrics& counts_;
     policy::quarantine& crashes_;
     std::string failure_domain_;
-    std::map<std::string, std::unique_ptr<service_gate>> gates_;
+    std::map<std::string, std::unique_ptr<service_gate>> gates_;     ///< of callers' requests, by service
+    std::map<std::string, std::unique_ptr<service_gate>> own_gates_; ///< of calls of the gateway's own
     std::mt19937_64 random_{std::random_device{}()};
     std::uint64_t next_work_ = 1;
 
-    service_gate* gate_of(const std::string& service);
-    net::task<void> run(call& current);
+    service_gate* gate_of(const call& current);
+    call begin(const route& chosen, const caller_request& request);
+    void withdraw(call& current);
+    net::task<attempt_outcome> run(call& current);
     net::task<attempt_outcome> attempt(call& current, target_ref at, time_point until);
     net::task<attempt_outcome> stream(call& current, target_ref at, time_point until);
     net::task<attempt_outcome> open_answer(call& current, target_ref at, time_point until,
@@ -65,7 +97,7 @@
     /// The replica closed the connection before its answer.
     void note_crash(const call& current, bool reused);
     bool may_go_on(const call& current, const attempt_outcome& outcome, time_point now) const;
-    time_point attempt_end(const call& current, time_point now) const;
+    time_point attempt_end(const call& current, const service_gate& gate, time_point now) const;
     void report(service_gate& gate, const target_ref& at, const attempt_outcome& outcome, duration took);
     net::task<void> answer_with(call& current, attempt_outcome outcome);
     void log_end(call& current, const attempt_outcome& outcome) const;
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -129,7 +129,7 @@
     outcome.load = marks.load;
     outcome.not_run = marks.not_run;
     const bool success = head.status >= 200 && head.status < 300;
-    if (!marks.not_run && (!marks.echoes_attempt || (success && !marks.authenticated))) {
+    if (!marks.not_run && (!marks.echoes_attempt || (success && marks.authentication_code.empty()))) {
         connection->close();
         outcome.result = error{error_code::incomplete, run_state::in_doubt,
                                "the answer belongs to another request or is not the replica's"};
@@ -198,7 +198,7 @@
     attempt_outcome outcome;
     if (!current.begun) {
         current.begun = true;
-        const bool handed_over = co_await current.answer.begin(head.status, forwarded(head.fields));
+        const bool handed_over = co_await current.answer->begin(head.status, forwarded(head.fields));
         if (!handed_over) {
             outcome.result = error{error_code::cancelled, run_state::in_doubt, "the client has left"};
             co_return outcome;
@@ -224,14 +224,14 @@
         }
         bool handed_over = true;
         if (!text.empty()) {
-            handed_over = co_await current.answer.write(std::move(text));
+            handed_over = co_await current.answer->write(std::move(text));
         }
         if (!handed_over) {
             outcome.result = error{error_code::cancelled, run_state::in_doubt, "the client has left"};
             co_return outcome;
         }
         if (piece.last && !events.mid_event()) {
-            co_await current.answer.finish();
+            co_await current.answer->finish();
             outcome.finished_stream = true;
             co_return outcome;
         }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -58,6 +58,7 @@
     configuration current;
     policy::quarantine crashes{crash_limits};
     forwarder forwarding;
+    item_scorer scorer;
     batch_runner runner;
     feed replicas;
     feed configurations;
@@ -91,7 +92,8 @@
     : event_loop(events), loop(events.context()), settings(chosen), foreign(std::move(known)),
       fleet(events, settings), relay(loop, store, fleet), targets(loop),
       forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
-      runner(loop, relay, fleet, targets, protocol, counts),
+      scorer(forwarding, protocol, [this]() -> const configuration& { return current; }),
+      runner(loop, relay, fleet, targets, protocol, scorer, counts),
       replicas(foreign.replicas, [this](const object_change& change) { take_replica(change); }),
       configurations(foreign.configurations,
                      [this](const object_change& change) { take_configuration(change); }),
--- a/src/gateway/internal/batch_run.hpp
+++ b/src/gateway/internal/batch_run.hpp
@@ -23,15 +23,19 @@
 
     batch_progress progress;
     net::signal changed;
-    std::map<std::size_t, std::shared_ptr<stream>> streams; ///< by the item's place
+    std::map<std::size_t, std::shared_ptr<stream>> streams;            ///< by the item's place
+    std::map<std::size_t, std::shared_ptr<call_ticket>> scoring_calls; ///< by the item's place
     bool ended = false;
     bool listing = false;
     time_point last_listing{};
     time_point first_unlisted{};
     wall_time give_up_at{};
 
-    void cancel_streams()
+    void cancel_work()
     {
+        for (auto& [place, ticket] : scoring_calls) {
+            ticket->cancel();
+        }
         for (auto& [place, open] : streams) {
             if (open->connection) {
                 open->connection->close();
--- a/src/gateway/internal/forwarded_call.hpp
+++ b/src/gateway/internal/forwarded_call.hpp
@@ -12,7 +12,7 @@
 struct forwarder::call {
     const route& chosen;
     const caller_request& request;
-    net::responder& answer;
+    net::responder* answer; ///< null: a call of the gateway's own
     time_point deadline;
     observe::span hop;                        ///< the request's way through this gateway
     observe::trace_context attempt_context{}; ///< of the attempt in flight
@@ -22,14 +22,16 @@
     policy::work work{};
     std::uint64_t fingerprint = 0;
     int attempts = 0;
+    int internal_errors = 0; ///< replicas that answered 500
     bool gone = false;
     bool begun = false; ///< the head of a stream has gone to the client
     std::optional<std::uint64_t> last_event{};
     std::shared_ptr<net::http_connection> connection{}; ///< of the attempt in flight
 
+    bool own() const { return answer == nullptr; }
     bool repeatable() const
     {
-        return chosen.kind == route_kind::idempotent ||
+        return own() || chosen.kind == route_kind::idempotent ||
                (chosen.kind == route_kind::stream && chosen.resumable);
     }
 };
@@ -51,6 +53,12 @@
         return response != nullptr ? "status " + std::to_string(response->status)
                                    : describe(std::get<error>(result));
     }
+    bool internal_error() const
+    {
+        constexpr int internal_server_error = 500;
+        const auto* response = std::get_if<net::http_response>(&result);
+        return response != nullptr && !not_run && response->status == internal_server_error;
+    }
     bool succeeded() const
     {
         const auto* response = std::get_if<net::http_response>(&result);
--- /dev/null
+++ b/src/gateway/item_scorer.cpp
@@ -0,0 +1,71 @@
+#include "gateway/item_scorer.hpp"
+
+namespace vanillagauge::gateway {
+namespace {
+
+/// Then the route is looked up again, since it may lead to another service by now.
+constexpr milliseconds longest_call{2000};
+
+/// A configuration is in force everywhere within about two seconds.
+constexpr milliseconds route_retry_after{1000};
+
+error no_score(std::string detail)
+{
+    return {error_code::unavailable, run_state::in_doubt, std::move(detail)};
+}
+
+} // namespace
+
+// The route may be known here a moment later than elsewhere, so the trainer is told to come again.
+result<done> check_scoring_routes(const configuration& current, const std::vector<batch_item>& items)
+{
+    for (const auto& item : items) {
+        const bool leads_there = !item.scoring || find_route(current, item.scoring->host,
+                                                             net::path_of(item.scoring->path)) != nullptr;
+        if (!leads_there) {
+            return error{error_code::unavailable, run_state::not_run,
+                         "no route leads to the scoring call " + item.scoring->id, route_retry_after};
+        }
+    }
+    return done{};
+}
+
+net::task<scoring_outcome> item_scorer::score(scoring_call call, policy::priority urgency,
+                                              std::shared_ptr<call_ticket> ticket)
+{
+    scoring_outcome outcome{no_score("no route leads to the scoring call")};
+    const auto* found = find_route(current_(), call.host, net::path_of(call.path));
+    if (found == nullptr) {
+        co_return outcome;
+    }
+    const auto chosen = *found;
+    caller_request request;
+    request.http.method = "POST";
+    request.http.target = call.path;
+    request.http.fields.add("Host", call.host);
+    // The body was checked when the batch was accepted.
+    auto body = decode_base64(call.body_base64);
+    request.http.body = ok(body) ? std::move(value(body)) : std::string{};
+    request.host = call.host;
+    request.attempt_id = call.id;
+    request.time_allowed = longest_call;
+    request.arrived = steady::now();
+    const auto told = co_await calls_.make_call(chosen, std::move(request), urgency, ticket);
+    outcome.internal_errors = told.internal_errors;
+    outcome.most_internal_errors = chosen.attempts;
+    if (!ok(told.response)) {
+        outcome.score = failure(told.response);
+        co_return outcome;
+    }
+    const auto& response = value(told.response);
+    const auto marks = protocol_.marks(response.status, response.fields, call.id);
+    if (response.status >= 200 && response.status < 300 && !marks.authentication_code.empty()) {
+        outcome.score = marks.authentication_code;
+    }
+    else {
+        outcome.score = no_score("the scoring call was answered " + std::to_string(response.status));
+    }
+    co_return outcome;
+}
+
+} // namespace vanillagauge::gateway
--- a/src/gateway/service_gate.cpp
+++ b/src/gateway/service_gate.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-service_gate::service_gate(net::loop& loop, std::uint64_t seed, int slots)
-    : scheduler_(seed, {.limited = true, .initial_limit = std::max(slots, 1)}), changed_(loop)
+service_gate::service_gate(net::loop& loop, std::uint64_t seed, policy::pool_options options)
+    : scheduler_(seed, options), changed_(loop)
 {
 }
 
--- a/src/gateway/service_gate.hpp
+++ b/src/gateway/service_gate.hpp
@@ -16,7 +16,7 @@
 
 class service_gate {
 public:
-    service_gate(net::loop& loop, std::uint64_t seed, int slots);
+    service_gate(net::loop& loop, std::uint64_t seed, policy::pool_options options);
 
     /// Takes the service's present replicas.
     void update(const std::vector<target_ref>& targets, time_point now);
@@ -30,6 +30,9 @@
     /// The client of a waiting request has gone.
     void withdraw(std::uint64_t work_id);
 
+    /// How long to wait for an answer before another replica is asked.
+    duration hedge_delay() const { return scheduler_.pool().hedge_delay(); }
+
 private:
     struct waiting {
         std::optional<result<std::string>> outcome;
--- a/src/gateway/target_protocol.hpp
+++ b/src/gateway/target_protocol.hpp
@@ -24,9 +24,9 @@
 
 /// What the head of a replica's answer says beside status and body.
 struct answer_marks {
-    bool not_run = false;        ///< the replica states that it did not run the request
-    bool echoes_attempt = false; ///< it carries the id that was sent
-    bool authenticated = false;  ///< it carries the replica's authentication code
+    bool not_run = false;              ///< the replica states that it did not run the request
+    bool echoes_attempt = false;       ///< it carries the id that was sent
+    std::string authentication_code{}; ///< the replica's; empty: it carries none
     std::optional<policy::load_report> load{};
     std::uint64_t weights_version = 0; ///< 0: not told
 };
--- a/src/policy/target_pool.cpp
+++ b/src/policy/target_pool.cpp
@@ -151,7 +151,7 @@
 int target_pool::allowed(const record& item, time_point now) const
 {
     const double share = item.hint.weight(now) * slow_start_share(item.joined, now);
-    return std::max(1, static_cast<int>(item.limit.limit() * share));
+    return std::clamp(static_cast<int>(item.limit.limit() * share), 1, options_.most_limit);
 }
 
 bool target_pool::takes(std::size_t place, const work& item, time_point now)
--- a/src/policy/target_pool.hpp
+++ b/src/policy/target_pool.hpp
@@ -10,6 +10,7 @@
 #include "policy/work.hpp"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -29,6 +30,8 @@
     bool limited = true;
     /// Of a target that has not answered yet. Sixteen is what the smallest services of today serve at once.
     int initial_limit = 16;
+    /// In flight at one target, however fast it answers.
+    int most_limit = std::numeric_limits<int>::max();
 };
 
 /// How a request ended at a target.
--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -78,6 +78,9 @@
         fault = script.front();
         script.erase(script.begin());
     }
+    if (always_fail.contains(std::string(request.fields.find("Attempt-Id")))) {
+        fault = replica_fault::fail;
+    }
     co_await run(request, answer, fault);
 }
 
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,7 @@
     milliseconds work_time{0};           ///< before an answer
     std::uint64_t version = 1;           ///< of its weights
     std::vector<replica_fault> script;   ///< for the next requests, in order
+    std::set<std::string> always_fail;   ///< attempts that are answered 500 each time
     std::vector<seen_request> ran;       ///< requests that began to run
     std::vector<nlohmann::json> orders;  ///< in the order of their arrival
     std::vector<time_point> order_times; ///< of each of them
--- a/tests/adapter/protocol_tests.cpp
+++ b/tests/adapter/protocol_tests.cpp
@@ -89,6 +89,11 @@
         R"({"Items":[{"Id":"i","Path":"/p","Body":"***"}]})",
         R"({"Items":[{"Id":"i","Path":"/p"},{"Id":"i","Path":"/q"}]})",
         R"({"Items":[{"Id":"i","Path":"/p","Headers":{"a":1}}]})",
+        R"({"Items":[{"Id":"i","Path":"/p","ScoringFunction":7}]})",
+        R"({"Items":[{"Id":"i","Path":"/p","ScoringFunction":{"Host":"h","Path":"/s"}}]})",
+        R"({"Items":[{"Id":"i","Path":"/p","ScoringFunction":{"Id":"s","Host":"h","Path":"/s","Body":"***"}}]})",
+        R"({"Items":[{"Id":"i","Path":"/p","ScoringFunction":{"Id":"s","Host":"h","Path":"/s"}},
+                     {"Id":"j","Path":"/p","ScoringFunction":{"Id":"s","Host":"h","Path":"/s"}}]})",
     };
     for (const auto* text : bad) {
         const auto refused = to_submission(chosen, "b1", text);
@@ -97,5 +102,28 @@
     }
 }
 
+TEST(to_submission, reads_the_scoring_call_of_an_item)
+{
+    gateway::route chosen;
+    chosen.services = {{"s", 1}};
+    const auto read = to_submission(chosen, "b1", R"({"Items":[{"Id":"i1","Path":"/p/1","ScoringFunction":
+        {"Id":"s1","Host":"h","Path":"/score/1","Body":"aGk="}},{"Id":"i2","Path":"/p/2","ScoringFunction":null}]})");
+    ASSERT_TRUE(ok(read));
+    const gateway::scoring_call expected{"s1", "h", "/score/1", "aGk="};
+    EXPECT_EQ(value(read).items[0].scoring, expected);
+    EXPECT_EQ(value(read).items[1].scoring, std::nullopt);
+}
+
+TEST(to_page, names_the_score_of_a_scored_result_only)
+{
+    gateway::result_page page;
+    page.total = 2;
+    page.results = {{"i1", gateway::item_state::completed, "t", {1}, "code"},
+                    {"i2", gateway::item_state::terminated, "", {}, ""}};
+    const auto read = nlohmann::json::parse(to_page(page));
+    EXPECT_EQ(read["Results"][0]["Score"], "code");
+    EXPECT_FALSE(read["Results"][1].contains("Score"));
+}
+
 } // namespace
 } // namespace vanillagauge::platform
--- /dev/null
+++ b/tests/gateway/batch_deployment.hpp
@@ -0,0 +1,111 @@
+/// A deployment with two engines, and batches for it.
+#ifndef VANILLAGAUGE_TESTS_GATEWAY_BATCH_DEPLOYMENT_HPP
+#define VANILLAGAUGE_TESTS_GATEWAY_BATCH_DEPLOYMENT_HPP
+
+#include "deployment.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace vanillagauge::gateway {
+
+constexpr int item_count = 6;
+
+inline net::http_request make_batch(const std::string& id, std::uint64_t least_version = 1,
+                                    bool scored = false)
+{
+    nlohmann::json items = nlohmann::json::array();
+    for (int place = 0; place < item_count; ++place) {
+        nlohmann::json item;
+        item["Id"] = id + "-i" + std::to_string(place);
+        item["Path"] = "/lots/run";
+        item["Headers"] = {{"Token-Counts", "5,9"}, {"Model", "m"}};
+        item["Body"] = "aGk=";
+        item["Group"] = "g" + std::to_string(place / 2);
+        if (scored) {
+            const auto number = std::to_string(place);
+            item["ScoringFunction"] = {{"Id", id + "-s" + number},
+                                       {"Host", "h"},
+                                       {"Path", "/score/" + number},
+                                       {"Body", "dGV4dA=="}};
+        }
+        items.push_back(std::move(item));
+    }
+    nlohmann::json body;
+    body["Step"] = 0;
+    body["Model"] = "m";
+    body["MinVersion"] = least_version;
+    body["DesiredCount"] = 3;
+    body["Items"] = std::move(items);
+    net::http_request request;
+    request.method = "POST";
+    request.target = "/lots/" + id;
+    request.fields.add("Host", "h");
+    request.fields.add("Attempt-Id", id);
+    request.body = body.dump();
+    return request;
+}
+
+inline net::http_request make_read(const std::string& id, std::size_t after)
+{
+    net::http_request request;
+    request.target = "/api/lots/" + id + "?After=" + std::to_string(after);
+    request.fields.add("Host", "h");
+    request.fields.add("Wait-Ms", "300");
+    return request;
+}
+
+inline net::http_request make_end(const std::string& id)
+{
+    net::http_request request;
+    request.method = "DELETE";
+    request.target = "/api/lots/" + id;
+    request.fields.add("Host", "h");
+    return request;
+}
+
+struct batches : deployment {
+    standins::fake_replica& one = add_replica("e1", "lm");
+    standins::fake_replica& two = add_replica("e2", "lm");
+
+    running_gateway& ready_gateway(const std::string& vm)
+    {
+        auto& served = add_gateway(vm);
+        EXPECT_TRUE(eventually([&] { return served.ready(); }));
+        return served;
+    }
+
+    /// Reads on until all is listed, at any of the addresses; the results by position.
+    std::vector<nlohmann::json> read_all(const std::vector<std::string>& addresses, const std::string& id)
+    {
+        std::vector<nlohmann::json> results;
+        std::size_t turn = 0;
+        eventually([&] {
+            const auto page = body_of(addresses[turn++ % addresses.size()], make_read(id, results.size()));
+            if (page.is_object() && page.contains("Results")) {
+                for (const auto& entry : page["Results"]) {
+                    results.push_back(entry);
+                }
+            }
+            return results.size() >= item_count;
+        });
+        return results;
+    }
+};
+
+inline void expect_whole(const std::vector<nlohmann::json>& results)
+{
+    std::set<std::string> ids;
+    for (const auto& entry : results) {
+        const auto id = entry.at("Id").get<std::string>();
+        EXPECT_TRUE(ids.insert(id).second) << id << " stands at two positions";
+        EXPECT_EQ(entry.at("State"), "completed");
+        EXPECT_EQ(entry.at("Text"), id + "-1\n" + id + "-2\n" + id + "-3\n" + id + "-4");
+    }
+    EXPECT_EQ(ids.size(), item_count);
+}
+
+} // namespace vanillagauge::gateway
+
+#endif
--- a/tests/gateway/batch_progress_tests.cpp
+++ b/tests/gateway/batch_progress_tests.cpp
@@ -56,6 +56,57 @@
     EXPECT_EQ(progress.next_segment("me"), std::nullopt);
 }
 
+// A trainer must never read a completed item without its score, however early its text is whole.
+TEST(batch_progress, lists_an_item_with_a_scoring_call_only_with_its_score)
+{
+    auto items = make_items(2);
+    items[0].scoring = scoring_call{"s0", "h", "/score/0", ""};
+    batch_progress progress(make_header(), std::move(items));
+    finish(progress, 0);
+    EXPECT_EQ(progress.items()[0].state, work_state::scoring);
+    EXPECT_EQ(progress.unlisted_results(), 0U);
+    EXPECT_EQ(progress.next_segment("me"), std::nullopt);
+    EXPECT_EQ(progress.open_in_group(0), 2U);
+    progress.take_score(0, "code");
+    const auto segment = progress.next_segment("me");
+    ASSERT_TRUE(segment);
+    EXPECT_EQ(segment->results,
+              (std::vector<item_result>{{"i0", item_state::completed, "text", {2}, "code"}}));
+    progress.take_score(0, "another");
+    EXPECT_EQ(progress.unlisted_results(), 1U);
+}
+
+// Another owner lists an item, with another score, while this one waits for its own: the listed one stands.
+TEST(batch_progress, drops_a_score_for_an_item_that_another_owner_listed)
+{
+    auto items = make_items(1);
+    items[0].scoring = scoring_call{"s0", "h", "/score/0", ""};
+    batch_progress progress(make_header(), std::move(items));
+    finish(progress, 0);
+    progress.take_segment({0, "other", {{"i0", item_state::completed, "text", {2}, "theirs"}}});
+    progress.take_score(0, "mine");
+    EXPECT_EQ(progress.items()[0].state, work_state::listed);
+    EXPECT_EQ(progress.next_segment("me"), std::nullopt);
+    EXPECT_TRUE(progress.all_listed());
+}
+
+TEST(batch_json, keeps_scoring_calls_and_scores)
+{
+    batch_item item;
+    item.id = "i0";
+    item.scoring = scoring_call{"s0", "h", "/score/0", "dGV4dA=="};
+    batch_item plain;
+    plain.id = "i1";
+    const auto parts = to_parts({item, plain}, 1000);
+    ASSERT_EQ(parts.size(), 2U);
+    EXPECT_EQ(value(items_from_json(parts[0]))[0].scoring, item.scoring);
+    EXPECT_EQ(value(items_from_json(parts[1]))[0].scoring, std::nullopt);
+    const log_segment segment{
+        0, "me", {{"i0", item_state::completed, "text", {2}, "code"}, {"i1", {}, "", {}, ""}}};
+    const auto read = segment_from_json(segment_name(0), to_json(segment));
+    EXPECT_EQ(value(read).results, segment.results);
+}
+
 TEST(batch_progress, joins_the_events_of_runs_that_continue_each_other)
 {
     batch_progress progress(make_header(), make_items(1));
--- a/tests/gateway/deployment.hpp
+++ b/tests/gateway/deployment.hpp
@@ -139,7 +139,9 @@
             {"Name":"flow","Host":"h","PathPrefix":"/flow/","Kind":"streaming","Service":"lm","Attempts":3,
              "TimeoutMs":3000,"Resumable":true},
             {"Name":"lots","Host":"h","PathPrefix":"/lots/","Kind":"rollout","Service":"lm","Attempts":2,
-             "MaxAgeS":20,"ResultDeadlineMs":5000}],
+             "MaxAgeS":20,"ResultDeadlineMs":5000},
+            {"Name":"score","Host":"h","PathPrefix":"/score/","Kind":"safe","Service":"plain","Attempts":3,
+             "TimeoutMs":3000,"TargetLatencyMs":800,"Priority":2}],
             "Services":[{"Name":"plain"},{"Name":"lm","Engine":{"Models":[{"Name":"m"}]}}]})");
         auto whole = text;
         whole["Version"] = version;
--- a/tests/models/batch_log/batch_log.pml
+++ b/tests/models/batch_log/batch_log.pml
@@ -5,13 +5,15 @@
  * A segment stands under the position of its first result. A write is done and answered, done without an answer,
  * or done later, after other writes, if its name is still free. An owner may crash and forget all; it then reads
  * the log from its start. Checked whenever a segment is created: it begins where the log ends, and none of its
- * items stands in the log already. So a position holds one result for ever and no item has two.
+ * items stands in the log already, and each of them has been scored. So a position holds one result for ever, no
+ * item has two, and none is listed without a score. Owners may get different scores for one item; the log keeps one.
  *
  * Seeded faults, each of which must be caught:
  *   OVERWRITE     a write replaces what stands under its name
  *   RELIST        an owner lists what it has finished, also where another's segment listed it first
  *   SKIP_UNREAD   an owner that finds its position taken goes on behind it without reading what stands there
  *   TRUST_LOST    an owner takes a write without an answer for done
+ *   LIST_UNSCORED an owner lists a text before its score is there
  */
 #define ITEMS 3
 #define ALL 7
@@ -25,6 +27,7 @@
 byte segment[ITEMS];      /* the items of the segment under each position; 0: none stands there */
 byte listed;              /* all items that stand in the log */
 byte length;              /* results in the log */
+byte scored;              /* items for which any owner has had a score */
 byte faults = FAULTS;
 chan late = [2] of { byte, byte };
 
@@ -42,6 +45,7 @@
     :: segment[position] == 0 ->
         assert(position == length);
         assert((listed & items) == 0);
+        assert((items & ~scored) == 0);
         segment[position] = items;
         listed = listed | items;
         length = length + COUNT(items)
@@ -53,21 +57,30 @@
     known = known | segment[position];
 #ifndef RELIST
     finished = finished & ~segment[position];
+    text = text & ~segment[position];
 #endif
     next = next + COUNT(segment[position])
 }
 
 proctype owner() {
-    byte known, finished, next, items, place;
+    byte known, text, finished, next, items, place;
 end:
     do
-    /* An item is generated, unless this owner knows it listed. */
-    :: d_step { !((known | finished) & 1) -> finished = finished | 1 }
-    :: d_step { !((known | finished) & 2) -> finished = finished | 2 }
-    :: d_step { !((known | finished) & 4) -> finished = finished | 4 }
+    /* An item's text is made, unless this owner has it or knows it listed. */
+    :: d_step { !((known | text | finished) & 1) -> text = text | 1 }
+    :: d_step { !((known | text | finished) & 2) -> text = text | 2 }
+    :: d_step { !((known | text | finished) & 4) -> text = text | 4 }
 
+    /* The texts that are there are scored. */
+    :: d_step { text != 0 -> finished = finished | text; scored = scored | text; text = 0 }
+
+#ifdef LIST_UNSCORED
+    :: atomic { (finished | text) != 0 && next < ITEMS ->
+        items = finished | text;
+#else
     :: atomic { finished != 0 && next < ITEMS ->
         items = finished;
+#endif
         if
         /* Answered: created, or the name is taken and the answer holds what stands there. */
         :: create(next, items);
@@ -93,7 +106,7 @@
         items = 0 }
 
     :: atomic { faults > 0 -> faults--;
-        known = 0; finished = 0; next = 0; place = 0;
+        known = 0; text = 0; finished = 0; next = 0; place = 0;
         do
         :: place < ITEMS && segment[place] != 0 -> take(place); place = next
         :: else -> break
