Let a machine that finds itself named retake the lease of orders at once

Cause: the store names the holder as machine and incarnation, the process compared that with the machine alone. A holder that came back, and one whose renewal was done without an answer, waited out its own lease: six seconds without orders while steps that want new weights starve. Ruled out: comparing machines alone and nothing else: the earlier process may have been waiting for a third machine's last orders, so the lease tells how long its holder still waits; and a name may come back at another address, so the lease names both. Change: each process reads the lease once; named itself, it is a candidate and renews at once, ordering after the wait that is written there.

--- a/src/gateway/foreign_json.hpp
+++ b/src/gateway/foreign_json.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <string>
 
 namespace vanillagauge::gateway {
@@ -32,6 +33,13 @@
     return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
 }
 
+/// The member's whole number; the fallback where there is none, or where it is no such number.
+inline std::int64_t whole_or(const nlohmann::json& object, const char* member, std::int64_t fallback)
+{
+    const auto found = object.is_object() ? object.find(member) : object.end();
+    return found != object.end() && found->is_number_integer() ? found->get<std::int64_t>() : fallback;
+}
+
 /// The member; where there is none, null, which has no elements.
 inline const nlohmann::json& member_or_null(const nlohmann::json& object, const char* member)
 {
--- a/src/gateway/weights_keeper.cpp
+++ b/src/gateway/weights_keeper.cpp
@@ -29,6 +29,9 @@
 /// Of an engine that names no time for idle connections.
 constexpr milliseconds idle_time{4000};
 
+/// Of a lease that does not tell how long its holder waits.
+constexpr milliseconds unknown_wait{10000};
+
 /// More than this between the two clocks means that the machine stood still meanwhile.
 constexpr milliseconds suspended_least{200};
 
@@ -52,6 +55,15 @@
     co_return std::move(response);
 }
 
+policy::stored_lease lease_from(const stored_object& stored)
+{
+    policy::stored_lease lease;
+    lease.holder = text_or_empty(stored.value, "holder");
+    lease.version = stored.revision;
+    lease.acts_in = milliseconds{whole_or(stored.value, "acts_in_ms", unknown_wait.count())};
+    return lease;
+}
+
 } // namespace
 
 weights_keeper::weights_keeper(net::loop& loop, object_store& store, const fleet_view& fleet,
@@ -62,7 +74,8 @@
       current_(std::move(current)),
       holder_(settings.gateway.model_order_holder.empty() ? settings.vm
                                                           : settings.gateway.model_order_holder),
-      lease_({.self = settings.vm,
+      self_(settings.vm + "@" + settings.gateway.relay_listen),
+      lease_({.self = self_,
               .length = settings.gateway.order_lease,
               .longest_order = settings.gateway.order_lease}),
       clock_gap_(boot_clock() - steady::now().time_since_epoch())
@@ -130,7 +143,7 @@
         const auto ranked = fleet::ranked_owners(lease_name, std::move(able));
         // A holder keeps the lease while it can renew it: each change of holder costs seconds without orders.
         const bool first = !ranked.empty() && ranked.front() == fleet_.self();
-        lease_.on_candidate(!stopped_ && (first || lease_.holds(now)));
+        lease_.on_candidate(!stopped_ && (first || lease_.holds(now) || lease_.names_self()));
         order_next(now);
         co_await net::sleep_for(loop_, tend_every);
     }
@@ -158,10 +171,10 @@
     const auto stored = co_await store_.read(lease_kind, lease_name);
     const auto now = steady::now();
     if (ok(stored)) {
-        lease_.on_read(text_or_empty(value(stored).value, "holder"), value(stored).revision, now);
+        lease_.on_read(lease_from(value(stored)), now);
     }
     else if (failure(stored).code == error_code::not_found) {
-        lease_.on_read({}, 0, now);
+        lease_.on_read({}, now);
     }
     else {
         lease_.on_failed(now);
@@ -173,7 +186,8 @@
     const auto asked = steady::now();
     const auto revision = lease_.expected_version();
     const nlohmann::json lease{
-        {"holder", fleet_.self() + "/" + std::to_string(fleet_.incarnation())},
+        {"holder", self_},
+        {"acts_in_ms", lease_.acts_in(asked).count()},
         {"renewal", std::chrono::duration_cast<milliseconds>(asked.time_since_epoch()).count()}};
     result<stored_object> written = error{};
     if (revision == 0) {
--- a/src/gateway/weights_keeper.hpp
+++ b/src/gateway/weights_keeper.hpp
@@ -38,6 +38,7 @@
     const target_protocol& protocol_;
     std::function<const configuration&()> current_;
     std::string holder_;
+    std::string self_; ///< as the lease names this VM: a replaced one may come back under its name elsewhere
     policy::order_lease lease_;
     duration clock_gap_{0}; ///< between the steady clock and one that runs on while the machine is suspended
     std::map<std::string, std::uint64_t> named_;
--- a/src/policy/order_lease.cpp
+++ b/src/policy/order_lease.cpp
@@ -14,15 +14,24 @@
 
 } // namespace
 
-void order_lease::on_read(const std::string& holder, std::uint64_t version, time_point now)
+// Failure: all machines lose power, and the holder's next process waits out the lease of the one before,
+// which is dead; for six seconds nobody orders, and steps that want the new weights starve. So a machine that
+// finds itself named goes on at once. The earlier process may itself have been waiting for another machine's
+// last orders to arrive: its writing tells how long it still had to wait, counted anew from here.
+void order_lease::on_read(const stored_lease& lease, time_point now)
 {
     busy_ = false;
     known_ = true;
-    if (version != version_ || version_since_ == time_point{}) {
+    ever_read_ = true;
+    if (lease.version != version_ || version_since_ == time_point{}) {
         version_since_ = now;
     }
-    holder_ = holder;
-    version_ = version;
+    holder_ = lease.holder;
+    version_ = lease.version;
+    if (names_self()) {
+        acting_from_ = std::max(acting_from_, now + lease.acts_in);
+        next_renewal_ = now;
+    }
 }
 
 // A stopping holder gives its lease up after its last order, so a successor need not wait for its end.
@@ -34,16 +43,29 @@
     return held ? std::optional(version_) : std::nullopt;
 }
 
+// Before the first order after a take-over the last one of the other holder must have arrived.
+time_point order_lease::acts_from() const
+{
+    const bool taken_over = holder_ != terms_.self && version_ != 0;
+    if (!taken_over) {
+        return acting_from_;
+    }
+    const auto lapse = holder_.empty() ? milliseconds{0} : terms_.length;
+    return version_since_ + lapse + terms_.longest_order;
+}
+
+milliseconds order_lease::acts_in(time_point now) const
+{
+    const auto left = std::chrono::ceil<milliseconds>(acts_from() - now);
+    return std::max(left, milliseconds{0});
+}
+
 // A lease taken over from another VM gives no right to order yet: the last order of that holder may have been
 // sent up to the end of its lease, and two holders' orders must not follow each other closely.
 void order_lease::on_written(std::uint64_t version, time_point asked)
 {
     busy_ = false;
-    const bool taken_over = holder_ != terms_.self && version_ != 0;
-    if (taken_over) {
-        const auto lapse = holder_.empty() ? milliseconds{0} : terms_.length;
-        acting_from_ = version_since_ + lapse + terms_.longest_order;
-    }
+    acting_from_ = acts_from();
     holder_ = terms_.self;
     version_ = version;
     version_since_ = asked;
@@ -77,13 +99,17 @@
 // fail. No view of the fleet is needed; a wrong one costs a failed write.
 lease_step order_lease::next(time_point now)
 {
-    if (busy_ || !candidate_ || now < next_try_) {
+    if (busy_ || now < next_try_) {
         return lease_step::none;
     }
-    if (!known_) {
+    // Each process reads once, whoever is to hold the lease: it may be named itself.
+    if (!known_ && (candidate_ || !ever_read_)) {
         busy_ = true;
         return lease_step::read;
     }
+    if (!known_ || !candidate_) {
+        return lease_step::none;
+    }
     const bool own = version_ == 0 || holder_ == terms_.self || holder_.empty();
     const bool due = own ? now >= next_renewal_ : now >= version_since_ + terms_.length + clock_margin;
     if (!due) {
--- a/src/policy/order_lease.hpp
+++ b/src/policy/order_lease.hpp
@@ -18,6 +18,13 @@
     milliseconds stop_before{400};    ///< the end of the lease: an order takes that long to arrive
 };
 
+/// The lease as it stands in the store.
+struct stored_lease {
+    std::string holder;        ///< a VM; empty: it was given up
+    std::uint64_t version = 0; ///< 0: there is none
+    milliseconds acts_in{0};   ///< from the writing on, the holder orders nothing for so long
+};
+
 enum class lease_step { none, read, write };
 
 class order_lease {
@@ -30,8 +37,7 @@
     /// This process stops: it orders nothing any more. The version to replace by a lease without a holder;
     /// none where this process holds none.
     std::optional<std::uint64_t> give_up(time_point now);
-    /// The lease as stored; version 0: there is none; without a holder it was given up.
-    void on_read(const std::string& holder, std::uint64_t version, time_point now);
+    void on_read(const stored_lease& lease, time_point now);
     /// A write took effect that was asked for at `asked`.
     void on_written(std::uint64_t version, time_point asked);
     /// The write's condition failed: the lease is another's, or a write thought lost has been done.
@@ -51,12 +57,17 @@
     /// What the next write replaces; 0: the lease is to be created.
     std::uint64_t expected_version() const { return version_; }
     bool holds(time_point now) const { return now < lease_end_; }
+    /// The store names this VM, whichever of its processes wrote that.
+    bool names_self() const { return known_ && version_ != 0 && holder_ == terms_.self; }
+    /// What a write that is asked for now tells of the wait before the first order.
+    milliseconds acts_in(time_point now) const;
 
 private:
     order_lease_terms terms_;
     bool candidate_ = false;
     bool busy_ = false;
     bool known_ = false;
+    bool ever_read_ = false;
     std::string holder_;
     std::uint64_t version_ = 0;
     time_point version_since_{}; ///< when this version was first read here
@@ -64,6 +75,8 @@
     time_point acting_from_{};
     time_point next_renewal_{};
     time_point next_try_{};
+
+    time_point acts_from() const;
 };
 
 } // namespace vanillagauge::policy
--- a/tests/policy/order_lease_tests.cpp
+++ b/tests/policy/order_lease_tests.cpp
@@ -16,13 +16,15 @@
 struct lease_object {
     std::string holder;
     std::uint64_t version = 0;
+    milliseconds acts_in{0};
 
-    bool replace(std::uint64_t expected, const std::string& by)
+    bool replace(std::uint64_t expected, const std::string& by, milliseconds waits = {})
     {
         if (expected != version) {
             return false;
         }
         holder = by;
+        acts_in = waits;
         version += 10;
         return true;
     }
@@ -32,10 +34,10 @@
 {
     switch (lease.next(now)) {
     case lease_step::read:
-        lease.on_read(store.holder, store.version, now);
+        lease.on_read({store.holder, store.version, store.acts_in}, now);
         break;
     case lease_step::write:
-        if (store.replace(lease.expected_version(), vm)) {
+        if (store.replace(lease.expected_version(), vm, lease.acts_in(now))) {
             lease.on_written(store.version, now);
         }
         else {
@@ -161,6 +163,65 @@
     EXPECT_LE(*first_order - start, milliseconds{3200});
 }
 
+// All machines lose power. The holder's next process finds itself named while another machine ranks first
+// now; without it the lease would have to lapse and nobody would order for six seconds.
+TEST(order_lease, is_retaken_at_once_by_a_machine_that_finds_itself_named)
+{
+    order_lease before(terms("a"));
+    lease_object store;
+    take_lease(before, store, "a");
+    const auto back = start + milliseconds{1500};
+    order_lease after(terms("a"));
+    step(after, store, "a", back);
+    EXPECT_TRUE(after.names_self());
+    after.on_candidate(after.names_self());
+    step(after, store, "a", back);
+    EXPECT_EQ(after.may_order(back), store.version);
+}
+
+// The holder had taken the lease over from another machine and was waiting for that one's last orders to
+// arrive when it lost its power. Its next process must not order earlier than it would have itself.
+TEST(order_lease, retaken_keeps_the_wait_for_the_holder_before)
+{
+    order_lease lost(terms("x"));
+    order_lease before(terms("a"));
+    lease_object store;
+    take_lease(lost, store, "x");
+    before.on_candidate(true);
+    auto now = start;
+    while (!before.names_self()) {
+        now += milliseconds{50};
+        step(before, store, "a", now);
+    }
+    EXPECT_FALSE(before.may_order(now));
+    order_lease after(terms("a"));
+    std::optional<time_point> first_order;
+    for (; now < start + seconds{15} && !first_order; now += milliseconds{50}) {
+        step(after, store, "a", now);
+        after.on_candidate(after.names_self());
+        if (after.may_order(now)) {
+            first_order = now;
+        }
+    }
+    ASSERT_TRUE(first_order);
+    constexpr milliseconds last_of_lost{2600};
+    EXPECT_GE(*first_order - (start + last_of_lost), milliseconds{3000});
+}
+
+// Another machine took the lease while the process was down: that one's lease is waited out like anybody's.
+TEST(order_lease, named_for_another_is_not_retaken)
+{
+    order_lease other(terms("b"));
+    lease_object store;
+    take_lease(other, store, "b");
+    order_lease back(terms("a"));
+    step(back, store, "a", start);
+    EXPECT_FALSE(back.names_self());
+    back.on_candidate(true);
+    step(back, store, "a", start + milliseconds{3000});
+    EXPECT_EQ(store.holder, "b");
+}
+
 TEST(order_lease, gives_a_stopping_process_no_order)
 {
     order_lease lease(terms("a"));
