Let scoring calls wait in a line of their own until they are due

Cause: scoring calls stood in a line made for callers. Their latency, spread from 50 ms to 1.5 s, also cut the limit of the replicas for them. Change: their gate has a fixed share of a replica's places and a line in which work waits until it is due; a caller's line is as before.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -56,9 +56,11 @@
         policy::pool_options options{.limited = true, .initial_limit = std::max(slots, 1)};
         if (current.own()) {
             options.initial_limit = policy::background_places(slots);
-            options.most_limit = options.initial_limit;
+            options.adaptive = false;
         }
-        gate = std::make_unique<service_gate>(loop_, random_(), options);
+        const auto patience =
+            current.own() ? policy::queue_patience::until_due : policy::queue_patience::caller;
+        gate = std::make_unique<service_gate>(loop_, random_(), options, patience);
         gate->update(replicas, steady::now());
     }
     return gate.get();
--- a/src/gateway/service_gate.cpp
+++ b/src/gateway/service_gate.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-service_gate::service_gate(net::loop& loop, std::uint64_t seed, policy::pool_options options)
-    : scheduler_(seed, options), changed_(loop)
+service_gate::service_gate(net::loop& loop, std::uint64_t seed, policy::pool_options options,
+                           policy::queue_patience patience)
+    : scheduler_(seed, options, patience), changed_(loop)
 {
 }
 
--- a/src/gateway/service_gate.hpp
+++ b/src/gateway/service_gate.hpp
@@ -16,7 +16,8 @@
 
 class service_gate {
 public:
-    service_gate(net::loop& loop, std::uint64_t seed, policy::pool_options options);
+    service_gate(net::loop& loop, std::uint64_t seed, policy::pool_options options,
+                 policy::queue_patience patience);
 
     /// Takes the service's present replicas.
     void update(const std::vector<target_ref>& targets, time_point now);
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -54,7 +54,7 @@
         rate_ = 0;
     }
     const double wait = rate_ > 0 ? static_cast<double>(ahead_of(item)) / rate_ : 0;
-    if (std::chrono::duration<double>(wait) > patience) {
+    if (patience_ == queue_patience::caller && std::chrono::duration<double>(wait) > patience) {
         return refused("the line is longer than the request may wait");
     }
     if (size() >= most_waiting && !give_way_to(item)) {
@@ -66,6 +66,9 @@
 
 duration fair_queue::longest_wait_of(const work& item, time_point now) const
 {
+    if (patience_ == queue_patience::until_due) {
+        return item.deadline - now;
+    }
     const auto burst = std::min<duration>((item.deadline - now) / deadline_share, longest_wait);
     const bool standing = !empty() && now - busy_since_ > standing_after;
     if (!standing) {
--- a/src/policy/fair_queue.hpp
+++ b/src/policy/fair_queue.hpp
@@ -19,10 +19,19 @@
     error reason;
 };
 
+/// Who waits in the line.
+enum class queue_patience {
+    caller,    ///< is turned away early, to be served elsewhere
+    until_due, ///< has nowhere else to go, and may wait until its deadline
+};
+
 class fair_queue {
 public:
     /// `seed` decides which callers share a bucket; let it differ between processes.
-    explicit fair_queue(std::uint64_t seed) : seed_(seed) {}
+    explicit fair_queue(std::uint64_t seed, queue_patience patience = queue_patience::caller)
+        : seed_(seed), patience_(patience)
+    {
+    }
 
     // Commands.
     /// Takes the request in, or returns why not. Where the queue is full, another request may be turned away
@@ -67,6 +76,7 @@
     };
 
     std::uint64_t seed_;
+    queue_patience patience_;
     std::array<class_queue, priority_count> classes_;
     std::unordered_map<std::uint64_t, waiting> entries_;
     std::set<std::pair<time_point, std::uint64_t>> give_ups_;
--- a/src/policy/scheduler.hpp
+++ b/src/policy/scheduler.hpp
@@ -27,8 +27,8 @@
 
 class scheduler {
 public:
-    scheduler(std::uint64_t seed, pool_options options)
-        : pool_(seed, options), queue_(seed), plain_(!options.limited)
+    scheduler(std::uint64_t seed, pool_options options, queue_patience patience = queue_patience::caller)
+        : pool_(seed, options), queue_(seed, patience), plain_(!options.limited)
     {
     }
 
--- a/src/policy/target_pool.cpp
+++ b/src/policy/target_pool.cpp
@@ -151,7 +151,8 @@
 int target_pool::allowed(const record& item, time_point now) const
 {
     const double share = item.hint.weight(now) * slow_start_share(item.joined, now);
-    return std::clamp(static_cast<int>(item.limit.limit() * share), 1, options_.most_limit);
+    const int limit = options_.adaptive ? item.limit.limit() : options_.initial_limit;
+    return std::max(1, static_cast<int>(limit * share));
 }
 
 bool target_pool::takes(std::size_t place, const work& item, time_point now)
--- a/src/policy/target_pool.hpp
+++ b/src/policy/target_pool.hpp
@@ -10,7 +10,6 @@
 #include "policy/work.hpp"
 
 #include <functional>
-#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -30,8 +29,8 @@
     bool limited = true;
     /// Of a target that has not answered yet. Sixteen is what the smallest services of today serve at once.
     int initial_limit = 16;
-    /// In flight at one target, however fast it answers.
-    int most_limit = std::numeric_limits<int>::max();
+    /// False: the limit stays as it is, for work whose own time says little of the target's load.
+    bool adaptive = true;
 };
 
 /// How a request ended at a target.
--- a/tests/policy/scheduler_tests.cpp
+++ b/tests/policy/scheduler_tests.cpp
@@ -48,6 +48,45 @@
     EXPECT_LT(run.of("phone").good_share(), 0.2);
 }
 
+// The texts of a step are whole at once: sixty calls of 200 ms for ten places, and nobody else to ask. Turned
+// away like callers they would come again and again; in their own line each is made once, one after the
+// other.
+TEST(burst, of_work_with_nowhere_else_to_go_waits_until_it_is_due)
+{
+    const pool_options options{.limited = true, .initial_limit = 5, .adaptive = false};
+    scheduler line(7, options, queue_patience::until_due);
+    line.update({{"a", "near"}, {"b", "near"}}, time_point{});
+    constexpr milliseconds call{200};
+    constexpr int calls = 60;
+    std::vector<std::string> running;
+    for (std::uint64_t id = 0; id < calls; ++id) {
+        work item;
+        item.id = id;
+        item.deadline = time_point{} + seconds{2};
+        const auto decided = line.submit(std::move(item), time_point{});
+        ASSERT_FALSE(std::holds_alternative<error>(decided));
+        if (const auto* at = std::get_if<placed>(&decided)) {
+            running.push_back(at->target);
+        }
+    }
+    EXPECT_EQ(running.size(), 10U);
+    std::size_t started = running.size();
+    for (time_point now{call}; now <= time_point{6 * call}; now += call) {
+        for (const auto& target : std::exchange(running, {})) {
+            line.finish(target, {ending::answered, call}, now);
+        }
+        const auto found = line.advance(now);
+        EXPECT_TRUE(found.turned_away.empty());
+        for (const auto& start : found.started) {
+            running.push_back(start.target);
+        }
+        EXPECT_LE(running.size(), 10U);
+        started += running.size();
+    }
+    EXPECT_EQ(started, calls);
+    EXPECT_EQ(line.waiting(), 0U);
+}
+
 // A forecast turns and ten times as many callers come within a second, then it is over. Afterwards callers
 // must be served as before: the burst leaves no line behind.
 TEST(burst, is_over_when_it_ends)
