Keep the texts of long items in the store for the next owner

Cause: a step of stamp-read takes as long as its longest item, 171 events of 36 ms. Ruled out: asking the engines for the texts (a run ends with its connection); copies on the disks of storage machines (what the store keeps is as safe and needs no protocol of ours). Change: once a second an owner with runs older than that writes the texts of ten events and more that are not listed, at most 600 KB, in place of those before. A successor asks for what follows them, and scores those that lack only a score. Texts under weights too old for the batch are not used. Results that are listed say so in the log.

--- a/src/gateway/batch_progress.cpp
+++ b/src/gateway/batch_progress.cpp
@@ -109,6 +109,41 @@
     }
 }
 
+// Texts made under weights that are too old for the batch are of no use.
+void batch_progress::take_text(const item_text& text)
+{
+    const auto found = places_.find(text.id);
+    if (found == places_.end() || text.versions.empty() || *text.versions.begin() < header_.least_version) {
+        return;
+    }
+    auto& entry = items_[found->second];
+    const bool mixed = header_.single_version && text.versions.size() > 1;
+    if (entry.state != work_state::waiting || entry.events > 0 || mixed) {
+        return;
+    }
+    entry.text = text.text;
+    entry.events = text.events;
+    entry.last_event = text.last_event;
+    entry.versions = text.versions;
+    if (text.whole) {
+        entry.state = work_state::running;
+        complete(found->second);
+    }
+}
+
+std::optional<item_text> batch_progress::text_of(std::size_t place) const
+{
+    const auto& entry = items_[place];
+    const bool made = entry.events > 0 && entry.state != work_state::listed;
+    if (!made || (entry.state == work_state::finished && entry.result.state == item_state::terminated)) {
+        return std::nullopt;
+    }
+    const bool finished = entry.state == work_state::finished;
+    return item_text{entry.item.id,  finished ? entry.result.text : entry.text,
+                     entry.events,   entry.last_event,
+                     entry.versions, finished || entry.state == work_state::scoring};
+}
+
 void batch_progress::restart(std::size_t place)
 {
     auto& entry = items_[place];
--- a/src/gateway/batch_progress.hpp
+++ b/src/gateway/batch_progress.hpp
@@ -37,6 +37,18 @@
     item_result result{};              ///< once finished
 };
 
+/// An item's text as far as it was made, for an owner that goes on with it.
+struct item_text {
+    std::string id;
+    std::string text;
+    std::size_t events = 0;
+    std::optional<std::uint64_t> last_event{};
+    std::set<std::uint64_t> versions{};
+    bool whole = false; ///< nothing is missing but the score
+
+    friend bool operator==(const item_text&, const item_text&) = default;
+};
+
 /// Why a run's answer does not continue the text that is there.
 enum class run_break { none, old_weights, mixed_weights, wrong_event, not_wanted };
 
@@ -53,6 +65,8 @@
     run_break begin_run(std::size_t place, std::uint64_t version);
     run_break take_event(std::size_t place, const net::stream_event& event,
                          std::optional<std::uint64_t> new_version);
+    /// The text that an earlier owner made of an item that has none here.
+    void take_text(const item_text& text);
     /// Drops the text, which a run cannot continue.
     void restart(std::size_t place);
     /// The run is over and its text is whole. The item is finished, or waits for its score.
@@ -80,6 +94,8 @@
     bool group_waits() const;
     /// Items of the same group that are neither finished nor listed, this one with them.
     std::size_t open_in_group(std::size_t place) const;
+    /// What was made of an item that is not listed; none where nothing was.
+    std::optional<item_text> text_of(std::size_t place) const;
     /// Waiting items in the order in which they are to run: carried-over groups stand first, the longest of a
     /// group's items before the shorter ones.
     const std::vector<std::size_t>& order() const { return order_; }
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -25,6 +25,9 @@
 
 constexpr milliseconds store_retry{300};
 
+/// A run's work that is lost with its owner at most, but for the time of the write.
+constexpr milliseconds keep_texts_every{1000};
+
 } // namespace
 
 batch_runner::batch_runner(net::loop& loop, object_store& store, const fleet_view& fleet,
@@ -130,6 +133,58 @@
     co_return true;
 }
 
+// What an earlier owner kept of the texts. Without it the items are made from their start.
+net::task<void> batch_runner::load_texts(run_ref batch)
+{
+    const auto kept = co_await batch->texts.kept();
+    std::size_t events = 0;
+    if (ok(kept)) {
+        for (const auto& text : value(kept)) {
+            batch->progress.take_text(text);
+            events += text.events;
+        }
+    }
+    observe::log(observe::log_level::info, "texts_taken_over",
+                 {{"batch", batch->progress.header().id},
+                  {"events", static_cast<std::int64_t>(events)},
+                  {"outcome", ok(kept) ? std::string("read") : describe(failure(kept))}});
+    for (std::size_t place = 0; place < batch->progress.items().size(); ++place) {
+        if (batch->progress.items()[place].state == work_state::scoring) {
+            net::start(loop_, score_item(batch, place));
+        }
+    }
+}
+
+// Failure: the owner dies while long items run, and its successor makes each of them from its start: a step
+// that was nearly whole takes its whole time again and its trainer falls behind for good. What the owner has
+// made is kept in the store, so the successor loses about the time between two writes.
+void batch_runner::keep_texts(const run_ref& batch)
+{
+    const auto now = steady::now();
+    const bool due = std::any_of(batch->streams.begin(), batch->streams.end(), [&](const auto& entry) {
+        const auto& open = entry.second;
+        return open->heard && now - std::max(open->began, batch->texts_kept) >= keep_texts_every;
+    });
+    if (due && !batch->keeping_texts) {
+        batch->keeping_texts = true;
+        net::start(loop_, write_texts(batch));
+    }
+}
+
+net::task<void> batch_runner::write_texts(run_ref batch)
+{
+    const auto made = steady::now();
+    auto texts = texts_to_keep(batch->progress);
+    const auto count = static_cast<std::int64_t>(texts.size());
+    const auto kept = co_await batch->texts.keep(std::move(texts));
+    batch->texts_kept = made;
+    batch->keeping_texts = false;
+    observe::log(ok(kept) ? observe::log_level::info : observe::log_level::warning, "texts_kept",
+                 {{"batch", batch->progress.header().id},
+                  {"texts", count},
+                  {"outcome", ok(kept) ? std::string("done") : describe(failure(kept))}});
+}
+
 net::task<void> batch_runner::drive(batch_header header)
 {
     const bool fresh = kept_items_.contains(header.id);
@@ -145,7 +200,7 @@
         }
         items = co_await load_items(header);
     }
-    const auto batch = std::make_shared<run>(loop_, header, std::move(value(items)));
+    const auto batch = std::make_shared<run>(loop_, store_, header, std::move(value(items)));
     batch->give_up_at = header.accepted + header.max_age;
     bool loaded = fresh;
     while (!loaded) {
@@ -159,6 +214,9 @@
         active_.erase(header.id);
         co_return;
     }
+    if (!fresh) {
+        co_await load_texts(batch);
+    }
     active_[header.id] = batch;
     co_await work_through(batch);
 }
@@ -169,6 +227,7 @@
         place_items();
         move_stragglers(*batch);
         give_up_old(*batch);
+        keep_texts(batch);
         const auto now = steady::now();
         auto& progress = batch->progress;
         if (progress.unlisted_results() == 0) {
@@ -247,6 +306,10 @@
         const auto name = segment_name(segment->first);
         const auto written = co_await store_.create(kind, name, to_json(*segment));
         if (ok(written)) {
+            observe::log(observe::log_level::info, "results_listed",
+                         {{"batch", progress.header().id},
+                          {"first", static_cast<std::int64_t>(segment->first)},
+                          {"results", static_cast<std::int64_t>(segment->results.size())}});
             progress.take_segment(*segment);
         }
         else if (failure(written).code == error_code::conflict) {
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -66,6 +66,9 @@
     net::task<void> drive(batch_header header);
     net::task_of<std::vector<batch_item>> load_items(const batch_header& header);
     net::task<bool> load_log(run& batch);
+    net::task<void> load_texts(run_ref batch);
+    void keep_texts(const run_ref& batch);
+    net::task<void> write_texts(run_ref batch);
     net::task<void> work_through(run_ref batch);
     void place_items();
     bool place_items_of(const run_ref& batch, const std::vector<target_ref>& engines);
--- /dev/null
+++ b/src/gateway/batch_texts.cpp
@@ -0,0 +1,122 @@
+#include "gateway/batch_texts.hpp"
+
+#include "gateway/foreign_json.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+/// Less than this is made again in the time that it takes to read it back.
+constexpr std::size_t least_events = 10;
+
+/// Well below what the store takes as one value.
+constexpr std::size_t most_bytes = 600U << 10U;
+
+item_text text_from_json(const json& from)
+{
+    item_text text;
+    text.id = from.at("id").get<std::string>();
+    text.text = from.at("text").get<std::string>();
+    text.events = from.at("events").get<std::size_t>();
+    if (const auto last = from.find("last"); last != from.end()) {
+        text.last_event = last->get<std::uint64_t>();
+    }
+    text.versions = from.at("versions").get<std::set<std::uint64_t>>();
+    text.whole = from.at("whole").get<bool>();
+    return text;
+}
+
+json to_json(const item_text& text)
+{
+    json to{{"id", text.id},
+            {"text", text.text},
+            {"events", text.events},
+            {"versions", text.versions},
+            {"whole", text.whole}};
+    if (text.last_event) {
+        to["last"] = *text.last_event;
+    }
+    return to;
+}
+
+} // namespace
+
+std::vector<item_text> texts_to_keep(const batch_progress& progress)
+{
+    std::vector<item_text> texts;
+    for (std::size_t place = 0; place < progress.items().size(); ++place) {
+        auto text = progress.text_of(place);
+        if (text && text->events >= least_events) {
+            texts.push_back(std::move(*text));
+        }
+    }
+    std::sort(texts.begin(), texts.end(),
+              [](const item_text& left, const item_text& right) { return left.events > right.events; });
+    std::size_t bytes = 0;
+    const auto too_much = std::find_if(texts.begin(), texts.end(), [&bytes](const item_text& text) {
+        bytes += text.text.size() + text.id.size();
+        return bytes > most_bytes;
+    });
+    texts.erase(too_much, texts.end());
+    return texts;
+}
+
+json to_json(const std::vector<item_text>& texts)
+{
+    json list = json::array();
+    for (const auto& text : texts) {
+        list.push_back(to_json(text));
+    }
+    return {{"texts", std::move(list)}};
+}
+
+result<std::vector<item_text>> texts_from_json(const json& value)
+{
+    const error unreadable{error_code::invalid_argument, run_state::not_run, "the kept texts of a batch"};
+    return decoded<std::vector<item_text>>(value, unreadable,
+                                           [](const json& from) -> result<std::vector<item_text>> {
+                                               std::vector<item_text> texts;
+                                               for (const auto& entry : from.at("texts")) {
+                                                   texts.push_back(text_from_json(entry));
+                                               }
+                                               return texts;
+                                           });
+}
+
+net::task_of<done> text_keeper::keep(std::vector<item_text> texts)
+{
+    auto value_to_keep = to_json(texts);
+    result<stored_object> written = error{};
+    if (revision_ == 0) {
+        written = co_await store_.create(text_kind, batch_, std::move(value_to_keep));
+    }
+    else {
+        written = co_await store_.replace(text_kind, batch_, std::move(value_to_keep), revision_);
+    }
+    if (ok(written)) {
+        revision_ = value(written).revision;
+        co_return done{};
+    }
+    // A write thought lost was done, or another owner keeps its own: the next one replaces what stands now.
+    if (failure(written).code == error_code::conflict) {
+        const auto standing = co_await store_.read(text_kind, batch_);
+        revision_ = ok(standing) ? value(standing).revision : 0;
+    }
+    co_return failure(written);
+}
+
+net::task_of<std::vector<item_text>> text_keeper::kept()
+{
+    const auto stored = co_await store_.read(text_kind, batch_);
+    if (!ok(stored)) {
+        co_return failure(stored);
+    }
+    revision_ = value(stored).revision;
+    co_return texts_from_json(value(stored).value);
+}
+
+} // namespace vanillagauge::gateway
--- a/src/gateway/internal/batch_run.hpp
+++ b/src/gateway/internal/batch_run.hpp
@@ -3,6 +3,7 @@
 #define VANILLAGAUGE_GATEWAY_INTERNAL_BATCH_RUN_HPP
 
 #include "gateway/batch_runner.hpp"
+#include "gateway/batch_texts.hpp"
 
 namespace vanillagauge::gateway {
 
@@ -16,8 +17,8 @@
 };
 
 struct batch_runner::run {
-    run(net::loop& loop, batch_header header, std::vector<batch_item> items)
-        : progress(std::move(header), std::move(items)), changed(loop)
+    run(net::loop& loop, object_store& store, const batch_header& header, std::vector<batch_item> items)
+        : progress(header, std::move(items)), changed(loop), texts(store, header.id)
     {
     }
 
@@ -29,6 +30,9 @@
     bool listing = false;
     time_point last_listing{};
     time_point first_unlisted{};
+    text_keeper texts;
+    bool keeping_texts = false;
+    time_point texts_kept{}; ///< what was made since then would be lost with this gateway
     wall_time give_up_at{};
 
     void cancel_work()
--- a/tests/gateway/batch_progress_tests.cpp
+++ b/tests/gateway/batch_progress_tests.cpp
@@ -1,5 +1,7 @@
 #include "gateway/batch_progress.hpp"
 
+#include "gateway/batch_texts.hpp"
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
@@ -90,6 +92,67 @@
     EXPECT_TRUE(progress.all_listed());
 }
 
+// The owner dies with a text half made and another that lacks only its score. The next owner asks for what
+// follows the first, and makes nothing of the second again.
+TEST(batch_progress, goes_on_with_the_texts_of_an_earlier_owner)
+{
+    auto items = make_items(2);
+    items[1].scoring = scoring_call{"s1", "h", "/score/1", ""};
+    batch_progress progress(make_header(), std::move(items));
+    progress.take_text({"i0", "one\ntwo", 2, 2, {2}, false});
+    progress.take_text({"i1", "whole", 1, 1, {3}, true});
+    EXPECT_EQ(progress.items()[0].state, work_state::waiting);
+    EXPECT_EQ(progress.items()[0].last_event, 2U);
+    EXPECT_EQ(progress.items()[1].state, work_state::scoring);
+    progress.start(0);
+    ASSERT_EQ(progress.begin_run(0, 3), run_break::none);
+    ASSERT_EQ(progress.take_event(0, make_event(3, "three"), std::nullopt), run_break::none);
+    progress.complete(0);
+    progress.take_score(1, "code");
+    const auto segment = progress.next_segment("me");
+    ASSERT_TRUE(segment);
+    const std::vector<item_result> expected{{"i0", item_state::completed, "one\ntwo\nthree", {2, 3}, ""},
+                                            {"i1", item_state::completed, "whole", {3}, "code"}};
+    EXPECT_EQ(segment->results, expected);
+}
+
+TEST(batch_progress, takes_no_text_that_does_not_fit_the_batch)
+{
+    auto header = make_header();
+    header.single_version = true;
+    batch_progress progress(header, make_items(3));
+    progress.take_text({"i0", "old", 1, 1, {1}, false});
+    progress.take_text({"i1", "mixed", 2, 2, {2, 3}, false});
+    progress.take_text({"elsewhere", "text", 1, 1, {2}, false});
+    progress.take_segment({0, "other", {{"i2", item_state::completed, "theirs", {2}, ""}}});
+    progress.take_text({"i2", "mine", 1, 1, {2}, true});
+    EXPECT_EQ(progress.items()[0].events, 0U);
+    EXPECT_EQ(progress.items()[1].events, 0U);
+    EXPECT_EQ(progress.items()[2].state, work_state::listed);
+    EXPECT_EQ(progress.unlisted_results(), 0U);
+}
+
+TEST(batch_texts, come_back_as_they_were_kept)
+{
+    batch_progress progress(make_header(), make_items(2));
+    for (std::size_t place = 0; place < 2; ++place) {
+        progress.start(place);
+        ASSERT_EQ(progress.begin_run(place, 2), run_break::none);
+    }
+    constexpr std::uint64_t events = 12;
+    for (std::uint64_t number = 1; number <= events; ++number) {
+        ASSERT_EQ(progress.take_event(1, make_event(number, "x"), std::nullopt), run_break::none);
+    }
+    ASSERT_EQ(progress.take_event(0, make_event(1, "x"), std::nullopt), run_break::none);
+    const auto texts = texts_to_keep(progress);
+    ASSERT_EQ(texts.size(), 1U) << "a text of one event is soon made again";
+    EXPECT_EQ(texts[0].id, "i1");
+    EXPECT_EQ(texts[0].last_event, events);
+    EXPECT_EQ(value(texts_from_json(to_json(texts))), texts);
+    EXPECT_FALSE(ok(texts_from_json({{"texts", 7}})));
+    EXPECT_FALSE(ok(texts_from_json({{"texts", {{{"id", "i"}}}}})));
+}
+
 TEST(batch_json, keeps_scoring_calls_and_scores)
 {
     batch_item item;
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -108,6 +108,43 @@
     expect_whole(all.read_all({second.address()}, "b1"));
 }
 
+// The owner dies while its items are long under way. Without their texts each would begin at its start and
+// the step would take its whole time again; the next owner asks for what follows the kept ones.
+TEST(batches, go_on_behind_the_kept_texts_when_their_owner_dies)
+{
+    batches all;
+    auto& first = all.ready_gateway("a");
+    auto& second = all.ready_gateway("b");
+    all.change([&](standins::fake_store&) {
+        for (auto* engine : {&all.one, &all.two}) {
+            engine->events = 40;
+            engine->event_time = milliseconds(60);
+        }
+    });
+    EXPECT_EQ(all.status_of(first.address(), make_batch("b1")), 202);
+    EXPECT_TRUE(deployment::eventually([&] {
+        return all.look<std::size_t>(
+                   [](standins::fake_store& store) { return store.count("batch-texts"); }) == 1;
+    }));
+    first.kill();
+    const auto results = all.read_all({second.address()}, "b1");
+    ASSERT_EQ(results.size(), item_count);
+    const auto resumed = all.look<std::size_t>([&](standins::fake_store&) {
+        std::size_t count = 0;
+        for (const auto* engine : {&all.one, &all.two}) {
+            count += static_cast<std::size_t>(
+                std::count_if(engine->ran.begin(), engine->ran.end(),
+                              [](const standins::seen_request& run) { return !run.last_event_id.empty(); }));
+        }
+        return count;
+    });
+    EXPECT_EQ(resumed, item_count);
+    for (const auto& entry : results) {
+        const auto text = entry.at("Text").get<std::string>();
+        EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 39) << entry.at("Id");
+    }
+}
+
 // All gateways lose power at once. Each knows only itself when it is back; if each took every open batch,
 // every item would run as often as there are gateways, and the steps behind would come late.
 TEST(batches, are_left_alone_by_a_gateway_that_does_not_know_the_others_yet)
