Lose less time without orders when the holder of the lease changes

Ruled out: a shorter distance between orders of two holders; it is given. Change: the first candidate reads at once when it becomes that, or when the holder leaves its view; the lease is two thirds as long as orders must lie apart (its holder retakes it at once, so a lapse costs little); a stopping holder orders until it leaves, and its lease is left for 2.4 s to its next process, which goes on without the wait.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -357,11 +357,11 @@
     state_->draining = true;
     state_->fleet.set_draining();
     state_->runner.stop_taking();
-    state_->weights.stop();
 }
 
 void gateway::leave()
 {
+    state_->weights.stop();
     state_->fleet.leave();
 }
 
--- a/src/gateway/weights_keeper.cpp
+++ b/src/gateway/weights_keeper.cpp
@@ -59,6 +59,7 @@
 {
     policy::stored_lease lease;
     lease.holder = text_or_empty(stored.value, "holder");
+    lease.former = text_or_empty(stored.value, "former");
     lease.version = stored.revision;
     lease.acts_in = milliseconds{whole_or(stored.value, "acts_in_ms", unknown_wait.count())};
     return lease;
@@ -76,7 +77,7 @@
                                                           : settings.gateway.model_order_holder),
       self_(settings.vm + "@" + settings.gateway.relay_listen),
       lease_({.self = self_,
-              .length = settings.gateway.order_lease,
+              .length = settings.gateway.order_lease * 2 / 3,
               .longest_order = settings.gateway.order_lease}),
       clock_gap_(boot_clock() - steady::now().time_since_epoch())
 {
@@ -91,15 +92,17 @@
 void weights_keeper::stop()
 {
     stopped_ = true;
-    if (const auto held = lease_.give_up(steady::now())) {
-        net::start(loop_, give_lease_up(*held));
+    const auto now = steady::now();
+    const auto acts_in = lease_.acts_in(now);
+    if (const auto held = lease_.give_up(now)) {
+        net::start(loop_, give_lease_up(*held, acts_in));
     }
 }
 
 // The condition makes a write that is done late harmless: by then another holds the lease.
-net::task<void> weights_keeper::give_lease_up(std::uint64_t version)
+net::task<void> weights_keeper::give_lease_up(std::uint64_t version, milliseconds acts_in)
 {
-    const nlohmann::json free{{"holder", ""}};
+    const nlohmann::json free{{"holder", ""}, {"former", self_}, {"acts_in_ms", acts_in.count()}};
     const auto written = co_await store_.replace(lease_kind, lease_name, free, version);
     observe::log(observe::log_level::info, "lease_given_up",
                  {{"version", static_cast<std::int64_t>(version)},
@@ -134,21 +137,36 @@
             observe::log(observe::log_level::warning, "machine_was_suspended", {});
             lease_.on_suspended();
         }
-        std::vector<std::string> able;
-        for (const auto& peer : fleet_.peers()) {
-            if (!peer.draining && !peer.front_address.empty()) {
-                able.push_back(peer.vm);
-            }
-        }
-        const auto ranked = fleet::ranked_owners(lease_name, std::move(able));
-        // A holder keeps the lease while it can renew it: each change of holder costs seconds without orders.
-        const bool first = !ranked.empty() && ranked.front() == fleet_.self();
-        lease_.on_candidate(!stopped_ && (first || lease_.holds(now) || lease_.names_self()));
+        choose_candidate(now);
         order_next(now);
         co_await net::sleep_for(loop_, tend_every);
     }
 }
 
+// A holder keeps the lease while it can renew it: each change of holder costs seconds without orders.
+void weights_keeper::choose_candidate(time_point now)
+{
+    const auto holder_vm = lease_.holder().substr(0, lease_.holder().find('@'));
+    std::vector<std::string> able;
+    bool holder_lives = false;
+    for (const auto& peer : fleet_.peers()) {
+        if (!peer.draining && !peer.front_address.empty()) {
+            able.push_back(peer.vm);
+        }
+        holder_lives = holder_lives || peer.vm == holder_vm;
+    }
+    const auto ranked = fleet::ranked_owners(lease_name, std::move(able));
+    const bool first = !ranked.empty() && ranked.front() == fleet_.self();
+    const bool holder_went = holder_lives_ && !holder_lives;
+    const bool became_first = first && !first_;
+    if (!lease_.holds(now) && (became_first || (first && holder_went))) {
+        lease_.on_doubt();
+    }
+    holder_lives_ = holder_lives;
+    first_ = first;
+    lease_.on_candidate(!stopped_ && (first || lease_.holds(now) || lease_.names_self()));
+}
+
 net::task<void> weights_keeper::keep_lease()
 {
     while (!stopped_) {
--- a/src/gateway/weights_keeper.hpp
+++ b/src/gateway/weights_keeper.hpp
@@ -44,13 +44,16 @@
     std::map<std::string, std::uint64_t> named_;
     std::set<std::string> loading_;                   ///< lifetimes
     std::map<std::string, time_point> resting_until_; ///< by lifetime
+    bool holder_lives_ = false;                       ///< as the fleet sees it
+    bool first_ = false;                              ///< of those who may follow a holder that is gone
     bool stopped_ = false;
 
     net::task<void> tend();
+    void choose_candidate(time_point now);
     net::task<void> keep_lease();
     net::task<void> read_lease();
     net::task<void> write_lease();
-    net::task<void> give_lease_up(std::uint64_t version);
+    net::task<void> give_lease_up(std::uint64_t version, milliseconds acts_in);
     void order_next(time_point now);
     std::vector<target_ref> engines_of(const std::string& model) const;
     net::task<void> load(target_ref at, std::string model, std::uint64_t version);
--- a/src/policy/order_lease.cpp
+++ b/src/policy/order_lease.cpp
@@ -26,7 +26,8 @@
     if (lease.version != version_ || version_since_ == time_point{}) {
         version_since_ = now;
     }
-    holder_ = lease.holder;
+    const bool own_return = lease.holder.empty() && lease.former == terms_.self;
+    holder_ = own_return ? terms_.self : lease.holder;
     version_ = lease.version;
     if (names_self()) {
         acting_from_ = std::max(acting_from_, now + lease.acts_in);
@@ -87,6 +88,13 @@
     next_try_ = now + store_retry;
 }
 
+// Read at once, the standing version is known to be unchanged from that moment on; read when the next try is
+// due, a holder's end would be noticed a whole length later.
+void order_lease::on_doubt()
+{
+    known_ = false;
+}
+
 void order_lease::on_suspended()
 {
     known_ = false;
@@ -110,15 +118,24 @@
     if (!known_ || !candidate_) {
         return lease_step::none;
     }
-    const bool own = version_ == 0 || holder_ == terms_.self || holder_.empty();
-    const bool due = own ? now >= next_renewal_ : now >= version_since_ + terms_.length + clock_margin;
-    if (!due) {
+    if (now < due_at()) {
         return lease_step::none;
     }
     busy_ = true;
     return lease_step::write;
 }
 
+// Load pattern: all VMs restart in turn. A successor must wait for the last orders of the one before in any
+// case; until then a holder that gave its lease up may come back and go on without that wait, and it is the
+// one that will not stop again soon.
+time_point order_lease::due_at() const
+{
+    if (version_ == 0 || holder_ == terms_.self) {
+        return next_renewal_;
+    }
+    return version_since_ + (holder_.empty() ? terms_.return_time : terms_.length + clock_margin);
+}
+
 std::optional<std::uint64_t> order_lease::may_order(time_point now) const
 {
     const auto stop_before = std::min(terms_.stop_before, terms_.length / stop_share);
--- a/src/policy/order_lease.hpp
+++ b/src/policy/order_lease.hpp
@@ -16,11 +16,13 @@
     milliseconds length{3000};        ///< from the asking of a renewal
     milliseconds longest_order{3000}; ///< orders of two holders lie at least this far apart
     milliseconds stop_before{400};    ///< the end of the lease: an order takes that long to arrive
+    milliseconds return_time{2400};   ///< a process that stopped is started again within it
 };
 
 /// The lease as it stands in the store.
 struct stored_lease {
     std::string holder;        ///< a VM; empty: it was given up
+    std::string former{};      ///< who gave it up
     std::uint64_t version = 0; ///< 0: there is none
     milliseconds acts_in{0};   ///< from the writing on, the holder orders nothing for so long
 };
@@ -44,6 +46,8 @@
     void on_conflict();
     /// The store did not answer, or not in time to tell.
     void on_failed(time_point now);
+    /// The holder may have gone, or this process may have become the one to follow it.
+    void on_doubt();
     /// The machine stood still for a while that the steady clock did not count.
     void on_suspended();
 
@@ -59,6 +63,8 @@
     bool holds(time_point now) const { return now < lease_end_; }
     /// The store names this VM, whichever of its processes wrote that.
     bool names_self() const { return known_ && version_ != 0 && holder_ == terms_.self; }
+    /// As last read: a VM; empty: not known, or nobody.
+    const std::string& holder() const { return holder_; }
     /// What a write that is asked for now tells of the wait before the first order.
     milliseconds acts_in(time_point now) const;
 
@@ -77,6 +83,7 @@
     time_point next_try_{};
 
     time_point acts_from() const;
+    time_point due_at() const;
 };
 
 } // namespace vanillagauge::policy
--- a/tests/policy/order_lease_tests.cpp
+++ b/tests/policy/order_lease_tests.cpp
@@ -15,6 +15,7 @@
 /// The lease object: each write that names the standing version succeeds.
 struct lease_object {
     std::string holder;
+    std::string former;
     std::uint64_t version = 0;
     milliseconds acts_in{0};
 
@@ -23,6 +24,7 @@
         if (expected != version) {
             return false;
         }
+        former = by.empty() ? holder : "";
         holder = by;
         acts_in = waits;
         version += 10;
@@ -34,7 +36,7 @@
 {
     switch (lease.next(now)) {
     case lease_step::read:
-        lease.on_read({store.holder, store.version, store.acts_in}, now);
+        lease.on_read({store.holder, store.former, store.version, store.acts_in}, now);
         break;
     case lease_step::write:
         if (store.replace(lease.expected_version(), vm, lease.acts_in(now))) {
@@ -208,6 +210,57 @@
     EXPECT_GE(*first_order - (start + last_of_lost), milliseconds{3000});
 }
 
+// All machines are restarted in turn. The holder comes back 1.6 s after it gave the lease up and goes on at
+// once; had another taken it in the meantime, nobody would order for three seconds, and again when that one's
+// turn comes.
+TEST(order_lease, given_up_is_left_to_its_holder_for_the_time_of_a_restart)
+{
+    order_lease before(terms("a"));
+    order_lease other(terms("b"));
+    lease_object store;
+    take_lease(before, store, "a");
+    const auto given_up = before.give_up(start);
+    ASSERT_TRUE(given_up);
+    ASSERT_TRUE(store.replace(*given_up, ""));
+    other.on_candidate(true);
+    auto now = start;
+    for (; now < start + milliseconds{1600}; now += milliseconds{50}) {
+        step(other, store, "b", now);
+    }
+    EXPECT_EQ(store.holder, "");
+    order_lease after(terms("a"));
+    step(after, store, "a", now);
+    after.on_candidate(after.names_self());
+    step(after, store, "a", now);
+    EXPECT_TRUE(after.may_order(now));
+}
+
+// The holder dies just after a renewal. The successor read the lease a moment before and would read it again
+// a whole length later; the fleet's word that the holder is gone makes it look at once.
+TEST(order_lease, read_in_doubt_is_waited_out_from_that_moment)
+{
+    order_lease holder(terms("a"));
+    order_lease other(terms("b"));
+    lease_object store;
+    take_lease(holder, store, "a");
+    other.on_candidate(true);
+    step(other, store, "b", start);
+    const auto renewal = start + milliseconds{1000};
+    step(holder, store, "a", renewal);
+    const auto doubt = start + milliseconds{1200};
+    other.on_doubt();
+    std::optional<time_point> taken;
+    for (auto now = doubt; now < start + seconds{15} && !taken; now += milliseconds{50}) {
+        step(other, store, "b", now);
+        if (store.holder == "b") {
+            taken = now;
+        }
+    }
+    ASSERT_TRUE(taken);
+    EXPECT_GE(*taken, renewal + milliseconds{3000}) << "the lease has not ended";
+    EXPECT_LE(*taken, doubt + milliseconds{3300});
+}
+
 // Another machine took the lease while the process was down: that one's lease is waited out like anybody's.
 TEST(order_lease, named_for_another_is_not_retaken)
 {
