Run batches ahead of their acceptance while the store is slow or silent

Ruled out: copies on disks: they would let a 202 be given earlier, but results can't be listed before the store is back either way. Change: a batch that is not stored after half a second goes to the gateway that ranks first for it, which runs it and keeps trying to store it; others that the trainer turns to choose the same one, so it runs once. Nothing is listed or promised before the store has it; a refusal is no longer claimed for such a batch, as it may run. Dropped four seconds after its trainer brought it last. A trainer that waits is answered as soon as the feed shows the batch.

--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -1,6 +1,5 @@
 #include "gateway/batch_runner.hpp"
 
-#include "fleet/rendezvous.hpp"
 #include "gateway/batch_store.hpp"
 #include "gateway/internal/batch_run.hpp"
 #include "observe/log.hpp"
@@ -59,13 +58,7 @@
     if (steady::now() - started_ < view_settles) {
         return false;
     }
-    std::vector<std::string> able;
-    for (const auto& peer : fleet_.peers()) {
-        if (!peer.draining && !peer.front_address.empty()) {
-            able.push_back(peer.vm);
-        }
-    }
-    const auto ranked = fleet::ranked_owners(header.id, std::move(able));
+    const auto ranked = fleet_.owners_of(header.id);
     return !ranked.empty() && ranked.front() == fleet_.self();
 }
 
@@ -81,11 +74,50 @@
         }
         return;
     }
-    if (found == active_.end() && !finished_.contains(header.id) && is_mine(header)) {
+    if (found != active_.end() && found->second && !found->second->accepted) {
+        accept_ahead(found->second, header);
+    }
+    if (!active_.contains(header.id) && !finished_.contains(header.id) && is_mine(header)) {
         start(header);
     }
 }
 
+// Failure: the store is away for everybody when a step is submitted. Waited for, the step begins seconds late
+// and its trainer never makes them up. What it costs to be wrong is the engines' work: nothing is listed, and
+// nobody is told that the batch stands, before the store has it.
+void batch_runner::run_ahead(const batch_header& header, std::vector<batch_item> items)
+{
+    if (!taking_ || active_.contains(header.id) || finished_.contains(header.id)) {
+        return;
+    }
+    const auto batch = std::make_shared<run>(loop_, store_, header, std::move(items));
+    batch->give_up_at = header.accepted + header.max_age;
+    batch->accepted = false;
+    active_[header.id] = batch;
+    observe::log(observe::log_level::info, "batch_run_ahead",
+                 {{"batch", header.id}, {"items", static_cast<std::int64_t>(header.total)}});
+    net::start(loop_, work_through(batch));
+}
+
+void batch_runner::accept_ahead(const run_ref& batch, const batch_header& header)
+{
+    if (header.owner_vm == fleet_.self() && header.owner_incarnation == fleet_.incarnation()) {
+        batch->accepted = true;
+        batch->changed.notify();
+        return;
+    }
+    end(batch, "another gateway runs it");
+}
+
+void batch_runner::drop_ahead(const std::string& batch)
+{
+    const auto found = active_.find(batch);
+    if (found != active_.end() && found->second && !found->second->accepted) {
+        const auto held = found->second;
+        end(held, "it was not accepted");
+    }
+}
+
 void batch_runner::review()
 {
     for (const auto& [id, header] : headers_) {
@@ -165,7 +197,7 @@
         const auto& open = entry.second;
         return open->heard && now - std::max(open->began, batch->texts_kept) >= keep_texts_every;
     });
-    if (due && !batch->keeping_texts) {
+    if (due && batch->accepted && !batch->keeping_texts) {
         batch->keeping_texts = true;
         net::start(loop_, write_texts(batch));
     }
@@ -236,7 +268,7 @@
         const bool whole = progress.unlisted_results() + progress.listed() >= progress.header().total;
         const bool due = progress.group_waits() || whole || now - batch->first_unlisted >= list_wait;
         const bool rested = now - batch->last_listing >= list_every || whole;
-        if (!batch->listing && progress.unlisted_results() > 0 && due && rested) {
+        if (batch->accepted && !batch->listing && progress.unlisted_results() > 0 && due && rested) {
             batch->listing = true;
             batch->last_listing = now;
             net::start(loop_, list_results(batch));
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -31,6 +31,11 @@
     void keep_items(const std::string& batch, std::vector<batch_item> items);
     /// What the store now says of a batch.
     void take_header(const batch_header& header);
+    /// Runs a batch that the store may not have yet; results are listed once `take_header` brings it as this
+    /// gateway's.
+    void run_ahead(const batch_header& header, std::vector<batch_item> items);
+    /// Ends what `run_ahead` began and the store never took.
+    void drop_ahead(const std::string& batch);
     /// The members of the fleet changed: batches of those that are gone may be this gateway's.
     void review();
     /// Replicas came, went or changed.
@@ -41,6 +46,7 @@
     // Queries.
     const batch_header* find(const std::string& batch) const;
     std::size_t running() const { return active_.size(); }
+    bool taking() const { return taking_; }
 
 private:
     struct run;
@@ -63,6 +69,7 @@
 
     bool is_mine(const batch_header& header) const;
     void start(const batch_header& header);
+    void accept_ahead(const run_ref& batch, const batch_header& header);
     net::task<void> drive(batch_header header);
     net::task_of<std::vector<batch_item>> load_items(const batch_header& header);
     net::task<bool> load_log(run& batch);
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -6,10 +6,11 @@
 #include "gateway/batch_runner.hpp"
 #include "gateway/batch_store.hpp"
 #include "gateway/feed.hpp"
-#include "gateway/object_store.hpp"
+#include "gateway/peer_relay.hpp"
 
 #include <list>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -22,15 +23,20 @@
     std::vector<item_result> results;
 };
 
+/// Where peers bring batches that the store does not take.
+constexpr const char* ahead_path = "/ahead";
+
 class batch_service {
 public:
     /// All must outlive it. `headers` is the feed of batches.
-    batch_service(net::loop& loop, object_store& store, feed& headers, batch_runner& runner,
+    batch_service(net::loop& loop, peer_relay& store, feed& headers, batch_runner& runner,
                   const fleet_view& fleet);
 
     /// Done: the fleet keeps the whole batch from now on, or has kept it before. `not_run` errors promise
     /// that no part of it runs; `in_doubt` ones promise nothing.
     net::task_of<done> submit(batch_submission submission);
+    /// A peer brings a batch that the store does not take at the moment; this gateway is to run it.
+    net::http_response serve_ahead(const net::http_request& request);
     /// Waits at most `wait` for a result. `not_found` only where the store says so now; `unavailable` where a
     /// result that another gateway listed may be missing here.
     net::task_of<result_page> read(std::string batch, std::size_t first, milliseconds wait);
@@ -45,12 +51,21 @@
         std::vector<batch_item> items;
     };
     net::loop& loop_;
-    object_store& store_;
+    peer_relay& store_;
     feed& headers_;
     batch_runner& runner_;
     const fleet_view& fleet_;
     std::list<cached_items> cache_; ///< the newest first
 
+    struct attempt;                                 ///< to store one submission
+    std::map<std::string, time_point> ahead_until_; ///< batches that run here before the store has them
+
+    net::task<void> settle(std::shared_ptr<attempt> current);
+    net::task_of<done> store_batch(std::shared_ptr<attempt> current, time_point until);
+    net::task<void> run_ahead_when_slow(std::shared_ptr<attempt> current);
+    net::task<void> send_ahead(std::shared_ptr<attempt> current);
+    void run_ahead(batch_submission submission);
+    net::task<void> settle_ahead(batch_submission submission);
     net::task_of<stored_object> create_surely(std::string kind, std::string name, nlohmann::json value,
                                               time_point until);
     net::task_of<batch_header> find(std::string batch);
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet_view.hpp"
 
+#include "fleet/rendezvous.hpp"
 #include "keeper/gossip.hpp"
 #include "keeper/services.hpp"
 #include "node/program.hpp"
@@ -171,6 +172,17 @@
     return living;
 }
 
+std::vector<std::string> fleet_view::owners_of(const std::string& thing) const
+{
+    std::vector<std::string> able;
+    for (const auto& peer : peers()) {
+        if (!peer.draining && !peer.front_address.empty()) {
+            able.push_back(peer.vm);
+        }
+    }
+    return fleet::ranked_owners(thing, std::move(able));
+}
+
 bool fleet_view::lives(const std::string& vm, std::uint64_t incarnation) const
 {
     if (vm == vm_) {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -51,6 +51,9 @@
     // Queries.
     /// Living gateways, this one among them, by VM.
     std::vector<gateway_peer> peers() const;
+    /// Living gateways that take work, in the order in which they would own `thing`: the same by every view
+    /// that agrees on the members.
+    std::vector<std::string> owners_of(const std::string& thing) const;
     /// A VM is alive under this incarnation, as far as this one knows.
     bool lives(const std::string& vm, std::uint64_t incarnation) const;
     /// Up to `count` living VMs that watch the store for the others.
--- a/src/gateway/weights_keeper.cpp
+++ b/src/gateway/weights_keeper.cpp
@@ -1,6 +1,5 @@
 #include "gateway/weights_keeper.hpp"
 
-#include "fleet/rendezvous.hpp"
 #include "gateway/foreign_json.hpp"
 #include "observe/log.hpp"
 #include "policy/load_plan.hpp"
@@ -147,15 +146,10 @@
 void weights_keeper::choose_candidate(time_point now)
 {
     const auto holder_vm = lease_.holder().substr(0, lease_.holder().find('@'));
-    std::vector<std::string> able;
-    bool holder_lives = false;
-    for (const auto& peer : fleet_.peers()) {
-        if (!peer.draining && !peer.front_address.empty()) {
-            able.push_back(peer.vm);
-        }
-        holder_lives = holder_lives || peer.vm == holder_vm;
-    }
-    const auto ranked = fleet::ranked_owners(lease_name, std::move(able));
+    const auto peers = fleet_.peers();
+    const bool holder_lives = std::any_of(peers.begin(), peers.end(),
+                                          [&](const gateway_peer& peer) { return peer.vm == holder_vm; });
+    const auto ranked = fleet_.owners_of(lease_name);
     const bool first = !ranked.empty() && ranked.front() == fleet_.self();
     const bool holder_went = holder_lives_ && !holder_lives;
     const bool became_first = first && !first_;
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -108,6 +108,59 @@
     expect_whole(all.read_all({second.address()}, "b1"));
 }
 
+// The store is silent for everybody when a step comes; its trainer brings it to one gateway after the other.
+// Nobody is told that the batch stands, but one of the gateways runs it, once. When the store is back the
+// trainer hears 202 and finds the results of what ran meanwhile.
+TEST(batches, are_run_once_while_the_store_is_silent_and_accepted_when_it_is_back)
+{
+    batches all;
+    auto& first = all.add_gateway_at_second("a");
+    auto& second = all.add_gateway_at_second("b");
+    for (auto* served : {&first, &second}) {
+        EXPECT_TRUE(deployment::eventually([&] {
+            return served->ready() && served->ask<std::size_t>([](gateway& asked) {
+                return asked.addresses().front_addresses.size();
+            }) == 2;
+        }));
+    }
+    const auto runs = [&] {
+        return all.look<std::size_t>(
+            [&](standins::fake_store&) { return all.one.ran.size() + all.two.ran.size(); });
+    };
+    all.change([](standins::fake_store& store) { store.faults.second_silent = true; });
+    constexpr milliseconds patience{1300};
+    for (auto* served : {&first, &second}) {
+        const auto answer = all.send(served->address(), make_batch("b1"), patience);
+        EXPECT_FALSE(std::holds_alternative<net::http_response>(answer));
+    }
+    EXPECT_TRUE(deployment::eventually([&] { return runs() == item_count; }));
+    EXPECT_EQ(all.look<std::size_t>([](standins::fake_store& store) { return store.count("batches"); }), 0U);
+    all.change([](standins::fake_store& store) { store.faults.second_silent = false; });
+    EXPECT_TRUE(
+        deployment::eventually([&] { return all.status_of(second.address(), make_batch("b1")) == 202; }));
+    expect_whole(all.read_all({second.address()}, "b1"));
+    EXPECT_EQ(runs(), item_count);
+}
+
+// A trainer gives its step up while the store is silent. What was run ahead of an acceptance ends, and leaves
+// nothing behind when the store is back.
+TEST(batches, run_ahead_are_dropped_when_their_trainer_brings_them_no_more)
+{
+    batches all;
+    auto& served = all.add_gateway_at_second("a");
+    EXPECT_TRUE(deployment::eventually([&] { return served.ready(); }));
+    all.change([](standins::fake_store& store) { store.faults.second_silent = true; });
+    all.send(served.address(), make_batch("b1", 9), milliseconds(1300));
+    const auto running = [&] {
+        return served.ask<std::size_t>([](gateway& asked) { return asked.batches_running(); });
+    };
+    EXPECT_EQ(running(), 1U);
+    EXPECT_TRUE(deployment::eventually([&] { return running() == 0; }));
+    all.change([](standins::fake_store& store) { store.faults.second_silent = false; });
+    std::this_thread::sleep_for(milliseconds(800));
+    EXPECT_EQ(all.look<std::size_t>([](standins::fake_store& store) { return store.count("batches"); }), 0U);
+}
+
 // The owner dies while its items are long under way. Without their texts each would begin at its start and
 // the step would take its whole time again; the next owner asks for what follows the kept ones.
 TEST(batches, go_on_behind_the_kept_texts_when_their_owner_dies)
