Take batches over as soon as all registered gateways are met

Cause: after a loss of all gateways each batch waited 1.5 s for an owner, the time in which others might show themselves. Ruled out: a shorter time for all: a gateway that knows nobody takes every batch for its own. Change: a gateway that has met all VMs that the store names decides at once; where some of these were replaced, the time since its start decides as before.

--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -55,7 +55,7 @@
     if (fleet_.lives(header.owner_vm, header.owner_incarnation)) {
         return header.owner_vm == fleet_.self();
     }
-    if (steady::now() - started_ < view_settles) {
+    if (!view_whole_ && steady::now() - started_ < view_settles) {
         return false;
     }
     const auto ranked = fleet_.owners_of(header.id);
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -38,6 +38,8 @@
     void drop_ahead(const std::string& batch);
     /// The members of the fleet changed: batches of those that are gone may be this gateway's.
     void review();
+    /// This gateway has met all that are registered, so its view of the fleet may decide.
+    void take_view_as_whole() { view_whole_ = true; }
     /// Replicas came, went or changed.
     void wake();
     /// Starts no batch any more; those that run go on.
@@ -66,6 +68,7 @@
     std::set<std::string> finished_; ///< all is listed, and their trainers have not ended them yet
     time_point started_;
     bool taking_ = true;
+    bool view_whole_ = false;
 
     bool is_mine(const batch_header& header) const;
     void start(const batch_header& header);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <optional>
+
 namespace vanillagauge::gateway {
 
 using nlohmann::json;
@@ -70,6 +73,7 @@
     weights_keeper weights;
     net::http_service peers;
     bool draining = false;
+    std::optional<std::vector<std::string>> registered; ///< VMs that the store names
 
     net::task<void> serve_peer(const net::http_request& request, net::responder& answer);
     net::task<void> keep_house();
@@ -84,6 +88,7 @@
     void take_retirement(const object_change& change);
     void replicas_changed();
     bool ready() const;
+    bool knows_all_registered() const;
     bool serves_callers() const { return !settings.gateway.front_listen.empty(); }
 };
 
@@ -244,7 +249,9 @@
         co_return;
     }
     std::vector<std::string> addresses;
+    registered.emplace();
     for (const auto& object : value(listed).objects) {
+        registered->push_back(object.name);
         const auto address = text_or_empty(object.value, "peer");
         if (object.name != fleet.self() && !address.empty()) {
             addresses.push_back(address);
@@ -273,6 +280,17 @@
     }
 }
 
+// VMs that were replaced stay registered; where there are such, the time since the start decides.
+bool gateway::state::knows_all_registered() const
+{
+    const auto living = fleet.peers();
+    const auto met = [&](const std::string& vm) {
+        return std::any_of(living.begin(), living.end(),
+                           [&](const gateway_peer& peer) { return peer.vm == vm; });
+    };
+    return registered && std::all_of(registered->begin(), registered->end(), met);
+}
+
 bool gateway::state::ready() const
 {
     return !draining && current.version > 0 && replicas.known();
@@ -281,6 +299,9 @@
 net::task<void> gateway::state::keep_house()
 {
     while (true) {
+        if (knows_all_registered()) {
+            runner.take_view_as_whole();
+        }
         const auto generation = targets.generation();
         targets.expire(steady::now());
         if (targets.generation() != generation) {
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -216,6 +216,27 @@
     expect_whole(all.read_all({second.address()}, "b1"));
 }
 
+// The only gateway is killed and started again. It has met all that are registered at once, so the batch need not
+// wait for the time in which others might show themselves.
+TEST(batches, are_taken_over_at_once_where_all_registered_gateways_are_met)
+{
+    batches all;
+    auto& before = all.ready_gateway("a");
+    all.change([&](standins::fake_store&) {
+        all.one.event_time = milliseconds(400);
+        all.two.event_time = milliseconds(400);
+    });
+    EXPECT_EQ(all.status_of(before.address(), make_batch("b1")), 202);
+    before.kill();
+    auto& after = all.ready_gateway("a");
+    const auto began = steady::now();
+    EXPECT_TRUE(deployment::eventually([&] {
+        return after.ask<std::size_t>([](gateway& served) { return served.batches_running(); }) == 1;
+    }));
+    EXPECT_LT(steady::now() - began, milliseconds(1200));
+    expect_whole(all.read_all({after.address()}, "b1"));
+}
+
 TEST(batches, are_read_at_every_gateway)
 {
     batches all;
