--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -216,8 +216,8 @@
     expect_whole(all.read_all({second.address()}, "b1"));
 }
 
-// The only gateway is killed and started again. It has met all that are registered at once, so the batch need not
-// wait for the time in which others might show themselves.
+// The only gateway is killed and started again. It has met all that are registered at once, so the batch need
+// not wait for the time in which others might show themselves.
 TEST(batches, are_taken_over_at_once_where_all_registered_gateways_are_met)
 {
     batches all;
