--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -18,8 +18,8 @@
 constexpr milliseconds list_wait{600};
 
 /// A gateway that has just started knows nobody else yet and would take every batch for its own. After a loss
-/// of power of the whole fleet seven fronts ran each open batch, 842 runs for 184 items, and the steps behind
-/// them came late. Members find each other in about a second.
+/// of power of the whole fleet all fronts would run each open batch, and the steps behind them would come
+/// late. Members find each other within this time.
 constexpr milliseconds view_settles{1500};
 
 constexpr milliseconds store_retry{300};
@@ -356,7 +356,7 @@
             }
             else {
                 // No gateway's entry. The batch can't go on while it stands; without the pause one such batch
-                // made 10,158 calls a second to a store on loopback.
+                // would take all calls that the store gives this gateway.
                 observe::log(observe::log_level::error, "segment_unreadable",
                              {{"batch", progress.header().id}, {"why", describe(failure(parsed))}});
                 co_await net::sleep_for(loop_, store_retry);
--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -13,7 +13,7 @@
 /// A replica whose connection failed: crashed ones are back after some seconds.
 constexpr milliseconds broken_back_off{500};
 
-/// An engine makes an event in some 40 ms and reads a prompt in a few; a second of silence is a hung run.
+/// Many times what an engine takes for an event, or a load of weights holds a run up.
 constexpr milliseconds silence{1000};
 /// The first event may wait in the engine's line.
 constexpr milliseconds first_silence{2000};
--- a/src/gateway/batch_runner_placement.cpp
+++ b/src/gateway/batch_runner_placement.cpp
@@ -78,7 +78,7 @@
         view.usable = now >= engine->back_off_until;
         views.push_back(std::move(view));
     }
-    // An engine's step grows by some 0.3% with each request that it runs, so the fast ones are filled first.
+    // An engine is hardly slower with many requests than with few, so the fast ones are filled first.
     auto fast = views;
     const auto slow = slow_gap_of(engines);
     for (std::size_t place = 0; place < engines.size(); ++place) {
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -1,10 +1,9 @@
 #include "gateway/batch_service.hpp"
 
-#include "gateway/foreign_json.hpp"
+#include "gateway/internal/batch_attempt.hpp"
 #include "observe/log.hpp"
 
 #include <algorithm>
-#include <iterator>
 
 namespace vanillagauge::gateway {
 
@@ -12,23 +11,11 @@
 
 namespace {
 
-/// Below the store's limit of a megabyte a value, with room for what JSON adds.
-constexpr std::size_t most_part_bytes = 800U << 10U;
-
 /// Bytes of results in one answer.
 constexpr std::size_t most_page_bytes = 900U << 10U;
 
-/// How long an acceptance whose outcome is not known is tried to be settled. Its client waits a few seconds.
-constexpr milliseconds settle_time{3000};
-constexpr milliseconds settle_pause{150};
+/// Between two looks for the batch in the feed.
 constexpr milliseconds settle_look{50};
-constexpr milliseconds check_time{450};
-
-/// Until a batch that the store has not taken is run all the same.
-constexpr milliseconds ahead_after{500};
-/// Such a batch is dropped so long after its trainer brought it last.
-constexpr milliseconds ahead_patience{4000};
-constexpr milliseconds ahead_call_time{1500};
 
 /// When to bring a batch again that the store could not take.
 constexpr milliseconds store_retry_after{500};
@@ -42,39 +29,8 @@
 /// A shorter wait for results is not worth a call.
 constexpr milliseconds least_wait{50};
 
-result<batch_submission> submission_from_json(const json& from)
-{
-    const error unreadable{error_code::invalid_argument, run_state::not_run, "a batch to run ahead"};
-    return decoded<batch_submission>(from, unreadable, [](const json& text) -> result<batch_submission> {
-        auto header = header_from_json(text.at("id").get<std::string>(), text.at("header"), json());
-        if (!ok(header)) {
-            return failure(header);
-        }
-        batch_submission submission;
-        submission.header = std::move(value(header));
-        for (const auto& part : text.at("parts")) {
-            auto items = items_from_json(part);
-            if (!ok(items)) {
-                return failure(items);
-            }
-            std::move(value(items).begin(), value(items).end(), std::back_inserter(submission.items));
-        }
-        return submission;
-    });
-}
-
 } // namespace
 
-struct batch_service::attempt {
-    explicit attempt(net::loop& loop) : changed(loop) {}
-
-    batch_submission submission;
-    bool naming = false; ///< the header is on its way to the store, with its owner
-    std::optional<result<done>> outcome{};
-    net::signal changed;
-    bool ahead = false; ///< a gateway was told to run the batch before the store has it
-};
-
 batch_service::batch_service(net::loop& loop, peer_relay& store, feed& headers, batch_runner& runner,
                              const fleet_view& fleet)
     : loop_(loop), store_(store), headers_(headers), runner_(runner), fleet_(fleet)
@@ -175,111 +131,6 @@
     co_return reason;
 }
 
-// A store that answers takes a batch within a fraction of this time.
-net::task<void> batch_service::run_ahead_when_slow(std::shared_ptr<attempt> current)
-{
-    co_await net::sleep_for(loop_, ahead_after);
-    auto& header = current->submission.header;
-    if (current->outcome || current->naming || headers_.objects().contains(header.id)) {
-        co_return;
-    }
-    current->ahead = true;
-    co_await send_ahead(current);
-}
-
-// The trainer brings the batch to one gateway after the other meanwhile. They all choose the same one to run
-// it, so the engines do the work once.
-net::task<void> batch_service::send_ahead(std::shared_ptr<attempt> current)
-{
-    auto& header = current->submission.header;
-    const auto ranked = fleet_.owners_of(header.id);
-    const auto peers = fleet_.peers();
-    const auto owner = std::find_if(peers.begin(), peers.end(), [&ranked](const gateway_peer& peer) {
-        return !ranked.empty() && peer.vm == ranked.front();
-    });
-    if (owner == peers.end() || owner->vm == fleet_.self()) {
-        run_ahead(current->submission);
-        co_return;
-    }
-    json question{{"id", header.id},
-                  {"header", to_json(header)},
-                  {"parts", to_parts(current->submission.items, most_part_bytes)}};
-    const auto told = co_await store_.ask(owner->relay_address, ahead_path, std::move(question),
-                                          steady::now() + ahead_call_time);
-    if (ok(told) && !current->naming) {
-        header.owner_vm = owner->vm;
-        header.owner_incarnation = owner->incarnation;
-    }
-    observe::log(ok(told) ? observe::log_level::info : observe::log_level::warning, "batch_sent_ahead",
-                 {{"batch", header.id},
-                  {"to", owner->vm},
-                  {"outcome", ok(told) ? std::string("taken") : describe(failure(told))}});
-}
-
-net::http_response batch_service::serve_ahead(const net::http_request& request)
-{
-    net::http_response response;
-    response.body = "{}";
-    auto read = submission_from_json(json::parse(request.body, nullptr, false));
-    if (!ok(read)) {
-        observe::log(observe::log_level::warning, "ahead_call_refused", {{"why", describe(failure(read))}});
-        response.status = 400;
-        response.body = failure(read).detail;
-        return response;
-    }
-    if (!runner_.taking()) {
-        response.status = 503;
-        return response;
-    }
-    run_ahead(std::move(value(read)));
-    return response;
-}
-
-void batch_service::run_ahead(batch_submission submission)
-{
-    auto& header = submission.header;
-    if (headers_.objects().contains(header.id)) {
-        return;
-    }
-    const bool runs = ahead_until_.contains(header.id);
-    ahead_until_[header.id] = steady::now() + ahead_patience;
-    if (runs) {
-        return;
-    }
-    header.owner_vm = fleet_.self();
-    header.owner_incarnation = fleet_.incarnation();
-    runner_.run_ahead(header, submission.items);
-    net::start(loop_, settle_ahead(std::move(submission)));
-}
-
-net::task<void> batch_service::settle_ahead(batch_submission submission)
-{
-    const auto id = submission.header.id;
-    const auto current = std::make_shared<attempt>(loop_);
-    // Later its trainer has most probably given the batch up, and would not end it again.
-    const auto last = steady::now() + submission.header.result_time;
-    current->submission = std::move(submission);
-    while (!headers_.objects().contains(id) && steady::now() < std::min(last, ahead_until_[id])) {
-        // A short question finds the store's return sooner than a write that hangs.
-        const auto back = co_await store_.check(batch_kind, check_time);
-        if (!ok(back)) {
-            co_await net::sleep_for(loop_, settle_pause);
-            continue;
-        }
-        const auto stored = co_await store_batch(current, steady::now() + settle_time);
-        if (ok(stored)) {
-            break;
-        }
-        co_await net::sleep_for(loop_, settle_pause);
-    }
-    // Where the header stands, the feed brings it with its owner.
-    while (!headers_.objects().contains(id) && steady::now() < ahead_until_[id]) {
-        co_await net::sleep_for(loop_, settle_pause);
-    }
-    ahead_until_.erase(id);
-    runner_.drop_ahead(id);
-}
-
 net::task_of<batch_header> batch_service::find(std::string batch)
 {
     const auto known = headers_.objects().find(batch);
--- /dev/null
+++ b/src/gateway/batch_service_ahead.cpp
@@ -0,0 +1,152 @@
+// Batches that run before the store has them.
+#include "gateway/foreign_json.hpp"
+#include "gateway/internal/batch_attempt.hpp"
+#include "observe/log.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace vanillagauge::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+/// Until a batch that the store has not taken is run all the same.
+constexpr milliseconds ahead_after{500};
+/// Such a batch is dropped so long after its trainer brought it last.
+constexpr milliseconds ahead_patience{4000};
+constexpr milliseconds ahead_call_time{1500};
+
+/// A slow store still answers within it.
+constexpr milliseconds check_time{450};
+
+result<batch_submission> submission_from_json(const json& from)
+{
+    const error unreadable{error_code::invalid_argument, run_state::not_run, "a batch to run ahead"};
+    return decoded<batch_submission>(from, unreadable, [](const json& text) -> result<batch_submission> {
+        auto header = header_from_json(text.at("id").get<std::string>(), text.at("header"), json());
+        if (!ok(header)) {
+            return failure(header);
+        }
+        batch_submission submission;
+        submission.header = std::move(value(header));
+        for (const auto& part : text.at("parts")) {
+            auto items = items_from_json(part);
+            if (!ok(items)) {
+                return failure(items);
+            }
+            std::move(value(items).begin(), value(items).end(), std::back_inserter(submission.items));
+        }
+        return submission;
+    });
+}
+
+} // namespace
+
+// A store that answers takes a batch within a fraction of this time.
+net::task<void> batch_service::run_ahead_when_slow(std::shared_ptr<attempt> current)
+{
+    co_await net::sleep_for(loop_, ahead_after);
+    auto& header = current->submission.header;
+    if (current->outcome || current->naming || headers_.objects().contains(header.id)) {
+        co_return;
+    }
+    current->ahead = true;
+    co_await send_ahead(current);
+}
+
+// The trainer brings the batch to one gateway after the other meanwhile. They all choose the same one to run
+// it, so the engines do the work once.
+net::task<void> batch_service::send_ahead(std::shared_ptr<attempt> current)
+{
+    auto& header = current->submission.header;
+    const auto ranked = fleet_.owners_of(header.id);
+    const auto peers = fleet_.peers();
+    const auto owner = std::find_if(peers.begin(), peers.end(), [&ranked](const gateway_peer& peer) {
+        return !ranked.empty() && peer.vm == ranked.front();
+    });
+    if (owner == peers.end() || owner->vm == fleet_.self()) {
+        run_ahead(current->submission);
+        co_return;
+    }
+    json question{{"id", header.id},
+                  {"header", to_json(header)},
+                  {"parts", to_parts(current->submission.items, most_part_bytes)}};
+    const auto told = co_await store_.ask(owner->relay_address, ahead_path, std::move(question),
+                                          steady::now() + ahead_call_time);
+    if (ok(told) && !current->naming) {
+        header.owner_vm = owner->vm;
+        header.owner_incarnation = owner->incarnation;
+    }
+    observe::log(ok(told) ? observe::log_level::info : observe::log_level::warning, "batch_sent_ahead",
+                 {{"batch", header.id},
+                  {"to", owner->vm},
+                  {"outcome", ok(told) ? std::string("taken") : describe(failure(told))}});
+}
+
+net::http_response batch_service::serve_ahead(const net::http_request& request)
+{
+    net::http_response response;
+    response.body = "{}";
+    auto read = submission_from_json(json::parse(request.body, nullptr, false));
+    if (!ok(read)) {
+        observe::log(observe::log_level::warning, "ahead_call_refused", {{"why", describe(failure(read))}});
+        response.status = 400;
+        response.body = failure(read).detail;
+        return response;
+    }
+    if (!runner_.taking()) {
+        response.status = 503;
+        return response;
+    }
+    run_ahead(std::move(value(read)));
+    return response;
+}
+
+void batch_service::run_ahead(batch_submission submission)
+{
+    auto& header = submission.header;
+    if (headers_.objects().contains(header.id)) {
+        return;
+    }
+    const bool runs = ahead_until_.contains(header.id);
+    ahead_until_[header.id] = steady::now() + ahead_patience;
+    if (runs) {
+        return;
+    }
+    header.owner_vm = fleet_.self();
+    header.owner_incarnation = fleet_.incarnation();
+    runner_.run_ahead(header, submission.items);
+    net::start(loop_, settle_ahead(std::move(submission)));
+}
+
+net::task<void> batch_service::settle_ahead(batch_submission submission)
+{
+    const auto id = submission.header.id;
+    const auto current = std::make_shared<attempt>(loop_);
+    // Later its trainer has most probably given the batch up, and would not end it again.
+    const auto last = steady::now() + submission.header.result_time;
+    current->submission = std::move(submission);
+    while (!headers_.objects().contains(id) && steady::now() < std::min(last, ahead_until_[id])) {
+        // A short question finds the store's return sooner than a write that hangs.
+        const auto back = co_await store_.check(batch_kind, check_time);
+        if (!ok(back)) {
+            co_await net::sleep_for(loop_, settle_pause);
+            continue;
+        }
+        const auto stored = co_await store_batch(current, steady::now() + settle_time);
+        if (ok(stored)) {
+            break;
+        }
+        co_await net::sleep_for(loop_, settle_pause);
+    }
+    // Where the header stands, the feed brings it with its owner.
+    while (!headers_.objects().contains(id) && steady::now() < ahead_until_[id]) {
+        co_await net::sleep_for(loop_, settle_pause);
+    }
+    ahead_until_.erase(id);
+    runner_.drop_ahead(id);
+}
+
+} // namespace vanillagauge::gateway
--- a/src/gateway/feed.cpp
+++ b/src/gateway/feed.cpp
@@ -105,8 +105,7 @@
     advance(changes.as_of, asked);
 }
 
-// Names of everything in each answer would grow with VMs times replicas; with them a front of 300 VMs and
-// 3,000 replicas sent and took 0.16 to 1.3 MB a second in all.
+// Names of everything in each answer would make the fleet's traffic grow with VMs times replicas.
 feed_news feed::news(std::uint64_t since) const
 {
     feed_news told;
--- a/src/gateway/feed_hub.cpp
+++ b/src/gateway/feed_hub.cpp
@@ -25,9 +25,8 @@
 /// A watch that waits looks the same whether nothing changes or the store no longer answers this VM, and
 /// the others would be told "nothing new" until keep-alive probes end the connection, some three seconds
 /// later, or never where the store itself is silent. Changes must be in force everywhere within two
-/// seconds, so a watcher that heard nothing asks for a sign of life; the store answers in 4 ms, up to some
-/// 90 times slower on bad days. A check is priced as a tenth of a call; 161 of 4,093 calls of a day
-/// of 78 VMs were such.
+/// seconds, so a watcher that heard nothing asks for a sign of life, which may be old and costs the
+/// store little.
 constexpr milliseconds check_every{600};
 constexpr milliseconds check_time{500};
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -105,9 +105,8 @@
       versions(foreign.versions, [this](const object_change& change) { take_version(change); }),
       headers(batch_kind, [this](const object_change& change) { take_header(change); }),
       retirements(foreign.retirements, [this](const object_change& change) { take_retirement(change); }),
-      // A VM that serves no callers uses neither replicas nor versions nor batches. Without them the middle
-      // storage machine took 4.2 instead of 9.2 kB a second in a fleet of 30 VMs, 16.0 instead of 18.2 in one
-      // of 99.
+      // A VM that serves no callers uses neither replicas nor versions nor batches; the news of them would be
+      // most of what it is sent.
       feeds(loop, store, relay, fleet, crashes,
             {{&configurations},
              {&replicas, serves_callers()},
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// The store answers in some 4 ms, 90 times slower on its worst days; one call through a peer adds two hops.
+/// A slow store still answers within it, also through a peer.
 constexpr milliseconds call_time{3000};
 constexpr milliseconds relay_time{1500};
 
--- a/src/policy/engine_speed.cpp
+++ b/src/policy/engine_speed.cpp
@@ -12,9 +12,9 @@
 
 } // namespace
 
-// Load pattern: long items among short ones on engines of two speeds. A step is as late as its longest item:
-// one of 192 events takes 7.4 s on a fast engine and 9.7 s on a slow one, with the step due in 7.5 s. The
-// fast quarter sets the measure, so that many slow engines at once do not make themselves the rule.
+// Load pattern: long items among short ones on engines of two speeds. A step is as late as its longest item,
+// which on a slow engine alone takes longer than the step may. The fast quarter sets the measure, so that
+// many slow engines at once do not make themselves the rule.
 double slow_gap(std::vector<double> gaps)
 {
     std::erase_if(gaps, [](double gap) { return gap <= 0; });
--- a/src/policy/outlier_ejection.cpp
+++ b/src/policy/outlier_ejection.cpp
@@ -74,8 +74,8 @@
 }
 
 // Load pattern: more targets fail at once than may be ejected. Those that stay always have room and draw the
-// work that least-loaded placement has to give. Of 1,000 requests at three targets, two of which fail, 198
-// failed before; now 18 do. No target is overloaded by it: the others take no more than their limits.
+// work that least-loaded placement has to give. No target is overloaded by it: the others take no more than
+// their limits.
 bool is_doubtful(const target_health& target, time_point now)
 {
     return target.bad_in_row >= bad_to_doubt && now - target.last_bad < doubt_time;
