Refuse no batch that another gateway runs ahead

Cause: read in the diff: a gateway whose store refuses answered 503, which promises that nothing of the batch runs, though an earlier attempt of its trainer had made another gateway run it. Change: before such a refusal the gateway that would run the batch ahead is asked; if it runs it, or does not answer, nothing is promised. Test: two gateways, a silent store, then one that refuses: 502 at both, 503 for a batch that came to none before.

--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -83,13 +83,16 @@
     if (!current->outcome) {
         current->outcome = done{};
     }
-    auto stored = *current->outcome;
-    if (!ok(stored) && current->ahead) {
-        auto reason = failure(stored);
-        reason.ran = run_state::in_doubt; // some of it may run already
-        co_return reason;
+    const auto stored = *current->outcome;
+    if (ok(stored)) {
+        co_return stored;
     }
-    co_return stored;
+    auto reason = failure(stored);
+    if (reason.ran == run_state::not_run) {
+        const bool may_run = current->ahead || co_await runs_ahead(id);
+        reason.ran = may_run ? run_state::in_doubt : run_state::not_run;
+    }
+    co_return reason;
 }
 
 net::task<void> batch_service::settle(std::shared_ptr<attempt> current)
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -35,7 +36,8 @@
     /// Done: the fleet keeps the whole batch from now on, or has kept it before. `not_run` errors promise
     /// that no part of it runs; `in_doubt` ones promise nothing.
     net::task_of<done> submit(batch_submission submission);
-    /// A peer brings a batch that the store does not take at the moment; this gateway is to run it.
+    /// A peer brings a batch that the store does not take at the moment, for this gateway to run, or asks
+    /// whether it runs one.
     net::http_response serve_ahead(const net::http_request& request);
     /// Waits at most `wait` for a result. `not_found` only where the store says so now; `unavailable` where a
     /// result that another gateway listed may be missing here.
@@ -63,6 +65,8 @@
     net::task<void> settle(std::shared_ptr<attempt> current);
     net::task_of<done> store_batch(std::shared_ptr<attempt> current, time_point until);
     net::task<void> run_ahead_when_slow(std::shared_ptr<attempt> current);
+    std::optional<gateway_peer> other_owner(const std::string& batch) const;
+    net::task<bool> runs_ahead(std::string batch);
     net::task<void> send_ahead(std::shared_ptr<attempt> current);
     void run_ahead(batch_submission submission);
     net::task<void> settle_ahead(batch_submission submission);
--- a/src/gateway/batch_service_ahead.cpp
+++ b/src/gateway/batch_service_ahead.cpp
@@ -17,6 +17,7 @@
 /// Such a batch is dropped so long after its trainer brought it last.
 constexpr milliseconds ahead_patience{4000};
 constexpr milliseconds ahead_call_time{1500};
+constexpr milliseconds runs_call_time{500};
 
 /// A slow store still answers within it.
 constexpr milliseconds check_time{450};
@@ -56,17 +57,42 @@
     co_await send_ahead(current);
 }
 
+// None where it is this gateway.
+std::optional<gateway_peer> batch_service::other_owner(const std::string& batch) const
+{
+    const auto ranked = fleet_.owners_of(batch);
+    for (const auto& peer : fleet_.peers()) {
+        if (!ranked.empty() && peer.vm == ranked.front() && peer.vm != fleet_.self()) {
+            return peer;
+        }
+    }
+    return std::nullopt;
+}
+
+// A refusal promises that nothing of the batch runs, and an earlier attempt of its trainer may have come to
+// another gateway. One that does not answer may be running it.
+net::task<bool> batch_service::runs_ahead(std::string batch)
+{
+    if (ahead_until_.contains(batch)) {
+        co_return true;
+    }
+    const auto owner = other_owner(batch);
+    if (!owner) {
+        co_return false;
+    }
+    json question{{"id", batch}};
+    const auto told = co_await store_.ask(owner->relay_address, ahead_path, std::move(question),
+                                          steady::now() + runs_call_time);
+    co_return !ok(told) || member_or_null(value(told), "runs") != json(false);
+}
+
 // The trainer brings the batch to one gateway after the other meanwhile. They all choose the same one to run
 // it, so the engines do the work once.
 net::task<void> batch_service::send_ahead(std::shared_ptr<attempt> current)
 {
     auto& header = current->submission.header;
-    const auto ranked = fleet_.owners_of(header.id);
-    const auto peers = fleet_.peers();
-    const auto owner = std::find_if(peers.begin(), peers.end(), [&ranked](const gateway_peer& peer) {
-        return !ranked.empty() && peer.vm == ranked.front();
-    });
-    if (owner == peers.end() || owner->vm == fleet_.self()) {
+    const auto owner = other_owner(header.id);
+    if (!owner) {
         run_ahead(current->submission);
         co_return;
     }
@@ -88,8 +114,14 @@
 net::http_response batch_service::serve_ahead(const net::http_request& request)
 {
     net::http_response response;
+    const auto question = json::parse(request.body, nullptr, false);
+    const auto batch = text_or_empty(question, "id");
+    if (member_or_null(question, "header").is_null() && !batch.empty()) {
+        response.body = json{{"runs", ahead_until_.contains(batch)}}.dump();
+        return response;
+    }
     response.body = "{}";
-    auto read = submission_from_json(json::parse(request.body, nullptr, false));
+    auto read = submission_from_json(question);
     if (!ok(read)) {
         observe::log(observe::log_level::warning, "ahead_call_refused", {{"why", describe(failure(read))}});
         response.status = 400;
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -142,6 +142,32 @@
     EXPECT_EQ(runs(), item_count);
 }
 
+// The store is silent when a step comes, and refuses when it comes again, at each gateway. One of them runs
+// it meanwhile, so none may say that nothing of it runs.
+TEST(batches, that_run_ahead_are_not_refused_anywhere)
+{
+    batches all;
+    auto& first = all.add_gateway_at_second("a");
+    auto& second = all.add_gateway_at_second("b");
+    for (auto* served : {&first, &second}) {
+        EXPECT_TRUE(deployment::eventually([&] {
+            return served->ready() && served->ask<std::size_t>([](gateway& asked) {
+                return asked.addresses().front_addresses.size();
+            }) == 2;
+        }));
+    }
+    all.change([](standins::fake_store& store) { store.faults.second_silent = true; });
+    all.send(first.address(), make_batch("b1"), milliseconds(1300));
+    all.change([](standins::fake_store& store) {
+        store.faults.second_silent = false;
+        store.faults.refuse = true;
+    });
+    for (auto* served : {&first, &second}) {
+        EXPECT_EQ(all.status_of(served->address(), make_batch("b1")), 502);
+        EXPECT_EQ(all.status_of(served->address(), make_batch("b2")), 503) << "nothing of this one runs";
+    }
+}
+
 // A trainer gives its step up while the store is silent. What was run ahead of an acceptance ends, and leaves
 // nothing behind when the store is back.
 TEST(batches, run_ahead_are_dropped_when_their_trainer_brings_them_no_more)
