--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -8,6 +8,18 @@
 using nlohmann::json;
 using standins::replica_fault;
 
+/// Each is ready and knows all of them.
+void expect_acquainted(const std::vector<running_gateway*>& gateways)
+{
+    for (auto* served : gateways) {
+        EXPECT_TRUE(deployment::eventually([&] {
+            return served->ready() && served->ask<std::size_t>([](gateway& asked) {
+                return asked.addresses().front_addresses.size();
+            }) == gateways.size();
+        }));
+    }
+}
+
 TEST(batches, are_accepted_once_run_and_listed)
 {
     batches all;
@@ -116,13 +128,7 @@
     batches all;
     auto& first = all.add_gateway_at_second("a");
     auto& second = all.add_gateway_at_second("b");
-    for (auto* served : {&first, &second}) {
-        EXPECT_TRUE(deployment::eventually([&] {
-            return served->ready() && served->ask<std::size_t>([](gateway& asked) {
-                return asked.addresses().front_addresses.size();
-            }) == 2;
-        }));
-    }
+    expect_acquainted({&first, &second});
     const auto runs = [&] {
         return all.look<std::size_t>(
             [&](standins::fake_store&) { return all.one.ran.size() + all.two.ran.size(); });
@@ -149,13 +155,7 @@
     batches all;
     auto& first = all.add_gateway_at_second("a");
     auto& second = all.add_gateway_at_second("b");
-    for (auto* served : {&first, &second}) {
-        EXPECT_TRUE(deployment::eventually([&] {
-            return served->ready() && served->ask<std::size_t>([](gateway& asked) {
-                return asked.addresses().front_addresses.size();
-            }) == 2;
-        }));
-    }
+    expect_acquainted({&first, &second});
     all.change([](standins::fake_store& store) { store.faults.second_silent = true; });
     all.send(first.address(), make_batch("b1"), milliseconds(1300));
     all.change([](standins::fake_store& store) {
