--- a/tests/gateway/deployment.hpp
+++ b/tests/gateway/deployment.hpp
@@ -2,9 +2,7 @@
 #ifndef VANILLAGAUGE_TESTS_GATEWAY_DEPLOYMENT_HPP
 #define VANILLAGAUGE_TESTS_GATEWAY_DEPLOYMENT_HPP
 
-#include "platform/callers.hpp"
-#include "platform/records.hpp"
-#include "platform/users_store.hpp"
+#include "platform/gateway_program.hpp"
 #include "standins/users/fake_replica.hpp"
 #include "standins/users/fake_store.hpp"
 #include "wire/event_loop.hpp"
@@ -33,44 +31,30 @@
     return settings;
 }
 
-/// One gateway, as its program wires it.
+/// One gateway, as its program runs it.
 class running_gateway {
 public:
     running_gateway(const std::string& vm, const std::string& store, const std::vector<std::string>& seeds)
         : running_gateway(make_settings(vm, store, seeds))
     {
     }
-    explicit running_gateway(config::settings settings)
-        : settings_(std::move(settings)), store_(loop_.context(), settings_.platform),
-          gateway_(loop_, settings_, store_, protocol_, platform::foreign_objects()),
-          front_(loop_.context(), gateway_, protocol_)
+    explicit running_gateway(config::settings settings) : program_(std::move(settings))
     {
-        address_ = value(front_.open(settings_.gateway));
-        const auto opened = gateway_.open(address_);
+        const auto opened = program_.open();
         if (!ok(opened)) {
             throw std::runtime_error(describe(failure(opened)));
         }
+        address_ = value(opened);
     }
-    ~running_gateway() { kill(); }
-    running_gateway(const running_gateway&) = delete;
-    running_gateway& operator=(const running_gateway&) = delete;
 
     const std::string& address() const { return address_; }
-    /// Ends as a killed process does: its connections close, and it says nothing to anybody.
-    void kill()
-    {
-        if (!std::exchange(killed_, true)) {
-            gateway_.close();
-            loop_.stop();
-        }
-    }
+    void kill() { program_.kill(); }
+    void stop() { program_.stop(); }
 
     template <class Answer>
     Answer ask(std::function<Answer(gateway&)> question)
     {
-        std::promise<Answer> told;
-        loop_.post([&] { told.set_value(question(gateway_)); });
-        return told.get_future().get();
+        return program_.ask<Answer>(std::move(question));
     }
     bool ready()
     {
@@ -78,14 +62,8 @@
     }
 
 private:
-    wire::event_loop loop_;
-    config::settings settings_;
-    platform::replica_protocol protocol_;
-    platform::users_store store_;
-    gateway gateway_;
-    platform::callers front_;
+    platform::gateway_program program_;
     std::string address_;
-    bool killed_ = false;
 };
 
 /// The outside world on a loop of its own, with a client that waits for its answers.
