--- /dev/null
+++ b/tests/stop/planned_stop_tests.cpp
@@ -0,0 +1,192 @@
+#include "stop_client.hpp"
+
+#include "tests/gateway/deployment.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace vanillagauge::gateway {
+namespace {
+
+using tests::sent_request;
+using tests::stop_client;
+
+/// How long a connection may stand after a request before its end without an answer counts as a loss.
+constexpr milliseconds loss_slack{200};
+/// From SIGTERM to SIGKILL in these tests.
+constexpr milliseconds stop_grace{4200};
+constexpr milliseconds work_time{150};
+
+/// One gateway before one replica, and what its callers saw.
+class stopping_gateway : public testing::Test {
+protected:
+    deployment world;
+    standins::fake_replica& replica = world.add_replica("r1", "plain");
+    std::unique_ptr<running_gateway> served = start();
+    std::string address = served->address();
+    std::atomic<bool> ended{false};
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(deployment::eventually([this] {
+            return served->ready() && world.status_of(address, make_request("/safe/warm", "warm")) == 200;
+        }));
+        world.change([this](standins::fake_store&) { replica.work_time = work_time; });
+    }
+
+    /// Stops and destroys the gateway, as the program does.
+    void stop()
+    {
+        served->stop();
+        served.reset();
+        ended = true;
+    }
+
+    std::unique_ptr<running_gateway> start()
+    {
+        auto settings = make_settings("a", world.store_address(), {});
+        settings.gateway.stop_grace = stop_grace;
+        return std::make_unique<running_gateway>(std::move(settings));
+    }
+
+    void note(sent_request request)
+    {
+        const std::lock_guard lock(mutex_);
+        seen_.push_back(std::move(request));
+    }
+
+    bool ran(const std::string& id)
+    {
+        return world.look<bool>([&](standins::fake_store&) {
+            return std::any_of(replica.ran.begin(), replica.ran.end(),
+                               [&](const auto& run) { return run.attempt_id == id; });
+        });
+    }
+
+    /// Requests that got neither an answer nor a refusal: they ran, or their connection stood open.
+    std::vector<std::string> lost()
+    {
+        std::vector<std::string> found;
+        for (const auto& request : seen_) {
+            const bool cut = request.sent && request.status == 0;
+            if (cut && (request.waited > loss_slack || ran(request.id))) {
+                found.push_back(request.id);
+            }
+        }
+        return found;
+    }
+    /// Refusals of requests that ran all the same.
+    std::vector<std::string> falsely_refused()
+    {
+        std::vector<std::string> found;
+        for (const auto& request : seen_) {
+            if (request.status == 503 && ran(request.id)) {
+                found.push_back(request.id);
+            }
+        }
+        return found;
+    }
+    std::size_t answered() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            seen_.begin(), seen_.end(), [](const auto& request) { return request.status == 200; }));
+    }
+
+    /// Callers that make a new connection for each request, until the gateway has ended.
+    std::vector<std::thread> call_on_new_connections(int callers, milliseconds pause)
+    {
+        std::vector<std::thread> threads;
+        for (int caller = 0; caller < callers; ++caller) {
+            threads.emplace_back([this, caller, pause] {
+                for (int turn = 0; !ended; ++turn) {
+                    stop_client client(address);
+                    if (client.connected()) {
+                        note(
+                            client.ask("/safe/x", "c" + std::to_string(caller) + "-" + std::to_string(turn)));
+                    }
+                    std::this_thread::sleep_for(pause);
+                }
+            });
+        }
+        return threads;
+    }
+
+private:
+    std::mutex mutex_;
+    std::vector<sent_request> seen_;
+};
+
+using request_cut_at_planned_stop = stopping_gateway;
+
+// Guards against a request that is taken up to the end of the process and dies with it.
+TEST_F(request_cut_at_planned_stop, on_a_new_connection_under_load)
+{
+    auto callers = call_on_new_connections(6, milliseconds(1));
+    stop();
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(lost(), std::vector<std::string>{});
+    EXPECT_EQ(falsely_refused(), std::vector<std::string>{});
+    EXPECT_GT(answered(), 20U);
+}
+
+// Guards against a request on a kept connection that is read when the process is about to end.
+TEST_F(request_cut_at_planned_stop, on_a_kept_connection)
+{
+    constexpr int connections = 90;
+    constexpr milliseconds apart{40};
+    std::vector<std::thread> callers;
+    const auto began = steady::now();
+    for (int caller = 0; caller < connections; ++caller) {
+        callers.emplace_back([this, caller, began, apart] {
+            stop_client client(address);
+            std::this_thread::sleep_until(began + milliseconds(200) + caller * apart);
+            note(client.ask("/safe/x", "k" + std::to_string(caller)));
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(200)); // all are connected
+    stop();
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(lost(), std::vector<std::string>{});
+    EXPECT_EQ(falsely_refused(), std::vector<std::string>{});
+    EXPECT_GT(answered(), 20U);
+}
+
+// Guards against a request that is still at its replica when the process ends.
+TEST_F(request_cut_at_planned_stop, while_its_replica_is_silent)
+{
+    world.change([this](standins::fake_store&) { replica.script = {standins::replica_fault::silent}; });
+    std::thread caller([this] {
+        std::this_thread::sleep_for(milliseconds(2350));
+        stop_client client(address);
+        note(client.ask("/once/x", "silent"));
+    });
+    stop();
+    caller.join();
+    EXPECT_TRUE(ran("silent"));
+    EXPECT_EQ(lost(), std::vector<std::string>{});
+    EXPECT_EQ(falsely_refused(), std::vector<std::string>{});
+}
+
+using connection_held_by_ended_gateway = stopping_gateway;
+
+// Guards against connections that the kernel takes for a process that serves nobody any more.
+TEST_F(connection_held_by_ended_gateway, is_refused_or_served)
+{
+    world.change([this](standins::fake_store&) { replica.work_time = milliseconds(0); });
+    auto callers = call_on_new_connections(2, milliseconds(20));
+    stop();
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(lost(), std::vector<std::string>{});
+}
+
+} // namespace
+} // namespace vanillagauge::gateway
