Close a peer server without a wait once its loop has ended

Cause: the process ends its loop and then destroys its parts. The destructor of the peer server posted its work to the loop that had ended and gave it a second to run, which it never did. Meanwhile the callers' listener and connections were open, and the kernel took connections and bytes for a process that read nothing.

Why it works: event_loop::run carries work out on the loop while there is one and on the caller's thread after it; nothing waits for a thread that is gone.

--- a/src/wire/event_loop.cpp
+++ b/src/wire/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <future>
 #include <thread>
 
 namespace vanillagauge::wire {
@@ -27,6 +28,21 @@
     boost::asio::post(state_->context, std::move(work));
 }
 
+void event_loop::run(const std::function<void()>& work)
+{
+    const bool ended = !state_->thread.joinable();
+    if (ended || state_->thread.get_id() == std::this_thread::get_id()) {
+        work();
+        return;
+    }
+    std::promise<void> done;
+    post([&work, &done] {
+        work();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
 timer_cancel event_loop::after(milliseconds delay, std::function<void()> work)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(state_->context);
--- a/src/wire/event_loop.hpp
+++ b/src/wire/event_loop.hpp
@@ -25,6 +25,9 @@
     event_loop& operator=(const event_loop&) = delete;
 
     void post(std::function<void()> work);
+    /// Runs it on the loop's thread and waits for its end; on this one where the loop has ended. Not beside
+    /// `stop` on another thread.
+    void run(const std::function<void()>& work);
     timer_cancel after(milliseconds delay, std::function<void()> work);
     /// Ends the thread and waits for it; further work is dropped.
     void stop();
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <future>
 #include <set>
 
 namespace vanillagauge::wire {
@@ -159,19 +158,14 @@
 
 void peer_server::close()
 {
-    auto closed = std::make_shared<std::promise<void>>();
-    auto future = closed->get_future();
-    state_->loop.post([shared = state_, closed] {
+    state_->loop.run([this] {
         boost::system::error_code ignored;
-        shared->acceptor.close(ignored);
-        const auto open_sessions = shared->sessions;
+        state_->acceptor.close(ignored);
+        const auto open_sessions = state_->sessions;
         for (const auto& session : open_sessions) {
             session->close();
         }
-        closed->set_value();
     });
-    // A loop that has stopped runs nothing any more, and holds no session that could call back.
-    future.wait_for(std::chrono::seconds{1});
 }
 
 } // namespace vanillagauge::wire
