Take no work that a stop will cut

Cause: a stopping gateway took work until its loop ended. Whether anything was under way was looked at from another thread, every 50 ms; then it left the fleet, waited for datagrams and ended the loop, with the listener open and every open connection read all the while. A gateway with batches did so for 6.8 s and then cut whatever was under way. Class: an end that is decided on a state which new work may change after the look.

Why it works: a stop goes through steps (policy/stop_plan) and none comes back. It serves while callers may not know; then it takes what waits in the listener, closes it, ends connections on which no request comes, and looks for the end only from there, where nothing new can come. Requests whose time reaches beyond the end are refused at once as not run. What is still under way at the last moment gets an answer that promises nothing (502) in place of a cut connection. An idle connection is ended unread, so that a request that crosses it has not run.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -18,6 +18,9 @@
 /// When to come back to a service without a usable replica: one that crashed is back after some seconds.
 constexpr milliseconds no_replica_retry_after{500};
 
+/// When to come back from a gateway that stops, which is at once: another one serves.
+constexpr milliseconds stopping_retry_after{1};
+
 error not_run(error_code code, std::string detail, milliseconds retry_after)
 {
     return {code, run_state::not_run, std::move(detail), retry_after};
@@ -143,6 +146,10 @@
 net::task<forwarder::attempt_outcome> forwarder::run(call& current)
 {
     attempt_outcome outcome;
+    if (stop_ && !current.own() && !stop_->takes(current.request.arrived, current.deadline)) {
+        outcome.result = not_run(error_code::unavailable, "the gateway stops", stopping_retry_after);
+        co_return outcome;
+    }
     auto* gate = gate_of(current);
     if (gate == nullptr) {
         outcome.result =
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -9,6 +9,7 @@
 #include "net/http_service.hpp"
 #include "observe/metrics.hpp"
 #include "policy/quarantine.hpp"
+#include "policy/stop_plan.hpp"
 
 #include <functional>
 #include <map>
@@ -66,6 +67,8 @@
     /// replicas are its own, few, and given to urgent calls first.
     net::task<own_call_outcome> make_call(route chosen, caller_request request, policy::priority urgency,
                                           std::shared_ptr<call_ticket> ticket);
+    /// Refuses from now on callers' requests that the plan does not take.
+    void stop_by(std::shared_ptr<const policy::stop_plan> plan) { stop_ = std::move(plan); }
     /// The replicas or the configuration changed.
     void refresh(time_point now);
 
@@ -78,7 +81,8 @@
     observe::metrics& counts_;
     policy::quarantine& crashes_;
     std::string failure_domain_;
-    std::map<std::string, std::unique_ptr<service_gate>> gates_;     ///< of callers' requests, by service
+    std::shared_ptr<const policy::stop_plan> stop_;              ///< null: this process is not told to stop
+    std::map<std::string, std::unique_ptr<service_gate>> gates_; ///< of callers' requests, by service
     std::map<std::string, std::unique_ptr<service_gate>> own_gates_; ///< of calls of the gateway's own
     std::mt19937_64 random_{std::random_device{}()};
     std::uint64_t next_work_ = 1;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -375,9 +375,10 @@
                   {"needs_restart", std::int64_t{!same_addresses}}});
 }
 
-void gateway::drain()
+void gateway::drain(std::shared_ptr<const policy::stop_plan> plan)
 {
     state_->draining = true;
+    state_->forwarding.stop_by(std::move(plan));
     state_->fleet.set_draining();
     state_->runner.stop_taking();
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include "gateway/target_protocol.hpp"
 #include "gateway/target_registry.hpp"
 #include "gateway/weights_keeper.hpp"
+#include "policy/stop_plan.hpp"
 
 #include <functional>
 #include <memory>
@@ -60,8 +61,8 @@
     result<done> open(const std::string& front_address);
     /// Takes over what may change while the program runs; the rest counts from the next start.
     void reload(const config::settings& changed);
-    /// No new work is to come; what is under way goes on.
-    void drain();
+    /// No new work is to come; what is under way goes on, and what cannot end in time is refused.
+    void drain(std::shared_ptr<const policy::stop_plan> plan);
     /// Nothing is under way, or the time is over.
     void leave();
     /// Ends the connections with other gateways; from another thread, before the loop stops.
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -17,6 +18,8 @@
 
 #include <array>
 #include <charconv>
+#include <set>
+#include <utility>
 
 namespace vanillagauge::net {
 
@@ -31,6 +34,9 @@
 /// answer on its way. A client that has read its answer closes well within this time.
 constexpr milliseconds linger_time{1000};
 
+/// A request may be on its way over a connection that stands without one; closing at once would cut it.
+constexpr milliseconds close_grace{250};
+
 std::string status_line(int status)
 {
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
@@ -48,7 +54,9 @@
 
 } // namespace
 
-struct http_service::state {
+class service_connection;
+
+struct http_service::state : std::enable_shared_from_this<http_service::state> {
     state(loop& where, std::function<service_limits()> asked, http_handler called)
         : context(where), acceptor(where), limits(std::move(asked)), handler(std::move(called))
     {
@@ -59,10 +67,13 @@
     std::function<service_limits()> limits;
     http_handler handler;
     bool draining = false;
-    std::size_t connections = 0;
+    std::set<service_connection*> connections;
     std::size_t in_flight = 0;
 
+    void adopt(asio::ip::tcp::socket socket);
     static task<void> accept_all(std::shared_ptr<state> owner);
+    void close_acceptor();
+    static task<void> end_idle(std::shared_ptr<state> owner);
 };
 
 class service_connection : public std::enable_shared_from_this<service_connection> {
@@ -70,9 +81,9 @@
     service_connection(asio::ip::tcp::socket socket, std::shared_ptr<http_service::state> owner)
         : stream_(std::move(socket)), owner_(std::move(owner))
     {
-        ++owner_->connections;
+        owner_->connections.insert(this);
     }
-    ~service_connection() { --owner_->connections; }
+    ~service_connection() { owner_->connections.erase(this); }
     service_connection(const service_connection&) = delete;
     service_connection& operator=(const service_connection&) = delete;
 
@@ -80,6 +91,13 @@
     static task<void> serve(std::shared_ptr<service_connection> connection);
     task<bool> write_text(std::string text);
     void abort();
+    /// Ends it where no byte of a request has come.
+    void end_if_idle();
+    /// Answers in place of the handler.
+    void give_up(const http_response& answer);
+    /// False: the service has answered in the handler's place.
+    bool begin_answer();
+    std::string whole_text(const http_response& response);
     /// The fields that end a head, for this answer.
     std::string connection_fields();
 
@@ -87,12 +105,21 @@
     void on_gone(std::function<void()> callback);
 
 private:
+    enum class stage {
+        idle, ///< no byte of a request has come
+        reading,
+        handling,
+        answering, ///< the handler's answer has begun
+        given_up,  ///< the service has answered in the handler's place
+    };
+
     beast::tcp_stream stream_;
     std::shared_ptr<http_service::state> owner_;
     beast::flat_buffer buffer_;
     std::function<void()> on_gone_;
     std::uint64_t watched_ = 0; ///< the request whose client is watched; each request has a new number
-    bool handling_ = false;
+    stage stage_ = stage::reading;
+    bool ended_idle_ = false; ///< by this side, without a request
     bool keep_alive_ = true;
     bool aborted_ = false;
     bool gone_ = false;
@@ -104,6 +131,9 @@
     task<void> refuse(const error_code& why, bool in_body);
     task<void> handle(const http_request& request);
     task<void> linger();
+    task<void> part();
+    bool in_request() const { return stage_ == stage::handling || stage_ == stage::answering; }
+    void tell_gone();
     void watch_client();
 };
 
@@ -151,8 +181,11 @@
     }
     stream_.expires_after(limits.idle_time);
     error_code failure;
+    stage_ = stage::idle;
     const auto size = co_await stream_.async_read_some(buffer_.prepare(4096),
                                                        asio::redirect_error(asio::use_awaitable, failure));
+    stage_ = stage::reading;
+    ended_idle_ = ended_idle_ && size == 0;
     buffer_.commit(size);
     co_return !failure && size > 0;
 }
@@ -213,7 +246,10 @@
         const auto request = to_request(message);
         co_await handle(request);
     }
-    if (!aborted_) {
+    if (ended_idle_) {
+        co_await part();
+    }
+    else if (!aborted_) {
         co_await linger();
     }
 }
@@ -221,7 +257,7 @@
 task<void> service_connection::handle(const http_request& request)
 {
     ++owner_->in_flight;
-    handling_ = true;
+    stage_ = stage::handling;
     ++watched_;
     watch_client();
     responder answer(*this);
@@ -229,7 +265,7 @@
     if (!answer.answered()) {
         abort();
     }
-    handling_ = false;
+    stage_ = stage::reading;
     on_gone_ = nullptr;
     --owner_->in_flight;
 }
@@ -240,7 +276,7 @@
 {
     stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
                                 [self = shared_from_this(), request = watched_](const error_code& failure) {
-                                    if (failure || !self->handling_ || request != self->watched_) {
+                                    if (failure || !self->in_request() || request != self->watched_) {
                                         return;
                                     }
                                     char byte = 0;
@@ -251,14 +287,19 @@
                                         return;
                                     }
                                     if (seen <= 0) {
-                                        self->gone_ = true;
-                                        if (const auto tell = std::exchange(self->on_gone_, nullptr)) {
-                                            tell();
-                                        }
+                                        self->tell_gone();
                                     }
                                 });
 }
 
+void service_connection::tell_gone()
+{
+    gone_ = true;
+    if (const auto tell = std::exchange(on_gone_, nullptr)) {
+        tell();
+    }
+}
+
 void service_connection::on_gone(std::function<void()> callback)
 {
     if (gone_) {
@@ -293,6 +334,9 @@
 
 void service_connection::abort()
 {
+    if (stage_ == stage::given_up) {
+        return;
+    }
     aborted_ = true;
     keep_alive_ = false;
     error_code ignored;
@@ -300,6 +344,73 @@
     stream_.close();
 }
 
+bool service_connection::begin_answer()
+{
+    if (stage_ == stage::given_up) {
+        return false;
+    }
+    stage_ = stage::answering;
+    return true;
+}
+
+std::string service_connection::whole_text(const http_response& response)
+{
+    auto text = head_text(response.status, response.fields);
+    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    text += connection_fields();
+    text += response.body;
+    return text;
+}
+
+void service_connection::end_if_idle()
+{
+    if (stage_ != stage::idle) {
+        return;
+    }
+    ended_idle_ = true;
+    keep_alive_ = false;
+    error_code ignored;
+    stream_.socket().cancel(ignored);
+}
+
+// The handler learns of it as of a client that left, so that it lets go of its replica. An answer that has
+// begun goes on; where it is not whole when the process ends, it does not look whole.
+void service_connection::give_up(const http_response& answer)
+{
+    end_if_idle();
+    if (stage_ != stage::handling) {
+        return;
+    }
+    keep_alive_ = false;
+    const auto text = whole_text(answer);
+    error_code failure;
+    stream_.socket().non_blocking(true, failure);
+    const auto written = stream_.socket().write_some(asio::buffer(text), failure);
+    if (failure || written < text.size()) {
+        abort();
+    }
+    stage_ = stage::given_up;
+    tell_gone();
+}
+
+// What comes now is left unread: the end of the connection then tells the client that its request has not
+// run, while a request that was read and thrown away could have.
+task<void> service_connection::part()
+{
+    error_code failure;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
+    asio::steady_timer over(owner_->context, linger_time);
+    over.async_wait([self = shared_from_this()](const error_code& cancelled) {
+        if (!cancelled) {
+            error_code ignored;
+            self->stream_.socket().cancel(ignored);
+        }
+    });
+    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                         asio::redirect_error(asio::use_awaitable, failure));
+    stream_.close();
+}
+
 task<void> service_connection::linger()
 {
     error_code failure;
@@ -316,19 +427,21 @@
 task<bool> responder::send(http_response response)
 {
     answered_ = true;
-    auto text = head_text(response.status, response.fields);
-    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-    text += connection_.connection_fields();
-    text += response.body;
-    return connection_.write_text(std::move(text));
+    if (!connection_.begin_answer()) {
+        co_return false;
+    }
+    co_return co_await connection_.write_text(connection_.whole_text(response));
 }
 
 task<bool> responder::begin(int status, http_fields fields)
 {
     begun_ = true;
+    if (!connection_.begin_answer()) {
+        co_return false;
+    }
     auto text =
         head_text(status, fields) + "Transfer-Encoding: chunked\r\n" + connection_.connection_fields();
-    return connection_.write_text(std::move(text));
+    co_return co_await connection_.write_text(std::move(text));
 }
 
 task<bool> responder::write(std::string piece)
@@ -415,15 +528,24 @@
     state_->draining = true;
 }
 
-void http_service::stop_accepting()
+void http_service::close()
 {
-    error_code ignored;
-    state_->acceptor.close(ignored);
+    drain();
+    state_->close_acceptor();
+    start(state_->context, state::end_idle(state_));
+}
+
+void http_service::give_up(const http_response& answer)
+{
+    const auto open = state_->connections;
+    for (auto* connection : open) {
+        connection->give_up(answer);
+    }
 }
 
 std::size_t http_service::connections() const
 {
-    return state_->connections;
+    return state_->connections.size();
 }
 
 std::size_t http_service::in_flight() const
@@ -431,6 +553,12 @@
     return state_->in_flight;
 }
 
+void http_service::state::adopt(asio::ip::tcp::socket socket)
+{
+    const auto connection = std::make_shared<service_connection>(std::move(socket), shared_from_this());
+    start(context, service_connection::serve(connection));
+}
+
 task<void> http_service::state::accept_all(std::shared_ptr<state> owner)
 {
     while (owner->acceptor.is_open()) {
@@ -438,8 +566,7 @@
         auto socket =
             co_await owner->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failure));
         if (!failure) {
-            const auto connection = std::make_shared<service_connection>(std::move(socket), owner);
-            start(owner->context, service_connection::serve(connection));
+            owner->adopt(std::move(socket));
         }
         else if (owner->acceptor.is_open()) {
             // Out of descriptors, usually; without the pause the loop would spin until one is free.
@@ -448,4 +575,29 @@
     }
 }
 
+// Closing the listener would reset connections that the kernel has taken, with requests on them.
+void http_service::state::close_acceptor()
+{
+    error_code failure;
+    acceptor.non_blocking(true, failure);
+    while (!failure) {
+        asio::ip::tcp::socket socket(context);
+        acceptor.accept(socket, failure);
+        if (!failure) {
+            adopt(std::move(socket));
+        }
+    }
+    acceptor.close(failure);
+}
+
+task<void> http_service::state::end_idle(std::shared_ptr<state> owner)
+{
+    while (!owner->connections.empty()) {
+        co_await sleep_for(owner->context, close_grace);
+        for (auto* connection : std::set(owner->connections)) {
+            connection->end_if_idle();
+        }
+    }
+}
+
 } // namespace vanillagauge::net
--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -63,8 +63,10 @@
     result<std::string> open(const std::string& address);
     /// From now on each answer is the last of its connection.
     void drain();
-    /// Takes no new connections.
-    void stop_accepting();
+    /// Drains, takes the connections that wait and then no more, and ends each that stays without a request.
+    void close();
+    /// Answers in place of the handlers whatever is under way; an answer that has begun is broken off.
+    void give_up(const http_response& answer);
 
     std::size_t connections() const;
     /// Requests that were read and have no whole answer yet.
--- /dev/null
+++ b/src/policy/stop_plan.cpp
@@ -0,0 +1,65 @@
+#include "policy/stop_plan.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::policy {
+namespace {
+
+/// What is left of the grace period is for telling the others and for the process's own end.
+constexpr milliseconds end_reserve{1200};
+/// Callers keep an address for a while; leaving at once would refuse their connections.
+constexpr milliseconds least_stay{2500};
+/// For requests that were taken until then.
+constexpr milliseconds finish_time{2000};
+/// For answers on their way to callers.
+constexpr milliseconds give_up_time{300};
+
+} // namespace
+
+std::string_view name(stop_step step)
+{
+    switch (step) {
+    case stop_step::serve:
+        return "serve";
+    case stop_step::finish:
+        return "finish";
+    case stop_step::give_up:
+        return "give_up";
+    case stop_step::end:
+        break;
+    }
+    return "end";
+}
+
+stop_plan::stop_plan(time_point began, milliseconds grace)
+    : callers_know_(began + least_stay), last_(began + std::max(grace - end_reserve, milliseconds{0}))
+{
+    last_call_ = std::max(last_ - finish_time, began);
+}
+
+// A process that is not busy may be given work a moment later, so it ends only from a step in which it takes
+// none: what it has taken is over by then.
+stop_step stop_plan::next(time_point now, const open_work& open)
+{
+    const bool busy = open.requests > 0 || open.batches > 0;
+    const bool holds_any = busy || open.connections > 0;
+    if (step_ == stop_step::serve && (now >= last_call_ || (now >= callers_know_ && !busy))) {
+        step_ = stop_step::finish;
+        return step_;
+    }
+    if (step_ == stop_step::finish && (now >= last_ || !holds_any)) {
+        step_ = holds_any ? stop_step::give_up : stop_step::end;
+        return step_;
+    }
+    if (step_ == stop_step::give_up && (now >= last_ + give_up_time || open.connections == 0)) {
+        step_ = stop_step::end;
+    }
+    return step_;
+}
+
+bool stop_plan::takes(time_point now, time_point deadline) const
+{
+    return deadline <= last_ || (step_ == stop_step::serve && now < callers_know_);
+}
+
+} // namespace vanillagauge::policy
--- a/tests/net/connection_tests.cpp
+++ b/tests/net/connection_tests.cpp
@@ -1,5 +1,6 @@
 #include "loopback.hpp"
 
+#include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
 namespace vanillagauge::net {
@@ -168,6 +169,60 @@
     EXPECT_NE(answer.find("Connection: close"), std::string::npos);
 }
 
+// Guards against a listener whose end resets the connections that wait in it.
+TEST(http_service, answers_what_waited_when_it_closed)
+{
+    echo_service running;
+    std::promise<void> blocked;
+    boost::asio::post(running.thread.context(), [&] { blocked.get_future().wait(); });
+    auto waiting = std::async(std::launch::async, [&] {
+        return raw_exchange(running.address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    });
+    std::this_thread::sleep_for(milliseconds(50));
+    boost::asio::post(running.thread.context(), [&] { running.service.close(); });
+    blocked.set_value();
+    EXPECT_NE(waiting.get().find("HTTP/1.1 200"), std::string::npos);
+}
+
+// Guards against a stop that waits for clients which send nothing.
+TEST(http_service, ends_connections_without_a_request_once_it_closes)
+{
+    echo_service running;
+    auto idle = std::async(std::launch::async, [&] { return raw_exchange(running.address, ""); });
+    std::this_thread::sleep_for(milliseconds(50));
+    boost::asio::post(running.thread.context(), [&] { running.service.close(); });
+    ASSERT_EQ(idle.wait_for(seconds(1)), std::future_status::ready);
+    EXPECT_EQ(idle.get(), "");
+}
+
+// Guards against a request that is cut because its handler takes longer than the process lives.
+TEST(http_service, answers_in_place_of_a_handler_that_it_gives_up)
+{
+    loop_thread thread;
+    std::promise<void> taken;
+    http_service service(
+        thread.context(), [] { return service_limits{}; },
+        [&](const http_request&, responder& answer) -> task<void> {
+            taken.set_value();
+            co_await sleep_for(thread.context(), milliseconds(300));
+            http_response late;
+            co_await answer.send(std::move(late));
+        });
+    const auto address = value(service.open("127.0.0.1:0"));
+    auto answer = std::async(std::launch::async,
+                             [&] { return raw_exchange(address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); });
+    taken.get_future().wait();
+    http_response ending;
+    ending.status = 502;
+    boost::asio::post(thread.context(), [&] { service.give_up(ending); });
+    const auto text = answer.get();
+    EXPECT_NE(text.find("HTTP/1.1 502"), std::string::npos);
+    EXPECT_EQ(text.find("HTTP/1.1 200"), std::string::npos);
+    std::promise<void> over;
+    boost::asio::post(thread.context(), [&] { over.set_value(); });
+    over.get_future().wait();
+}
+
 // A client leaves while its request is under way; whoever works for it must hear of it at once.
 TEST(http_service, tells_of_a_client_that_leaves)
 {
--- a/tests/stop/planned_stop_tests.cpp
+++ b/tests/stop/planned_stop_tests.cpp
@@ -16,8 +16,9 @@
 
 /// How long a connection may stand after a request before its end without an answer counts as a loss.
 constexpr milliseconds loss_slack{200};
-/// From SIGTERM to SIGKILL in these tests.
-constexpr milliseconds stop_grace{4200};
+/// From SIGTERM to SIGKILL.
+constexpr milliseconds stop_grace{6000};
+constexpr milliseconds short_grace{1800};
 constexpr milliseconds work_time{150};
 
 /// One gateway before one replica, and what its callers saw.
@@ -25,7 +26,7 @@
 protected:
     deployment world;
     standins::fake_replica& replica = world.add_replica("r1", "plain");
-    std::unique_ptr<running_gateway> served = start();
+    std::unique_ptr<running_gateway> served = start(stop_grace);
     std::string address = served->address();
     std::atomic<bool> ended{false};
 
@@ -45,10 +46,10 @@
         ended = true;
     }
 
-    std::unique_ptr<running_gateway> start()
+    std::unique_ptr<running_gateway> start(milliseconds grace)
     {
         auto settings = make_settings("a", world.store_address(), {});
-        settings.gateway.stop_grace = stop_grace;
+        settings.gateway.stop_grace = grace;
         return std::make_unique<running_gateway>(std::move(settings));
     }
 
@@ -137,7 +138,7 @@
 // Guards against a request on a kept connection that is read when the process is about to end.
 TEST_F(request_cut_at_planned_stop, on_a_kept_connection)
 {
-    constexpr int connections = 90;
+    constexpr int connections = 130;
     constexpr milliseconds apart{40};
     std::vector<std::thread> callers;
     const auto began = steady::now();
@@ -161,15 +162,19 @@
 // Guards against a request that is still at its replica when the process ends.
 TEST_F(request_cut_at_planned_stop, while_its_replica_is_silent)
 {
+    served = start(short_grace);
+    address = served->address();
+    ASSERT_TRUE(deployment::eventually([this] {
+        return served->ready() && world.status_of(address, make_request("/safe/x", "warm-2")) == 200;
+    }));
     world.change([this](standins::fake_store&) { replica.script = {standins::replica_fault::silent}; });
     std::thread caller([this] {
-        std::this_thread::sleep_for(milliseconds(2350));
         stop_client client(address);
         note(client.ask("/once/x", "silent"));
     });
+    ASSERT_TRUE(deployment::eventually([this] { return ran("silent"); }));
     stop();
     caller.join();
-    EXPECT_TRUE(ran("silent"));
     EXPECT_EQ(lost(), std::vector<std::string>{});
     EXPECT_EQ(falsely_refused(), std::vector<std::string>{});
 }
