--- a/tests/stop/planned_stop_tests.cpp
+++ b/tests/stop/planned_stop_tests.cpp
@@ -100,6 +100,7 @@
     std::vector<std::thread> call_on_new_connections(int callers, milliseconds pause)
     {
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(callers));
         for (int caller = 0; caller < callers; ++caller) {
             threads.emplace_back([this, caller, pause] {
                 for (int turn = 0; !ended; ++turn) {
@@ -141,6 +142,7 @@
     constexpr int connections = 130;
     constexpr milliseconds apart{40};
     std::vector<std::thread> callers;
+    callers.reserve(connections);
     const auto began = steady::now();
     for (int caller = 0; caller < connections; ++caller) {
         callers.emplace_back([this, caller, began, apart] {
