Take quick requests of patient callers while a gateway stops

What callers saw: a busy stopping gateway refused requests whose time reaches beyond its end, also such that take milliseconds, and with a grace of 3 s it closed its listener at once.

Cause: the plan of a stop looked at the time that a caller would wait, not at whether an answer can still be given; and the time to finish was taken whole from a stay that was hardly longer.

Why it works: a whole answer can always be ended with its failure, so requests for one are taken until half of the time to finish is over. Streams, which would be cut, are still taken only if they are over in time or their caller could not know. The time to finish is at most half of the stay.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -143,10 +143,17 @@
     co_return told;
 }
 
+bool forwarder::may_take(const call& current) const
+{
+    const auto form =
+        current.chosen.kind == route_kind::stream ? policy::answer_form::stream : policy::answer_form::whole;
+    return current.own() || stop_->takes(current.request.arrived, current.deadline, form);
+}
+
 net::task<forwarder::attempt_outcome> forwarder::run(call& current)
 {
     attempt_outcome outcome;
-    if (stop_ && !current.own() && !stop_->takes(current.request.arrived, current.deadline)) {
+    if (stop_ && !may_take(current)) {
         outcome.result = not_run(error_code::unavailable, "the gateway stops", stopping_retry_after);
         co_return outcome;
     }
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -90,6 +90,7 @@
     service_gate* gate_of(const call& current);
     call begin(const route& chosen, const caller_request& request);
     void withdraw(call& current);
+    bool may_take(const call& current) const;
     net::task<attempt_outcome> run(call& current);
     net::task<attempt_outcome> attempt(call& current, target_ref at, time_point until);
     net::task<attempt_outcome> stream(call& current, target_ref at, time_point until);
--- a/src/policy/stop_plan.cpp
+++ b/src/policy/stop_plan.cpp
@@ -8,7 +8,7 @@
 /// What is left of the grace period is for telling the others and for the process's own end.
 constexpr milliseconds end_reserve{1200};
 /// Callers keep an address for a while; leaving at once would refuse their connections.
-constexpr milliseconds least_stay{2500};
+constexpr milliseconds advice_time{2500};
 /// For requests that were taken until then.
 constexpr milliseconds finish_time{2000};
 /// For answers on their way to callers.
@@ -31,10 +31,12 @@
     return "end";
 }
 
-stop_plan::stop_plan(time_point began, milliseconds grace)
-    : callers_know_(began + least_stay), last_(began + std::max(grace - end_reserve, milliseconds{0}))
+stop_plan::stop_plan(time_point began, milliseconds grace) : callers_know_(began + advice_time)
 {
-    last_call_ = std::max(last_ - finish_time, began);
+    const duration stay = std::max(grace - end_reserve, milliseconds{0});
+    give_up_at_ = began + stay;
+    finish_at_ = give_up_at_ - std::min<duration>(finish_time, stay / 2);
+    answer_by_ = finish_at_ + (give_up_at_ - finish_at_) / 2;
 }
 
 // A process that is not busy may be given work a moment later, so it ends only from a step in which it takes
@@ -43,23 +45,24 @@
 {
     const bool busy = open.requests > 0 || open.batches > 0;
     const bool holds_any = busy || open.connections > 0;
-    if (step_ == stop_step::serve && (now >= last_call_ || (now >= callers_know_ && !busy))) {
+    if (step_ == stop_step::serve && (now >= finish_at_ || (now >= callers_know_ && !busy))) {
         step_ = stop_step::finish;
         return step_;
     }
-    if (step_ == stop_step::finish && (now >= last_ || !holds_any)) {
+    if (step_ == stop_step::finish && (now >= give_up_at_ || !holds_any)) {
         step_ = holds_any ? stop_step::give_up : stop_step::end;
         return step_;
     }
-    if (step_ == stop_step::give_up && (now >= last_ + give_up_time || open.connections == 0)) {
+    if (step_ == stop_step::give_up && (now >= give_up_at_ + give_up_time || open.connections == 0)) {
         step_ = stop_step::end;
     }
     return step_;
 }
 
-bool stop_plan::takes(time_point now, time_point deadline) const
+bool stop_plan::takes(time_point now, time_point deadline, answer_form form) const
 {
-    return deadline <= last_ || (step_ == stop_step::serve && now < callers_know_);
+    const auto latest = form == answer_form::whole ? answer_by_ : callers_know_;
+    return deadline <= give_up_at_ || now < latest;
 }
 
 } // namespace vanillagauge::policy
--- a/src/policy/stop_plan.hpp
+++ b/src/policy/stop_plan.hpp
@@ -26,6 +26,9 @@
     std::size_t batches = 0;
 };
 
+/// A stream that ends with the process is cut; of a whole answer at least its failure can be told.
+enum class answer_form { whole, stream };
+
 class stop_plan {
 public:
     /// `grace`: from the order to stop to the end of the process by force.
@@ -33,13 +36,14 @@
 
     /// The step from now on, asked again and again.
     stop_step next(time_point now, const open_work& open);
-    /// Whether a request that arrives now may be taken: it is over in time, or its caller could not know.
-    bool takes(time_point now, time_point deadline) const;
+    /// Whether a request that arrives now may be taken.
+    bool takes(time_point now, time_point deadline, answer_form form) const;
 
 private:
     time_point callers_know_;
-    time_point last_call_;
-    time_point last_;
+    time_point finish_at_;
+    time_point answer_by_;
+    time_point give_up_at_;
     stop_step step_ = stop_step::serve;
 };
 
--- /dev/null
+++ b/tests/stop/stopping_gateway_tests.cpp
@@ -0,0 +1,164 @@
+#include "stop_client.hpp"
+
+#include "tests/gateway/deployment.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace vanillagauge::gateway {
+namespace {
+
+using tests::sent_request;
+using tests::stop_client;
+
+class request_at_stopping_gateway : public testing::Test {
+protected:
+    deployment world;
+    standins::fake_replica& replica = world.add_replica("r1", "plain");
+    std::unique_ptr<running_gateway> served;
+    std::string address;
+
+    void start(milliseconds grace)
+    {
+        auto settings = make_settings("a", world.store_address(), {});
+        settings.gateway.stop_grace = grace;
+        served = std::make_unique<running_gateway>(std::move(settings));
+        address = served->address();
+        ASSERT_TRUE(deployment::eventually([this] {
+            return served->ready() && world.status_of(address, make_request("/safe/warm", "warm")) == 200;
+        }));
+    }
+    bool ran(const std::string& id)
+    {
+        return world.look<bool>([&](standins::fake_store&) {
+            return std::any_of(replica.ran.begin(), replica.ran.end(),
+                               [&](const auto& run) { return run.attempt_id == id; });
+        });
+    }
+    /// Sends the text in two parts; the second at the given time. What came back, and how long after it.
+    std::pair<std::string, duration> in_two_parts(const std::string& first, const std::string& second,
+                                                  time_point at)
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket(context);
+        const auto port = static_cast<unsigned short>(std::stoi(address.substr(address.rfind(':') + 1)));
+        boost::system::error_code ended;
+        socket.connect({boost::asio::ip::address_v4::loopback(), port}, ended);
+        boost::asio::write(socket, boost::asio::buffer(first), ended);
+        std::this_thread::sleep_until(at);
+        boost::asio::write(socket, boost::asio::buffer(second), ended);
+        const auto sent = steady::now();
+        std::string text;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(text), ended);
+        return {text, steady::now() - sent};
+    }
+};
+
+// Guards against a caller that is told of a request which never left the queue that it may have run.
+TEST_F(request_at_stopping_gateway, refuses_as_not_run_what_still_waits_for_a_replica)
+{
+    start(milliseconds(1800));
+    world.change([this](standins::fake_store&) { replica.work_time = seconds(5); });
+    constexpr int count = 24;
+    std::vector<std::thread> callers;
+    callers.reserve(count);
+    std::mutex guard;
+    std::vector<sent_request> seen;
+    for (int caller = 0; caller < count; ++caller) {
+        callers.emplace_back([&, caller] {
+            stop_client client(address);
+            auto request = client.ask("/once/x", "q" + std::to_string(caller));
+            const std::lock_guard lock(guard);
+            seen.push_back(std::move(request));
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    served->stop();
+    served.reset();
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    int in_doubt_but_never_run = 0;
+    for (const auto& request : seen) {
+        in_doubt_but_never_run += request.status == 502 && !ran(request.id) ? 1 : 0;
+    }
+    EXPECT_EQ(in_doubt_but_never_run, 0);
+}
+
+// Guards against a batch read that is read whole while the gateway gives up: it waits and is cut.
+TEST_F(request_at_stopping_gateway, answers_a_batch_read_whose_last_byte_comes_as_it_gives_up)
+{
+    world.add_replica("lm1", "lm");
+    start(milliseconds(3000)); // gives up 1.8 s after the order, ends 0.3 s later
+    auto submission = make_request("/lots/b1", "b1");
+    submission.body = R"({"Step":0,"Model":"m","MinVersion":9,"DesiredCount":1,"Items":[
+        {"Id":"i1","Path":"/lots/1","Headers":{"Model":"m","Token-Counts":"5,5","Prompt-Prefix":"aa:5"},
+         "Body":"aGk=","Tokens":10,"Group":"g"}]})";
+    ASSERT_EQ(world.status_of(address, submission), 202);
+    const auto order = steady::now();
+    auto reading = std::async(std::launch::async, [&] {
+        return in_two_parts("GET /api/lots/b1?After=0 HTTP/1.1\r\nHost: h\r\nWait-Ms: 1000\r\n", "\r\n",
+                            order + milliseconds(1900));
+    });
+    std::this_thread::sleep_for(milliseconds(20));
+    served->stop();
+    served.reset();
+    const auto [text, waited] = reading.get();
+    std::cout << "  waited ms " << std::chrono::duration_cast<milliseconds>(waited).count() << ", got '"
+              << text.substr(0, 30) << "'\n";
+    EXPECT_NE(text, "");
+}
+
+// Guards against callers that have not heard of the stop and find a closed port at once.
+TEST_F(request_at_stopping_gateway, takes_connections_for_a_while_where_the_grace_is_short)
+{
+    start(milliseconds(3000));
+    std::thread stopping([&] { served->stop(); });
+    std::this_thread::sleep_for(milliseconds(500));
+    stop_client client(address);
+    EXPECT_TRUE(client.connected());
+    EXPECT_EQ(client.ask("/safe/x", "early").status, 200);
+    stopping.join();
+}
+
+// Guards against the refusal of a quick request whose caller would wait longer than the process lives.
+TEST_F(request_at_stopping_gateway, serves_a_quick_request_whose_caller_is_patient)
+{
+    start(milliseconds(8000));
+    // Keeps the gateway busy, as a batch does.
+    std::atomic<bool> over{false};
+    world.change([this](standins::fake_store&) { replica.work_time = milliseconds(150); });
+    const auto keep_busy = [&] {
+        while (!over) {
+            stop_client client(address);
+            if (client.connected()) {
+                client.ask("/safe/x", "busy");
+            }
+        }
+    };
+    std::array<std::thread, 4> busy; // one alone would leave moments in which nothing is under way
+    for (auto& caller : busy) {
+        caller = std::thread(keep_busy);
+        std::this_thread::sleep_for(milliseconds(40)); // so that they don't end at the same moment
+    }
+    std::thread stopping([&] { served->stop(); });
+    std::this_thread::sleep_for(milliseconds(4200));
+    // Its route allows 3 s.
+    const auto [text, took] =
+        in_two_parts("GET /score/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: patient\r\n", "\r\n", steady::now());
+    over = true;
+    for (auto& caller : busy) {
+        caller.join();
+    }
+    stopping.join();
+    EXPECT_TRUE(text.starts_with("HTTP/1.1 200")) << text;
+}
+
+} // namespace
+} // namespace vanillagauge::gateway
