Go on answering for the handlers once they are given up; a file for a connection

What callers saw: a request of which the last byte came after the gateway had given up was handed to its handler and cut; a request that had been read behind another one was thrown away when the first answer closed the connection.

Why it works: giving up is a state of the service from then on, and a connection closes only with the last request that it has read. service_connection is a file of its own; http_service had grown beyond one matter. The names of the stop's steps and services say what they do.

--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -65,7 +65,7 @@
     void drain();
     /// Drains, takes the connections that wait and then no more, and ends each that stays without a request.
     void close();
-    /// Answers in place of the handlers whatever is under way; an answer that has begun is broken off.
+    /// From now on answers in place of the handlers, also what is under way; an answer that has begun goes on.
     void give_up(const http_response& answer);
 
     std::size_t connections() const;
--- /dev/null
+++ b/src/net/internal/service_connection.cpp
@@ -0,0 +1,344 @@
+#include "net/internal/service_connection.hpp"
+
+#include "net/internal/keep_alive.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace vanillagauge::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// After a final answer the client may still send; closing at once would reset the connection and destroy the
+/// answer on its way. A client that has read its answer closes well within this time.
+constexpr milliseconds linger_time{1000};
+
+std::string status_line(int status)
+{
+    const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason.data(), reason.size()) + "\r\n";
+}
+
+std::string head_text(int status, const http_fields& fields)
+{
+    auto text = status_line(status);
+    for (const auto& field : fields.all()) {
+        text += field.name + ": " + field.value + "\r\n";
+    }
+    return text;
+}
+
+} // namespace
+
+namespace {
+
+http_request to_request(http::request_parser<http::string_body>& parser)
+{
+    auto& message = parser.get();
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message) {
+        const auto field_name = field.name_string();
+        const auto value = field.value();
+        request.fields.add({field_name.data(), field_name.size()}, {value.data(), value.size()});
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+int refusal_status(const error_code& why, bool in_body)
+{
+    if (why == http::error::header_limit) {
+        return 431;
+    }
+    if (why == http::error::body_limit) {
+        return 413;
+    }
+    return in_body || why != http::error::end_of_stream ? 400 : 0;
+}
+
+bool peer_ended(const error_code& why)
+{
+    return why == http::error::end_of_stream || why == http::error::partial_message ||
+           why == asio::error::connection_reset || why == asio::error::eof ||
+           why == asio::error::operation_aborted || why == beast::error::timeout; // which closes the stream
+}
+
+} // namespace
+
+task<bool> service_connection::wait_for_request(const service_limits& limits)
+{
+    if (buffer_.size() > 0) {
+        co_return true;
+    }
+    stream_.expires_after(limits.idle_time);
+    error_code failure;
+    stage_ = stage::idle;
+    const auto size = co_await stream_.async_read_some(buffer_.prepare(4096),
+                                                       asio::redirect_error(asio::use_awaitable, failure));
+    stage_ = stage::reading;
+    ended_idle_ = ended_idle_ && size == 0;
+    buffer_.commit(size);
+    co_return !failure && size > 0;
+}
+
+task<void> service_connection::refuse(const error_code& why, bool in_body)
+{
+    keep_alive_ = false;
+    const auto status = refusal_status(why, in_body);
+    if (status == 0 || peer_ended(why)) {
+        co_return;
+    }
+    co_await write_text(status_line(status) + "Content-Length: 0\r\n" + connection_fields());
+    co_await linger();
+}
+
+task<bool> service_connection::read_request(parser& message, const service_limits& limits)
+{
+    message.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    message.body_limit(limits.body_bytes);
+    stream_.expires_after(limits.header_time);
+    error_code failure;
+    co_await http::async_read_header(stream_, buffer_, message,
+                                     asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_await refuse(failure, false);
+        co_return false;
+    }
+    if (message.get()[http::field::expect] == "100-continue") {
+        co_await write_text("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    stream_.expires_after(limits.body_time);
+    co_await http::async_read(stream_, buffer_, message, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        co_await refuse(failure, true);
+        co_return false;
+    }
+    co_return true;
+}
+
+task<void> service_connection::serve(std::shared_ptr<service_connection> connection)
+{
+    co_await connection->serve_requests();
+}
+
+task<void> service_connection::serve_requests()
+{
+    internal::prepare(stream_.socket());
+    while (keep_alive_ && !aborted_) {
+        const auto limits = owner_->limits();
+        if (!co_await wait_for_request(limits)) {
+            break;
+        }
+        parser message;
+        if (!co_await read_request(message, limits)) {
+            break;
+        }
+        keep_alive_ = message.keep_alive();
+        const auto request = to_request(message);
+        co_await handle(request);
+    }
+    if (ended_idle_) {
+        co_await end_unread();
+    }
+    else if (!aborted_) {
+        co_await linger();
+    }
+}
+
+task<void> service_connection::handle(const http_request& request)
+{
+    ++owner_->in_flight;
+    stage_ = stage::handling;
+    ++watched_;
+    watch_client();
+    if (owner_->ending) {
+        co_await write_text(whole_text(*owner_->ending));
+    }
+    else {
+        responder answer(*this);
+        co_await owner_->handler(request, answer);
+        if (!answer.answered()) {
+            abort();
+        }
+    }
+    stage_ = stage::reading;
+    on_gone_ = nullptr;
+    --owner_->in_flight;
+}
+
+// Without this a client that leaves is noticed only when its answer is written, and the target works for
+// nobody. A byte that arrives instead is the client's next request; then the watch ends.
+void service_connection::watch_client()
+{
+    stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                [self = shared_from_this(), request = watched_](const error_code& failure) {
+                                    if (failure || !self->in_request() || request != self->watched_) {
+                                        return;
+                                    }
+                                    char byte = 0;
+                                    const auto seen = ::recv(self->stream_.socket().native_handle(), &byte, 1,
+                                                             MSG_PEEK | MSG_DONTWAIT);
+                                    if (seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+                                        self->watch_client();
+                                        return;
+                                    }
+                                    if (seen <= 0) {
+                                        self->tell_gone();
+                                    }
+                                });
+}
+
+void service_connection::tell_gone()
+{
+    gone_ = true;
+    if (const auto tell = std::exchange(on_gone_, nullptr)) {
+        tell();
+    }
+}
+
+void service_connection::on_gone(std::function<void()> callback)
+{
+    if (gone_) {
+        callback();
+        return;
+    }
+    on_gone_ = std::move(callback);
+}
+
+task<bool> service_connection::write_text(std::string text)
+{
+    if (aborted_ || gone_) {
+        co_return false;
+    }
+    stream_.expires_after(owner_->limits().write_time);
+    error_code failure;
+    co_await asio::async_write(stream_, asio::buffer(text),
+                               asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        abort();
+    }
+    co_return !failure;
+}
+
+std::string service_connection::connection_fields()
+{
+    // A further request that has been read already is answered too.
+    if (owner_->draining && buffer_.size() == 0) {
+        keep_alive_ = false;
+    }
+    return keep_alive_ ? "\r\n" : "Connection: close\r\n\r\n";
+}
+
+void service_connection::abort()
+{
+    if (stage_ == stage::given_up) {
+        return;
+    }
+    aborted_ = true;
+    keep_alive_ = false;
+    error_code ignored;
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream_.close();
+}
+
+bool service_connection::begin_answer()
+{
+    if (stage_ == stage::given_up) {
+        return false;
+    }
+    stage_ = stage::answering;
+    return true;
+}
+
+std::string service_connection::begin_text(int status, const http_fields& fields)
+{
+    return head_text(status, fields) + "Transfer-Encoding: chunked\r\n" + connection_fields();
+}
+
+std::string service_connection::whole_text(const http_response& response)
+{
+    auto text = head_text(response.status, response.fields);
+    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    text += connection_fields();
+    text += response.body;
+    return text;
+}
+
+void service_connection::end_if_idle()
+{
+    if (stage_ != stage::idle) {
+        return;
+    }
+    ended_idle_ = true;
+    keep_alive_ = false;
+    error_code ignored;
+    stream_.socket().cancel(ignored);
+}
+
+// The handler learns of it as of a client that left, so that it lets go of its replica. An answer that has
+// begun goes on; where it is not whole when the process ends, it does not look whole.
+void service_connection::give_up(const http_response& answer)
+{
+    end_if_idle();
+    if (stage_ != stage::handling) {
+        return;
+    }
+    keep_alive_ = false;
+    const auto text = whole_text(answer);
+    error_code failure;
+    stream_.socket().non_blocking(true, failure);
+    const auto written = stream_.socket().write_some(asio::buffer(text), failure);
+    if (failure || written < text.size()) {
+        abort();
+    }
+    stage_ = stage::given_up;
+    tell_gone();
+}
+
+// What comes now is left unread: the end of the connection then tells the client that its request has not
+// run, while a request that was read and thrown away could have.
+task<void> service_connection::end_unread()
+{
+    error_code failure;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
+    asio::steady_timer over(owner_->context, linger_time);
+    over.async_wait([self = shared_from_this()](const error_code& cancelled) {
+        if (!cancelled) {
+            error_code ignored;
+            self->stream_.socket().cancel(ignored);
+        }
+    });
+    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                         asio::redirect_error(asio::use_awaitable, failure));
+    stream_.close();
+}
+
+task<void> service_connection::linger()
+{
+    error_code failure;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
+    stream_.expires_after(linger_time);
+    std::array<char, 1024> waste{};
+    while (!failure) {
+        co_await stream_.async_read_some(asio::buffer(waste),
+                                         asio::redirect_error(asio::use_awaitable, failure));
+    }
+    stream_.close();
+}
+
+} // namespace vanillagauge::net
