Reproduce calls that go to the store before a reload

A reload names another store while a watch waits at the one before. The next call goes to the store before all the same.

--- /dev/null
+++ b/tests/stop/store_move_tests.cpp
@@ -0,0 +1,73 @@
+#include "platform/users_store.hpp"
+#include "standins/users/fake_store.hpp"
+#include "wire/event_loop.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <optional>
+#include <thread>
+
+namespace vanillagauge::platform {
+namespace {
+
+constexpr const char* kind = "things";
+constexpr std::uint64_t far_revision = 1000;
+constexpr milliseconds watch_time{300};
+
+/// A store before and after the settings named another one.
+class store_move : public testing::Test {
+protected:
+    wire::event_loop loop;
+    standins::fake_store before{loop.context()};
+    standins::fake_store after{loop.context()};
+    std::string address_after;
+    std::optional<users_store> moved;
+
+    void SetUp() override
+    {
+        const auto first = before.open();
+        const auto second = after.open();
+        ASSERT_TRUE(ok(first) && ok(second));
+        address_after = value(second);
+        moved.emplace(loop.context(), value(first));
+    }
+    void TearDown() override { loop.stop(); }
+
+    template <class Answer>
+    std::future<Answer> start(std::function<net::task<Answer>()> work)
+    {
+        auto told = std::make_shared<std::promise<Answer>>();
+        auto answer = told->get_future();
+        net::start(loop.context(), keep(std::move(work), std::move(told)));
+        return answer;
+    }
+
+private:
+    template <class Answer>
+    static net::task<void> keep(std::function<net::task<Answer>()> work,
+                                std::shared_ptr<std::promise<Answer>> told)
+    {
+        told->set_value(co_await work());
+    }
+};
+
+// Guards against calls that go to the store before, over the connection of a call that outlasted the move.
+TEST_F(store_move, takes_no_connection_of_the_store_before)
+{
+    loop.run([this] { after.put(kind, "x", {{"at", "after"}}); });
+    auto watched = start<result<gateway::object_changes>>(
+        [this] { return moved->watch(kind, far_revision, watch_time); });
+    std::this_thread::sleep_for(watch_time / 3); // the watch waits at the store before
+    loop.run([this] { moved->move_to(address_after); });
+    watched.wait();
+    const auto read = start<result<gateway::stored_object>>([this] { return moved->read(kind, "x"); }).get();
+    ASSERT_TRUE(ok(read)) << describe(failure(read));
+    EXPECT_EQ(value(read).value.at("at"), "after");
+}
+
+} // namespace
+} // namespace vanillagauge::platform
