Keep a connection that an answer has promised to keep at a stop

Cause: a stop that came while an answer was on its way ended the connection right behind it, though its head, out long before, had kept the connection. Only connections that were idle when the stop came were given time for a request on its way. Class: an end that is decided on a state which new work may change.

Why it works: whether a connection ends behind an answer follows from what that answer's head has told the client.

--- a/src/wire/internal/http_connection.cpp
+++ b/src/wire/internal/http_connection.cpp
@@ -69,7 +69,9 @@
 {
     boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
         self->draining_ = true;
-        self->form_.keep_alive = false;
+        // An answer whose head is out has told the client already whether its connection is kept.
+        const bool told = self->stream_started_ || self->reply_whole_;
+        self->form_.keep_alive = self->form_.keep_alive && told;
         if (self->stage_ == stage::idle) {
             // A request may be on its way over this kept connection; closing at once would cut it.
             self->allow_reading(self->site_.limits.drain_grace);
@@ -428,7 +430,7 @@
 
 void http_connection::on_reply_sent()
 {
-    if (form_.keep_alive && !draining_) {
+    if (form_.keep_alive) {
         await_request();
         return;
     }
