--- a/src/gateway/batch.hpp
+++ b/src/gateway/batch.hpp
@@ -45,7 +45,7 @@
     std::string route;
     std::string service;
     std::string model;
-    std::string owner_vm; ///< of the gateway that accepted it and runs it while it lives
+    std::string owner_vm; ///< of the gateway that runs it while it lives
     std::uint64_t owner_incarnation = 0;
     std::uint64_t least_version = 0; ///< the oldest weights that may generate its tokens
     std::uint64_t step = 0;
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -49,6 +49,7 @@
     const batch_header* find(const std::string& batch) const;
     std::size_t running() const { return active_.size(); }
     bool taking() const { return taking_; }
+    bool runs(const std::string& batch) const { return active_.contains(batch); }
 
 private:
     struct run;
