Tell the keeper at once what a program announces, and before it ends

They were told to come back after 0.2 to 0.5 s.

Cause: an announcement was only kept for the next question to the keeper, half a second later at most. A rollout that announces that it drains has ended before that, so its keeper took it for gone only once it had been silent for two seconds. Class: an end that does not wait for the hand-over.

Why it works: an announcement is a question of its own, sent at once, and stopping waits for its answer, for half a second at most where the keeper does not answer. Questions are made on the loop, so none with older news arrives after it.

--- a/src/node/keeper_link.cpp
+++ b/src/node/keeper_link.cpp
@@ -11,6 +11,7 @@
 constexpr milliseconds follow_timeout{2500};
 constexpr milliseconds retry_pause{200};
 constexpr milliseconds pace{20};
+constexpr milliseconds tell_timeout{500};
 
 std::shared_ptr<view> next_view(const view& before, const v1::FollowReply& reply, time_point asked)
 {
@@ -53,14 +54,20 @@
 
 void keeper_link::announce(std::function<void(fleet::process&)> change)
 {
-    const std::lock_guard lock(mutex_);
-    change(self_);
+    {
+        const std::lock_guard lock(mutex_);
+        change(self_);
+        ++untold_;
+    }
+    // On the loop, as the other questions are, so that none with older news follows.
+    loop_.post([this] { tell(); });
 }
 
 void keeper_link::stop()
 {
-    const std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     stopped_ = true;
+    told_.wait_for(lock, tell_timeout, [this] { return untold_ == 0; });
 }
 
 std::shared_ptr<const view> keeper_link::current() const
@@ -74,6 +81,35 @@
     loop_.after(pause, [this] { ask(); });
 }
 
+v1::FollowRequest keeper_link::question() const
+{
+    v1::FollowRequest request;
+    *request.mutable_self() = to_message(self_);
+    request.set_since_revision(revision_);
+    request.set_keeper_incarnation(keeper_incarnation_);
+    request.set_members_generation(members_generation_);
+    return request;
+}
+
+// The question under way bears the older news, and the next one may come after the program's end.
+void keeper_link::tell()
+{
+    v1::FollowRequest request;
+    {
+        const std::lock_guard lock(mutex_);
+        request = question();
+    }
+    wire::call_options options;
+    options.timeout = tell_timeout;
+    options.token = token_;
+    wire::call<v1::FollowReply>(channel_, wire::method<v1::KeeperLocal>("Follow"), request, options,
+                                [this](const result<v1::FollowReply>&) {
+                                    const std::lock_guard lock(mutex_);
+                                    --untold_;
+                                    told_.notify_all();
+                                });
+}
+
 void keeper_link::ask()
 {
     v1::FollowRequest request;
@@ -82,10 +118,7 @@
         if (stopped_) {
             return;
         }
-        *request.mutable_self() = to_message(self_);
-        request.set_since_revision(revision_);
-        request.set_keeper_incarnation(keeper_incarnation_);
-        request.set_members_generation(members_generation_);
+        request = question();
     }
     request.set_wait_ms(follow_wait.count());
     wire::call_options options;
--- a/src/node/keeper_link.hpp
+++ b/src/node/keeper_link.hpp
@@ -8,6 +8,9 @@
 #include "wire/event_loop.hpp"
 #include "wire/peer_channel.hpp"
 
+#include "vanillagauge.pb.h"
+
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -39,9 +42,10 @@
     void on_change(std::function<void()> handler) { handler_ = std::move(handler); }
     /// Starts to follow, with what the program says of itself.
     void follow(fleet::process self);
-    /// Changes what the program says of itself, from the next request on.
+    /// Changes what the program says of itself, and tells the keeper at once.
     void announce(std::function<void(fleet::process&)> change);
-    /// Ends following; the keeper forgets the program once it is silent.
+    /// Ends following once the keeper knows what was announced, or does not answer; it forgets the program
+    /// once that is silent. Not on the loop's thread.
     void stop();
 
     std::shared_ptr<const view> current() const;
@@ -60,8 +64,13 @@
     std::uint64_t keeper_incarnation_ = 0;
     std::uint64_t members_generation_ = 0;
     bool stopped_ = false;
+    std::size_t untold_ = 0; ///< announcements that the keeper has not answered
+    std::condition_variable told_;
 
+    /// With the lock held.
+    v1::FollowRequest question() const;
     void ask();
+    void tell();
     void ask_later(milliseconds pause);
 };
 
