--- /dev/null
+++ b/tests/stop/reload_tests.cpp
@@ -0,0 +1,77 @@
+#include "tests/gateway/deployment.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace vanillagauge::gateway {
+namespace {
+
+constexpr milliseconds config_bound{2000};
+/// The store after the move has gone through all changes of the store before.
+constexpr int earlier_changes = 50;
+
+class reloaded_gateway : public testing::Test {
+protected:
+    deployment world;
+    wire::event_loop loop;
+    standins::fake_store before{loop.context()};
+    std::string file = testing::TempDir() + "reload_tests.json";
+
+    void TearDown() override
+    {
+        loop.stop();
+        std::remove(file.c_str());
+    }
+
+    void write_settings(const std::string& store)
+    {
+        nlohmann::json settings{{"vm", "a"}, {"failure_domain", "z1"}, {"platform", store}};
+        settings["gateway"] = {{"front_listen", "127.0.0.1:0"}, {"relay_listen", "127.0.0.1:0"}};
+        settings["tokens"] = {{"caller", "caller-token"},
+                              {"trainer", "trainer-token"},
+                              {"operator", "operator-token"},
+                              {"peer", "gateway-peers"}};
+        settings["keeper"] = {
+            {"address", "127.0.0.1:0"}, {"peer_listen", "127.0.0.1:0"}, {"seeds", nlohmann::json::array()}};
+        std::ofstream(file) << settings;
+    }
+
+    static std::uint64_t version_at(platform::gateway_program& program)
+    {
+        return program.ask<std::uint64_t>([](gateway& served) { return served.current().version; });
+    }
+};
+
+// Guards against a gateway that goes on waiting for news of the store before, while the new one has some.
+TEST_F(reloaded_gateway, hears_at_once_from_the_store_that_it_moves_to)
+{
+    const auto address_before = value(before.open());
+    const auto first = world.look<nlohmann::json>(
+        [](standins::fake_store& store) { return store.find("config", "main")["Specification"]; });
+    loop.run([&] { before.put("config", "main", first); });
+    write_settings(address_before);
+    const auto settings = config::load_settings(file);
+    ASSERT_TRUE(ok(settings)) << describe(failure(settings));
+    platform::gateway_program program(value(settings));
+    ASSERT_TRUE(ok(program.open()));
+    ASSERT_TRUE(deployment::eventually([&] { return version_at(program) == 1; }));
+    std::this_thread::sleep_for(milliseconds(800)); // it watches
+
+    world.change([](standins::fake_store& store) {
+        for (int change = 0; change < earlier_changes; ++change) {
+            store.put("things", "x", change);
+        }
+    });
+    world.put_configuration(2);
+    write_settings(world.store_address());
+    program.reload();
+    const auto began = steady::now();
+    EXPECT_TRUE(deployment::eventually([&] { return version_at(program) == 2; }));
+    EXPECT_LT(steady::now() - began, config_bound);
+    program.kill();
+}
+
+} // namespace
+} // namespace vanillagauge::gateway
