Ask the store at once that a reload has named

What callers saw: after a SIGHUP that named another store, a configuration, a version or a replica's leaving that stood only in the new one came into force up to 20 s late, where the users allow 2 s.

Cause: the watches of the feeds go on waiting at the store before, which has no news and looks sound; the check for a silent store asks the new one, which answers. Class: a wait for something that has been replaced.

Why it works: a reload that changes the address ends the wait for the watches, as a silent store does, and the feeds list again, from the new store.

--- a/src/gateway/feed_hub.cpp
+++ b/src/gateway/feed_hub.cpp
@@ -83,6 +83,13 @@
     net::start(loop_, check_store());
 }
 
+// Watches look at this count to learn that their answer is of no more use; they list again then.
+void feed_hub::start_over()
+{
+    ++silences_;
+    watch_ended_.notify();
+}
+
 std::vector<std::string> feed_hub::watchers() const
 {
     const auto count = std::max(least_watchers, fleet_.peers().size() / gateways_a_watcher);
--- a/src/gateway/feed_hub.hpp
+++ b/src/gateway/feed_hub.hpp
@@ -29,6 +29,8 @@
 
     // Commands.
     void start();
+    /// The store is another one: no watch that waits at the one before is waited for.
+    void start_over();
     /// Answers a gateway that asks for news: waits until there is some, or for at most the time it names.
     net::task<net::http_response> serve(const net::http_request& request);
 
@@ -66,7 +68,7 @@
     time_point last_failure_{};
     bool store_down_ = false;
     time_point last_answer_{};   ///< of the store, to any call
-    std::uint64_t silences_ = 0; ///< how often the store was found silent
+    std::uint64_t silences_ = 0; ///< how often the store was found silent or replaced
 
     net::task<void> follow_store(std::size_t place);
     net::task<bool> list(followed& entry);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace vanillagauge::gateway {
 
@@ -367,6 +368,9 @@
     auto& known = state_->settings;
     const bool same_addresses = known.gateway.front_listen == changed.gateway.front_listen &&
                                 known.gateway.relay_listen == changed.gateway.relay_listen;
+    if (std::exchange(known.platform, changed.platform) != changed.platform) {
+        state_->feeds.start_over();
+    }
     known.gateway.advice_time = changed.gateway.advice_time;
     known.gateway.stop_grace = changed.gateway.stop_grace;
     observe::log(observe::log_level::info, "reloaded",
