Let the soak see requests that planned stops cut

Now callers stay on kept connections, or on an address with a new connection each time, until nobody is there; and the ledger holds each request whose connection ended against the signals of its gateway.

The plan `stops` has a series of signals for each gateway, so that SIGTERMs overlap, with hang-ups among them. Replicas and their links are sound in it, so no cut can be theirs; in `mixed` an answer that has begun may be broken off by its replica.

--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -124,7 +124,7 @@
     ran.push_back({std::string(request.fields.find("Attempt-Id")), request.method, request.target,
                    request.body, std::string(request.fields.find("Last-Event-Id")),
                    std::string(request.fields.find("Deadline-Ms")),
-                   std::string(request.fields.find("traceparent")), steady::now()});
+                   std::string(request.fields.find("traceparent")), steady::now(), fault});
     if (fault == replica_fault::reset) {
         answer.abort();
         co_return;
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -37,6 +37,7 @@
     std::string deadline_ms;
     std::string traceparent;
     time_point at{};
+    replica_fault fault = replica_fault::none;
 };
 
 class fake_replica {
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,12 +1,18 @@
 #include "callers.hpp"
 
+#include <algorithm>
+#include <optional>
+
 namespace vanillagauge::soak {
 
 using nlohmann::json;
 
 namespace {
 
-constexpr std::uint64_t caller_count = 10;
+constexpr std::uint64_t mixed_callers = 10;
+constexpr std::uint64_t steady_callers_a_gateway = 2;
+/// Of the draws of callers that stay with an address; below it lie those of the others and of trainers.
+constexpr std::uint64_t first_steady_caller = 1000;
 constexpr std::uint64_t trainer_count = 2;
 constexpr std::size_t items_a_batch = 6;
 constexpr milliseconds deadline{3000};
@@ -19,6 +25,9 @@
 /// An item may wait for its MaxAgeS of 20 s.
 constexpr seconds batch_time{30};
 constexpr milliseconds look_every{100};
+constexpr milliseconds longest_pause{60};
+/// A connection without a request for so long is met by all steps of a stop.
+constexpr milliseconds longest_idle{1500};
 
 net::http_request make_request(const std::string& path, const std::string& id, const std::string& body)
 {
@@ -55,8 +64,13 @@
 
 void callers::start()
 {
-    for (std::uint64_t number = 1; number <= caller_count; ++number) {
-        net::start(loop_, call_on(number));
+    for (std::uint64_t number = 1; number <= mixed_callers; ++number) {
+        net::start(loop_, call_on(number, connection_habit::mixed));
+    }
+    auto steady_number = first_steady_caller;
+    for (std::uint64_t left = gateways_.fronts.size() * steady_callers_a_gateway; left > 0; --left) {
+        net::start(loop_, call_on(++steady_number, connection_habit::keeps));
+        net::start(loop_, call_on(++steady_number, connection_habit::connects));
     }
     for (std::uint64_t number = 1; number <= trainer_count; ++number) {
         net::start(loop_, train(number));
@@ -95,25 +109,88 @@
     co_return drawn.one_of(addresses);
 }
 
+net::task<std::unique_ptr<net::http_connection>> callers::open(connection_habit habit, std::string& address,
+                                                               draw& drawn)
+{
+    if (address.empty() || habit == connection_habit::mixed) {
+        address = co_await resolve(drawn);
+    }
+    if (address.empty()) {
+        co_return nullptr;
+    }
+    auto opened = std::make_unique<net::http_connection>(loop_);
+    const auto connected = co_await opened->connect(address, steady::now() + connect_time);
+    if (!std::holds_alternative<done>(connected)) {
+        address.clear();
+        co_return nullptr;
+    }
+    co_return opened;
+}
+
+std::string callers::gateway_at(const std::string& address) const
+{
+    const auto found = std::find(gateways_.fronts.begin(), gateways_.fronts.end(), address);
+    return "g" + std::to_string(found - gateways_.fronts.begin());
+}
+
+// As net::exchange, but tells the ledger of a connection that the gateway ended before a whole answer.
+net::task<net::http_result<net::http_response>>
+callers::ask(net::http_connection& connection, const std::string& address, const net::http_request& request)
+{
+    const std::string id(request.fields.find("Attempt-Id"));
+    const auto until = steady::now() + deadline + connect_time;
+    cut_request cut{id, gateway_at(address), steady::now()};
+    std::optional<net::http_failure> failed;
+    const auto sent = co_await connection.send(request, until);
+    if (const auto* failure = std::get_if<net::http_failure>(&sent)) {
+        failed = *failure;
+    }
+    net::http_response response;
+    if (!failed) {
+        cut.sent_at = steady::now();
+        auto head = co_await connection.read_head(until);
+        if (const auto* failure = std::get_if<net::http_failure>(&head)) {
+            failed = *failure;
+        }
+        else {
+            cut.answer_begun = true;
+            response.status = std::get<net::response_head>(head).status;
+            response.fields = std::move(std::get<net::response_head>(head).fields);
+        }
+    }
+    if (!failed) {
+        auto body = co_await connection.read_body(largest_answer, until);
+        if (const auto* failure = std::get_if<net::http_failure>(&body)) {
+            failed = *failure;
+        }
+        else {
+            response.body = std::move(std::get<std::string>(body));
+        }
+    }
+    if (!failed) {
+        co_return response;
+    }
+    if (failed->kind == net::failure_kind::closed) {
+        cut.ended_at = steady::now();
+        cut.replica_failed = world_.replica_failed(id, cut.sent_at);
+        book_.cut(std::move(cut));
+    }
+    co_return *failed;
+}
+
 // One caller on one connection at a time; each attempt has its own id and is told in full.
-net::task<void> callers::call_on(std::uint64_t number)
+net::task<void> callers::call_on(std::uint64_t number, connection_habit habit)
 {
     draw drawn(seed_, number);
+    std::string address;
     std::unique_ptr<net::http_connection> connection;
     for (int turn = 1; !world_.is_calm(); ++turn) {
         if (!connection) {
-            const auto address = co_await resolve(drawn);
-            auto opened = std::make_unique<net::http_connection>(loop_);
-            bool connected = false;
-            if (!address.empty()) {
-                const auto outcome = co_await opened->connect(address, steady::now() + connect_time);
-                connected = std::holds_alternative<done>(outcome);
-            }
-            if (!connected) {
-                co_await net::sleep_for(loop_, look_every);
-                continue;
-            }
-            connection = std::move(opened);
+            connection = co_await open(habit, address, drawn);
+        }
+        if (!connection) {
+            co_await net::sleep_for(loop_, look_every);
+            continue;
         }
         const auto kind =
             drawn.one_of<request_kind>({request_kind::safe, request_kind::unsafe, request_kind::stream});
@@ -132,16 +209,18 @@
             request.fields.add("Model", "m");
         }
         book_.sent(id, kind, body);
-        const auto outcome = co_await net::exchange(*connection, request, largest_answer,
-                                                    steady::now() + deadline + connect_time);
+        const auto outcome = co_await ask(*connection, address, request);
         book_.answered(id, outcome);
         const auto* response = std::get_if<net::http_response>(&outcome);
-        const bool closes = response == nullptr || response->fields.find("Connection") == "close" ||
-                            !connection->reusable() || drawn.below(20) == 0;
-        if (closes) {
+        const bool ended =
+            response == nullptr || response->fields.find("Connection") == "close" || !connection->reusable();
+        const bool gives_up =
+            habit == connection_habit::connects || (habit == connection_habit::mixed && drawn.below(20) == 0);
+        if (ended || gives_up) {
             connection.reset();
         }
-        co_await net::sleep_for(loop_, drawn.between(milliseconds(2), milliseconds(60)));
+        const bool idles = habit == connection_habit::keeps && drawn.below(3) == 0;
+        co_await net::sleep_for(loop_, drawn.between(milliseconds(2), idles ? longest_idle : longest_pause));
     }
 }
 
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -15,6 +15,13 @@
     std::vector<std::string> fronts; ///< callers learn from a directory which of these to use
 };
 
+/// How a caller uses its connections.
+enum class connection_habit {
+    mixed,    ///< asks a directory for each connection, gives one up now and then
+    keeps,    ///< uses a connection, and then the address, until there is nobody
+    connects, ///< as `keeps`, with a new connection for each request
+};
+
 class callers {
 public:
     /// All must outlive it.
@@ -36,7 +43,13 @@
 
     net::task<std::string> resolve(draw& drawn);
     net::task<net::http_result<net::http_response>> exchange(std::string address, net::http_request request);
-    net::task<void> call_on(std::uint64_t number);
+    /// A connection of this habit, empty where nobody could be reached; `address` may be from before.
+    net::task<std::unique_ptr<net::http_connection>> open(connection_habit habit, std::string& address,
+                                                          draw& drawn);
+    net::task<net::http_result<net::http_response>>
+    ask(net::http_connection& connection, const std::string& address, const net::http_request& request);
+    std::string gateway_at(const std::string& address) const;
+    net::task<void> call_on(std::uint64_t number, connection_habit habit);
     net::task<void> train(std::uint64_t number);
     net::task<void> submit(std::string id, draw& drawn);
     net::task<bool> read_some(std::string id, draw& drawn);
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -58,6 +58,9 @@
 
 void fault_proxy::set(link_fault fault, milliseconds delay)
 {
+    if (fault_harms()) {
+        harmed_until_ = steady::now();
+    }
     fault_ = fault;
     delay_ = delay;
     if (fault == link_fault::reset) {
--- a/tests/soak/fault_proxy.hpp
+++ b/tests/soak/fault_proxy.hpp
@@ -28,6 +28,8 @@
     /// Listens on a free port; returns its address.
     std::string open();
     void set(link_fault fault, milliseconds delay = milliseconds{0});
+    /// Whether a fault since then may have broken off or held back what went over it.
+    bool harmed_since(time_point from) const { return fault_harms() || harmed_until_ > from; }
 
 private:
     struct link;
@@ -37,7 +39,9 @@
     std::list<std::weak_ptr<link>> links_;
     link_fault fault_ = link_fault::none;
     milliseconds delay_{0};
+    time_point harmed_until_{};
 
+    bool fault_harms() const { return fault_ != link_fault::none && fault_ != link_fault::delay; }
     net::task<void> accept();
     net::task<void> join(std::shared_ptr<link> joined);
     net::task<void> pump(std::shared_ptr<link> joined, bool there);
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -63,6 +63,37 @@
     known.refused = known.refused || promises_not_run(response->status);
 }
 
+void ledger::cut(cut_request request)
+{
+    cut_.push_back(std::move(request));
+}
+
+void ledger::check_planned_stops(const signal_log& signals, const std::vector<standins::seen_request>& ran)
+{
+    planned_stops_ = signals.planned_stops();
+    std::map<std::string, std::size_t> runs;
+    for (const auto& run : ran) {
+        ++runs[run.attempt_id];
+    }
+    for (const auto& request : cut_) {
+        const auto since_stop = signals.time_since_planned_stop(request);
+        if (!since_stop || !is_loss(request, runs.contains(request.id))) {
+            continue;
+        }
+        // Before an answer has begun, a gateway can still say that the replica failed.
+        if (request.answer_begun && request.replica_failed) {
+            ++broken_off_near_stops_;
+            continue;
+        }
+        const auto open = std::chrono::duration_cast<milliseconds>(request.ended_at - request.sent_at);
+        violation("LOST: " + request.id + " was cut by " + request.gateway + " " +
+                  std::to_string(since_stop->count()) + " ms after its SIGTERM and " +
+                  std::to_string(open.count()) + " ms after it was sent, with " +
+                  std::to_string(runs[request.id]) + " runs" +
+                  (request.answer_begun ? ", within its answer" : ""));
+    }
+}
+
 void ledger::check_success(const std::string& id, const attempt& known, const net::http_response& response)
 {
     const std::string stamp(response.fields.find("Server-Stamp"));
@@ -190,7 +221,11 @@
     for (const auto& [status, count] : statuses_) {
         statuses[std::to_string(status)] = count;
     }
-    return {{"attempts", attempts_.size()}, {"statuses", std::move(statuses)}, {"results", results_}};
+    return {{"attempts", attempts_.size()},
+            {"statuses", std::move(statuses)},
+            {"results", results_},
+            {"planned_stops", planned_stops_},
+            {"broken_off_near_stops", broken_off_near_stops_}};
 }
 
 } // namespace vanillagauge::soak
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -2,6 +2,8 @@
 #ifndef VANILLAGAUGE_TESTS_SOAK_LEDGER_HPP
 #define VANILLAGAUGE_TESTS_SOAK_LEDGER_HPP
 
+#include "planned_stops.hpp"
+
 #include "net/http_client.hpp"
 #include "standins/users/fake_replica.hpp"
 
@@ -34,11 +36,14 @@
     // Commands.
     void sent(const std::string& id, request_kind kind, const std::string& body);
     void answered(const std::string& id, const net::http_result<net::http_response>& outcome);
+    void cut(cut_request request);
     void read(batch_record& batch, const std::string& id, const nlohmann::json& page);
     /// Compares all that replicas ran with all that callers were told.
     /// Until the links were whole again, at `calm_since`, a request may have been held back on its way.
     void settle(const std::vector<standins::seen_request>& ran,
                 const std::map<std::string, batch_record>& batches, time_point calm_since);
+    /// Requests that their gateway's planned stop cut, but for answers that a fault at the replica broke off.
+    void check_planned_stops(const signal_log& signals, const std::vector<standins::seen_request>& ran);
     void violation(std::string text);
 
     // Queries.
@@ -53,7 +58,10 @@
     };
     std::map<std::string, attempt> attempts_;
     std::map<int, std::size_t> statuses_; ///< 0: no answer
+    std::vector<cut_request> cut_;
     std::size_t results_ = 0;
+    std::size_t planned_stops_ = 0;
+    std::size_t broken_off_near_stops_ = 0; ///< by replicas, within their answers
     std::vector<std::string> violations_;
 
     void check_success(const std::string& id, const attempt& known, const net::http_response& response);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -32,6 +32,7 @@
     seconds length{0};
     std::size_t gateways = 0;
     std::filesystem::path folder;
+    soak::soak_plan plan = soak::soak_plan::mixed;
 };
 
 options parse_options(int argc, char** argv)
@@ -41,9 +42,12 @@
     TCLAP::ValueArg<int> length("", "seconds", "with faults", false, 10, "seconds", line);
     TCLAP::ValueArg<int> gateways("", "gateways", "under test", false, 4, "number", line);
     TCLAP::ValueArg<std::string> folder("", "folder", "for settings and marks", true, ".", "path", line);
+    std::vector<std::string> plans{"mixed", "stops"};
+    TCLAP::ValuesConstraint<std::string> known_plans(plans);
+    TCLAP::ValueArg<std::string> plan("", "plan", "what is spoiled", false, "mixed", &known_plans, line);
     line.parse(argc, argv);
     return {seed.getValue(), seconds(length.getValue()), static_cast<std::size_t>(gateways.getValue()),
-            folder.getValue()};
+            folder.getValue(), plan.getValue() == "stops" ? soak::soak_plan::stops : soak::soak_plan::mixed};
 }
 
 /// Ports that are free now and below those that the kernel gives to clients: a gateway takes its own again
@@ -145,7 +149,7 @@
     std::unique_ptr<soak::world> around;
     soak::gateway_addresses gateways;
     ask<bool>(loop, [&] {
-        around = std::make_unique<soak::world>(loop.context(), chosen.seed, chosen.gateways);
+        around = std::make_unique<soak::world>(loop.context(), chosen.seed, chosen.gateways, chosen.plan);
         std::vector<std::string> peers;
         free_ports ports(loop.context());
         for (std::size_t place = 0; place < chosen.gateways; ++place) {
@@ -185,6 +189,7 @@
     }
     const auto summary = ask<json>(loop, [&] {
         book.settle(around->ran(), clients.batches(), around->calm_since());
+        book.check_planned_stops(soak::signal_log::read(chosen.folder / "signals"), around->ran());
         check_orders(*around, book);
         auto counts = book.counts();
         counts["seed"] = chosen.seed;
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace vanillagauge::soak {
 
 using nlohmann::json;
@@ -33,8 +35,8 @@
 
 } // namespace
 
-world::world(net::loop& loop, std::uint64_t seed, std::size_t gateways)
-    : loop_(loop), seed_(seed), store_(loop)
+world::world(net::loop& loop, std::uint64_t seed, std::size_t gateways, soak_plan plan)
+    : loop_(loop), seed_(seed), plan_(plan), store_(loop)
 {
     const auto address = value(store_.open());
     for (std::size_t place = 0; place < gateways; ++place) {
@@ -54,9 +56,15 @@
 {
     std::uint64_t actor = 100;
     net::start(loop_, spoil_links(++actor, true));
-    net::start(loop_, spoil_links(++actor, false));
+    ++actor;
+    if (plan_ == soak_plan::mixed) {
+        net::start(loop_, spoil_links(actor, false));
+    }
     net::start(loop_, spoil_store(++actor));
-    net::start(loop_, spoil_replicas(++actor));
+    ++actor;
+    if (plan_ == soak_plan::mixed) {
+        net::start(loop_, spoil_replicas(actor));
+    }
     net::start(loop_, replace_replicas(++actor));
     net::start(loop_, change_configuration(++actor));
     net::start(loop_, name_versions(++actor));
@@ -86,6 +94,17 @@
     return all;
 }
 
+bool world::replica_failed(const std::string& attempt_id, time_point sent_at) const
+{
+    return std::any_of(replicas_.begin(), replicas_.end(), [&](const placed_replica& placed) {
+        const auto& runs = placed.replica->ran;
+        return std::any_of(runs.begin(), runs.end(), [&](const auto& run) {
+            const bool failed = run.fault != replica_fault::none || placed.link->harmed_since(sent_at);
+            return run.attempt_id == attempt_id && failed;
+        });
+    });
+}
+
 placed_replica& world::add_replica(const std::string& service)
 {
     placed_replica placed;
--- a/tests/soak/world.hpp
+++ b/tests/soak/world.hpp
@@ -25,9 +25,14 @@
     bool leaving = false;
 };
 
+enum class soak_plan {
+    mixed, ///< everything is spoiled
+    stops, ///< planned stops beside changes and a spoiled store; replicas and their links are sound
+};
+
 class world {
 public:
-    world(net::loop& loop, std::uint64_t seed, std::size_t gateways);
+    world(net::loop& loop, std::uint64_t seed, std::size_t gateways, soak_plan plan);
 
     // Commands, on the loop's thread.
     void start();
@@ -42,11 +47,14 @@
     std::uint64_t newest_version() const { return model_version_; }
     std::uint64_t configuration() const { return configuration_; }
     std::vector<standins::seen_request> ran() const;
+    /// Whether a replica that ran this request met a fault, or its link did since the request was sent.
+    bool replica_failed(const std::string& attempt_id, time_point sent_at) const;
     const std::vector<placed_replica>& replicas() const { return replicas_; }
 
 private:
     net::loop& loop_;
     std::uint64_t seed_;
+    soak_plan plan_;
     standins::fake_store store_;
     std::vector<std::unique_ptr<fault_proxy>> store_links_;
     std::vector<std::string> store_addresses_;
