--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,7 +1,6 @@
 #include "callers.hpp"
 
 #include <algorithm>
-#include <optional>
 
 namespace vanillagauge::soak {
 
@@ -54,6 +53,23 @@
     return make_request("/lots/" + id, id, body.dump());
 }
 
+net::task<net::http_result<net::http_response>> read_answer(net::http_connection& connection, bool& begun,
+                                                            time_point until)
+{
+    auto head = co_await connection.read_head(until);
+    if (auto* failure = std::get_if<net::http_failure>(&head)) {
+        co_return std::move(*failure);
+    }
+    begun = true;
+    auto body = co_await connection.read_body(largest_answer, until);
+    if (auto* failure = std::get_if<net::http_failure>(&body)) {
+        co_return std::move(*failure);
+    }
+    auto& found = std::get<net::response_head>(head);
+    co_return net::http_response{found.status, std::move(found.fields),
+                                 std::move(std::get<std::string>(body))};
+}
+
 } // namespace
 
 callers::callers(net::loop& loop, const world& around, ledger& book, gateway_addresses gateways,
@@ -140,42 +156,22 @@
     const std::string id(request.fields.find("Attempt-Id"));
     const auto until = steady::now() + deadline + connect_time;
     cut_request cut{id, gateway_at(address), steady::now()};
-    std::optional<net::http_failure> failed;
+    net::http_result<net::http_response> outcome;
     const auto sent = co_await connection.send(request, until);
     if (const auto* failure = std::get_if<net::http_failure>(&sent)) {
-        failed = *failure;
+        outcome = *failure;
     }
-    net::http_response response;
-    if (!failed) {
+    else {
         cut.sent_at = steady::now();
-        auto head = co_await connection.read_head(until);
-        if (const auto* failure = std::get_if<net::http_failure>(&head)) {
-            failed = *failure;
-        }
-        else {
-            cut.answer_begun = true;
-            response.status = std::get<net::response_head>(head).status;
-            response.fields = std::move(std::get<net::response_head>(head).fields);
-        }
-    }
-    if (!failed) {
-        auto body = co_await connection.read_body(largest_answer, until);
-        if (const auto* failure = std::get_if<net::http_failure>(&body)) {
-            failed = *failure;
-        }
-        else {
-            response.body = std::move(std::get<std::string>(body));
-        }
-    }
-    if (!failed) {
-        co_return response;
+        outcome = co_await read_answer(connection, cut.answer_begun, until);
     }
-    if (failed->kind == net::failure_kind::closed) {
+    const auto* failure = std::get_if<net::http_failure>(&outcome);
+    if (failure != nullptr && failure->kind == net::failure_kind::closed) {
         cut.ended_at = steady::now();
         cut.replica_failed = world_.replica_failed(id, cut.sent_at);
         book_.cut(std::move(cut));
     }
-    co_return *failed;
+    co_return outcome;
 }
 
 // One caller on one connection at a time; each attempt has its own id and is told in full.
