--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -65,7 +65,8 @@
     void drain();
     /// Drains, takes the connections that wait and then no more, and ends each that stays without a request.
     void close();
-    /// From now on answers in place of the handlers, also what is under way; an answer that has begun goes on.
+    /// From now on answers in place of the handlers, also what is under way; an answer that has begun goes
+    /// on.
     void give_up(const http_response& answer);
 
     std::size_t connections() const;
