--- a/tests/stop/keeper_link_tests.cpp
+++ b/tests/stop/keeper_link_tests.cpp
@@ -19,14 +19,19 @@
     explicit listening_keeper(wire::event_loop& loop) : loop_(loop) {}
 
     std::atomic<int> asked{0};
+    std::atomic<int> held{0};
     std::atomic<bool> heard_draining{false};
 
     void Follow(google::protobuf::RpcController* /*control*/, const v1::FollowRequest* request,
                 v1::FollowReply* /*reply*/, google::protobuf::Closure* done) override
     {
         ++asked;
+        ++held;
         heard_draining = request->self().draining();
-        loop_.after(milliseconds{request->wait_ms()}, [done] { done->Run(); });
+        loop_.after(milliseconds{request->wait_ms()}, [this, done] {
+            done->Run();
+            --held;
+        });
     }
 
 private:
@@ -54,6 +59,9 @@
     link.announce([](fleet::process& self) { self.draining = true; });
     link.stop();
     EXPECT_TRUE(keeper.heard_draining);
+    while (keeper.held > 0 && steady::now() < until) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
     loop.stop();
 }
 
