Rank owners among the VMs with the largest processors, and derive the fleet view once a change

Cause: batches ran where they were accepted, on fleets where most VMs have 0.12 cores and some 0.5; and each of the tasks that ask for the membership ten times a second copied, sorted and hashed all members, so that an idle gateway's processor time grew with the fleet (0.36 s on 22 VMs, two to three on 295). Change: settings and membership carry the processor of a VM; policy/owner_choice leaves out VMs with less than half of the largest, as long as four are left. fleet_view keeps what it derives from one generation of members. Tests: largest_owners.*.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -85,7 +85,8 @@
         "model_order_holder": {"type": "string"},
         "stop_grace_s": {"type": "number", "minimum": 0, "maximum": 600},
         "order_lease_ms": {"type": "number", "minimum": 100, "maximum": 600000},
-        "advice_time_ms": {"type": "number", "minimum": 100, "maximum": 600000}
+        "advice_time_ms": {"type": "number", "minimum": 100, "maximum": 600000},
+        "cpu_share": {"type": "number", "minimum": 0, "maximum": 1024}
       }
     }
   }
@@ -133,6 +134,7 @@
     read(*found, "metrics_listen", parsed.metrics_listen);
     read(*found, "relay_listen", parsed.relay_listen);
     read(*found, "model_order_holder", parsed.model_order_holder);
+    read(*found, "cpu_share", parsed.cpu_share);
     parsed.stop_grace = read_duration(*found, "stop_grace_s", seconds{1}, parsed.stop_grace);
     parsed.order_lease = read_duration(*found, "order_lease_ms", milliseconds{1}, parsed.order_lease);
     parsed.advice_time = read_duration(*found, "advice_time_ms", milliseconds{1}, parsed.advice_time);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -39,6 +39,7 @@
     milliseconds stop_grace{8000};  ///< from SIGTERM to SIGKILL
     milliseconds order_lease{3000}; ///< minimum time between orders of two holders
     milliseconds advice_time{2000}; ///< how long callers may cache an address
+    double cpu_share = 0;           ///< processor of this VM in cores; 0: unknown
 };
 
 /// How vg-entry balances load. `plain` (round robin, no limits, unlimited retries) is a baseline for
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -4,9 +4,12 @@
 #include "keeper/gossip.hpp"
 #include "keeper/services.hpp"
 #include "node/program.hpp"
+#include "policy/owner_choice.hpp"
 #include "wire/peer_server.hpp"
 
 #include <algorithm>
+#include <map>
+#include <unordered_map>
 
 namespace vanillagauge::gateway {
 namespace {
@@ -15,6 +18,11 @@
 constexpr const char* relay_role = "gateway";
 constexpr const char* front_role = "front";
 
+/// Keys of one generation: batches under way and a few duties.
+constexpr std::size_t max_rankings = 512;
+
+constexpr double thousandths = 1000;
+
 /// Well below the few seconds of silence after which a program is considered dead.
 constexpr milliseconds heartbeat_interval{500};
 
@@ -24,6 +32,7 @@
     self.vm = settings.vm;
     self.failure_domain = settings.failure_domain;
     self.incarnation = incarnation;
+    self.capacity = static_cast<std::uint32_t>(settings.gateway.cpu_share * thousandths);
     return self;
 }
 
@@ -38,6 +47,7 @@
     peer.vm = info.vm;
     peer.incarnation = info.incarnation;
     peer.draining = info.draining;
+    peer.capacity = info.capacity;
     for (const auto& program : info.processes) {
         if (program.role == relay_role) {
             peer.relay_address = program.http_address;
@@ -92,9 +102,19 @@
     }
 };
 
+struct fleet_view::snapshot {
+    std::uint64_t generation = 0;
+    bool isolated = false;
+    std::vector<fleet::member> members;
+    std::vector<gateway_peer> peers;                                    ///< ordered by VM
+    std::unordered_map<std::string, std::uint64_t> incarnations;        ///< by VM, neither dead nor left
+    std::unordered_map<std::string, std::vector<std::string>> rankings; ///< by key
+    std::map<std::size_t, std::vector<std::string>> watchers;           ///< by count
+};
+
 fleet_view::fleet_view(wire::event_loop& loop, const config::settings& settings)
     : vm_(settings.vm), incarnation_(node::new_incarnation()),
-      state_(std::make_unique<state>(loop, settings, incarnation_))
+      state_(std::make_unique<state>(loop, settings, incarnation_)), snapshot_(std::make_unique<snapshot>())
 {
 }
 
@@ -159,28 +179,65 @@
     state_->server.close();
 }
 
-std::vector<gateway_peer> fleet_view::peers() const
+// Several tasks ask for the membership ten times a second. Copying, sorting and hashing all members each time
+// would make the processor time of an idle gateway grow with the fleet, so all of it is done once a change.
+fleet_view::snapshot& fleet_view::current() const
 {
-    std::vector<gateway_peer> living;
-    for (const auto& member : state_->keeper.members()) {
+    const auto generation = state_->keeper.members_generation();
+    auto& known = *snapshot_;
+    if (known.generation == generation) {
+        return known;
+    }
+    auto view = state_->keeper.view();
+    known = {};
+    known.generation = view.generation;
+    known.isolated = view.isolated;
+    known.members = std::move(view.members);
+    for (const auto& member : known.members) {
+        const bool removed =
+            member.state == fleet::member_state::dead || member.state == fleet::member_state::left;
+        if (!removed) {
+            known.incarnations[member.info.vm] = member.info.incarnation;
+        }
         if (member.state == fleet::member_state::alive || member.info.vm == vm_) {
-            living.push_back(to_peer(member.info));
+            known.peers.push_back(to_peer(member.info));
         }
     }
-    std::sort(living.begin(), living.end(),
+    std::sort(known.peers.begin(), known.peers.end(),
               [](const gateway_peer& left, const gateway_peer& right) { return left.vm < right.vm; });
-    return living;
+    return known;
+}
+
+const std::vector<gateway_peer>& fleet_view::peers() const
+{
+    return current().peers;
 }
 
-std::vector<std::string> fleet_view::ranked_owners(const std::string& key) const
+const gateway_peer* fleet_view::find_peer(const std::string& vm) const
 {
-    std::vector<std::string> able;
-    for (const auto& peer : peers()) {
+    const auto& living = peers();
+    const auto found =
+        std::lower_bound(living.begin(), living.end(), vm,
+                         [](const gateway_peer& peer, const std::string& name) { return peer.vm < name; });
+    return found != living.end() && found->vm == vm ? &*found : nullptr;
+}
+
+const std::vector<std::string>& fleet_view::ranked_owners(const std::string& key) const
+{
+    auto& known = current();
+    if (const auto found = known.rankings.find(key); found != known.rankings.end()) {
+        return found->second;
+    }
+    if (known.rankings.size() >= max_rankings) {
+        known.rankings.clear();
+    }
+    std::vector<policy::owner_candidate> able;
+    for (const auto& peer : known.peers) {
         if (!peer.draining && !peer.front_address.empty()) {
-            able.push_back(peer.vm);
+            able.push_back({peer.vm, peer.capacity});
         }
     }
-    return fleet::ranked_owners(key, std::move(able));
+    return known.rankings[key] = fleet::ranked_owners(key, policy::largest_owners(std::move(able)));
 }
 
 bool fleet_view::is_alive(const std::string& vm, std::uint64_t incarnation) const
@@ -188,24 +245,24 @@
     if (vm == vm_) {
         return incarnation == incarnation_;
     }
-    for (const auto& member : state_->keeper.members()) {
-        if (member.info.vm == vm) {
-            const bool removed =
-                member.state == fleet::member_state::dead || member.state == fleet::member_state::left;
-            return !removed && member.info.incarnation == incarnation;
-        }
-    }
-    return false;
+    const auto& known = current().incarnations;
+    const auto found = known.find(vm);
+    return found != known.end() && found->second == incarnation;
 }
 
-std::vector<std::string> fleet_view::watchers(std::size_t count) const
+const std::vector<std::string>& fleet_view::watchers(std::size_t count) const
 {
-    return fleet::choose_watchers(state_->keeper.members(), count);
+    auto& known = current();
+    const auto found = known.watchers.find(count);
+    if (found != known.watchers.end()) {
+        return found->second;
+    }
+    return known.watchers[count] = fleet::choose_watchers(known.members, count);
 }
 
 bool fleet_view::isolated() const
 {
-    return state_->keeper.view().isolated;
+    return current().isolated;
 }
 
 std::string fleet_view::peer_address() const
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -20,6 +20,7 @@
     std::string relay_address;
     std::string front_address; ///< empty: it serves no callers
     bool draining = false;
+    std::uint32_t capacity = 0; ///< thousandths of a core; 0: unknown
 };
 
 /// For use on the loop's thread only, except for construction, `open` and `close`.
@@ -47,14 +48,18 @@
     /// Closes the connections to peers; call from another thread, before the loop stops.
     void close();
 
-    /// Live gateways including this one, ordered by VM.
-    std::vector<gateway_peer> peers() const;
-    /// Live gateways that accept work, ranked as owners of `key`. Views with equal membership rank equally.
-    std::vector<std::string> ranked_owners(const std::string& key) const;
+    /// Live gateways including this one, ordered by VM. Valid until the membership changes: not to be kept
+    /// across a suspension of a coroutine.
+    const std::vector<gateway_peer>& peers() const;
+    /// The live gateway of this VM; null if there is none.
+    const gateway_peer* find_peer(const std::string& vm) const;
+    /// The live gateways that accept work and have most processor, ranked as owners of `key`. Views with
+    /// equal membership rank equally. Valid as long as `peers`.
+    const std::vector<std::string>& ranked_owners(const std::string& key) const;
     /// Whether the VM is alive under this incarnation, as far as is known here.
     bool is_alive(const std::string& vm, std::uint64_t incarnation) const;
-    /// Up to `count` live VMs that are to watch the store for the others.
-    std::vector<std::string> watchers(std::size_t count) const;
+    /// Up to `count` live VMs that are to watch the store for the others. Valid as long as `peers`.
+    const std::vector<std::string>& watchers(std::size_t count) const;
     bool isolated() const;
     const std::string& self() const { return vm_; }
     std::uint64_t incarnation() const { return incarnation_; }
@@ -62,9 +67,14 @@
 
 private:
     struct state;
+    /// What is derived from one generation of the membership.
+    struct snapshot;
     std::string vm_;
     std::uint64_t incarnation_;
     std::unique_ptr<state> state_;
+    std::unique_ptr<snapshot> snapshot_;
+
+    snapshot& current() const;
 };
 
 } // namespace vanillagauge::gateway
--- a/src/node/convert.cpp
+++ b/src/node/convert.cpp
@@ -60,6 +60,7 @@
     message.set_config_revision(item.config_version);
     message.set_datagram_address(item.datagram_address);
     message.set_watch_failing(item.watch_failing);
+    message.set_capacity(item.capacity);
     for (const auto& process : item.processes) {
         *message.add_processes() = to_message(process);
     }
@@ -79,6 +80,7 @@
     item.config_version = message.config_revision();
     item.datagram_address = message.datagram_address();
     item.watch_failing = message.watch_failing();
+    item.capacity = message.capacity();
     for (const auto& process : message.processes()) {
         item.processes.push_back(from_message(process));
     }
