--- a/src/gateway/batch_progress.cpp
+++ b/src/gateway/batch_progress.cpp
@@ -8,10 +8,16 @@
 batch_progress::batch_progress(batch_header header, std::vector<batch_item> items)
     : header_(std::move(header))
 {
+    std::map<std::string, std::size_t> group_by_name;
     for (auto& item : items) {
         index_by_id_[item.id] = items_.size();
-        ++open_in_group_[item.group];
-        items_.push_back({std::move(item)});
+        const auto group = group_by_name.try_emplace(item.group, groups_.size()).first->second;
+        if (group == groups_.size()) {
+            groups_.emplace_back();
+        }
+        ++groups_[group].open;
+        ++groups_[group].unpublished;
+        items_.push_back({std::move(item), group});
     }
     header_.total = items_.size();
     order_.resize(items_.size());
@@ -25,30 +31,42 @@
 
 void batch_progress::close_in_group(const item_progress& entry)
 {
-    auto& open = open_in_group_[entry.item.group];
-    open -= open > 0 ? 1 : 0;
+    auto& open = groups_[entry.group].open;
+    --open;
+    complete_groups_ += open == 0 ? 1 : 0;
+}
+
+void batch_progress::publish_in_group(const item_progress& entry)
+{
+    auto& unpublished = groups_[entry.group].unpublished;
+    --unpublished;
+    published_groups_ += unpublished == 0 ? 1 : 0;
 }
 
 // A stored segment is final. If another owner published an item first, this owner's result for it is dropped,
 // since the trainer reads the published one.
 void batch_progress::apply_segment(const result_segment& segment)
 {
-    if (segment.first != published_) {
+    if (segment.first != published()) {
         return;
     }
-    published_ += segment.results.size();
     for (const auto& published : segment.results) {
+        results_.push_back(published);
         const auto found = index_by_id_.find(published.id);
         if (found == index_by_id_.end()) {
             continue;
         }
         auto& entry = items_[found->second];
+        if (entry.state == work_state::published) {
+            continue;
+        }
         if (entry.state == work_state::finished) {
             --finished_;
         }
-        else if (entry.state != work_state::published) {
+        else {
             close_in_group(entry);
         }
+        publish_in_group(entry);
         entry.state = work_state::published;
         entry.text.clear();
         entry.text.shrink_to_fit();
@@ -224,7 +242,7 @@
     // A segment must fit into one store object and one response to a reader.
     constexpr std::size_t max_bytes = 600U << 10U;
     result_segment segment;
-    segment.first = published_;
+    segment.first = published();
     segment.writer = writer;
     std::size_t bytes = 0;
     for (const auto& entry : items_) {
@@ -243,14 +261,7 @@
 
 std::size_t batch_progress::open_in_group(std::size_t index) const
 {
-    return open_in_group_.at(items_[index].item.group);
-}
-
-bool batch_progress::has_complete_group() const
-{
-    return std::any_of(items_.begin(), items_.end(), [this](const item_progress& entry) {
-        return entry.state == work_state::finished && open_in_group_.at(entry.item.group) == 0;
-    });
+    return groups_[items_[index].group].open;
 }
 
 } // namespace vanillagauge::gateway
--- a/src/gateway/batch_progress.hpp
+++ b/src/gateway/batch_progress.hpp
@@ -24,6 +24,7 @@
 /// State of one item and the text generated so far.
 struct item_progress {
     batch_item item;
+    std::size_t group = 0; ///< index of its group within the batch
     work_state state = work_state::waiting;
     int runs = 0;            ///< times it was sent to a replica
     int failures = 0;        ///< responses that count as failed attempts
@@ -85,11 +86,15 @@
     const batch_header& header() const { return header_; }
     std::vector<item_progress>& items() { return items_; }
     const std::vector<item_progress>& items() const { return items_; }
-    std::size_t published() const { return published_; }
-    bool all_published() const { return published_ >= header_.total; }
+    std::size_t published() const { return results_.size(); }
+    bool all_published() const { return published() >= header_.total; }
     std::size_t unpublished_results() const { return finished_; }
-    /// Whether unpublished results complete a group, so that they should be published without delay.
-    bool has_complete_group() const;
+    /// Groups all items of which are finished or published.
+    std::size_t complete_groups() const { return complete_groups_; }
+    /// Groups all items of which are published.
+    std::size_t published_groups() const { return published_groups_; }
+    /// Published results by position.
+    const std::vector<item_result>& results() const { return results_; }
     /// Items of the same group, including this one, that are neither finished nor published.
     std::size_t open_in_group(std::size_t index) const;
     /// The text of an unpublished item; none if it has no text.
@@ -102,14 +107,22 @@
     std::vector<item_progress> items_;
     std::vector<std::size_t> order_;
     std::map<std::string, std::size_t> index_by_id_;
-    std::map<std::string, std::size_t> open_in_group_; ///< items that are neither finished nor published
-    std::size_t published_ = 0;
+    /// Items of a group that are still to be finished and to be published.
+    struct group_count {
+        std::size_t open = 0;
+        std::size_t unpublished = 0;
+    };
+    std::vector<group_count> groups_;
+    std::size_t complete_groups_ = 0;
+    std::size_t published_groups_ = 0;
+    std::vector<item_result> results_;
     std::size_t finished_ = 0;
     bool writing_ = false;
 
     void finish(std::size_t index, item_result result);
     void finish_completed(std::size_t index, const std::string& score);
     void close_in_group(const item_progress& entry);
+    void publish_in_group(const item_progress& entry);
 };
 
 } // namespace vanillagauge::gateway
--- a/tests/gateway/batch_progress_tests.cpp
+++ b/tests/gateway/batch_progress_tests.cpp
@@ -242,13 +242,21 @@
     EXPECT_EQ(progress.order(), (std::vector<std::size_t>{2, 1, 0}));
 }
 
-TEST(batch_progress, reports_a_complete_unpublished_group)
+TEST(batch_progress, counts_complete_and_published_groups)
 {
     batch_progress progress(make_header(), make_items(4));
     finish(progress, 0);
-    EXPECT_FALSE(progress.has_complete_group());
+    EXPECT_EQ(progress.complete_groups(), 0U);
     finish(progress, 1);
-    EXPECT_TRUE(progress.has_complete_group());
+    EXPECT_EQ(progress.complete_groups(), 1U);
+    EXPECT_EQ(progress.published_groups(), 0U);
+    const auto segment = progress.next_segment("a");
+    ASSERT_TRUE(segment);
+    progress.apply_segment(*segment);
+    progress.apply_segment(*segment);
+    EXPECT_EQ(progress.complete_groups(), 1U);
+    EXPECT_EQ(progress.published_groups(), 1U);
+    EXPECT_EQ(progress.results(), segment->results);
 }
 
 /// The store of segments: each name can be created only once.
