Read results from the gateway that runs the batch, and let one gateway run a model's batches

Cause: each read listed the results at the store and watched for more, 16 to 27 calls a batch. Batches of a model ran on whichever gateway accepted them, so that each step opened its connections anew and owners did not know of each other's streams. Change: a read asks the batch's owner, whose published results are facts; that there are no more is said only if the store had none in the last 500 ms (a position that was read must be there after a second), by the clock that counts suspensions. Elsewhere the store is read as before. What accepts a batch sends it to the owner by rank of its model, and what ends it tells the owner, instead of leaving both to the feed.

--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -15,6 +15,10 @@
 /// Whole milliseconds from `from` to `to`; 0 if `to` is before `from`.
 milliseconds milliseconds_between(time_point from, time_point to);
 
+/// Time since the machine started. Unlike the steady clock it includes time in which the machine was
+/// suspended.
+duration time_since_boot();
+
 } // namespace vanillagauge
 
 #endif
--- a/src/gateway/batch.cpp
+++ b/src/gateway/batch.cpp
@@ -6,6 +6,7 @@
 
 #include <charconv>
 #include <cstdio>
+#include <iterator>
 
 namespace vanillagauge::gateway {
 
@@ -73,6 +74,11 @@
 
 } // namespace
 
+std::string owner_key(const batch_header& header)
+{
+    return header.model.empty() ? header.id : header.service + "/" + header.model;
+}
+
 std::string results_kind(const std::string& batch)
 {
     return "results-" + batch;
@@ -214,6 +220,19 @@
                                            });
 }
 
+result<std::vector<batch_item>> items_from_parts(const json& parts)
+{
+    std::vector<batch_item> items;
+    for (const auto& part : parts) {
+        auto parsed = items_from_json(part);
+        if (!ok(parsed)) {
+            return failure(parsed);
+        }
+        std::move(value(parsed).begin(), value(parsed).end(), std::back_inserter(items));
+    }
+    return items;
+}
+
 result<std::string> decode_base64(std::string_view text)
 {
     namespace base64 = boost::beast::detail::base64;
--- a/src/gateway/batch.hpp
+++ b/src/gateway/batch.hpp
@@ -60,6 +60,10 @@
     bool ended = false; ///< by its trainer; stored in the object's status
 };
 
+/// Batches with one key are run by one gateway, so that it alone counts the streams at the model's engines
+/// and its connections serve one step after the other.
+std::string owner_key(const batch_header& header);
+
 struct batch_submission {
     batch_header header;
     std::vector<batch_item> items;
@@ -102,6 +106,7 @@
                                       const nlohmann::json& status);
 result<result_segment> segment_from_json(const std::string& name, const nlohmann::json& value);
 result<std::vector<batch_item>> items_from_json(const nlohmann::json& part);
+result<std::vector<batch_item>> items_from_parts(const nlohmann::json& parts);
 
 result<std::string> decode_base64(std::string_view text);
 
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -3,6 +3,7 @@
 #include "gateway/batch_store.hpp"
 #include "gateway/internal/batch_run.hpp"
 #include "observe/log.hpp"
+#include "policy/publish_plan.hpp"
 
 #include <algorithm>
 
@@ -12,19 +13,17 @@
 /// Interval of the checks for expired items, slow runs and results to publish.
 constexpr milliseconds poll_interval{50};
 
-/// Minimum interval between two writes of results. Trainers read about twice a second.
-constexpr milliseconds publish_interval{400};
-/// A result of an incomplete group waits this long for others to be published with it.
-constexpr milliseconds publish_delay{600};
-
 /// Members discover each other within this time. A gateway that has just started knows no others and would
 /// claim every batch: after a restart of the whole fleet, each gateway would run all of them.
 constexpr milliseconds discovery_time{1500};
 
 constexpr milliseconds store_retry_delay{300};
 
+/// Ended batches whose results are kept for readers, some hundred kilobytes each.
+constexpr std::size_t max_recent = 4;
+
 /// Bounds the work lost when an owner fails, apart from the duration of the write.
-constexpr milliseconds text_save_interval{1000};
+constexpr milliseconds text_save_interval{1500};
 
 } // namespace
 
@@ -57,7 +56,7 @@
     if (!view_complete_ && steady::now() - started_ < discovery_time) {
         return false;
     }
-    const auto ranked = fleet_.ranked_owners(header.id);
+    const auto& ranked = fleet_.ranked_owners(owner_key(header));
     return !ranked.empty() && ranked.front() == fleet_.self();
 }
 
@@ -89,7 +88,6 @@
         return;
     }
     const auto batch = std::make_shared<batch_run>(loop_, store_, header, std::move(items));
-    batch->expires_at = header.accepted + header.max_age;
     batch->stored = false;
     active_[header.id] = batch;
     observe::log(observe::log_level::info, "batch_run_ahead",
@@ -230,7 +228,6 @@
         items = co_await load_items(header);
     }
     const auto batch = std::make_shared<batch_run>(loop_, store_, header, std::move(value(items)));
-    batch->expires_at = header.accepted + header.max_age;
     bool loaded = fresh;
     while (!loaded) {
         loaded = co_await load_results(*batch);
@@ -258,17 +255,8 @@
         expire_items(*batch);
         save_texts(batch);
         const auto now = steady::now();
-        auto& progress = batch->progress;
-        if (progress.unpublished_results() == 0) {
-            batch->first_unpublished = now;
-        }
-        const bool complete =
-            progress.unpublished_results() + progress.published() >= progress.header().total;
-        const bool due =
-            progress.has_complete_group() || complete || now - batch->first_unpublished >= publish_delay;
-        const bool interval_over = now - batch->last_publish >= publish_interval || complete;
-        if (batch->stored && !batch->publishing && progress.unpublished_results() > 0 && due &&
-            interval_over) {
+        const auto& progress = batch->progress;
+        if (batch->stored && !batch->publishing && policy::should_publish(batch->publish_state(), now)) {
             batch->publishing = true;
             batch->last_publish = now;
             net::start(loop_, publish_results(batch));
@@ -298,6 +286,10 @@
     counts_.add("batches_done_total");
     batch->changed.notify();
     active_.erase(progress.header().id);
+    recent_.push_back(batch);
+    if (recent_.size() > max_recent) {
+        recent_.pop_front();
+    }
     notify();
 }
 
@@ -336,8 +328,10 @@
     if (segment) {
         const auto kind = results_kind(progress.header().id);
         const auto name = segment_name(segment->first);
+        const auto requested_at = time_since_boot();
         const auto written = co_await store_.create(kind, name, to_json(*segment));
         if (ok(written)) {
+            batch->end_confirmed_at = requested_at;
             observe::log(observe::log_level::info, "results_listed",
                          {{"batch", progress.header().id},
                           {"first", static_cast<std::int64_t>(segment->first)},
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -11,6 +11,7 @@
 #include "net/async_condition.hpp"
 #include "observe/metrics.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -44,6 +45,11 @@
     /// Starts no new batches; running ones continue.
     void drain() { starts_batches_ = false; }
 
+    /// Published results at the positions from `first` on, of a batch that runs here or ran here recently;
+    /// empty if there was none until `until`. `unavailable` where another gateway may have published further
+    /// ones.
+    net::task_of<std::vector<item_result>> read_results(std::string id, std::size_t first, time_point until);
+
     const batch_header* find(const std::string& batch) const;
     std::size_t running() const { return active_.size(); }
     bool starts_batches() const { return starts_batches_; }
@@ -64,7 +70,8 @@
     std::map<std::string, batch_header> headers_;
     std::map<std::string, std::vector<batch_item>> cached_items_;
     std::map<std::string, batch_run_ref> active_;
-    std::set<std::string> finished_; ///< all results published, not yet ended by their trainers
+    std::deque<batch_run_ref> recent_; ///< ended, with their published results
+    std::set<std::string> finished_;   ///< all results published, not yet ended by their trainers
     time_point started_;
     bool starts_batches_ = true;
     bool view_complete_ = false;
@@ -89,6 +96,8 @@
     void handle_failure(batch_run& batch, std::size_t index, target_ref engine, int status, bool not_run);
     void log_completed(const batch_progress& progress, std::size_t index, const item_run& run) const;
     net::task<void> publish_results(batch_run_ref batch);
+    batch_run_ref find_run(const std::string& id) const;
+    net::task<bool> confirm_end(batch_run_ref batch);
     void expire_items(batch_run& batch);
     void move_stragglers(batch_run& batch);
     void end(const batch_run_ref& batch, const char* why);
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -1,6 +1,7 @@
 #include "gateway/batch_service.hpp"
 
 #include "gateway/internal/batch_attempt.hpp"
+#include "gateway/untrusted_json.hpp"
 #include "observe/log.hpp"
 
 #include <algorithm>
@@ -11,9 +12,6 @@
 
 namespace {
 
-/// Limits the results in one response.
-constexpr std::size_t max_page_bytes = 900U << 10U;
-
 constexpr milliseconds poll_interval{50};
 
 /// Retry delay sent to a client whose batch could not be stored.
@@ -22,17 +20,36 @@
 /// Bodies are requested rarely and of few batches; an item list takes about 200 KB.
 constexpr std::size_t max_cached = 1;
 
-/// Batches with known segment ends, a few dozen numbers each.
-constexpr std::size_t max_known_results = 128;
+constexpr milliseconds owner_call_timeout{1000};
 
-/// A shorter wait for results is not worth a call to the store.
-constexpr milliseconds min_wait{50};
+/// A batch as stored, from the gateway that accepted or ended it.
+struct accepted_batch {
+    stored_object object;
+    std::vector<batch_item> items; ///< empty for an ended batch
+};
+
+result<accepted_batch> accepted_batch_from_json(const json& body)
+{
+    const error unreadable{error_code::invalid_argument, run_state::not_run,
+                           "cannot decode an accepted batch"};
+    return decode<accepted_batch>(body, unreadable, [](const json& from) -> result<accepted_batch> {
+        accepted_batch accepted;
+        accepted.object = object_from_json(from.at("object"));
+        auto items = items_from_parts(from.at("parts"));
+        if (!ok(items)) {
+            return failure(items);
+        }
+        accepted.items = std::move(value(items));
+        return accepted;
+    });
+}
 
 } // namespace
 
 batch_service::batch_service(net::loop& loop, peer_relay& store, feed& headers, batch_runner& runner,
                              const fleet_view& fleet)
-    : loop_(loop), store_(store), headers_(headers), runner_(runner), fleet_(fleet)
+    : loop_(loop), store_(store), headers_(headers), runner_(runner), fleet_(fleet),
+      results_(loop, store, runner, fleet)
 {
 }
 
@@ -87,7 +104,7 @@
     }
     auto reason = failure(stored);
     if (reason.ran == run_state::not_run) {
-        const bool may_run = current->speculative || co_await runs_speculatively(id);
+        const bool may_run = current->speculative || co_await runs_speculatively(header);
         reason.ran = may_run ? run_state::in_doubt : run_state::not_run;
     }
     co_return reason;
@@ -116,18 +133,22 @@
         }
     }
     current->storing_header = true;
-    // A draining gateway starts no batch, and its peers would not take the batch over until it has left.
-    const auto successor =
-        runner_.starts_batches() || runner_.runs(header.id) ? std::nullopt : other_owner(header.id);
-    if (successor) {
-        header.owner_vm = successor->vm;
-        header.owner_incarnation = successor->incarnation;
+    // What runs the batch speculatively keeps it.
+    const bool placed = header.owner_vm != fleet_.self() || runner_.runs(header.id);
+    const auto owner = placed ? std::nullopt : other_owner(header);
+    if (owner) {
+        header.owner_vm = owner->vm;
+        header.owner_incarnation = owner->incarnation;
     }
     if (header.owner_vm == fleet_.self()) {
         runner_.cache_items(header.id, current->submission.items);
     }
     auto created = co_await create_with_retry(batch_kind, header.id, to_json(header), until);
     if (ok(created)) {
+        if (owner) {
+            json sent = to_parts(current->submission.items, max_part_bytes);
+            net::start(loop_, send_to_owner(value(created), std::move(sent), owner->relay_address));
+        }
         headers_.apply_own_write(std::move(value(created)));
         co_return done{};
     }
@@ -139,6 +160,39 @@
     co_return reason;
 }
 
+// Without it the owner learns of the batch, or of its end, from its feed, most of a second later: it reads
+// the items back, or keeps engines busy for nobody.
+net::task<void> batch_service::send_to_owner(stored_object stored, json parts, std::string address)
+{
+    json body{{"object", gateway::to_json(stored)}, {"parts", std::move(parts)}};
+    const auto reply = co_await store_.call_peer(std::move(address), accepted_path, std::move(body),
+                                                 steady::now() + owner_call_timeout);
+    if (!ok(reply)) {
+        observe::log(observe::log_level::warning, "owner_not_told",
+                     {{"batch", stored.name}, {"why", describe(failure(reply))}});
+    }
+}
+
+net::http_response batch_service::serve_accepted(const net::http_request& request)
+{
+    net::http_response response;
+    response.body = "{}";
+    auto read = accepted_batch_from_json(json::parse(request.body, nullptr, false));
+    if (!ok(read)) {
+        observe::log(observe::log_level::warning, "accepted_call_refused",
+                     {{"why", describe(failure(read))}});
+        response.status = 400;
+        response.body = failure(read).detail;
+        return response;
+    }
+    auto& accepted = value(read);
+    if (!accepted.items.empty() && !runner_.runs(accepted.object.name)) {
+        runner_.cache_items(accepted.object.name, std::move(accepted.items));
+    }
+    headers_.apply_own_write(std::move(accepted.object));
+    return response;
+}
+
 net::task_of<batch_header> batch_service::find(std::string batch)
 {
     const auto known = headers_.objects().find(batch);
@@ -152,131 +206,13 @@
     co_return header_from_json(batch, value(stored).value, value(stored).status);
 }
 
-void batch_service::record_segments(const std::string& batch, const std::vector<result_segment>& segments,
-                                    std::uint64_t as_of)
-{
-    auto& known = known_results_[batch];
-    for (const auto& segment : segments) {
-        const auto end = segment.first + segment.results.size();
-        known.segment_ends.insert(end);
-        known.end = std::max(known.end, end);
-    }
-    known.as_of = std::max(known.as_of, as_of);
-    if (known_results_.size() > max_known_results) {
-        known_results_.erase(known_results_.begin()->first == batch ? std::next(known_results_.begin())
-                                                                    : known_results_.begin());
-    }
-}
-
-std::uint64_t batch_service::empty_as_of(const std::string& batch, std::size_t first) const
-{
-    const auto known = known_results_.find(batch);
-    return known != known_results_.end() && known->second.end == first ? known->second.as_of : 0;
-}
-
-// Segments are named by their first position. A reader that resumes at a segment's end needs only the
-// segments named after the preceding position; from any other position all are read.
-net::task_of<segment_listing> batch_service::segments_from(std::string batch, std::size_t first)
-{
-    const auto known = known_results_.find(batch);
-    const bool at_an_end =
-        first > 0 && known != known_results_.end() && known->second.segment_ends.contains(first);
-    auto after = at_an_end ? segment_name(first - 1) : std::string{};
-    auto listing = co_await read_segments(store_, batch, std::move(after));
-    if (ok(listing)) {
-        record_segments(batch, value(listing).segments, value(listing).as_of);
-    }
-    co_return listing;
-}
-
-namespace {
-
-void add_results(result_page& page, const std::vector<result_segment>& segments)
-{
-    std::size_t bytes = 0;
-    for (const auto& segment : segments) {
-        for (std::size_t index = 0; index < segment.results.size(); ++index) {
-            const auto& entry = segment.results[index];
-            const bool fits = page.results.empty() || bytes + entry.text.size() < max_page_bytes;
-            if (segment.first + index == page.first + page.results.size() && fits) {
-                bytes += entry.text.size() + entry.id.size();
-                page.results.push_back(entry);
-            }
-        }
-    }
-}
-
-/// Fails if any segment cannot be decoded.
-result<std::vector<result_segment>> segments_of(const object_changes& changes)
-{
-    std::vector<result_segment> segments;
-    for (const auto& change : changes.events) {
-        if (change.removed) {
-            continue;
-        }
-        auto segment = segment_from_json(change.object.name, change.object.value);
-        if (!ok(segment)) {
-            return failure(segment);
-        }
-        segments.push_back(std::move(value(segment)));
-    }
-    std::sort(segments.begin(), segments.end(), [](const result_segment& left, const result_segment& right) {
-        return left.first < right.first;
-    });
-    return segments;
-}
-
-} // namespace
-
-net::task<bool> batch_service::add_new_results(result_page& page, std::string batch, std::uint64_t since,
-                                               time_point until)
-{
-    const auto left = std::chrono::duration_cast<milliseconds>(until - steady::now());
-    const auto changed = co_await store_.watch(results_kind(batch), since, left);
-    if (!ok(changed)) {
-        co_return false;
-    }
-    const auto segments = segments_of(value(changed));
-    if (!ok(segments)) {
-        co_return false;
-    }
-    record_segments(batch, value(segments), value(changed).as_of);
-    add_results(page, value(segments));
-    co_return true;
-}
-
 net::task_of<result_page> batch_service::read(std::string batch, std::size_t first, milliseconds wait)
 {
-    const auto until = steady::now() + wait;
     const auto header = co_await find(batch);
     if (!ok(header)) {
         co_return failure(header);
     }
-    result_page page;
-    page.total = value(header).total;
-    page.first = first;
-    if (first >= page.total) {
-        co_return page;
-    }
-    // A reader that resumes where the last response ended needs no listing: a watch from that response's
-    // revision yields the newer results, with one call to the store instead of two.
-    const auto since = empty_as_of(batch, first);
-    bool received = false;
-    if (since > 0 && wait > min_wait) {
-        received = co_await add_new_results(page, batch, since, until);
-    }
-    if (received) {
-        co_return page;
-    }
-    const auto listing = co_await segments_from(batch, first);
-    if (!ok(listing)) {
-        co_return failure(listing);
-    }
-    add_results(page, value(listing).segments);
-    if (page.results.empty() && until - steady::now() > min_wait) {
-        co_await add_new_results(page, batch, value(listing).as_of, until);
-    }
-    co_return page;
+    co_return co_await results_.read(value(header), first, wait);
 }
 
 net::task_of<std::vector<batch_item>> batch_service::items_of(batch_header header)
@@ -331,6 +267,10 @@
     if (!ok(ended)) {
         co_return failure(ended);
     }
+    const auto* owner = fleet_.find_peer(value(header).owner_vm);
+    if (owner != nullptr && owner->vm != fleet_.self()) {
+        net::start(loop_, send_to_owner(value(ended), json::array(), owner->relay_address));
+    }
     headers_.apply_own_write(std::move(value(ended)));
     co_return done{};
 }
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -7,6 +7,7 @@
 #include "gateway/batch_store.hpp"
 #include "gateway/feed.hpp"
 #include "gateway/peer_relay.hpp"
+#include "gateway/result_reader.hpp"
 
 #include <list>
 #include <map>
@@ -17,15 +18,10 @@
 
 namespace vanillagauge::gateway {
 
-/// Results at the positions from `first` on.
-struct result_page {
-    std::size_t total = 0;
-    std::size_t first = 0;
-    std::vector<item_result> results;
-};
-
 /// Path of peers' requests to run a batch speculatively.
 constexpr const char* speculative_path = "/ahead";
+/// Path on which peers send a batch that they have accepted, or ended, to its owner.
+constexpr const char* accepted_path = "/accepted";
 
 class batch_service {
 public:
@@ -39,6 +35,13 @@
     /// Handles a peer's request to run a batch that the store does not accept at the moment, or its query
     /// whether this gateway runs one.
     net::http_response serve_speculative(const net::http_request& request);
+    /// Handles a batch that a peer has accepted for this gateway to run, or has ended.
+    net::http_response serve_accepted(const net::http_request& request);
+    /// Serves a peer's read of the results of a batch that runs here.
+    net::task<net::http_response> serve_results(const net::http_request& request)
+    {
+        return results_.serve(request);
+    }
     /// Waits at most `wait` for a result. `not_found` only if the store confirms it now; `unavailable` if a
     /// result published by another gateway may be missing here.
     net::task_of<result_page> read(std::string batch, std::size_t first, milliseconds wait);
@@ -57,6 +60,7 @@
     feed& headers_;
     batch_runner& runner_;
     const fleet_view& fleet_;
+    result_reader results_;
     std::list<cached_items> cache_; ///< newest first
 
     struct attempt;                                       ///< an attempt to store a submission
@@ -65,30 +69,15 @@
     net::task<void> resolve_attempt(std::shared_ptr<attempt> current);
     net::task_of<done> store_batch(std::shared_ptr<attempt> current, time_point until);
     net::task<void> speculate_when_slow(std::shared_ptr<attempt> current);
-    std::optional<gateway_peer> other_owner(const std::string& batch) const;
-    net::task<bool> runs_speculatively(std::string batch);
+    std::optional<gateway_peer> other_owner(const batch_header& header) const;
+    net::task<bool> runs_speculatively(const batch_header& header);
+    net::task<void> send_to_owner(stored_object stored, nlohmann::json parts, std::string address);
     net::task<void> send_speculative(std::shared_ptr<attempt> current);
     void run_speculative(batch_submission submission);
     net::task<void> resolve_speculative(batch_submission submission);
     net::task_of<stored_object> create_with_retry(std::string kind, std::string name, nlohmann::json value,
                                                   time_point until);
     net::task_of<batch_header> find(std::string batch);
-    /// What is known of a batch's stored results from earlier reads.
-    struct known_results {
-        std::set<std::size_t> segment_ends; ///< positions after a segment
-        std::size_t end = 0;                ///< no result from this position on
-        std::uint64_t as_of = 0;            ///< store revision of `end`; 0: never read
-    };
-    std::map<std::string, known_results> known_results_;
-
-    void record_segments(const std::string& batch, const std::vector<result_segment>& segments,
-                         std::uint64_t as_of);
-    /// The store revision at which there was no result from the position on; 0: not known.
-    std::uint64_t empty_as_of(const std::string& batch, std::size_t first) const;
-    net::task_of<segment_listing> segments_from(std::string batch, std::size_t first);
-    /// Waits for results newer than the revision and adds them; false: the read failed.
-    net::task<bool> add_new_results(result_page& page, std::string batch, std::uint64_t since,
-                                    time_point until);
     net::task_of<std::vector<batch_item>> items_of(batch_header header);
 };
 
--- a/src/gateway/batch_service_speculative.cpp
+++ b/src/gateway/batch_service_speculative.cpp
@@ -33,13 +33,11 @@
         }
         batch_submission submission;
         submission.header = std::move(value(header));
-        for (const auto& part : text.at("parts")) {
-            auto items = items_from_json(part);
-            if (!ok(items)) {
-                return failure(items);
-            }
-            std::move(value(items).begin(), value(items).end(), std::back_inserter(submission.items));
+        auto items = items_from_parts(text.at("parts"));
+        if (!ok(items)) {
+            return failure(items);
         }
+        submission.items = std::move(value(items));
         return submission;
     });
 }
@@ -59,29 +57,28 @@
 }
 
 // None if it is this gateway.
-std::optional<gateway_peer> batch_service::other_owner(const std::string& batch) const
+std::optional<gateway_peer> batch_service::other_owner(const batch_header& header) const
 {
-    const auto ranked = fleet_.ranked_owners(batch);
-    for (const auto& peer : fleet_.peers()) {
-        if (!ranked.empty() && peer.vm == ranked.front() && peer.vm != fleet_.self()) {
-            return peer;
-        }
+    const auto& ranked = fleet_.ranked_owners(owner_key(header));
+    if (ranked.empty() || ranked.front() == fleet_.self()) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    const auto* owner = fleet_.find_peer(ranked.front());
+    return owner != nullptr ? std::optional(*owner) : std::nullopt;
 }
 
 // A refusal guarantees that no part of the batch runs, but the trainer may have submitted it to another
 // gateway before. A peer that does not respond may be running it.
-net::task<bool> batch_service::runs_speculatively(std::string batch)
+net::task<bool> batch_service::runs_speculatively(const batch_header& header)
 {
-    if (speculative_until_.contains(batch)) {
+    if (speculative_until_.contains(header.id)) {
         co_return true;
     }
-    const auto owner = other_owner(batch);
+    const auto owner = other_owner(header);
     if (!owner) {
         co_return false;
     }
-    json body{{"id", batch}};
+    json body{{"id", header.id}};
     const auto reply = co_await store_.call_peer(owner->relay_address, speculative_path, std::move(body),
                                                  steady::now() + query_timeout);
     co_return !ok(reply) || member_or_null(value(reply), "runs") != json(false);
@@ -92,7 +89,7 @@
 net::task<void> batch_service::send_speculative(std::shared_ptr<attempt> current)
 {
     auto& header = current->submission.header;
-    const auto owner = other_owner(header.id);
+    const auto owner = other_owner(header);
     if (!owner) {
         run_speculative(current->submission);
         co_return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -75,6 +75,8 @@
     std::size_t batches_running() const;
     /// Gateways that accept callers; empty if none does.
     gateway_addresses addresses() const;
+    /// Where this gateway serves its peers.
+    std::string relay_address() const;
     batch_service& batches();
     std::string metrics_page() const;
 
--- a/src/gateway/internal/batch_run.hpp
+++ b/src/gateway/internal/batch_run.hpp
@@ -4,6 +4,9 @@
 
 #include "gateway/batch_runner.hpp"
 #include "gateway/batch_texts.hpp"
+#include "policy/publish_plan.hpp"
+
+#include <optional>
 
 namespace vanillagauge::gateway {
 
@@ -18,7 +21,9 @@
 
 struct batch_runner::batch_run {
     batch_run(net::loop& loop, object_store& store, const batch_header& header, std::vector<batch_item> items)
-        : progress(header, std::move(items)), changed(loop), texts(store, header.id)
+        : progress(header, std::move(items)), changed(loop), last_publish(steady::now()),
+          due(last_publish + (header.accepted + header.result_time - std::chrono::system_clock::now())),
+          texts(store, header.id), expires_at(header.accepted + header.max_age)
     {
     }
 
@@ -29,13 +34,29 @@
     bool stored = true; ///< false while the batch is speculative
     bool ended = false;
     bool publishing = false;
+    /// By `time_since_boot`: the store had no result after the published ones then; none: never confirmed.
+    std::optional<duration> end_confirmed_at{};
     time_point last_publish{};
-    time_point first_unpublished{};
+    time_point due{}; ///< when the trainer's results are due
     text_store texts;
     bool saving_texts = false;
     time_point texts_saved_at{}; ///< newer text is lost if this gateway fails
     wall_time expires_at{};
 
+    policy::publish_view publish_state() const
+    {
+        policy::publish_view view;
+        view.results = progress.unpublished_results();
+        view.total = progress.header().total;
+        view.published = progress.published();
+        view.wanted_groups = progress.header().wanted_groups;
+        view.complete_groups = progress.complete_groups();
+        view.published_groups = progress.published_groups();
+        view.last_publish = last_publish;
+        view.due = due;
+        return view;
+    }
+
     void cancel_work()
     {
         for (auto& [index, cancellation] : scoring_calls) {
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -5,7 +5,6 @@
 #include "policy/weight_load_plan.hpp"
 
 #include <algorithm>
-#include <ctime>
 
 namespace vanillagauge::gateway {
 namespace {
@@ -34,13 +33,6 @@
 /// A larger change of the difference between the clocks means that the machine was suspended.
 constexpr milliseconds min_suspension{200};
 
-duration boot_clock()
-{
-    timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
-}
-
 net::task_of<net::http_response> exchange_with(target_ref engine,
                                                std::shared_ptr<net::http_connection> connection,
                                                net::http_request request, time_point until)
@@ -78,7 +70,7 @@
       lease_({.self = self_,
               .ttl = settings.gateway.order_lease * 2 / 3,
               .max_order_time = settings.gateway.order_lease}),
-      clock_gap_(boot_clock() - steady::now().time_since_epoch())
+      clock_gap_(time_since_boot() - steady::now().time_since_epoch())
 {
 }
 
@@ -122,7 +114,7 @@
 // boot clock shows the gap; the lease is then read again and must expire first, like another VM's.
 bool weights_updater::was_suspended()
 {
-    const auto gap = boot_clock() - steady::now().time_since_epoch();
+    const auto gap = time_since_boot() - steady::now().time_since_epoch();
     const bool suspended = gap - clock_gap_ > min_suspension;
     clock_gap_ = gap;
     return suspended;
@@ -146,10 +138,8 @@
 void weights_updater::update_candidate(time_point now)
 {
     const auto holder_vm = lease_.holder().substr(0, lease_.holder().find('@'));
-    const auto peers = fleet_.peers();
-    const bool holder_alive = std::any_of(peers.begin(), peers.end(),
-                                          [&](const gateway_peer& peer) { return peer.vm == holder_vm; });
-    const auto ranked = fleet_.ranked_owners(lease_name);
+    const bool holder_alive = fleet_.find_peer(holder_vm) != nullptr;
+    const auto& ranked = fleet_.ranked_owners(lease_name);
     const bool first = !ranked.empty() && ranked.front() == fleet_.self();
     const bool holder_failed = holder_alive_ && !holder_alive;
     const bool became_first = first && !ranked_first_;
--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -120,6 +120,12 @@
     return found == list_calls_.end() ? 0 : found->second;
 }
 
+std::uint64_t fake_store::read_calls(const std::string& kind) const
+{
+    const auto found = read_calls_.find(kind);
+    return found == read_calls_.end() ? 0 : found->second;
+}
+
 net::http_response fake_store::list(const std::string& kind, const std::string& after) const
 {
     json items = json::array();
@@ -248,6 +254,7 @@
         co_await answer.send(std::move(response));
         co_return;
     }
+    ++read_calls_[parts[0]];
     const auto since = net::query_value(request.target, "Watch");
     if (!since.empty()) {
         const auto wait =
--- /dev/null
+++ b/tests/gateway/batch_read_tests.cpp
@@ -0,0 +1,133 @@
+// Reads of results through the gateway that runs the batch.
+#include "batch_deployment.hpp"
+
+namespace vanillagauge::gateway {
+namespace {
+
+using nlohmann::json;
+
+/// A position that has been read must be there for every reader after this time.
+constexpr milliseconds settle_time{1000};
+
+std::uint64_t result_reads(batch_deployment& cluster, const std::string& batch)
+{
+    return cluster.inspect_store<std::uint64_t>(
+        [&](standins::fake_store& store) { return store.read_calls("results-" + batch); });
+}
+
+/// What another owner would have published.
+json terminated_segment(const std::string& item)
+{
+    return {{"writer", "x"},
+            {"results",
+             json::array({{{"id", item}, {"completed", false}, {"text", ""}, {"versions", json::array()}}})}};
+}
+
+// Guards against store calls that grow with the readers: each read used to list and to watch the results
+// there.
+TEST(batch_reads, of_published_results_need_no_store_call)
+{
+    batch_deployment cluster;
+    auto& owner = cluster.ready_gateway("a");
+    auto& other = cluster.ready_gateway("b");
+    EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1")), 202);
+    expect_complete(cluster.read_all({other.address()}, "b1"));
+    const auto before = result_reads(cluster, "b1");
+    for (int turn = 0; turn < 20; ++turn) {
+        EXPECT_EQ(cluster.body_of(other.address(), make_read("b1", 0))["Results"].size(), item_count);
+        EXPECT_EQ(cluster.body_of(owner.address(), make_read("b1", 2))["Results"].size(), item_count - 2);
+    }
+    EXPECT_EQ(result_reads(cluster, "b1"), before);
+}
+
+// Guards against one confirmation of the end for each waiting reader.
+TEST(batch_reads, of_many_readers_share_a_confirmation)
+{
+    batch_deployment cluster;
+    auto& owner = cluster.ready_gateway("a");
+    auto& other = cluster.ready_gateway("b");
+    EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1", 9)), 202);
+    EXPECT_EQ(cluster.body_of(other.address(), make_read("b1", 0))["Total"], item_count);
+    const auto before = result_reads(cluster, "b1");
+    constexpr int readers = 16;
+    std::vector<std::future<void>> reads;
+    for (int reader = 0; reader < readers; ++reader) {
+        reads.push_back(std::async(std::launch::async, [&] {
+            EXPECT_EQ(cluster.body_of(other.address(), make_read("b1", 0))["Total"], item_count);
+        }));
+    }
+    reads.clear();
+    EXPECT_LE(result_reads(cluster, "b1") - before, 2U);
+}
+
+// Guards against an owner that was frozen or cut off, has lost its batch to another gateway without knowing
+// it, and denies results that readers have seen.
+TEST(batch_reads, show_what_another_owner_published)
+{
+    batch_deployment cluster;
+    auto& owner = cluster.ready_gateway("a");
+    auto& other = cluster.ready_gateway("b");
+    EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1", 9)), 202);
+    EXPECT_EQ(cluster.body_of(other.address(), make_read("b1", 0))["Results"].size(), 0U);
+    cluster.modify_store([](standins::fake_store& store) {
+        store.put("results-b1", "00000000", terminated_segment("b1-i0"));
+        store.put("results-b1", "00000001", terminated_segment("b1-i1"));
+    });
+    std::this_thread::sleep_for(settle_time);
+    for (const auto& address : {owner.address(), other.address()}) {
+        const auto page = cluster.body_of(address, make_read("b1", 0));
+        ASSERT_GE(page["Results"].size(), 1U) << page;
+        EXPECT_EQ(page["Results"][0]["Id"], "b1-i0");
+        const auto next = cluster.body_of(address, make_read("b1", 1));
+        ASSERT_EQ(next["Results"].size(), 1U) << next;
+        EXPECT_EQ(next["Results"][0]["Id"], "b1-i1");
+    }
+}
+
+// Guards against an outage of the store that hides what is already published.
+TEST(batch_reads, of_published_results_work_without_the_store)
+{
+    batch_deployment cluster;
+    auto& owner = cluster.ready_gateway("a");
+    auto& other = cluster.ready_gateway("b");
+    EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1")), 202);
+    expect_complete(cluster.read_all({other.address()}, "b1"));
+    std::this_thread::sleep_for(settle_time); // until the batch is known at every gateway
+    cluster.modify_store([](standins::fake_store& store) { store.faults.refuse = true; });
+    EXPECT_EQ(cluster.body_of(other.address(), make_read("b1", 0))["Results"].size(), item_count);
+}
+
+// Guards against "no further results" from memory while nobody can tell whether that is so.
+TEST(batch_reads, are_unavailable_if_the_end_cannot_be_confirmed)
+{
+    batch_deployment cluster;
+    auto& owner = cluster.ready_gateway("a");
+    EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1", 9)), 202);
+    EXPECT_EQ(cluster.status_of(owner.address(), make_read("b1", 0)), 200);
+    cluster.modify_store([](standins::fake_store& store) { store.faults.refuse = true; });
+    std::this_thread::sleep_for(settle_time);
+    EXPECT_EQ(cluster.status_of(owner.address(), make_read("b1", 0)), 503);
+}
+
+// Guards against an exception on malformed calls of other programs, which would end the gateway.
+TEST(batch_reads, of_peers_are_refused_if_malformed)
+{
+    batch_deployment cluster;
+    auto& owner = cluster.ready_gateway("a");
+    const auto relay_address =
+        owner.query<std::string>([](gateway& served) { return served.relay_address(); });
+    for (const auto* body : {"", "[]", "{}", R"({"batch": 7, "first": 0, "wait_ms": 10})",
+                             R"({"batch": "b1", "first": "x", "wait_ms": 10})",
+                             R"({"batch": "b1", "first": 0, "wait_ms": {}})"}) {
+        net::http_request request;
+        request.method = "POST";
+        request.target = results_path;
+        request.fields.add("Host", "h");
+        request.body = body;
+        EXPECT_EQ(cluster.status_of(relay_address, request), 400) << body;
+    }
+    EXPECT_TRUE(owner.ready());
+}
+
+} // namespace
+} // namespace vanillagauge::gateway
