Let three gateways watch the store at any size, one of them the feeds that change with each step

Cause: watchers grew with the fleet (12 of 295) and each change cost one call for each of them; each start listed every feed before it knew a peer. Change: policy/feed_plan: three watchers, relays between them and the rest of a large fleet, one watcher of versions and batches; copies carry their age. A gateway that knows no other waits 0.4 s before it lists.

--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -12,11 +12,6 @@
 
 namespace {
 
-/// Three watchers in different failure domains leave one while a domain is down and another VM restarts. Each
-/// event costs one store call per watcher. Large fleets add watchers to bound the polls that each one serves.
-constexpr std::size_t min_watchers = 3;
-constexpr std::size_t gateways_per_watcher = 24;
-
 /// The store counts a watch as one call, however long it waits.
 constexpr milliseconds watch_timeout{20000};
 
@@ -26,13 +21,18 @@
 constexpr milliseconds ping_interval{600};
 constexpr milliseconds ping_timeout{500};
 
-/// A watcher may be unresponsive, or cut off from the store without having noticed. Polling the watchers in
-/// turn with this limit reaches a working one within the two seconds in which changes must apply.
-constexpr milliseconds poll_timeout{600};
+/// Longest wait of a poll that is served. A source may be unresponsive, or cut off from the store without
+/// having noticed; polls with this limit reach a working one within the two seconds in which changes must
+/// apply.
+constexpr milliseconds max_poll_time{600};
 constexpr milliseconds poll_margin{400};
 
-/// A gateway whose feeds have not been confirmed for this long contacts the store itself.
-constexpr milliseconds staleness_limit{1300};
+/// An older copy is not served to peers.
+constexpr milliseconds max_served_age{1000};
+
+/// A gateway that has just started and knows no other waits this long before it reads the store: if all VMs
+/// start together, each would read everything.
+constexpr milliseconds meeting_time{400};
 
 /// Bounds of the random delay between attempts while the store fails; each attempt costs a call.
 constexpr milliseconds min_retry_delay{250};
@@ -61,10 +61,10 @@
 feed_sync::feed_sync(net::loop& loop, object_store& direct, peer_relay& peers, fleet_view& fleet,
                      policy::quarantine& crashes, const std::vector<feed_registration>& feeds)
     : loop_(loop), direct_(direct), peers_(peers), fleet_(fleet), crashes_(crashes), changed_(loop),
-      watch_ended_(loop)
+      watch_ended_(loop), started_(steady::now())
 {
     for (const auto& chosen : feeds) {
-        feeds_.push_back({chosen.content, chosen.needed_here});
+        feeds_.push_back({chosen.content, chosen.needed_here, chosen.pace});
     }
 }
 
@@ -84,32 +84,64 @@
     watch_ended_.notify();
 }
 
-std::vector<std::string> feed_sync::watchers() const
+policy::feed_plan feed_sync::plan() const
 {
-    const auto count = std::max(min_watchers, fleet_.peers().size() / gateways_per_watcher);
-    return fleet_.watchers(count);
+    return {fleet_.watchers(policy::serving_count(fleet_.peers().size())), fleet_.self()};
 }
 
 time_point feed_sync::confirmed_at() const
 {
     auto oldest = time_point::max();
     for (const auto& entry : feeds_) {
-        oldest = entry.needed_here ? std::min(oldest, entry.content->confirmed_at()) : oldest;
+        oldest = is_needed(entry) ? std::min(oldest, entry.content->confirmed_at()) : oldest;
     }
     return oldest;
 }
 
-bool feed_sync::should_watch() const
+duration feed_sync::age_of(const synced_feed& entry) const
+{
+    if (entry.store_reachable) {
+        return duration{0};
+    }
+    return steady::now() - std::max(entry.content->confirmed_at(), started_);
+}
+
+bool feed_sync::should_watch(const synced_feed& entry) const
 {
-    const auto chosen = watchers();
-    const bool is_chosen = std::find(chosen.begin(), chosen.end(), fleet_.self()) != chosen.end();
-    return is_chosen || steady::now() - confirmed_at() > staleness_limit;
+    const bool alone = fleet_.peers().size() <= 1;
+    if (alone && steady::now() - started_ < meeting_time) {
+        return false;
+    }
+    const auto age = is_needed(entry) ? age_of(entry) : duration{0};
+    return plan().watches(entry.pace, age);
+}
+
+bool feed_sync::watches_store() const
+{
+    bool watches = false;
+    for (const auto& entry : feeds_) {
+        if (entry.listed && !entry.store_reachable) {
+            return false;
+        }
+        watches = watches || entry.store_reachable;
+    }
+    return watches;
 }
 
-bool feed_sync::store_reachable() const
+std::optional<milliseconds> feed_sync::served_age(const internal::sync_request& request) const
 {
-    return std::all_of(feeds_.begin(), feeds_.end(),
-                       [](const synced_feed& entry) { return entry.store_reachable; });
+    milliseconds oldest{0};
+    for (const auto& entry : feeds_) {
+        if (!request.since.contains(entry.content->kind())) {
+            continue;
+        }
+        const auto age = std::chrono::ceil<milliseconds>(age_of(entry));
+        if (!entry.content->synced() || age > max_served_age) {
+            return std::nullopt;
+        }
+        oldest = std::max(oldest, age);
+    }
+    return oldest;
 }
 
 void feed_sync::set_source(const std::string& source)
@@ -140,10 +172,10 @@
 {
     auto& entry = feeds_[index];
     while (true) {
-        if (!should_watch()) {
+        if (!should_watch(entry)) {
             entry.store_reachable = false;
             entry.listed = false;
-            if (!entry.needed_here && entry.content->synced()) {
+            if (!is_needed(entry) && entry.content->synced()) {
                 entry.content->reset();
             }
             co_await net::sleep_for(loop_, idle_delay);
@@ -244,7 +276,7 @@
 {
     while (true) {
         co_await net::sleep_for(loop_, ping_interval);
-        if (!store_reachable() || steady::now() - last_answer_ < ping_interval) {
+        if (!watches_store() || steady::now() - last_answer_ < ping_interval) {
             continue;
         }
         const auto generation = watch_generation_;
@@ -253,7 +285,7 @@
             last_answer_ = steady::now();
             continue;
         }
-        if (!store_reachable() || generation != watch_generation_) {
+        if (!watches_store() || generation != watch_generation_) {
             continue;
         }
         record_failure(failure(answered));
@@ -272,21 +304,15 @@
 net::task<void> feed_sync::poll_peers()
 {
     while (true) {
-        std::vector<std::string> addresses;
-        const auto chosen = watchers();
-        for (const auto& peer : fleet_.peers()) {
-            const bool is_chosen = std::find(chosen.begin(), chosen.end(), peer.vm) != chosen.end();
-            if (is_chosen && peer.vm != fleet_.self() && !peer.relay_address.empty()) {
-                addresses.push_back(peer.relay_address);
-            }
-        }
-        if (addresses.empty()) {
-            co_await net::sleep_for(loop_, idle_delay);
-            continue;
+        const auto sources = plan().sources();
+        const auto* source =
+            sources.empty() ? nullptr : fleet_.find_peer(sources[next_source_ % sources.size()]);
+        bool served = false;
+        if (source != nullptr && !source->relay_address.empty()) {
+            served = co_await poll_peer(source->relay_address);
         }
-        const auto address = addresses[next_peer_++ % addresses.size()];
-        const bool served = co_await poll_peer(address);
         if (!served) {
+            ++next_source_;
             co_await net::sleep_for(loop_, idle_delay);
         }
     }
@@ -296,16 +322,17 @@
 {
     const auto requested_at = steady::now();
     const auto known = crash_revisions_[address];
+    const auto poll_time = plan().poll_time();
     internal::sync_request request{
-        poll_timeout, {}, crashes_.update_since(known.sent, requested_at), known.received};
+        poll_time, {}, crashes_.update_since(known.sent, requested_at), known.received};
     for (const auto& entry : feeds_) {
-        if (entry.needed_here) {
+        if (is_needed(entry)) {
             request.since[entry.content->kind()] = entry.content->synced() ? entry.content->as_of() : 0;
         }
     }
     auto body = internal::to_json(request);
-    const auto answer = co_await peers_.call_peer(address, "/sync", std::move(body),
-                                                  requested_at + poll_timeout + poll_margin);
+    const auto answer =
+        co_await peers_.call_peer(address, "/sync", std::move(body), requested_at + poll_time + poll_margin);
     if (!ok(answer)) {
         co_return false;
     }
@@ -316,11 +343,12 @@
         co_return false;
     }
     crash_revisions_[address] = {request.crashes.as_of, value(response).crashes.as_of};
-    const bool served = value(response).store_reachable;
+    const bool served = value(response).current;
     bool changed = crashes_.merge(value(response).crashes, steady::now());
     if (served) {
-        changed = apply_response(std::move(value(response)), requested_at) || changed;
-        if (!store_reachable()) {
+        const auto confirmed_at = requested_at - value(response).age;
+        changed = apply_response(std::move(value(response)), confirmed_at) || changed;
+        if (!watches_store()) {
             set_source(address);
         }
     }
@@ -330,17 +358,17 @@
     co_return served;
 }
 
-bool feed_sync::apply_response(internal::sync_response response, time_point requested_at)
+bool feed_sync::apply_response(internal::sync_response response, time_point confirmed_at)
 {
     if (response.failure_age) {
-        last_failure_ = std::max(last_failure_, requested_at - *response.failure_age);
+        last_failure_ = std::max(last_failure_, confirmed_at - *response.failure_age);
     }
     bool changed = false;
     for (auto& entry : feeds_) {
         const auto found = response.feeds.find(entry.content->kind());
         if (found != response.feeds.end()) {
             const auto before = entry.content->as_of();
-            entry.content->apply_update(std::move(found->second), requested_at);
+            entry.content->apply_update(std::move(found->second), confirmed_at);
             changed = changed || entry.content->changed_since(before);
         }
     }
@@ -379,17 +407,19 @@
     if (crashes_.merge(wanted.crashes, requested_at)) {
         changed_.notify();
     }
-    const auto until = requested_at + std::min(wanted.wait, poll_timeout);
-    while (store_reachable() && !has_updates(wanted) && steady::now() < until) {
+    const auto until = requested_at + std::min(wanted.wait, max_poll_time);
+    while (served_age(wanted) && !has_updates(wanted) && steady::now() < until) {
         co_await changed_.wait_until(until);
     }
     internal::sync_response answer;
-    answer.store_reachable = store_reachable();
+    const auto age = served_age(wanted);
+    answer.current = age.has_value();
+    answer.age = age.value_or(milliseconds{0});
     answer.crashes = crashes_.update_since(wanted.crashes_since, steady::now());
     if (last_failure_ != time_point{}) {
         answer.failure_age = std::chrono::duration_cast<milliseconds>(steady::now() - last_failure_);
     }
-    if (answer.store_reachable) {
+    if (answer.current) {
         for (const auto& [kind, since] : wanted.since) {
             if (const auto* content = find(kind)) {
                 answer.feeds[kind] = content->update_since(since);
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -7,6 +7,7 @@
 #include "gateway/fleet_view.hpp"
 #include "gateway/internal/sync_messages.hpp"
 #include "gateway/peer_relay.hpp"
+#include "policy/feed_plan.hpp"
 
 #include <memory>
 #include <optional>
@@ -17,7 +18,8 @@
 
 struct feed_registration {
     feed* content = nullptr;
-    bool needed_here = true; ///< false: synced only while this gateway watches, never polled from peers
+    bool needed_here = true; ///< false: synced only while this gateway serves the feeds to others
+    policy::feed_pace pace = policy::feed_pace::steady;
 };
 
 class feed_sync {
@@ -48,6 +50,7 @@
     struct synced_feed {
         feed* content = nullptr;
         bool needed_here = true;
+        policy::feed_pace pace = policy::feed_pace::steady;
         bool listed = false;          ///< a watch may start from its revision
         bool store_reachable = false; ///< its last call to the store succeeded
     };
@@ -61,7 +64,8 @@
     net::async_condition changed_;
     net::async_condition watch_ended_; ///< a watch was answered or abandoned
     std::string source_;               ///< of the last update: "store", a peer's address, or empty
-    std::size_t next_peer_ = 0;
+    std::size_t next_source_ = 0;      ///< changes when a source fails
+    time_point started_;
     time_point last_failure_{};
     bool store_down_ = false;
     time_point last_answer_{};           ///< last response of the store to any call
@@ -75,12 +79,17 @@
     net::task<void> poll_peers();
     net::task<bool> poll_peer(std::string address);
     /// Returns whether anything changed.
-    bool apply_response(internal::sync_response response, time_point requested_at);
+    bool apply_response(internal::sync_response response, time_point confirmed_at);
     bool has_updates(const internal::sync_request& request) const;
     const feed* find(const std::string& kind) const;
-    std::vector<std::string> watchers() const;
-    bool should_watch() const;
-    bool store_reachable() const;
+    policy::feed_plan plan() const;
+    bool should_watch(const synced_feed& entry) const;
+    bool is_needed(const synced_feed& entry) const { return entry.needed_here || plan().serves(); }
+    /// Whether the store has answered the last call of each feed that is watched here; false if none is.
+    bool watches_store() const;
+    duration age_of(const synced_feed& entry) const;
+    /// Age of the oldest copy among the requested kinds; none if one of them is too old to be served.
+    std::optional<milliseconds> served_age(const internal::sync_request& request) const;
     time_point confirmed_at() const;
     void set_source(const std::string& source);
     void record_failure(const error& why);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -111,8 +111,8 @@
       feeds(loop, store, relay, fleet, crashes,
             {{&configurations},
              {&replicas, serves_callers()},
-             {&versions, serves_callers()},
-             {&batch_headers, serves_callers()},
+             {&versions, serves_callers(), policy::feed_pace::frequent},
+             {&batch_headers, serves_callers(), policy::feed_pace::frequent},
              {&retirements}}),
       batches(loop, relay, batch_headers, runner, fleet),
       weights(loop, relay, fleet, targets, protocol, settings,
@@ -284,11 +284,7 @@
 // the start.
 bool gateway::state::sees_all_registered() const
 {
-    const auto living = fleet.peers();
-    const auto is_alive = [&](const std::string& vm) {
-        return std::any_of(living.begin(), living.end(),
-                           [&](const gateway_peer& peer) { return peer.vm == vm; });
-    };
+    const auto is_alive = [this](const std::string& vm) { return fleet.find_peer(vm) != nullptr; };
     return registered && std::all_of(registered->begin(), registered->end(), is_alive);
 }
 
@@ -323,6 +319,12 @@
     else if (request.target == speculative_path) {
         response = batches.serve_speculative(request);
     }
+    else if (request.target == accepted_path) {
+        response = batches.serve_accepted(request);
+    }
+    else if (request.target == results_path) {
+        response = co_await batches.serve_results(request);
+    }
     else if (request.target == "/sync") {
         response = co_await feeds.serve(request);
     }
@@ -431,6 +433,12 @@
     return found;
 }
 
+std::string gateway::relay_address() const
+{
+    const auto* self = state_->fleet.find_peer(state_->fleet.self());
+    return self == nullptr ? std::string{} : self->relay_address;
+}
+
 batch_service& gateway::batches()
 {
     return state_->batches;
--- a/src/gateway/internal/sync_messages.cpp
+++ b/src/gateway/internal/sync_messages.cpp
@@ -71,7 +71,8 @@
 json to_json(const sync_response& response)
 {
     json document;
-    document["serves"] = response.store_reachable;
+    document["serves"] = response.current;
+    document["age_ms"] = response.age.count();
     if (response.failure_age) {
         document["failed_ms_ago"] = response.failure_age->count();
     }
@@ -88,7 +89,8 @@
     return decode<sync_response>(
         document, std::move(malformed), [](const json& from) -> result<sync_response> {
             sync_response response;
-            response.store_reachable = from.at("serves").get<bool>();
+            response.current = from.at("serves").get<bool>();
+            response.age = bounded(from.at("age_ms"), max_record_age_ms);
             if (const auto failed = from.find("failed_ms_ago"); failed != from.end()) {
                 response.failure_age = bounded(*failed, max_record_age_ms);
             }
--- /dev/null
+++ b/src/policy/feed_plan.cpp
@@ -0,0 +1,88 @@
+#include "policy/feed_plan.hpp"
+
+#include "base/digest.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::policy {
+namespace {
+
+/// Three in different failure domains leave one while a domain is down and another VM restarts. Each event
+/// costs a store call for each of them.
+constexpr std::size_t store_watchers = 3;
+/// Bounds the polls that a gateway serves.
+constexpr std::size_t gateways_per_relay = 24;
+
+/// A gateway whose copy has not been confirmed for this long asks the store itself. Those that should serve
+/// the others do so first: if all did at once, the store would be read once for each gateway.
+constexpr milliseconds serving_staleness_limit{1300};
+constexpr milliseconds frequent_staleness_limit{2600};
+
+/// Copies of gateways that serve others are kept fresher than the others'.
+constexpr milliseconds serving_poll_time{300};
+constexpr milliseconds poll_time_of_others{600};
+
+} // namespace
+
+std::size_t serving_count(std::size_t gateways)
+{
+    const auto relays = gateways / gateways_per_relay;
+    return relays > store_watchers ? store_watchers + relays : store_watchers;
+}
+
+feed_plan::feed_plan(const std::vector<std::string>& chosen, const std::string& self)
+    : chosen_(chosen), self_(self)
+{
+    const auto found = std::find(chosen.begin(), chosen.end(), self);
+    if (found != chosen.end()) {
+        rank_ = static_cast<std::size_t>(found - chosen.begin());
+    }
+}
+
+bool feed_plan::watches_store() const
+{
+    return rank_ && *rank_ < store_watchers;
+}
+
+// Load pattern: hundreds of gateways, and trainers whose batches and versions change several objects a
+// second. With a watch at every serving gateway the calls would grow with the fleet and with the work at
+// once. Steady feeds keep three watchers, since their changes are bounded in time even if one is cut off; a
+// frequent feed has one, whose silence delays steps by a second or two and breaks nothing.
+bool feed_plan::watches(feed_pace pace, duration copy_age) const
+{
+    if (pace == feed_pace::steady) {
+        return watches_store() || copy_age > serving_staleness_limit;
+    }
+    if (watches_store()) {
+        return *rank_ == 0 || copy_age > serving_staleness_limit;
+    }
+    return copy_age > frequent_staleness_limit;
+}
+
+std::vector<std::string> feed_plan::sources() const
+{
+    const auto watchers = std::min(store_watchers, chosen_.size());
+    const bool relayed = chosen_.size() > store_watchers;
+    const auto first = relayed && !serves() ? watchers : 0;
+    const auto last = relayed && !serves() ? chosen_.size() : watchers;
+    std::vector<std::string> found;
+    for (auto index = first; index < last; ++index) {
+        if (chosen_[index] != self_) {
+            found.push_back(chosen_[index]);
+        }
+    }
+    // The others spread over those that serve them; the watchers ask the first, which alone watches all
+    // feeds.
+    if (!watches_store() && !found.empty()) {
+        const auto turn = hash64(self_) % found.size();
+        std::rotate(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(turn), found.end());
+    }
+    return found;
+}
+
+milliseconds feed_plan::poll_time() const
+{
+    return rank_ ? serving_poll_time : poll_time_of_others;
+}
+
+} // namespace vanillagauge::policy
--- /dev/null
+++ b/src/policy/feed_plan.hpp
@@ -0,0 +1,50 @@
+/// Which gateways watch the store for the fleet, and which gateways the others poll.
+#ifndef VANILLAGAUGE_POLICY_FEED_PLAN_HPP
+#define VANILLAGAUGE_POLICY_FEED_PLAN_HPP
+
+#include "base/clock.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace vanillagauge::policy {
+
+/// How often the objects of a feed change.
+enum class feed_pace {
+    steady,  ///< seldom, and a change must be in force everywhere soon
+    frequent ///< with each step of a trainer
+};
+
+/// A gateway's place among those chosen to serve feeds, first the store's watchers, then relays between them
+/// and the rest.
+class feed_plan {
+public:
+    /// `chosen`: up to `serving_count` gateways in the order of their rank, the same at every gateway.
+    feed_plan(const std::vector<std::string>& chosen, const std::string& self);
+
+    /// Whether this gateway asks the store. `copy_age`: since its copy was last known to be current, or since
+    /// its start.
+    bool watches(feed_pace pace, duration copy_age) const;
+    /// Whether this gateway serves the feeds to others.
+    bool serves() const { return rank_.has_value(); }
+    /// The gateways to poll, in the order in which to try them.
+    std::vector<std::string> sources() const;
+    /// How long a poll waits for a change.
+    milliseconds poll_time() const;
+
+private:
+    const std::vector<std::string>& chosen_;
+    const std::string& self_;
+    std::optional<std::size_t> rank_; ///< none: not chosen
+
+    bool watches_store() const;
+};
+
+/// How many gateways serve the feeds of a fleet.
+std::size_t serving_count(std::size_t gateways);
+
+} // namespace vanillagauge::policy
+
+#endif
--- /dev/null
+++ b/tests/policy/feed_plan_tests.cpp
@@ -0,0 +1,90 @@
+#include "policy/feed_plan.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace vanillagauge::policy {
+namespace {
+
+std::vector<std::string> make_chosen(std::size_t gateways)
+{
+    std::vector<std::string> chosen;
+    for (std::size_t index = 0; index < std::min(gateways, serving_count(gateways)); ++index) {
+        chosen.push_back("vm" + std::to_string(index));
+    }
+    return chosen;
+}
+
+std::string name_of(std::size_t gateway)
+{
+    return "vm" + std::to_string(gateway);
+}
+
+// Guards against store calls that grow with the fleet: each change costs one call for each watcher.
+TEST(feed_plan, has_the_same_watchers_at_every_size)
+{
+    for (const std::size_t gateways : {3U, 27U, 66U, 295U, 1000U}) {
+        const auto chosen = make_chosen(gateways);
+        int steady_watchers = 0;
+        int frequent_watchers = 0;
+        for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+            const auto self = name_of(gateway);
+            const feed_plan plan(chosen, self);
+            steady_watchers += plan.watches(feed_pace::steady, milliseconds(0)) ? 1 : 0;
+            frequent_watchers += plan.watches(feed_pace::frequent, milliseconds(0)) ? 1 : 0;
+        }
+        EXPECT_EQ(steady_watchers, 3) << gateways;
+        EXPECT_EQ(frequent_watchers, 1) << gateways;
+    }
+}
+
+// Guards against a gateway that serves the polls of a whole large fleet.
+TEST(feed_plan, spreads_the_polls_of_a_large_fleet)
+{
+    for (const std::size_t gateways : {27U, 295U, 1000U}) {
+        const auto chosen = make_chosen(gateways);
+        std::map<std::string, std::size_t> polls;
+        for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+            const auto self = name_of(gateway);
+            const auto sources = feed_plan(chosen, self).sources();
+            ASSERT_FALSE(sources.empty());
+            EXPECT_EQ(std::count(sources.begin(), sources.end(), self), 0);
+            ++polls[sources.front()];
+        }
+        for (const auto& [vm, count] : polls) {
+            EXPECT_LE(count, 60U) << vm << " of " << gateways;
+        }
+    }
+}
+
+// Guards against relays that confirm each other in a circle without any of them asking a watcher.
+TEST(feed_plan, lets_serving_gateways_poll_watchers_only)
+{
+    const auto chosen = make_chosen(295);
+    for (const auto& vm : chosen) {
+        for (const auto& source : feed_plan(chosen, vm).sources()) {
+            EXPECT_LT(std::find(chosen.begin(), chosen.end(), source) - chosen.begin(), 3);
+        }
+    }
+    const std::string second = name_of(1);
+    EXPECT_EQ(feed_plan(chosen, second).sources().front(), name_of(0));
+}
+
+// Guards against a fleet that stays without updates while its watchers are silent, and against one that reads
+// the store at once from all gateways.
+TEST(feed_plan, asks_the_store_where_no_peer_confirms)
+{
+    const auto chosen = make_chosen(295);
+    const std::string standby = name_of(1);
+    const std::string follower = name_of(200);
+    EXPECT_TRUE(feed_plan(chosen, standby).watches(feed_pace::frequent, milliseconds(1400)));
+    EXPECT_FALSE(feed_plan(chosen, follower).watches(feed_pace::frequent, milliseconds(1400)));
+    EXPECT_TRUE(feed_plan(chosen, follower).watches(feed_pace::frequent, milliseconds(2700)));
+    EXPECT_TRUE(feed_plan(chosen, follower).watches(feed_pace::steady, milliseconds(1400)));
+}
+
+} // namespace
+} // namespace vanillagauge::policy
