--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -19,8 +19,8 @@
 
 constexpr milliseconds store_retry_delay{300};
 
-/// Ended batches whose results are kept for readers, some hundred kilobytes each.
-constexpr std::size_t max_recent = 4;
+/// Ended batches whose results are kept for readers, a hundred kilobytes each.
+constexpr std::size_t max_recent = 12;
 
 /// Bounds the work lost when an owner fails, apart from the duration of the write.
 constexpr milliseconds text_save_interval{1500};
@@ -56,8 +56,7 @@
     if (!view_complete_ && steady::now() - started_ < discovery_time) {
         return false;
     }
-    const auto& ranked = fleet_.ranked_owners(owner_key(header));
-    return !ranked.empty() && ranked.front() == fleet_.self();
+    return fleet_.owner_of(header.owner_vm, header.owner_incarnation, owner_key(header)) == fleet_.self();
 }
 
 void batch_runner::update_header(const batch_header& header)
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +51,10 @@
     /// ones.
     net::task_of<std::vector<item_result>> read_results(std::string id, std::size_t first, time_point until);
 
+    /// The encoded body of an item of a batch that runs here or ran here recently; none if it is not known
+    /// here.
+    std::optional<std::string> find_body(const std::string& batch, const std::string& item) const;
+
     const batch_header* find(const std::string& batch) const;
     std::size_t running() const { return active_.size(); }
     bool starts_batches() const { return starts_batches_; }
--- a/src/gateway/batch_runner_reads.cpp
+++ b/src/gateway/batch_runner_reads.cpp
@@ -85,4 +85,16 @@
     co_return std::vector<item_result>(results.begin() + static_cast<std::ptrdiff_t>(from), results.end());
 }
 
+std::optional<std::string> batch_runner::find_body(const std::string& batch, const std::string& item) const
+{
+    const auto run = find_run(batch);
+    if (!run) {
+        return std::nullopt;
+    }
+    const auto& items = run->progress.items();
+    const auto found = std::find_if(items.begin(), items.end(),
+                                    [&item](const item_progress& entry) { return entry.item.id == item; });
+    return found == items.end() ? std::nullopt : std::optional(found->item.body_base64);
+}
+
 } // namespace vanillagauge::gateway
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t max_cached = 1;
 
 constexpr milliseconds owner_call_timeout{1000};
+/// An owner that takes longer is asked in vain; the store has the items too.
+constexpr milliseconds body_timeout{300};
 
 /// A batch as stored, from the gateway that accepted or ended it.
 struct accepted_batch {
@@ -235,12 +237,47 @@
     co_return items;
 }
 
+// The encoded body; `unavailable` if the owner does not know it.
+net::task_of<std::string> batch_service::body_from_owner(const batch_header& header, const std::string& item)
+{
+    const error unknown{error_code::unavailable, run_state::not_run, "the owner does not know the item"};
+    const auto owner = fleet_.owner_of(header.owner_vm, header.owner_incarnation, owner_key(header));
+    if (owner == fleet_.self()) {
+        auto body = runner_.find_body(header.id, item);
+        co_return body ? result<std::string>(std::move(*body)) : unknown;
+    }
+    const auto* peer = fleet_.find_peer(owner);
+    if (peer == nullptr || peer->relay_address.empty()) {
+        co_return unknown;
+    }
+    json wanted{{"batch", header.id}, {"item", item}};
+    const auto answer = co_await store_.call_peer(peer->relay_address, body_path, std::move(wanted),
+                                                  steady::now() + body_timeout);
+    if (!ok(answer) || !member_or_null(value(answer), "body").is_string()) {
+        co_return unknown;
+    }
+    co_return string_or_empty(value(answer), "body");
+}
+
+net::http_response batch_service::serve_body(const net::http_request& request) const
+{
+    net::http_response response;
+    const auto wanted = json::parse(request.body, nullptr, false);
+    const auto body = runner_.find_body(string_or_empty(wanted, "batch"), string_or_empty(wanted, "item"));
+    response.body = body ? json{{"body", *body}}.dump() : "{}";
+    return response;
+}
+
 net::task_of<std::string> batch_service::item_body(std::string batch, std::string item)
 {
     const auto header = co_await find(batch);
     if (!ok(header)) {
         co_return failure(header);
     }
+    const auto owned = co_await body_from_owner(value(header), item);
+    if (ok(owned)) {
+        co_return decode_base64(value(owned));
+    }
     const auto items = co_await items_of(value(header));
     if (!ok(items)) {
         co_return failure(items);
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -20,6 +20,8 @@
 
 /// Path of peers' requests to run a batch speculatively.
 constexpr const char* speculative_path = "/ahead";
+/// Path of peers' requests for the body of an item.
+constexpr const char* body_path = "/body";
 /// Path on which peers send a batch that they have accepted, or ended, to its owner.
 constexpr const char* accepted_path = "/accepted";
 
@@ -42,6 +44,8 @@
     {
         return results_.serve(request);
     }
+    /// Serves a peer's request for the body of an item of a batch that runs here.
+    net::http_response serve_body(const net::http_request& request) const;
     /// Waits at most `wait` for a result. `not_found` only if the store confirms it now; `unavailable` if a
     /// result published by another gateway may be missing here.
     net::task_of<result_page> read(std::string batch, std::size_t first, milliseconds wait);
@@ -78,6 +82,7 @@
     net::task_of<stored_object> create_with_retry(std::string kind, std::string name, nlohmann::json value,
                                                   time_point until);
     net::task_of<batch_header> find(std::string batch);
+    net::task_of<std::string> body_from_owner(const batch_header& header, const std::string& item);
     net::task_of<std::vector<batch_item>> items_of(batch_header header);
 };
 
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -30,9 +30,11 @@
 /// An older copy is not served to peers.
 constexpr milliseconds max_served_age{1000};
 
-/// A gateway that has just started and knows no other waits this long before it reads the store: if all VMs
-/// start together, each would read everything.
-constexpr milliseconds meeting_time{400};
+/// A gateway that has just started reads the store once no further peer has appeared for the calm time, or
+/// after the meeting time. If all VMs start together, each first knows but a few others and would take itself
+/// for one of the watchers.
+constexpr milliseconds calm_time{300};
+constexpr milliseconds meeting_time{1000};
 
 /// Bounds of the random delay between attempts while the store fails; each attempt costs a call.
 constexpr milliseconds min_retry_delay{250};
@@ -106,10 +108,22 @@
     return steady::now() - std::max(entry.content->confirmed_at(), started_);
 }
 
-bool feed_sync::should_watch(const synced_feed& entry) const
+bool feed_sync::is_meeting_peers()
 {
-    const bool alone = fleet_.peers().size() <= 1;
-    if (alone && steady::now() - started_ < meeting_time) {
+    const auto now = steady::now();
+    if (now - started_ >= meeting_time) {
+        return false;
+    }
+    if (const auto peers = fleet_.peers().size(); peers != peers_met_) {
+        peers_met_ = peers;
+        last_met_ = now;
+    }
+    return now - last_met_ < calm_time;
+}
+
+bool feed_sync::should_watch(const synced_feed& entry)
+{
+    if (is_meeting_peers()) {
         return false;
     }
     const auto age = is_needed(entry) ? age_of(entry) : duration{0};
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -66,6 +66,8 @@
     std::string source_;               ///< of the last update: "store", a peer's address, or empty
     std::size_t next_source_ = 0;      ///< changes when a source fails
     time_point started_;
+    std::size_t peers_met_ = 0;
+    time_point last_met_{};
     time_point last_failure_{};
     bool store_down_ = false;
     time_point last_answer_{};           ///< last response of the store to any call
@@ -83,7 +85,9 @@
     bool has_updates(const internal::sync_request& request) const;
     const feed* find(const std::string& kind) const;
     policy::feed_plan plan() const;
-    bool should_watch(const synced_feed& entry) const;
+    /// Whether this gateway has just started and its peers still appear.
+    bool is_meeting_peers();
+    bool should_watch(const synced_feed& entry);
     bool is_needed(const synced_feed& entry) const { return entry.needed_here || plan().serves(); }
     /// Whether the store has answered the last call of each feed that is watched here; false if none is.
     bool watches_store() const;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -250,6 +250,16 @@
     return found != known.end() && found->second == incarnation;
 }
 
+std::string fleet_view::owner_of(const std::string& vm, std::uint64_t incarnation,
+                                 const std::string& key) const
+{
+    if (is_alive(vm, incarnation)) {
+        return vm;
+    }
+    const auto& ranked = ranked_owners(key);
+    return ranked.empty() ? std::string{} : ranked.front();
+}
+
 const std::vector<std::string>& fleet_view::watchers(std::size_t count) const
 {
     auto& known = current();
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -58,6 +58,9 @@
     const std::vector<std::string>& ranked_owners(const std::string& key) const;
     /// Whether the VM is alive under this incarnation, as far as is known here.
     bool is_alive(const std::string& vm, std::uint64_t incarnation) const;
+    /// The gateway that is to run what `vm` accepted under this incarnation: that process while it lives,
+    /// then the first by rank; empty if there is none.
+    std::string owner_of(const std::string& vm, std::uint64_t incarnation, const std::string& key) const;
     /// Up to `count` live VMs that are to watch the store for the others. Valid as long as `peers`.
     const std::vector<std::string>& watchers(std::size_t count) const;
     bool isolated() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -36,6 +37,10 @@
 constexpr milliseconds max_discovery_delay{30000};
 constexpr milliseconds register_retry_delay{1000};
 
+/// A VM to be retired that runs a gateway completes its retirement itself within this time.
+constexpr milliseconds absence_time{1000};
+constexpr const char* retirement_key = "retirements";
+
 /// Most addresses returned to a caller.
 constexpr std::size_t max_addresses = 64;
 
@@ -74,6 +79,7 @@
     weights_updater weights;
     net::http_service peers;
     bool draining = false;
+    std::map<std::string, time_point> open_retirements; ///< by VM, when they were seen here
     std::optional<std::vector<std::string>> registered; ///< VMs registered in the store, once listed
 
     net::task<void> serve_peer(const net::http_request& request, net::responder& answer);
@@ -82,6 +88,7 @@
     net::task<void> list_members();
     net::task<void> discover_members();
     net::task<void> mark_retired(std::string vm);
+    void retire_absent();
     void on_replica(const object_change& change);
     void on_configuration(const object_change& change);
     void on_version(const object_change& change);
@@ -205,9 +212,32 @@
 // at once.
 void gateway::state::on_retirement(const object_change& change)
 {
-    if (!change.removed && change.object.name == fleet.self() &&
-        change.object.status != schema.retirement_done) {
+    if (change.removed || change.object.status == schema.retirement_done) {
+        open_retirements.erase(change.object.name);
+        return;
+    }
+    if (change.object.name == fleet.self()) {
         net::start(loop, mark_retired(change.object.name));
+        return;
+    }
+    open_retirements.try_emplace(change.object.name, steady::now());
+}
+
+// Not every VM that can be retired runs a gateway: a few in each failure domain serve the fleet. Nothing is
+// stored on the others, but they cannot say so themselves.
+void gateway::state::retire_absent()
+{
+    const auto now = steady::now();
+    const auto& ranked = fleet.ranked_owners(retirement_key);
+    const bool first = !ranked.empty() && ranked.front() == fleet.self();
+    for (auto entry = open_retirements.begin(); entry != open_retirements.end();) {
+        const bool absent = fleet.find_peer(entry->first) == nullptr;
+        if (!first || !absent || now - entry->second < absence_time) {
+            ++entry;
+            continue;
+        }
+        net::start(loop, mark_retired(entry->first));
+        entry = open_retirements.erase(entry);
     }
 }
 
@@ -306,6 +336,7 @@
         }
         fleet.set_front_open(serves_callers() && ready() && !fleet.isolated());
         runner.review_ownership();
+        retire_absent();
         co_await net::sleep_for(loop, housekeeping_interval);
     }
 }
@@ -322,6 +353,9 @@
     else if (request.target == accepted_path) {
         response = batches.serve_accepted(request);
     }
+    else if (request.target == body_path) {
+        response = batches.serve_body(request);
+    }
     else if (request.target == results_path) {
         response = co_await batches.serve_results(request);
     }
--- a/src/gateway/result_reader.cpp
+++ b/src/gateway/result_reader.cpp
@@ -161,20 +161,10 @@
     co_return true;
 }
 
-// The gateway that runs the batch, as far as is known here.
-std::string result_reader::owner_of(const batch_header& header) const
-{
-    if (fleet_.is_alive(header.owner_vm, header.owner_incarnation)) {
-        return header.owner_vm;
-    }
-    const auto& ranked = fleet_.ranked_owners(owner_key(header));
-    return ranked.empty() ? std::string{} : ranked.front();
-}
-
 net::task_of<std::vector<item_result>> result_reader::ask_owner(const batch_header& header, std::size_t first,
                                                                 time_point until)
 {
-    const auto owner = owner_of(header);
+    const auto owner = fleet_.owner_of(header.owner_vm, header.owner_incarnation, owner_key(header));
     if (owner == fleet_.self()) {
         co_return co_await runner_.read_results(header.id, first, until);
     }
--- a/src/gateway/result_reader.hpp
+++ b/src/gateway/result_reader.hpp
@@ -47,7 +47,6 @@
     const fleet_view& fleet_;
     std::map<std::string, known_results> known_results_; ///< by batch
 
-    std::string owner_of(const batch_header& header) const;
     net::task_of<std::vector<item_result>> ask_owner(const batch_header& header, std::size_t first,
                                                      time_point until);
     net::task_of<result_page> read_store(std::string batch, result_page page, time_point until);
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -383,6 +383,22 @@
     EXPECT_LE(calls() - before, 10U);
 }
 
+// Guards against a VM without a gateway that nobody ever reports as empty.
+TEST(retirement, is_completed_for_a_vm_without_a_gateway)
+{
+    batch_deployment cluster;
+    cluster.ready_gateway("a");
+    cluster.ready_gateway("b");
+    cluster.modify_store([](standins::fake_store& store) {
+        store.put("retirements", "unused-1", {{"DurationS", 8}});
+    });
+    EXPECT_TRUE(deployment::eventually([&] {
+        const auto entry = cluster.inspect_store<json>(
+            [](standins::fake_store& store) { return store.find("retirements", "unused-1"); });
+        return entry.value("Status", json()) == json{{"State", "completed"}};
+    }));
+}
+
 TEST(retirement, is_completed_by_the_retired_vm)
 {
     batch_deployment cluster;
