Give engines by demand, and stop calls to a store that has just failed on all ways

Cause: each model followed as many engines as any other, whatever its steps need (1 to 4 on the users' larger sites). While the store is away each read cost six calls: the owner and the front tried it directly and through two peers. A restarted VM read and replaced its registration though it said the same. Change: headers carry the expected output of a batch, plan_weight_loads shares the engines by it; policy/store_breaker fails calls at once for 250 ms after one failed on all ways; a registration that says the same address stays.

--- a/src/gateway/batch.cpp
+++ b/src/gateway/batch.cpp
@@ -79,6 +79,15 @@
     return header.model.empty() ? header.id : header.service + "/" + header.model;
 }
 
+double expected_output(const std::vector<batch_item>& items)
+{
+    double sum = 0;
+    for (const auto& item : items) {
+        sum += item.length_hint > 0 ? item.length_hint : item.max_output;
+    }
+    return sum;
+}
+
 std::string results_kind(const std::string& batch)
 {
     return "results-" + batch;
@@ -108,6 +117,7 @@
             {"step", header.step},
             {"total", header.total},
             {"wanted_groups", header.wanted_groups},
+            {"work", header.work},
             {"parts", header.parts},
             {"single_version", header.single_version},
             {"attempts", header.attempts},
@@ -132,6 +142,7 @@
             header.step = from.at("step").get<std::uint64_t>();
             header.total = from.at("total").get<std::size_t>();
             header.wanted_groups = from.at("wanted_groups").get<std::size_t>();
+            header.work = from.value("work", 0.0);
             header.parts = from.at("parts").get<std::size_t>();
             header.single_version = from.at("single_version").get<bool>();
             header.attempts = from.at("attempts").get<int>();
--- a/src/gateway/batch.hpp
+++ b/src/gateway/batch.hpp
@@ -34,6 +34,7 @@
     std::string body_base64;
     std::string group;                     ///< items of one group share a prompt
     std::uint64_t tokens = 0;              ///< prompt plus maximum output
+    double max_output = 0;                 ///< the caller's limit of the output tokens; 0: none
     double length_hint = 0;                ///< the caller's estimate of the output tokens; 0: none
     std::optional<scoring_call> scoring{}; ///< none: the item is not scored
 };
@@ -51,6 +52,7 @@
     std::uint64_t step = 0;
     std::size_t total = 0;
     std::size_t wanted_groups = 0;
+    double work = 0;       ///< expected output tokens of all items; 0: unknown
     std::size_t parts = 0; ///< number of objects that hold the items
     bool single_version = false;
     int attempts = 1;
@@ -64,6 +66,9 @@
 /// and its connections serve one step after the other.
 std::string owner_key(const batch_header& header);
 
+/// Expected output tokens of the items; 0: unknown.
+double expected_output(const std::vector<batch_item>& items);
+
 struct batch_submission {
     batch_header header;
     std::vector<batch_item> items;
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -88,6 +88,7 @@
     current->submission = std::move(submission);
     auto& header = current->submission.header;
     header.total = current->submission.items.size();
+    header.work = expected_output(current->submission.items);
     header.owner_vm = fleet_.self();
     header.owner_incarnation = fleet_.incarnation();
     const auto id = header.id;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -205,6 +205,9 @@
         log_unreadable(batch_kind, change.object.name, failure(header));
         return;
     }
+    if (runner.find(value(header).id) == nullptr) {
+        weights.note_demand(value(header).model, value(header).work);
+    }
     runner.update_header(value(header));
 }
 
@@ -256,7 +259,7 @@
 
 net::task<bool> gateway::state::register_member()
 {
-    const json self{{"peer", fleet.peer_address()}, {"incarnation", fleet.incarnation()}};
+    const json self{{"peer", fleet.peer_address()}};
     const auto created = co_await relay.create(member_kind, fleet.self(), self);
     if (ok(created)) {
         co_return true;
@@ -264,6 +267,11 @@
     if (failure(created).code != error_code::conflict) {
         co_return false;
     }
+    // A restarted VM is registered already; a fleet that restarts as a whole would spend two calls more for each.
+    const auto existing = json::parse(failure(created).current, nullptr, false);
+    if (string_or_empty(existing, "peer") == fleet.peer_address()) {
+        co_return true;
+    }
     const auto earlier = co_await relay.read(member_kind, fleet.self());
     if (!ok(earlier)) {
         co_return false;
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -147,7 +147,7 @@
 
 // Every call is safe to repeat: reads, creations under a name that identifies the content, and updates
 // conditional on a revision. If an earlier attempt is applied late, its condition no longer holds.
-net::task_of<store_answer> peer_relay::call(store_call wanted)
+net::task_of<store_answer> peer_relay::call_all_ways(store_call wanted)
 {
     const auto until = steady::now() + call_timeout;
     const bool peers_first = direct_failed_ && steady::now() < direct_retry_;
@@ -176,6 +176,21 @@
     co_return reason;
 }
 
+net::task_of<store_answer> peer_relay::call(store_call wanted)
+{
+    if (!breaker_.allows(steady::now())) {
+        co_return unavailable(run_state::not_run, "the store has just failed on all ways to it");
+    }
+    auto outcome = co_await call_all_ways(std::move(wanted));
+    if (store_unavailable(outcome)) {
+        breaker_.on_unreachable(steady::now());
+    }
+    else {
+        breaker_.on_answered();
+    }
+    co_return outcome;
+}
+
 net::task_of<stored_object> peer_relay::call_object(store_call wanted)
 {
     auto outcome = co_await call(std::move(wanted));
@@ -207,6 +222,9 @@
 
 net::task_of<object_changes> peer_relay::watch(std::string kind, std::uint64_t since, milliseconds wait)
 {
+    if (!breaker_.allows(steady::now())) {
+        co_return unavailable(run_state::not_run, "the store has just failed on all ways to it");
+    }
     auto outcome = co_await direct_.watch(std::move(kind), since, wait);
     record_direct_result(std::get_if<error>(&outcome));
     co_return outcome;
--- a/src/gateway/peer_relay.hpp
+++ b/src/gateway/peer_relay.hpp
@@ -8,6 +8,7 @@
 #include "gateway/fleet_view.hpp"
 #include "gateway/store_call.hpp"
 #include "net/connection_pool.hpp"
+#include "policy/store_breaker.hpp"
 
 #include <map>
 #include <memory>
@@ -43,11 +44,13 @@
     object_store& direct_;
     const fleet_view& fleet_;
     std::map<std::string, std::unique_ptr<net::connection_pool>> pools_;
-    std::string last_good_;      ///< the peer address that last relayed a call
+    std::string last_good_; ///< the peer address that last relayed a call
+    policy::store_breaker breaker_;
     bool direct_failed_ = false; ///< the last direct call failed
     time_point direct_retry_{};
 
     net::task_of<store_answer> call(store_call wanted);
+    net::task_of<store_answer> call_all_ways(store_call wanted);
     net::task_of<stored_object> call_object(store_call wanted);
     net::task_of<store_answer> call_directly(store_call wanted);
     net::task_of<store_answer> call_peers(const store_call& wanted, time_point until);
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -110,6 +110,16 @@
     }
 }
 
+void weights_updater::note_demand(const std::string& model, double work)
+{
+    constexpr double smoothing = 0.3;
+    if (work <= 0) {
+        return;
+    }
+    auto& mean = demand_[model];
+    mean = mean > 0 ? mean * (1 - smoothing) + work * smoothing : work;
+}
+
 // The steady clock stops while the machine is suspended, so a resumed holder would still trust its lease. The
 // boot clock shows the gap; the lease is then read again and must expire first, like another VM's.
 bool weights_updater::was_suspended()
@@ -278,7 +288,7 @@
             view.backing_off = now < backoff_until_[view.id];
             views.push_back(std::move(view));
         }
-        for (const auto& next : policy::plan_weight_loads(views, versions)) {
+        for (const auto& next : policy::plan_weight_loads(views, versions, demand_)) {
             loading_.insert(next.engine);
             net::start(loop_, load(targets_.find(next.engine), next.model, next.version));
         }
--- a/src/gateway/weights_updater.hpp
+++ b/src/gateway/weights_updater.hpp
@@ -27,6 +27,8 @@
     void start();
     /// A trainer requires this version of a model; lower versions are ignored.
     void require_version(const std::string& model, std::uint64_t version);
+    /// A trainer has submitted a batch of a model that needs this work, in output tokens.
+    void note_demand(const std::string& model, double work);
     /// Orders no more loads and releases the lease.
     void stop();
 
@@ -42,6 +44,7 @@
     policy::order_lease lease_;
     duration clock_gap_{0}; ///< between the steady clock and one that includes time in suspension
     std::map<std::string, std::uint64_t> required_versions_;
+    std::map<std::string, double> demand_;            ///< moving mean of the work of a model's batches
     std::set<std::string> loading_;                   ///< instance ids
     std::map<std::string, time_point> backoff_until_; ///< by instance id
     bool holder_alive_ = false;                       ///< according to the fleet view
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -19,6 +19,7 @@
 #include "policy/scheduler.hpp"
 #include "policy/slow_start.hpp"
 #include "policy/step_placement.hpp"
+#include "policy/store_breaker.hpp"
 #include "policy/straggler.hpp"
 #include "policy/target_pool.hpp"
 #include "policy/wave_fence.hpp"
--- a/src/policy/weight_load_plan.hpp
+++ b/src/policy/weight_load_plan.hpp
@@ -26,9 +26,11 @@
     friend bool operator==(const weight_load&, const weight_load&) = default;
 };
 
-/// `newest`: the newest version of each model.
+/// `newest`: the newest version of each model. `demand`: work that each model's trainer asks for, in any
+/// unit; models without one count as average.
 std::vector<weight_load> plan_weight_loads(const std::vector<model_engine>& engines,
-                                           const std::map<std::string, std::uint64_t>& newest);
+                                           const std::map<std::string, std::uint64_t>& newest,
+                                           const std::map<std::string, double>& demand = {});
 
 /// How many of `engines` engines may load at once.
 std::size_t max_concurrent_loads(std::size_t engines);
--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -232,6 +232,7 @@
         co_return;
     }
     if (faults.refuse) {
+        ++refused_calls_;
         auto refused = respond(503, json::object());
         co_await answer.send(std::move(refused));
         co_return;
--- a/standins/users/fake_store.hpp
+++ b/standins/users/fake_store.hpp
@@ -46,6 +46,8 @@
     /// Write requests, rejected ones included, but none answered under `faults.refuse`.
     std::uint64_t write_calls() const { return write_calls_; }
     std::uint64_t list_calls(const std::string& kind) const;
+    /// Requests answered 503 under `faults.refuse`.
+    std::uint64_t refused_calls() const { return refused_calls_; }
     /// Reads, lists and watches.
     std::uint64_t read_calls(const std::string& kind) const;
 
@@ -64,6 +66,7 @@
     std::uint64_t revision_ = 100;
     std::uint64_t compacted_revision_ = 0;
     std::uint64_t write_calls_ = 0;
+    std::uint64_t refused_calls_ = 0;
     std::map<std::string, std::uint64_t> list_calls_; ///< by kind
     std::map<std::string, std::uint64_t> read_calls_; ///< by kind
     net::http_service service_;
--- a/tests/gateway/batch_read_tests.cpp
+++ b/tests/gateway/batch_read_tests.cpp
@@ -109,6 +109,35 @@
     EXPECT_EQ(cluster.status_of(owner.address(), make_read("b1", 0)), 503);
 }
 
+// Guards against calls that grow with the readers while the store is away, and against readers who wait for
+// it.
+TEST(batch_reads, are_refused_at_once_while_the_store_is_away)
+{
+    batch_deployment cluster;
+    auto& owner = cluster.ready_gateway("a");
+    EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1", 9)), 202);
+    EXPECT_EQ(cluster.status_of(owner.address(), make_read("b1", 0)), 200);
+    cluster.modify_store([](standins::fake_store& store) { store.faults.refuse = true; });
+    std::this_thread::sleep_for(settle_time);
+    const auto refused = [&] {
+        return cluster.inspect_store<std::uint64_t>(
+            [](standins::fake_store& store) { return store.refused_calls(); });
+    };
+    auto read = make_read("b1", 0);
+    read.fields.set("Wait-Ms", "0");
+    const auto before = refused();
+    const auto began = steady::now();
+    constexpr int reads = 100;
+    for (int turn = 0; turn < reads; ++turn) {
+        EXPECT_EQ(cluster.status_of(owner.address(), read), 503);
+    }
+    const auto took = std::chrono::duration<double>(steady::now() - began).count();
+    EXPECT_LE(took, 3);
+    // The watcher's own attempts are among them.
+    constexpr double calls_a_second = 12;
+    EXPECT_LE(static_cast<double>(refused() - before), 4 + calls_a_second * took);
+}
+
 // Guards against an exception on malformed calls of other programs, which would end the gateway.
 TEST(batch_reads, of_peers_are_refused_if_malformed)
 {
--- a/tests/policy/weight_load_plan_tests.cpp
+++ b/tests/policy/weight_load_plan_tests.cpp
@@ -92,6 +92,62 @@
     EXPECT_LE(loads, 8 * announcements);
 }
 
+/// Engines at the newest version of each model after enough rounds of loads.
+std::map<std::string, int> followers(std::vector<model_engine> engines,
+                                     const std::map<std::string, std::uint64_t>& newest,
+                                     const std::map<std::string, double>& demand)
+{
+    for (std::size_t round = 0; round < 2 * engines.size(); ++round) {
+        for (const auto& next : plan_weight_loads(engines, newest, demand)) {
+            for (auto& engine : engines) {
+                if (engine.id == next.engine) {
+                    engine.versions[next.model] = next.version;
+                }
+            }
+        }
+    }
+    EXPECT_TRUE(plan_weight_loads(engines, newest, demand).empty()) << "the plan does not come to rest";
+    std::map<std::string, int> counts;
+    for (const auto& [model, version] : newest) {
+        counts[model] = static_cast<int>(std::count_if(
+            engines.begin(), engines.end(), [&, wanted = version, &name = model](const model_engine& engine) {
+                const auto found = engine.versions.find(name);
+                return found != engine.versions.end() && found->second == wanted;
+            }));
+    }
+    return counts;
+}
+
+// Guards against trainers of large steps that are late while the engines of small ones are idle.
+TEST(plan_weight_loads, gives_engines_by_demand)
+{
+    const auto counts = followers(make_engines(36, 1), {{"a", 2}, {"b", 2}, {"c", 2}, {"d", 2}},
+                                  {{"a", 576}, {"b", 2240}, {"c", 2240}, {"d", 1120}});
+    EXPECT_NEAR(counts.at("a"), 3, 1);
+    EXPECT_NEAR(counts.at("b"), 13, 1);
+    EXPECT_NEAR(counts.at("c"), 13, 1);
+    EXPECT_NEAR(counts.at("d"), 6, 1);
+}
+
+TEST(plan_weight_loads, lets_small_models_share_an_engine)
+{
+    const auto counts = followers(make_engines(3, 1), {{"a", 2}, {"b", 2}, {"c", 2}, {"d", 2}},
+                                  {{"a", 1000}, {"b", 1000}, {"c", 100}, {"d", 100}});
+    for (const auto& [model, count] : counts) {
+        EXPECT_EQ(count, 1) << model;
+    }
+}
+
+TEST(plan_weight_loads, treats_models_without_known_demand_as_average)
+{
+    const auto counts = followers(make_engines(9, 1), {{"a", 2}, {"b", 2}, {"c", 2}}, {{"a", 300}});
+    EXPECT_EQ(counts.at("a"), 3);
+    EXPECT_EQ(counts.at("b"), 3);
+    EXPECT_EQ(counts.at("c"), 3);
+    EXPECT_TRUE(plan_weight_loads({}, {{"a", 2}}, {}).empty());
+    EXPECT_TRUE(plan_weight_loads(make_engines(2, 1), {}, {{"a", 2}}).empty());
+}
+
 TEST(plan_weight_loads, bounds_concurrent_loads)
 {
     const std::map<std::string, std::uint64_t> newest{{"m", 2}};
