Spare the store at the start of a large fleet

Cause: each of 250 gateways read the weights' lease and the list of members, and asked for all feeds itself if the first copies took over 1.3 s to pass through watchers and relays. Change: the lease is read first only where it may name the VM (the largest VMs, 0.4 s after the start); the members are listed by those and by a gateway that knows no other; a first copy may take 3 s.

--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -126,8 +126,11 @@
     if (is_meeting_peers()) {
         return false;
     }
-    const auto age = is_needed(entry) ? age_of(entry) : duration{0};
-    return plan().watches(entry.pace, age);
+    policy::feed_plan::copy known;
+    if (is_needed(entry)) {
+        known = {entry.content->synced(), age_of(entry)};
+    }
+    return plan().watches(entry.pace, known);
 }
 
 bool feed_sync::watches_store() const
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace vanillagauge::gateway {
@@ -105,6 +106,7 @@
 struct fleet_view::snapshot {
     std::uint64_t generation = 0;
     bool isolated = false;
+    std::optional<bool> large; ///< whether this VM is
     std::vector<fleet::member> members;
     std::vector<gateway_peer> peers;                                    ///< ordered by VM
     std::unordered_map<std::string, std::uint64_t> incarnations;        ///< by VM, neither dead nor left
@@ -250,6 +252,20 @@
     return found != known.end() && found->second == incarnation;
 }
 
+bool fleet_view::is_large() const
+{
+    auto& known = current();
+    if (!known.large) {
+        std::vector<policy::owner_candidate> living;
+        for (const auto& peer : known.peers) {
+            living.push_back({peer.vm, peer.capacity});
+        }
+        const auto large = policy::largest_owners(std::move(living));
+        known.large = std::find(large.begin(), large.end(), vm_) != large.end();
+    }
+    return *known.large;
+}
+
 std::string fleet_view::owner_of(const std::string& vm, std::uint64_t incarnation,
                                  const std::string& key) const
 {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -58,6 +58,8 @@
     const std::vector<std::string>& ranked_owners(const std::string& key) const;
     /// Whether the VM is alive under this incarnation, as far as is known here.
     bool is_alive(const std::string& vm, std::uint64_t incarnation) const;
+    /// Whether this VM is among those with most processor, whether or not it accepts work yet.
+    bool is_large() const;
     /// The gateway that is to run what `vm` accepted under this incarnation: that process while it lives,
     /// then the first by rank; empty if there is none.
     std::string owner_of(const std::string& vm, std::uint64_t incarnation, const std::string& key) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -267,7 +267,8 @@
     if (failure(created).code != error_code::conflict) {
         co_return false;
     }
-    // A restarted VM is registered already; a fleet that restarts as a whole would spend two calls more for each.
+    // A restarted VM is registered already; a fleet that restarts as a whole would spend two calls more for
+    // each.
     const auto existing = json::parse(failure(created).current, nullptr, false);
     if (string_or_empty(existing, "peer") == fleet.peer_address()) {
         co_return true;
@@ -306,7 +307,11 @@
     while (!co_await register_member()) {
         co_await net::sleep_for(loop, register_retry_delay);
     }
-    co_await list_members();
+    // The others find their peers by their seeds. Those that may own batches learn here which peers are
+    // missing.
+    if (fleet.is_large() || fleet.peers().size() <= 1) {
+        co_await list_members();
+    }
     auto delay = min_discovery_delay;
     while (true) {
         co_await net::sleep_for(loop, delay);
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -14,6 +14,9 @@
 
 constexpr milliseconds poll_interval{100};
 
+/// After its start a gateway meets its peers within this time.
+constexpr milliseconds meeting_time{400};
+
 /// A load takes about a second; afterwards the engine is polled until it reports the version. Its report lags
 /// by some hundred milliseconds, its entry in the store by more than a second.
 constexpr milliseconds expected_load_time{900};
@@ -70,7 +73,7 @@
       lease_({.self = self_,
               .ttl = settings.gateway.order_lease * 2 / 3,
               .max_order_time = settings.gateway.order_lease}),
-      clock_gap_(time_since_boot() - steady::now().time_since_epoch())
+      started_(steady::now()), clock_gap_(time_since_boot() - steady::now().time_since_epoch())
 {
 }
 
@@ -158,6 +161,8 @@
     }
     holder_alive_ = holder_alive;
     ranked_first_ = first;
+    // At a start of all VMs each would read the lease, most of them for nothing.
+    lease_.set_eligible(now - started_ >= meeting_time && fleet_.is_large());
     lease_.on_candidate(!stopped_ && (first || lease_.holds(now) || lease_.names_self()));
 }
 
--- a/src/gateway/weights_updater.hpp
+++ b/src/gateway/weights_updater.hpp
@@ -42,6 +42,7 @@
     std::string order_holder_;
     std::string self_; ///< this VM in the lease, with its address: a replacement VM may reuse the name
     policy::order_lease lease_;
+    time_point started_;
     duration clock_gap_{0}; ///< between the steady clock and one that includes time in suspension
     std::map<std::string, std::uint64_t> required_versions_;
     std::map<std::string, double> demand_;            ///< moving mean of the work of a model's batches
--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -15,8 +15,10 @@
 
 /// A gateway whose copy has not been confirmed for this long asks the store itself. Those that should serve
 /// the others do so first: if all did at once, the store would be read once for each gateway.
-constexpr milliseconds serving_staleness_limit{1300};
+constexpr milliseconds staleness_limit{1300};
 constexpr milliseconds frequent_staleness_limit{2600};
+/// After a start of all gateways a first copy passes through the watchers and relays.
+constexpr milliseconds start_limit{3000};
 
 /// Copies of gateways that serve others are kept fresher than the others'.
 constexpr milliseconds serving_poll_time{300};
@@ -48,15 +50,15 @@
 // second. With a watch at every serving gateway the calls would grow with the fleet and with the work at
 // once. Steady feeds keep three watchers, since their changes are bounded in time even if one is cut off; a
 // frequent feed has one, whose silence delays steps by a second or two and breaks nothing.
-bool feed_plan::watches(feed_pace pace, duration copy_age) const
+bool feed_plan::watches(feed_pace pace, const copy& known) const
 {
-    if (pace == feed_pace::steady) {
-        return watches_store() || copy_age > serving_staleness_limit;
-    }
     if (watches_store()) {
-        return *rank_ == 0 || copy_age > serving_staleness_limit;
+        return pace == feed_pace::steady || *rank_ == 0 || known.age > staleness_limit;
+    }
+    if (!known.synced) {
+        return known.age > start_limit;
     }
-    return copy_age > frequent_staleness_limit;
+    return known.age > (pace == feed_pace::steady ? staleness_limit : frequent_staleness_limit);
 }
 
 std::vector<std::string> feed_plan::sources() const
--- a/src/policy/feed_plan.hpp
+++ b/src/policy/feed_plan.hpp
@@ -24,9 +24,13 @@
     /// `chosen`: up to `serving_count` gateways in the order of their rank, the same at every gateway.
     feed_plan(const std::vector<std::string>& chosen, const std::string& self);
 
-    /// Whether this gateway asks the store. `copy_age`: since its copy was last known to be current, or since
-    /// its start.
-    bool watches(feed_pace pace, duration copy_age) const;
+    /// The state of this gateway's copy of a feed.
+    struct copy {
+        bool synced = true; ///< false: none has been received yet
+        duration age{0};    ///< since it was last known to be current, or since the start
+    };
+    /// Whether this gateway asks the store.
+    bool watches(feed_pace pace, const copy& known) const;
     /// Whether this gateway serves the feeds to others.
     bool serves() const { return rank_.has_value(); }
     /// The gateways to poll, in the order in which to try them.
--- a/src/policy/order_lease.cpp
+++ b/src/policy/order_lease.cpp
@@ -110,8 +110,8 @@
     if (request_pending_ || now < next_try_) {
         return lease_action::none;
     }
-    // Every process reads once, candidate or not: the lease may already name its VM.
-    if (!state_known_ && (candidate_ || !ever_read_)) {
+    // Every process that the lease may already name reads it once, candidate or not.
+    if (!state_known_ && (candidate_ || (eligible_ && !ever_read_))) {
         request_pending_ = true;
         return lease_action::read;
     }
--- a/src/policy/order_lease.hpp
+++ b/src/policy/order_lease.hpp
@@ -34,6 +34,8 @@
     explicit order_lease(order_lease_options options) : options_(std::move(options)) {}
 
     /// Whether this process should acquire the lease once it is free.
+    /// Whether the stored lease may name this VM; if not, it is not read before this VM is a candidate.
+    void set_eligible(bool eligible) { eligible_ = eligible; }
     void on_candidate(bool candidate) { candidate_ = candidate; }
     /// Ends ordering because this process stops. Returns the version to overwrite with a released lease; none
     /// if this process does not hold the lease.
@@ -70,6 +72,7 @@
     bool candidate_ = false;
     bool request_pending_ = false;
     bool state_known_ = false;
+    bool eligible_ = true;
     bool ever_read_ = false;
     std::string holder_;
     std::uint64_t version_ = 0;
