Count the age of a relayed copy from when its source sent it

Besides, 144 gateways tried to create the weights' lease at the start, each first among the peers that it knew yet. Test: feed_plan.keeps_copies_behind_relays_fresh, which fails if the time held is left out.

--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -363,7 +363,8 @@
     const bool served = value(response).current;
     bool changed = crashes_.merge(value(response).crashes, steady::now());
     if (served) {
-        const auto confirmed_at = requested_at - value(response).age;
+        const auto confirmed_at =
+            policy::confirmed_at(requested_at, value(response).held, value(response).age);
         changed = apply_response(std::move(value(response)), confirmed_at) || changed;
         if (!watches_store()) {
             set_source(address);
@@ -431,6 +432,7 @@
     internal::sync_response answer;
     const auto age = served_age(wanted);
     answer.current = age.has_value();
+    answer.held = std::chrono::floor<milliseconds>(steady::now() - requested_at);
     answer.age = age.value_or(milliseconds{0});
     answer.crashes = crashes_.update_since(wanted.crashes_since, steady::now());
     if (last_failure_ != time_point{}) {
--- a/src/gateway/internal/sync_messages.cpp
+++ b/src/gateway/internal/sync_messages.cpp
@@ -72,6 +72,7 @@
 {
     json document;
     document["serves"] = response.current;
+    document["held_ms"] = response.held.count();
     document["age_ms"] = response.age.count();
     if (response.failure_age) {
         document["failed_ms_ago"] = response.failure_age->count();
@@ -90,6 +91,7 @@
         document, std::move(malformed), [](const json& from) -> result<sync_response> {
             sync_response response;
             response.current = from.at("serves").get<bool>();
+            response.held = bounded(from.at("held_ms"), max_wait_ms);
             response.age = bounded(from.at("age_ms"), max_record_age_ms);
             if (const auto failed = from.find("failed_ms_ago"); failed != from.end()) {
                 response.failure_age = bounded(*failed, max_record_age_ms);
--- a/src/gateway/internal/sync_messages.hpp
+++ b/src/gateway/internal/sync_messages.hpp
@@ -21,7 +21,8 @@
 
 struct sync_response {
     bool current = false;                      ///< the responding gateway's copies of all requested kinds
-    milliseconds age{0};                       ///< time since the oldest of them was confirmed
+    milliseconds held{0};                      ///< from the receipt of the request to this response
+    milliseconds age{0};                       ///< then, since the oldest of them was confirmed
     std::optional<milliseconds> failure_age{}; ///< time since its last store failure
     std::map<std::string, feed_update> feeds{};
     policy::crash_update crashes{};
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -161,9 +161,11 @@
     }
     holder_alive_ = holder_alive;
     ranked_first_ = first;
-    // At a start of all VMs each would read the lease, most of them for nothing.
-    lease_.set_eligible(now - started_ >= meeting_time && fleet_.is_large());
-    lease_.on_candidate(!stopped_ && (first || lease_.holds(now) || lease_.names_self()));
+    // At a start of all VMs each would read the lease and, first among the few peers that it knows yet, try
+    // to take it.
+    const bool eligible = now - started_ >= meeting_time && fleet_.is_large();
+    lease_.set_eligible(eligible);
+    lease_.on_candidate(!stopped_ && ((first && eligible) || lease_.holds(now) || lease_.names_self()));
 }
 
 net::task<void> weights_updater::maintain_lease()
--- a/src/policy/feed_plan.hpp
+++ b/src/policy/feed_plan.hpp
@@ -46,6 +46,10 @@
     bool watches_store() const;
 };
 
+/// When a copy was last known to be current that was received from a peer: it had been confirmed `age` before
+/// the response, which the peer sent `held` after it received the request.
+time_point confirmed_at(time_point requested_at, milliseconds held, milliseconds age);
+
 /// How many gateways serve the feeds of a fleet.
 std::size_t serving_count(std::size_t gateways);
 
--- a/tests/policy/feed_plan_tests.cpp
+++ b/tests/policy/feed_plan_tests.cpp
@@ -89,5 +89,62 @@
     EXPECT_TRUE(feed_plan(chosen, follower).watches(feed_pace::steady, {false, milliseconds(3100)}));
 }
 
+/// A copy that polls its source without pause; each poll is held for the whole poll time.
+struct polled_copy {
+    feed_plan plan;
+    milliseconds poll_time = plan.poll_time();
+    time_point requested_at{};
+    time_point confirmed{};
+
+    void tick(time_point now, time_point source_confirmed)
+    {
+        if (now - requested_at < poll_time) {
+            return;
+        }
+        const auto age = std::chrono::ceil<milliseconds>(now - source_confirmed);
+        confirmed = std::max(confirmed, confirmed_at(requested_at, poll_time, age));
+        requested_at = now + round_trip;
+    }
+
+    static constexpr milliseconds round_trip{20};
+};
+
+// Guards against a calm large fleet that reads the store over and over, since the copies behind two relays
+// seem too old by the time of each poll between them and the store.
+TEST(feed_plan, keeps_copies_behind_relays_fresh)
+{
+    const auto chosen = make_chosen(295);
+    const std::string standby = name_of(1);
+    const std::string relay = name_of(9);
+    const std::string follower = name_of(200);
+    const time_point began{seconds(100)};
+    struct feed_chain {
+        feed_pace pace;
+        std::vector<polled_copy> copies; ///< each polls the one before it, the first a watcher of the store
+    };
+    std::vector<feed_chain> chains{
+        {feed_pace::steady, {{feed_plan(chosen, relay)}, {feed_plan(chosen, follower)}}},
+        {feed_pace::frequent,
+         {{feed_plan(chosen, standby)}, {feed_plan(chosen, relay)}, {feed_plan(chosen, follower)}}}};
+    for (auto& chain : chains) {
+        for (auto& copy : chain.copies) {
+            copy.requested_at = began;
+            copy.confirmed = began;
+        }
+    }
+    for (milliseconds at{0}; at < seconds(20); at += milliseconds(10)) {
+        const auto now = began + at;
+        for (auto& chain : chains) {
+            auto source_confirmed = now;
+            for (auto& copy : chain.copies) {
+                copy.tick(now, source_confirmed);
+                source_confirmed = copy.confirmed;
+                EXPECT_FALSE(copy.plan.watches(chain.pace, {true, now - copy.confirmed}))
+                    << copy.poll_time.count() << " at " << at.count();
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace vanillagauge::policy
