--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -51,7 +51,7 @@
 batch_service::batch_service(net::loop& loop, peer_relay& store, feed& headers, batch_runner& runner,
                              const fleet_view& fleet)
     : loop_(loop), store_(store), headers_(headers), runner_(runner), fleet_(fleet),
-      results_(loop, store, runner, fleet)
+      results_(store, runner, fleet)
 {
 }
 
--- a/src/gateway/result_reader.cpp
+++ b/src/gateway/result_reader.cpp
@@ -62,9 +62,8 @@
 
 } // namespace
 
-result_reader::result_reader(net::loop& loop, peer_relay& store, batch_runner& runner,
-                             const fleet_view& fleet)
-    : loop_(loop), store_(store), runner_(runner), fleet_(fleet)
+result_reader::result_reader(peer_relay& store, batch_runner& runner, const fleet_view& fleet)
+    : store_(store), runner_(runner), fleet_(fleet)
 {
 }
 
--- a/src/gateway/result_reader.hpp
+++ b/src/gateway/result_reader.hpp
@@ -26,7 +26,7 @@
 class result_reader {
 public:
     /// All must outlive it.
-    result_reader(net::loop& loop, peer_relay& store, batch_runner& runner, const fleet_view& fleet);
+    result_reader(peer_relay& store, batch_runner& runner, const fleet_view& fleet);
 
     /// Waits at most `wait` for a result. `unavailable` if a result published by another gateway may be
     /// missing here.
@@ -41,7 +41,6 @@
         std::size_t end = 0;                ///< no result from this position on
         std::uint64_t as_of = 0;            ///< store revision of `end`; 0: never read
     };
-    net::loop& loop_;
     peer_relay& store_;
     batch_runner& runner_;
     const fleet_view& fleet_;
--- a/tests/gateway/batch_read_tests.cpp
+++ b/tests/gateway/batch_read_tests.cpp
@@ -51,6 +51,7 @@
     const auto before = result_reads(cluster, "b1");
     constexpr int readers = 16;
     std::vector<std::future<void>> reads;
+    reads.reserve(readers);
     for (int reader = 0; reader < readers; ++reader) {
         reads.push_back(std::async(std::launch::async, [&] {
             EXPECT_EQ(cluster.body_of(other.address(), make_read("b1", 0))["Total"], item_count);
