Leave VMs without callers out of the choice of the largest

Cause: the rank of the lease's candidates counted the processors of storage machines (0.3 cores) beside fronts of 0.12, so on a fleet without larger fronts nobody was eligible for the weights' lease and no engine was ever ordered a version. Change: a VM that serves no callers announces no processor for their work. Test: batches.get_weights_where_vms_without_callers_are_larger, which fails on the code before (no order in ten seconds).

--- a/src/fleet/node.hpp
+++ b/src/fleet/node.hpp
@@ -40,7 +40,7 @@
     std::uint64_t config_version = 0; ///< the newest it is known to hold; not versioned
     std::string datagram_address{};
     bool watch_failing = false; ///< its watch of the store fails; another VM should watch
-    std::uint32_t capacity = 0; ///< the VM's processor, thousandths of a core; 0: unknown
+    std::uint32_t capacity = 0; ///< processor for callers' work, thousandths of a core; 0: unknown or none
 
     friend bool operator==(const node&, const node&) = default;
 };
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -33,7 +33,10 @@
     self.vm = settings.vm;
     self.failure_domain = settings.failure_domain;
     self.incarnation = incarnation;
-    self.capacity = static_cast<std::uint32_t>(settings.gateway.cpu_share * thousandths);
+    // A VM without callers runs no batches and orders no weights, so its processor must not count beside
+    // theirs.
+    const bool serves_callers = !settings.gateway.front_listen.empty();
+    self.capacity = serves_callers ? static_cast<std::uint32_t>(settings.gateway.cpu_share * thousandths) : 0;
     return self;
 }
 
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -20,7 +20,7 @@
     std::string relay_address;
     std::string front_address; ///< empty: it serves no callers
     bool draining = false;
-    std::uint32_t capacity = 0; ///< thousandths of a core; 0: unknown
+    std::uint32_t capacity = 0; ///< thousandths of a core; 0: unknown, or it serves no callers
 };
 
 /// For use on the loop's thread only, except for construction, `open` and `close`.
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -383,6 +383,32 @@
     EXPECT_LE(calls() - before, 10U);
 }
 
+// Guards against a fleet in which no gateway orders weights: the VMs that serve no callers have the larger
+// processors, but only the others may take the lease.
+TEST(batches, get_weights_where_vms_without_callers_are_larger)
+{
+    batch_deployment cluster;
+    for (const auto* vm : {"s1", "s2", "s3", "s4", "s5"}) {
+        auto settings = make_settings(vm, cluster.store_address(), {});
+        settings.gateway.front_listen.clear();
+        settings.gateway.cpu_share = 0.3;
+        cluster.gateways.push_back(std::make_unique<running_gateway>(std::move(settings)));
+    }
+    auto settings = make_settings("a", cluster.store_address(), {});
+    settings.gateway.cpu_share = 0.12;
+    cluster.gateways.push_back(std::make_unique<running_gateway>(std::move(settings)));
+    auto& served = *cluster.gateways.back();
+    EXPECT_TRUE(deployment::eventually([&] { return served.ready(); }));
+    cluster.modify_store([](standins::fake_store& store) {
+        store.put("versions", "m", {{"Model", "m"}, {"Version", 2}});
+    });
+    EXPECT_TRUE(deployment::eventually([&] {
+        return cluster.inspect_store<std::size_t>([&](standins::fake_store&) {
+            return cluster.one.orders.size() + cluster.two.orders.size();
+        }) == 2;
+    }));
+}
+
 // Guards against a VM without a gateway that nobody ever reports as empty.
 TEST(retirement, is_completed_for_a_vm_without_a_gateway)
 {
