Let a successor claim a batch in the store, and delay items that are refused again

Change: a successor writes itself as the owner, under the revision that it has read, before it runs anything; an item that is refused again waits 10 ms, doubled up to 640 ms. Tests: batches.name_their_successor_in_the_store, batch_progress.delays_items_that_are_refused_again_and_again; the other takeover tests pass unchanged.

--- a/src/gateway/batch_progress.cpp
+++ b/src/gateway/batch_progress.cpp
@@ -90,6 +90,7 @@
         return run_rejection::mixed_weights;
     }
     entry.current_version = version;
+    entry.refusals = 0;
     return run_rejection::none;
 }
 
@@ -228,6 +229,21 @@
     }
 }
 
+// Load pattern: more streams than the engines have slots, from several owners. Without a delay an item that
+// is refused goes to one engine after the other, thousands of times a second, and the refusals cost the
+// engines and the owner more than the runs do.
+void batch_progress::refuse(std::size_t index, time_point now, const std::string& avoid)
+{
+    constexpr milliseconds first_delay{10};
+    constexpr int max_doublings = 6;
+    auto& entry = items_[index];
+    // The first refusal may be by chance: another engine is tried at once.
+    const auto delay = entry.refusals == 0 ? milliseconds{0}
+                                           : first_delay * (1 << std::min(entry.refusals - 1, max_doublings));
+    ++entry.refusals;
+    release(index, now + delay, avoid);
+}
+
 bool batch_progress::fail_attempt(std::size_t index)
 {
     discard_text(index);
--- a/src/gateway/batch_progress.hpp
+++ b/src/gateway/batch_progress.hpp
@@ -28,6 +28,7 @@
     work_state state = work_state::waiting;
     int runs = 0;            ///< times it was sent to a replica
     int failures = 0;        ///< responses that count as failed attempts
+    int refusals = 0;        ///< responses in a row that it was not run
     time_point not_before{}; ///< earliest time of the next run
     std::string avoid{};     ///< instance of the replica that ran it last
     std::string text{};
@@ -77,6 +78,8 @@
     void terminate(std::size_t index);
     /// The run ended early; the item waits for another replica, which continues or restarts it.
     void release(std::size_t index, time_point not_before, const std::string& avoid);
+    /// As `release`, after a replica refused the run; each further refusal doubles the delay.
+    void refuse(std::size_t index, time_point now, const std::string& avoid);
     /// Counts a failed attempt; true if it was the last that the route allows.
     bool fail_attempt(std::size_t index);
     /// The next segment to write: finished, unpublished results. None while another is being written.
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds discovery_time{1500};
 
 constexpr milliseconds store_retry_delay{300};
+/// Longer than the feed takes to show another gateway's claim.
+constexpr milliseconds claim_retry_delay{1000};
 
 /// Ended batches whose results are kept for readers, a hundred kilobytes each.
 constexpr std::size_t max_recent = 12;
@@ -211,8 +213,45 @@
                   {"outcome", ok(saved) ? std::string("done") : describe(failure(saved))}});
 }
 
+// Guards against several gateways that run one batch at once: while VMs are restarted in turn the first by
+// rank changes every few seconds, and each would take the batch over beside those that run it already. Their
+// runs fill the engines, which then refuse everybody.
+net::task<bool> batch_runner::claim(batch_header& header)
+{
+    while (true) {
+        const auto stored = co_await store_.read(batch_kind, header.id);
+        if (ok(stored)) {
+            auto current = header_from_json(header.id, value(stored).value, value(stored).status);
+            if (!ok(current) || value(current).ended || !owned_here(value(current))) {
+                co_return false;
+            }
+            header = std::move(value(current));
+            header.owner_vm = fleet_.self();
+            header.owner_incarnation = fleet_.incarnation();
+            const auto written =
+                co_await store_.replace(batch_kind, header.id, to_json(header), value(stored).revision);
+            if (ok(written)) {
+                co_return true;
+            }
+        }
+        co_await net::sleep_for(loop_, store_retry_delay);
+        const auto* known = find(header.id);
+        if (known != nullptr && known->ended) {
+            co_return false;
+        }
+    }
+}
+
 net::task<void> batch_runner::load_and_run(batch_header header)
 {
+    const bool accepted_here =
+        header.owner_vm == fleet_.self() && header.owner_incarnation == fleet_.incarnation();
+    if (!accepted_here && !co_await claim(header)) {
+        // Its feed shows the new owner soon; until then this gateway must not try again at once.
+        co_await net::sleep_for(loop_, claim_retry_delay);
+        active_.erase(header.id);
+        co_return;
+    }
     const bool fresh = cached_items_.contains(header.id);
     auto items = co_await load_items(header);
     while (!ok(items)) {
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -85,6 +85,7 @@
     void start(const batch_header& header);
     void confirm_speculative(const batch_run_ref& batch, const batch_header& header);
     net::task<void> load_and_run(batch_header header);
+    net::task<bool> claim(batch_header& header);
     net::task_of<std::vector<batch_item>> load_items(const batch_header& header);
     net::task<bool> load_results(batch_run& batch);
     net::task<void> load_texts(batch_run_ref batch);
--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -72,7 +72,7 @@
     const auto& item = batch.progress.items()[index].item;
     if (not_run) {
         engine->back_off_until = now + overload_backoff;
-        batch.progress.release(index, {}, engine->info.instance_id());
+        batch.progress.refuse(index, now, engine->info.instance_id());
         return;
     }
     observe::log(observe::log_level::warning, "item_failed",
--- a/tests/gateway/batch_progress_tests.cpp
+++ b/tests/gateway/batch_progress_tests.cpp
@@ -233,6 +233,29 @@
     EXPECT_EQ(progress.next_segment("me")->results[0].state, item_state::terminated);
 }
 
+// Guards against an item that asks full engines thousands of times a second.
+TEST(batch_progress, delays_items_that_are_refused_again_and_again)
+{
+    batch_progress progress(make_header(), make_items(1));
+    const time_point began{seconds(100)};
+    auto now = began;
+    int runs = 0;
+    for (; now < began + seconds(5); now += milliseconds(1)) {
+        const auto& entry = progress.items()[0];
+        if (entry.state == work_state::waiting && entry.not_before <= now) {
+            ++runs;
+            progress.start(0);
+            progress.refuse(0, now, "e1");
+        }
+    }
+    EXPECT_LE(runs, 20);
+    EXPECT_GE(runs, 5);
+    progress.start(0);
+    ASSERT_EQ(progress.begin_run(0, 2), run_rejection::none);
+    progress.refuse(0, now, "e1");
+    EXPECT_LE(progress.items()[0].not_before, now) << "a run that began ends the row of refusals";
+}
+
 TEST(batch_progress, starts_the_longest_items_first)
 {
     auto items = make_items(3);
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -119,6 +119,23 @@
     expect_complete(cluster.read_all({second.address()}, "b1"));
 }
 
+// Guards against several successors that run one batch beside each other while ranks change.
+TEST(batches, name_their_successor_in_the_store)
+{
+    batch_deployment cluster;
+    auto& first = cluster.ready_gateway("a");
+    auto& second = cluster.ready_gateway("b");
+    EXPECT_EQ(cluster.status_of(first.address(), make_batch("b1", 9)), 202);
+    const auto owner = [&] {
+        const auto header = cluster.inspect_store<json>(
+            [](standins::fake_store& store) { return store.find("batches", "b1"); });
+        return header.at("Specification").at("owner").get<std::string>();
+    };
+    const auto before = owner();
+    (before == "a" ? first : second).kill();
+    EXPECT_TRUE(deployment::eventually([&] { return owner() != before; }));
+}
+
 // The store does not respond while a trainer submits its batch to one gateway after the other. None accepts
 // it, but one of them runs it, once. After the outage it is accepted, with the results obtained meanwhile.
 TEST(batches, run_once_during_a_store_outage)
