--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -308,7 +308,7 @@
     }
 }
 
-void batch_runner::end(const batch_run_ref& batch, const char* why)
+void batch_runner::end(batch_run_ref batch, const char* why)
 {
     if (batch->ended) {
         return;
@@ -324,7 +324,7 @@
     counts_.add("batches_done_total");
     batch->changed.notify();
     active_.erase(progress.header().id);
-    recent_.push_back(batch);
+    recent_.push_back(std::move(batch));
     if (recent_.size() > max_recent) {
         recent_.pop_front();
     }
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -106,7 +106,8 @@
     net::task<bool> confirm_end(batch_run_ref batch);
     void expire_items(batch_run& batch);
     void move_stragglers(batch_run& batch);
-    void end(const batch_run_ref& batch, const char* why);
+    /// Takes the reference by value: callers pass the one in `active_`, which it erases.
+    void end(batch_run_ref batch, const char* why);
     bool has_waiting_items() const;
 };
 
