--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -27,6 +27,11 @@
     return {error_code::unavailable, ran, std::move(detail)};
 }
 
+error known_unavailable()
+{
+    return unavailable(run_state::not_run, "the store has just failed on all ways to it");
+}
+
 bool store_unavailable(const result<store_answer>& outcome)
 {
     return !ok(outcome) && failure(outcome).code == error_code::unavailable;
@@ -179,7 +184,7 @@
 net::task_of<store_answer> peer_relay::call(store_call wanted)
 {
     if (!breaker_.allows(steady::now())) {
-        co_return unavailable(run_state::not_run, "the store has just failed on all ways to it");
+        co_return known_unavailable();
     }
     auto outcome = co_await call_all_ways(std::move(wanted));
     if (store_unavailable(outcome)) {
@@ -223,7 +228,7 @@
 net::task_of<object_changes> peer_relay::watch(std::string kind, std::uint64_t since, milliseconds wait)
 {
     if (!breaker_.allows(steady::now())) {
-        co_return unavailable(run_state::not_run, "the store has just failed on all ways to it");
+        co_return known_unavailable();
     }
     auto outcome = co_await direct_.watch(std::move(kind), since, wait);
     record_direct_result(std::get_if<error>(&outcome));
--- a/src/gateway/result_reader.cpp
+++ b/src/gateway/result_reader.cpp
@@ -47,16 +47,19 @@
     });
 }
 
-/// Results in order, as many as one response may hold; at least one.
-void append_results(result_page& page, const std::vector<item_result>& results)
+/// Adds the results that continue the page, as many as one response may hold; at least one.
+void add_results(result_page& page, const std::vector<result_segment>& segments)
 {
     std::size_t bytes = 0;
-    for (const auto& entry : results) {
-        bytes += entry.text.size() + entry.id.size();
-        if (bytes > max_page_bytes && !page.results.empty()) {
-            return;
+    for (const auto& segment : segments) {
+        for (std::size_t index = 0; index < segment.results.size(); ++index) {
+            const auto& entry = segment.results[index];
+            const bool fits = page.results.empty() || bytes + entry.text.size() < max_page_bytes;
+            if (segment.first + index == page.first + page.results.size() && fits) {
+                bytes += entry.text.size() + entry.id.size();
+                page.results.push_back(entry);
+            }
         }
-        page.results.push_back(entry);
     }
 }
 
@@ -106,21 +109,6 @@
 
 namespace {
 
-void add_results(result_page& page, const std::vector<result_segment>& segments)
-{
-    std::size_t bytes = 0;
-    for (const auto& segment : segments) {
-        for (std::size_t index = 0; index < segment.results.size(); ++index) {
-            const auto& entry = segment.results[index];
-            const bool fits = page.results.empty() || bytes + entry.text.size() < max_page_bytes;
-            if (segment.first + index == page.first + page.results.size() && fits) {
-                bytes += entry.text.size() + entry.id.size();
-                page.results.push_back(entry);
-            }
-        }
-    }
-}
-
 /// Fails if any segment cannot be decoded.
 result<std::vector<result_segment>> segments_of(const object_changes& changes)
 {
@@ -205,11 +193,9 @@
         co_return response;
     }
     result_page page;
-    append_results(page, value(results));
-    result_segment segment;
-    segment.first = read.first;
-    segment.writer = fleet_.self();
-    segment.results = std::move(page.results);
+    page.first = read.first;
+    add_results(page, {{read.first, fleet_.self(), value(results)}});
+    const result_segment segment{read.first, fleet_.self(), std::move(page.results)};
     response.body = gateway::to_json(segment).dump();
     co_return response;
 }
@@ -225,7 +211,7 @@
     }
     const auto owned = co_await ask_owner(header, first, until);
     if (ok(owned)) {
-        append_results(page, value(owned));
+        add_results(page, {{first, {}, value(owned)}});
         co_return page;
     }
     co_return co_await read_store(header.id, std::move(page), until);
