Give the duty lease a class of its own, and end it for all once a suspension is noticed

Cause: the lease's loop stood in weights_updater, and further duties need the same lease. By reading: the first who asked after a suspension (the loop, or an order about to be sent) took the notice of it away from the other, so a resumed holder went on trusting its lease if an order asked first.

Change: gateway/duty_lease keeps the lease and hands out tokens; weights_updater asks it. policy/order_lease observes both clocks itself and forgets the lease, whoever asks first. stays_without_token_after_a_suspension_whoever_asks_first could not be written against the code before; the fault was read, not seen.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,6 +76,7 @@
     feed retirements;
     feed_sync feeds;
     batch_service batches;
+    duty_lease duties;
     weights_updater weights;
     net::http_service peers;
     bool draining = false;
@@ -122,7 +123,8 @@
              {&batch_headers, serves_callers(), policy::feed_pace::frequent},
              {&retirements}}),
       batches(loop, relay, batch_headers, runner, fleet),
-      weights(loop, relay, fleet, targets, protocol, settings,
+      duties(loop, relay, fleet, settings),
+      weights(loop, duties, targets, protocol, settings,
               [this]() -> const configuration& { return current; }),
       peers(
           loop, [] { return net::service_limits{}; },
@@ -407,6 +409,7 @@
         net::start(all.loop, all.run_housekeeping());
         all.feeds.start();
         if (all.serves_callers()) {
+            all.duties.start();
             all.weights.start();
         }
     });
@@ -440,6 +443,7 @@
 void gateway::leave()
 {
     state_->weights.stop();
+    state_->duties.stop();
     state_->fleet.leave();
 }
 
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -1,6 +1,5 @@
 #include "gateway/weights_updater.hpp"
 
-#include "gateway/untrusted_json.hpp"
 #include "observe/log.hpp"
 #include "policy/weight_load_plan.hpp"
 
@@ -9,14 +8,8 @@
 namespace vanillagauge::gateway {
 namespace {
 
-constexpr const char* lease_kind = "leases";
-constexpr const char* lease_name = "weights";
-
 constexpr milliseconds poll_interval{100};
 
-/// After its start a gateway meets its peers within this time.
-constexpr milliseconds meeting_time{400};
-
 /// A load takes about a second; afterwards the engine is polled until it reports the version. Its report lags
 /// by some hundred milliseconds, its entry in the store by more than a second.
 constexpr milliseconds expected_load_time{900};
@@ -30,12 +23,6 @@
 /// For an engine that specifies no idle timeout of connections.
 constexpr milliseconds default_idle_time{4000};
 
-/// For a lease that does not specify how long its holder waits.
-constexpr milliseconds default_order_delay{10000};
-
-/// A larger change of the difference between the clocks means that the machine was suspended.
-constexpr milliseconds min_suspension{200};
-
 net::task_of<net::http_response> exchange_with(target_ref engine,
                                                std::shared_ptr<net::http_connection> connection,
                                                net::http_request request, time_point until)
@@ -49,58 +36,25 @@
     co_return std::move(response);
 }
 
-policy::stored_lease lease_from(const stored_object& stored)
-{
-    policy::stored_lease lease;
-    lease.holder = string_or_empty(stored.value, "holder");
-    lease.previous_holder = string_or_empty(stored.value, "former");
-    lease.version = stored.revision;
-    lease.takeover_wait = milliseconds{integer_or(stored.value, "acts_in_ms", default_order_delay.count())};
-    return lease;
-}
-
 } // namespace
 
-weights_updater::weights_updater(net::loop& loop, object_store& store, const fleet_view& fleet,
-                                 target_registry& targets, const target_protocol& protocol,
-                                 const config::settings& settings,
+weights_updater::weights_updater(net::loop& loop, duty_lease& lease, target_registry& targets,
+                                 const target_protocol& protocol, const config::settings& settings,
                                  std::function<const configuration&()> current)
-    : loop_(loop), store_(store), fleet_(fleet), targets_(targets), protocol_(protocol),
-      current_(std::move(current)),
+    : loop_(loop), lease_(lease), targets_(targets), protocol_(protocol), current_(std::move(current)),
       order_holder_(settings.gateway.model_order_holder.empty() ? settings.vm
-                                                                : settings.gateway.model_order_holder),
-      self_(settings.vm + "@" + settings.gateway.relay_listen),
-      lease_({.self = self_,
-              .ttl = settings.gateway.order_lease * 2 / 3,
-              .max_order_time = settings.gateway.order_lease}),
-      started_(steady::now()), clock_gap_(time_since_boot() - steady::now().time_since_epoch())
+                                                                : settings.gateway.model_order_holder)
 {
 }
 
 void weights_updater::start()
 {
     net::start(loop_, run_loop());
-    net::start(loop_, maintain_lease());
 }
 
 void weights_updater::stop()
 {
     stopped_ = true;
-    const auto now = steady::now();
-    const auto takeover_wait = lease_.takeover_wait(now);
-    if (const auto held = lease_.release(now)) {
-        net::start(loop_, release_lease(*held, takeover_wait));
-    }
-}
-
-// The write is conditional on the version, so it is harmless if delayed until another VM holds the lease.
-net::task<void> weights_updater::release_lease(std::uint64_t version, milliseconds takeover_wait)
-{
-    const nlohmann::json free{{"holder", ""}, {"former", self_}, {"acts_in_ms", takeover_wait.count()}};
-    const auto written = co_await store_.replace(lease_kind, lease_name, free, version);
-    observe::log(observe::log_level::info, "lease_given_up",
-                 {{"version", static_cast<std::int64_t>(version)},
-                  {"outcome", ok(written) ? std::string("done") : describe(failure(written))}});
 }
 
 void weights_updater::require_version(const std::string& model, std::uint64_t version)
@@ -123,124 +77,14 @@
     mean = mean > 0 ? mean * (1 - smoothing) + work * smoothing : work;
 }
 
-// The steady clock stops while the machine is suspended, so a resumed holder would still trust its lease. The
-// boot clock shows the gap; the lease is then read again and must expire first, like another VM's.
-bool weights_updater::was_suspended()
-{
-    const auto gap = time_since_boot() - steady::now().time_since_epoch();
-    const bool suspended = gap - clock_gap_ > min_suspension;
-    clock_gap_ = gap;
-    return suspended;
-}
-
 net::task<void> weights_updater::run_loop()
 {
     while (!stopped_) {
-        const auto now = steady::now();
-        if (was_suspended()) {
-            observe::log(observe::log_level::warning, "machine_was_suspended", {});
-            lease_.on_suspended();
-        }
-        update_candidate(now);
-        order_loads(now);
-        co_await net::sleep_for(loop_, poll_interval);
-    }
-}
-
-// A holder keeps the lease as long as it can renew it: each change of holder costs seconds without orders.
-void weights_updater::update_candidate(time_point now)
-{
-    const auto holder_vm = lease_.holder().substr(0, lease_.holder().find('@'));
-    const bool holder_alive = fleet_.find_peer(holder_vm) != nullptr;
-    const auto& ranked = fleet_.ranked_owners(lease_name);
-    const bool first = !ranked.empty() && ranked.front() == fleet_.self();
-    const bool holder_failed = holder_alive_ && !holder_alive;
-    const bool became_first = first && !ranked_first_;
-    if (!lease_.holds(now) && (became_first || (first && holder_failed))) {
-        lease_.invalidate();
-    }
-    holder_alive_ = holder_alive;
-    ranked_first_ = first;
-    // At a start of all VMs each would read the lease and, first among the few peers that it knows yet, try
-    // to take it.
-    const bool eligible = now - started_ >= meeting_time && fleet_.is_large();
-    lease_.set_eligible(eligible);
-    lease_.on_candidate(!stopped_ && ((first && eligible) || lease_.holds(now) || lease_.names_self()));
-}
-
-net::task<void> weights_updater::maintain_lease()
-{
-    while (!stopped_) {
-        switch (lease_.next(steady::now())) {
-        case policy::lease_action::read:
-            co_await read_lease();
-            break;
-        case policy::lease_action::write:
-            co_await write_lease();
-            break;
-        case policy::lease_action::none:
-            break;
-        }
+        order_loads(steady::now());
         co_await net::sleep_for(loop_, poll_interval);
     }
 }
 
-net::task<void> weights_updater::read_lease()
-{
-    const auto stored = co_await store_.read(lease_kind, lease_name);
-    const auto now = steady::now();
-    if (ok(stored)) {
-        lease_.on_read(lease_from(value(stored)), now);
-    }
-    else if (failure(stored).code == error_code::not_found) {
-        lease_.on_read({}, now);
-    }
-    else {
-        lease_.on_failed(now);
-    }
-}
-
-net::task<void> weights_updater::write_lease()
-{
-    const auto requested_at = steady::now();
-    const auto revision = lease_.expected_version();
-    const nlohmann::json lease{
-        {"holder", self_},
-        {"acts_in_ms", lease_.takeover_wait(requested_at).count()},
-        {"renewal", std::chrono::duration_cast<milliseconds>(requested_at.time_since_epoch()).count()}};
-    result<stored_object> written = error{};
-    if (revision == 0) {
-        written = co_await store_.create(lease_kind, lease_name, lease);
-    }
-    else {
-        written = co_await store_.replace(lease_kind, lease_name, lease, revision);
-    }
-    if (ok(written)) {
-        const bool taken = !lease_.holds(requested_at);
-        lease_.on_written(value(written).revision, requested_at);
-        if (taken) {
-            observe::log(observe::log_level::info, "lease_taken",
-                         {{"version", static_cast<std::int64_t>(value(written).revision)},
-                          {"replaced", static_cast<std::int64_t>(revision)}});
-        }
-    }
-    else if (failure(written).code == error_code::conflict ||
-             failure(written).code == error_code::not_found) {
-        // For a VM that waits for the lease this means that the holder has renewed it.
-        const bool held = lease_.holds(requested_at);
-        observe::log(held ? observe::log_level::warning : observe::log_level::info,
-                     held ? "lease_lost" : "lease_not_taken", {{"why", describe(failure(written))}});
-        lease_.on_conflict();
-    }
-    else {
-        observe::log(observe::log_level::warning, "lease_not_renewed",
-                     {{"why", describe(failure(written))},
-                      {"held", std::int64_t{lease_.holds(steady::now())}},
-                      {"version", static_cast<std::int64_t>(revision)}});
-        lease_.on_failed(steady::now());
-    }
-}
-
 std::vector<target_ref> weights_updater::engines_of(const std::string& model) const
 {
     std::vector<target_ref> engines;
@@ -269,7 +113,7 @@
 
 void weights_updater::order_loads(time_point now)
 {
-    if (required_versions_.empty() || !lease_.fencing_token(now)) {
+    if (required_versions_.empty() || !lease_.fencing_token()) {
         return;
     }
     std::map<std::string, std::map<std::string, std::uint64_t>> newest; // by service, then model
@@ -327,8 +171,7 @@
     }
     const auto connection = std::get<std::shared_ptr<net::http_connection>>(taken);
     // The lease may have expired during the wait for the connection.
-    const auto fencing_token =
-        was_suspended() || stopped_ ? std::nullopt : lease_.fencing_token(steady::now());
+    const auto fencing_token = stopped_ ? std::nullopt : lease_.fencing_token();
     if (!fencing_token) {
         engine->pool.release(connection, seconds(1));
         co_return error{error_code::conflict, run_state::not_run, "the lease has expired"};
--- a/src/policy/order_lease.cpp
+++ b/src/policy/order_lease.cpp
@@ -95,10 +95,16 @@
     state_known_ = false;
 }
 
-void order_lease::on_suspended()
+// The steady clock stops while the machine is suspended, so a resumed holder would still trust its lease.
+// Whoever asks first ends it for all: the lease must expire first, like another VM's.
+bool order_lease::observe_clocks(time_point now, duration boot)
 {
+    if (!suspensions_.was_suspended(now, boot)) {
+        return false;
+    }
     state_known_ = false;
     lease_end_ = time_point{};
+    return true;
 }
 
 // The holder counts its lease from before the renewal request, so it ends at most one lease after anybody
--- a/src/policy/order_lease.hpp
+++ b/src/policy/order_lease.hpp
@@ -4,6 +4,7 @@
 #define VANILLAGAUGE_POLICY_ORDER_LEASE_HPP
 
 #include "base/clock.hpp"
+#include "policy/suspension_watch.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -49,8 +50,10 @@
     void on_failed(time_point now);
     /// Forces a read: the holder may have failed, or this process may be its successor now.
     void invalidate();
-    /// The VM was suspended for a time that the steady clock did not count.
-    void on_suspended();
+    /// Both clocks at one moment; `boot` includes time in suspension. Call before each `fencing_token`. True
+    /// if the VM was suspended for a time that the steady clock did not count: the lease then has to be read
+    /// again.
+    bool observe_clocks(time_point now, duration boot);
 
     /// The next store call to make; its result must be reported by the matching event.
     lease_action next(time_point now);
@@ -81,6 +84,7 @@
     time_point orders_from_{};
     time_point next_renewal_{};
     time_point next_try_{};
+    suspension_watch suspensions_;
 
     time_point first_order_at() const;
     time_point next_write_at() const;
--- a/tests/policy/order_lease_tests.cpp
+++ b/tests/policy/order_lease_tests.cpp
@@ -106,12 +106,27 @@
     }
     ASSERT_TRUE(last_of_holder && first_of_other);
     EXPECT_GE(*first_of_other - *last_of_holder, milliseconds{3000});
-    holder.on_suspended();
+    holder.observe_clocks(start, duration{0});
+    EXPECT_TRUE(holder.observe_clocks(start, seconds{4}));
     EXPECT_FALSE(holder.fencing_token(start));
     step(holder, store, "a", now);
     EXPECT_FALSE(holder.fencing_token(now));
 }
 
+// Guards against orders of a resumed holder after another part of it has noticed the suspension first.
+TEST(order_lease, stays_without_token_after_a_suspension_whoever_asks_first)
+{
+    order_lease holder(options("a"));
+    lease_object store;
+    take_lease(holder, store, "a");
+    EXPECT_FALSE(holder.observe_clocks(start, seconds{50}));
+    EXPECT_TRUE(holder.fencing_token(start));
+    const auto resumed = start + milliseconds{10};
+    EXPECT_TRUE(holder.observe_clocks(resumed, seconds{54}));
+    EXPECT_FALSE(holder.observe_clocks(resumed, seconds{54}));
+    EXPECT_FALSE(holder.fencing_token(resumed));
+}
+
 // A renewal takes effect but its response is lost, so the next one conflicts. The read shows the VM's own
 // name: nobody else has held the lease in between.
 TEST(order_lease, continues_after_a_lost_renewal_response)
