Report usage by organisation and window, from numbers fixed in the store before they are sent

Change: src/usage (pure): a ledger of runs by process, window and organisation whose numbers only rise, the log of reports, the plan of what the holder does next, and the inference of whether a replica began to run a request without an answer. Each gateway sends its cumulative counts within 0.2 s to two collectors in different failure domains; the holder of the duty lease gathers a third of the due time after a window's end, fixes the numbers by a conditional write, sends them, and repeats the same bytes until they are accepted; a successor goes on with what stands there. A first form resent only windows that were not long overdue, and lost those that it had closed late itself: works_off_a_backlog_in_order failed, and now the log holds what was accepted instead.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -86,7 +86,10 @@
         "stop_grace_s": {"type": "number", "minimum": 0, "maximum": 600},
         "order_lease_ms": {"type": "number", "minimum": 100, "maximum": 600000},
         "advice_time_ms": {"type": "number", "minimum": 100, "maximum": 600000},
-        "cpu_share": {"type": "number", "minimum": 0, "maximum": 1024}
+        "cpu_share": {"type": "number", "minimum": 0, "maximum": 1024},
+        "duties_address": {"$ref": "#/definitions/optional_address"},
+        "usage_window_s": {"type": "number", "minimum": 0, "maximum": 86400},
+        "usage_due_s": {"type": "number", "minimum": 0.1, "maximum": 86400}
       }
     }
   }
@@ -137,6 +140,9 @@
     read(*found, "cpu_share", parsed.cpu_share);
     parsed.stop_grace = read_duration(*found, "stop_grace_s", seconds{1}, parsed.stop_grace);
     parsed.order_lease = read_duration(*found, "order_lease_ms", milliseconds{1}, parsed.order_lease);
+    read(*found, "duties_address", parsed.duties_address);
+    parsed.usage_window = read_duration(*found, "usage_window_s", seconds{1}, parsed.usage_window);
+    parsed.usage_due = read_duration(*found, "usage_due_s", seconds{1}, parsed.usage_due);
     parsed.advice_time = read_duration(*found, "advice_time_ms", milliseconds{1}, parsed.advice_time);
     return parsed;
 }
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -49,6 +49,7 @@
 {
     gateway_peer peer;
     peer.vm = info.vm;
+    peer.failure_domain = info.failure_domain;
     peer.incarnation = info.incarnation;
     peer.draining = info.draining;
     peer.capacity = info.capacity;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -16,6 +16,7 @@
 /// A live gateway, as announced to the others.
 struct gateway_peer {
     std::string vm;
+    std::string failure_domain;
     std::uint64_t incarnation = 0;
     std::string relay_address;
     std::string front_address; ///< empty: it serves no callers
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -185,6 +185,7 @@
         }
         else {
             ++current.attempts;
+            current.sent = false;
             observe::span attempt_span(current.span.context(), "attempt");
             attempt_span.set_attribute("replica", instance_id);
             current.replica = instance_id;
@@ -198,6 +199,7 @@
             outcome.replica = instance_id;
             attempt_span.set_attribute("outcome", outcome.text());
             current.internal_errors += outcome.internal_error() ? 1 : 0;
+            count_run(current, outcome);
             report(*queue, at, outcome, steady::now() - began);
         }
         const auto now = steady::now();
@@ -240,6 +242,24 @@
     return provably_not_run || current.repeatable();
 }
 
+void forwarder::count_run(const call& current, const attempt_outcome& outcome) const
+{
+    if (current.internal() || !current.request.acts_for) {
+        return;
+    }
+    const auto* failed = std::get_if<error>(&outcome.result);
+    usage::run_evidence seen;
+    seen.sent = current.sent;
+    seen.answered = failed == nullptr;
+    seen.refused = outcome.not_run;
+    seen.closed = outcome.closed;
+    seen.reused_connection = outcome.reused_connection;
+    seen.since_sent = steady::now() - current.sent_at;
+    if (usage::probably_ran(seen)) {
+        record_run_(current.request.acts_for->name, current.sent_wall);
+    }
+}
+
 void forwarder::report(admission_queue& queue, const target_ref& at, const attempt_outcome& outcome,
                        duration took)
 {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -10,6 +10,7 @@
 #include "observe/metrics.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/stop_plan.hpp"
+#include "usage/usage.hpp"
 
 #include <functional>
 #include <map>
@@ -56,6 +57,10 @@
     int internal_errors = 0; ///< replicas that answered 500
 };
 
+/// Told of each run of a caller's request that acts for an organisation: the organisation, and when the
+/// replica began.
+using run_recorder = std::function<void(const std::string&, usage::wall_time)>;
+
 class forwarder {
 public:
     /// All must outlive it.
@@ -71,6 +76,7 @@
                                                         std::shared_ptr<cancellation_token> ticket);
     /// From now on refuses callers' requests that the plan does not accept.
     void set_stop_plan(std::shared_ptr<const policy::stop_plan> plan) { stop_ = std::move(plan); }
+    void set_run_recorder(run_recorder recorder) { record_run_ = std::move(recorder); }
     /// Call after a change of the replicas or the configuration.
     void refresh(time_point now);
 
@@ -87,6 +93,7 @@
     std::map<std::string, std::unique_ptr<admission_queue>> queues_; ///< for callers' requests, by service
     std::map<std::string, std::unique_ptr<admission_queue>>
         internal_queues_; ///< for internal calls, by service
+    run_recorder record_run_ = [](const std::string&, usage::wall_time) {};
     std::mt19937_64 random_{std::random_device{}()};
     std::uint64_t next_work_ = 1;
 
@@ -106,6 +113,7 @@
     void record_crash(const call& current, bool reused);
     bool may_retry(const call& current, const attempt_outcome& outcome, time_point now) const;
     time_point attempt_deadline(const call& current, const admission_queue& queue, time_point now) const;
+    void count_run(const call& current, const attempt_outcome& outcome) const;
     void report(admission_queue& queue, const target_ref& at, const attempt_outcome& outcome, duration took);
     net::task<void> send_outcome(call& current, attempt_outcome outcome);
     void log_outcome(call& current, const attempt_outcome& outcome) const;
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -109,7 +109,10 @@
     if (request.fields.contains(observe::traceparent_header)) {
         request.fields.set(observe::traceparent_header, observe::traceparent(current.attempt_context));
     }
+    outcome.reused_connection = connection->reused();
+    current.sent = true;
     current.sent_at = steady::now();
+    current.sent_wall = std::chrono::system_clock::now();
     const auto written = co_await connection->send(request, until);
     // A replica may respond and close before reading all of a long body; that response is valid.
     const auto* unwritten = std::get_if<net::http_failure>(&written);
@@ -120,6 +123,7 @@
     auto read = co_await connection->read_head(until);
     if (const auto* failed = std::get_if<net::http_failure>(&read)) {
         if (failed->kind == net::failure_kind::closed) {
+            outcome.closed = true;
             record_crash(current, connection->reused());
         }
         outcome.result = connection_error(*failed, current.repeatable());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,15 @@
 /// Most addresses returned to a caller.
 constexpr std::size_t max_addresses = 64;
 
+usage::report_times report_times(const config::settings& settings)
+{
+    // A third of the time until a report is due is left for counts that come late, the rest for the report.
+    constexpr int closing_share = 3;
+    const auto& chosen = settings.gateway;
+    const auto window = chosen.duties_address.empty() ? milliseconds{0} : chosen.usage_window;
+    return {window, chosen.usage_due, chosen.usage_due / closing_share};
+}
+
 void log_unreadable(const std::string& kind, const std::string& name, const error& why)
 {
     observe::log(observe::log_level::warning, "entry_unreadable",
@@ -54,7 +63,7 @@
 
 struct gateway::state {
     state(wire::event_loop& events, const config::settings& chosen, object_store& store,
-          const target_protocol& protocol, store_schema known);
+          duty_platform& platform, const target_protocol& protocol, store_schema known);
 
     wire::event_loop& event_loop;
     net::loop& loop;
@@ -78,6 +87,8 @@
     batch_service batches;
     duty_lease duties;
     weights_updater weights;
+    usage_exchange runs;
+    usage_reporter usage_reports;
     net::http_service peers;
     bool draining = false;
     std::map<std::string, time_point> open_retirements; ///< by VM, when they were seen here
@@ -102,7 +113,7 @@
 };
 
 gateway::state::state(wire::event_loop& events, const config::settings& chosen, object_store& store,
-                      const target_protocol& protocol, store_schema known)
+                      duty_platform& platform, const target_protocol& protocol, store_schema known)
     : event_loop(events), loop(events.context()), settings(chosen), schema(std::move(known)),
       fleet(events, settings), relay(loop, store, fleet), targets(loop),
       forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
@@ -122,16 +133,21 @@
              {&versions, serves_callers(), policy::feed_pace::frequent},
              {&batch_headers, serves_callers(), policy::feed_pace::frequent},
              {&retirements}}),
-      batches(loop, relay, batch_headers, runner, fleet),
-      duties(loop, relay, fleet, settings),
+      batches(loop, relay, batch_headers, runner, fleet), duties(loop, relay, fleet, settings),
       weights(loop, duties, targets, protocol, settings,
               [this]() -> const configuration& { return current; }),
+      runs(loop, relay, fleet, duties, report_times(settings)),
+      usage_reports(loop, relay, platform, duties, runs, counts, settings.vm, report_times(settings),
+                    [this]() -> const configuration& { return current; }),
       peers(
           loop, [] { return net::service_limits{}; },
           [this](const net::http_request& request, net::responder& answer) {
               return serve_peer(request, answer);
           })
 {
+    forwarding.set_run_recorder([this](const std::string& organisation, usage::wall_time began) {
+        runs.record_run(organisation, began);
+    });
 }
 
 void gateway::state::replicas_changed()
@@ -374,6 +390,12 @@
     else if (request.target == results_path) {
         response = co_await batches.serve_results(request);
     }
+    else if (request.target == usage_counts_path) {
+        response = runs.serve_counts(request);
+    }
+    else if (request.target == usage_window_path) {
+        response = runs.serve_window(request);
+    }
     else if (request.target == "/sync") {
         response = co_await feeds.serve(request);
     }
@@ -384,8 +406,8 @@
 }
 
 gateway::gateway(wire::event_loop& loop, const config::settings& settings, object_store& store,
-                 const target_protocol& protocol, store_schema schema)
-    : state_(std::make_unique<state>(loop, settings, store, protocol, std::move(schema)))
+                 duty_platform& duties, const target_protocol& protocol, store_schema schema)
+    : state_(std::make_unique<state>(loop, settings, store, duties, protocol, std::move(schema)))
 {
 }
 
@@ -411,6 +433,8 @@
         if (all.serves_callers()) {
             all.duties.start();
             all.weights.start();
+            all.runs.start();
+            all.usage_reports.start();
         }
     });
     return done{};
@@ -444,6 +468,7 @@
 {
     state_->weights.stop();
     state_->duties.stop();
+    state_->runs.flush();
     state_->fleet.leave();
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/batch_runner.hpp"
 #include "gateway/batch_service.hpp"
 #include "gateway/configuration.hpp"
+#include "gateway/duty_platform.hpp"
 #include "gateway/feed_sync.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/forwarder.hpp"
@@ -12,6 +13,7 @@
 #include "gateway/peer_relay.hpp"
 #include "gateway/target_protocol.hpp"
 #include "gateway/target_registry.hpp"
+#include "gateway/usage_reporter.hpp"
 #include "gateway/weights_updater.hpp"
 #include "policy/stop_plan.hpp"
 
@@ -51,7 +53,7 @@
 public:
     /// All must outlive it.
     gateway(wire::event_loop& loop, const config::settings& settings, object_store& store,
-            const target_protocol& protocol, store_schema schema);
+            duty_platform& duties, const target_protocol& protocol, store_schema schema);
     ~gateway();
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
--- a/src/gateway/internal/forwarded_call.hpp
+++ b/src/gateway/internal/forwarded_call.hpp
@@ -17,7 +17,9 @@
     observe::span span;                       ///< of the request in this gateway
     observe::trace_context attempt_context{}; ///< of the attempt in flight
     std::string replica{};                    ///< of the attempt in flight
+    bool sent = false;                        ///< by the attempt in flight
     time_point sent_at{};                     ///< of the attempt in flight
+    usage::wall_time sent_wall{};             ///< of the attempt in flight
     std::string service{};
     policy::work work{};
     std::uint64_t fingerprint = 0;
@@ -41,6 +43,8 @@
     std::variant<net::http_response, error> result = error{};
     bool finished_stream = false; ///< the client received the complete stream
     bool not_run = false;
+    bool closed = false; ///< by the replica, before a response
+    bool reused_connection = false;
     std::optional<policy::load_report> load{};
     std::string replica{};
 
--- /dev/null
+++ b/src/usage/report_plan.cpp
@@ -0,0 +1,35 @@
+#include "usage/report_plan.hpp"
+
+#include <algorithm>
+
+namespace vanillagauge::usage {
+namespace {
+
+/// Windows that closed while the store or the platform was away are still reported, up to this many.
+constexpr std::uint64_t max_backlog = 12;
+
+} // namespace
+
+std::uint64_t oldest_useful_window(const report_times& times, wall_time now)
+{
+    const auto current = window_at(now, times.window);
+    return current > max_backlog ? current - max_backlog : 0;
+}
+
+// What stands in the store is sent before the next window is closed, so that the log never grows beyond what
+// it holds. A window that nobody has fixed is closed even when it is overdue: a late bill is better than
+// none.
+report_action next_report_action(const report_state& state, const report_times& times, wall_time now)
+{
+    if (const auto unsent = state.log.unsent()) {
+        return send_report{*unsent};
+    }
+    const auto newest = state.log.newest();
+    const auto next = std::max(newest ? *newest + 1 : state.first_window, oldest_useful_window(times, now));
+    if (now >= end_of_window(next, times.window) + times.close) {
+        return close_window{next};
+    }
+    return wait_for_window{};
+}
+
+} // namespace vanillagauge::usage
--- a/tests/config/settings_tests.cpp
+++ b/tests/config/settings_tests.cpp
@@ -39,6 +39,19 @@
     EXPECT_FALSE(ok(parse_settings(replaced(valid, "\"vm\":", "\"vmm\": 1, \"vm\":"), "vm.json")));
 }
 
+TEST(settings, reads_how_usage_is_reported)
+{
+    const auto text =
+        replaced(valid, "\"platform\":",
+                 R"("gateway": {"relay_listen": "127.0.0.1:7300", "duties_address": "127.0.0.1:7400",
+                                  "usage_window_s": 5, "usage_due_s": 2.5}, "platform":)");
+    const auto parsed = parse_settings(text, "vm.json");
+    ASSERT_TRUE(ok(parsed)) << failure(parsed).detail;
+    EXPECT_EQ(value(parsed).gateway.duties_address, "127.0.0.1:7400");
+    EXPECT_EQ(value(parsed).gateway.usage_window, milliseconds(5000));
+    EXPECT_EQ(value(parsed).gateway.usage_due, milliseconds(2500));
+}
+
 struct invalid_settings {
     const char* name;
     std::string from;
--- a/tests/gateway/deployment.hpp
+++ b/tests/gateway/deployment.hpp
@@ -86,6 +86,8 @@
     std::vector<std::unique_ptr<running_gateway>> gateways;
 
     const std::string& store_address() const { return store_address_; }
+    /// Where the stand-ins run.
+    net::loop& standins_loop() { return loop_.context(); }
 
     /// Runs `work` on the store's loop.
     void modify_store(const std::function<void(standins::fake_store&)>& work)
