Hold results back while the last wanted group is about to complete

Near the due time results are written each second, when they are due and 0.35 s later, in place of each 0.4 s. Batches carry the size of an event and items their limit.

--- a/src/gateway/batch.cpp
+++ b/src/gateway/batch.cpp
@@ -42,6 +42,7 @@
               {"body", item.body_base64},
               {"group", item.group},
               {"tokens", item.tokens},
+              {"max_output", item.max_output},
               {"hint", item.length_hint}};
     if (item.scoring) {
         text["scoring"] = to_json(*item.scoring);
@@ -60,6 +61,7 @@
     item.body_base64 = text.at("body").get<std::string>();
     item.group = text.at("group").get<std::string>();
     item.tokens = text.at("tokens").get<std::uint64_t>();
+    item.max_output = text.value("max_output", 0.0);
     item.length_hint = text.at("hint").get<double>();
     if (const auto scoring = text.find("scoring"); scoring != text.end()) {
         item.scoring = scoring_from_json(*scoring);
@@ -118,6 +120,7 @@
             {"step", header.step},
             {"total", header.total},
             {"wanted_groups", header.wanted_groups},
+            {"tokens_per_event", header.tokens_per_event},
             {"work", header.work},
             {"parts", header.parts},
             {"single_version", header.single_version},
@@ -144,6 +147,7 @@
             header.step = from.at("step").get<std::uint64_t>();
             header.total = from.at("total").get<std::size_t>();
             header.wanted_groups = from.at("wanted_groups").get<std::size_t>();
+            header.tokens_per_event = from.value("tokens_per_event", 0.0);
             header.work = from.value("work", 0.0);
             header.parts = from.at("parts").get<std::size_t>();
             header.single_version = from.at("single_version").get<bool>();
--- a/src/gateway/batch.hpp
+++ b/src/gateway/batch.hpp
@@ -53,8 +53,9 @@
     std::uint64_t step = 0;
     std::size_t total = 0;
     std::size_t wanted_groups = 0;
-    double work = 0;       ///< expected output tokens of all items; 0: unknown
-    std::size_t parts = 0; ///< number of objects that hold the items
+    double tokens_per_event = 0; ///< of the engines' streams; 0: unknown
+    double work = 0;             ///< expected output tokens of all items; 0: unknown
+    std::size_t parts = 0;       ///< number of objects that hold the items
     bool single_version = false;
     int attempts = 1;
     milliseconds max_age{0};
--- a/src/gateway/batch_progress.cpp
+++ b/src/gateway/batch_progress.cpp
@@ -275,6 +275,18 @@
     return segment;
 }
 
+policy::run_length batch_progress::length_of(std::size_t index) const
+{
+    const auto& entry = items_[index];
+    policy::run_length length;
+    length.generated = static_cast<double>(entry.events);
+    if (header_.tokens_per_event > 0) {
+        length.hint = entry.item.length_hint / header_.tokens_per_event;
+        length.limit = entry.item.max_output / header_.tokens_per_event;
+    }
+    return length;
+}
+
 std::size_t batch_progress::open_in_group(std::size_t index) const
 {
     return groups_[items_[index].group].open;
--- a/src/gateway/batch_progress.hpp
+++ b/src/gateway/batch_progress.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/batch.hpp"
 #include "net/event_stream.hpp"
+#include "policy/run_length.hpp"
 
 #include <map>
 #include <optional>
@@ -100,6 +101,10 @@
     const std::vector<item_result>& results() const { return results_; }
     /// Items of the same group, including this one, that are neither finished nor published.
     std::size_t open_in_group(std::size_t index) const;
+    /// The item's length in events, as far as it is known; nothing bounds it where the engines' events have
+    /// no known size.
+    policy::run_length length_of(std::size_t index) const;
+    std::size_t groups() const { return groups_.size(); }
     /// The text of an unpublished item; none if it has no text.
     std::optional<saved_text> text_to_save(std::size_t index) const;
     /// All items in the order in which they should run: longest expected output first.
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -6,6 +6,8 @@
 #include "policy/publish_plan.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace vanillagauge::gateway {
 namespace {
@@ -29,6 +31,46 @@
 
 } // namespace
 
+// A group ends with its last item. An item that waits has no engine yet, so nothing is known of its group.
+std::optional<time_point> batch_runner::batch_run::wanted_by(time_point now) const
+{
+    const auto& header = progress.header();
+    if (progress.complete_groups() >= header.wanted_groups) {
+        return std::nullopt;
+    }
+    std::vector<double> ends_in_ms(progress.groups(), 0);
+    std::vector<bool> open(progress.groups(), false);
+    for (std::size_t index = 0; index < progress.items().size(); ++index) {
+        const auto& entry = progress.items()[index];
+        if (entry.state == work_state::finished || entry.state == work_state::published) {
+            continue;
+        }
+        open[entry.group] = true;
+        const auto run = item_runs.find(index);
+        const auto left = policy::likely_events_left(progress.length_of(index));
+        const bool known = run != item_runs.end() && run->second->received_event && left;
+        const auto in_ms =
+            known ? *left * run->second->engine->mean_gap_ms : std::numeric_limits<double>::infinity();
+        ends_in_ms[entry.group] = std::max(ends_in_ms[entry.group], in_ms);
+    }
+    std::vector<double> ends;
+    for (std::size_t group = 0; group < open.size(); ++group) {
+        if (open[group]) {
+            ends.push_back(ends_in_ms[group]);
+        }
+    }
+    const auto missing = header.wanted_groups - progress.complete_groups();
+    if (missing > ends.size()) {
+        return std::nullopt;
+    }
+    const auto last = ends.begin() + static_cast<std::ptrdiff_t>(missing - 1);
+    std::nth_element(ends.begin(), last, ends.end());
+    if (!std::isfinite(*last)) {
+        return std::nullopt;
+    }
+    return now + milliseconds{static_cast<std::int64_t>(*last)};
+}
+
 batch_runner::batch_runner(net::loop& loop, object_store& store, const fleet_view& fleet,
                            const target_registry& targets, const target_protocol& protocol,
                            item_scorer& scorer, observe::metrics& counts)
@@ -294,7 +336,7 @@
         save_texts(batch);
         const auto now = steady::now();
         const auto& progress = batch->progress;
-        if (batch->stored && !batch->publishing && policy::should_publish(batch->publish_state(), now)) {
+        if (batch->stored && !batch->publishing && policy::should_publish(batch->publish_state(now), now)) {
             batch->publishing = true;
             batch->last_publish = now;
             net::start(loop_, publish_results(batch));
--- a/src/gateway/configuration.hpp
+++ b/src/gateway/configuration.hpp
@@ -49,6 +49,7 @@
     std::string health_path;
     int max_connections = 0; ///< per replica, over all callers
     std::vector<std::string> models;
+    double tokens_per_event = 0; ///< of an engine's streams; 0: unknown
 };
 
 struct client_limits {
--- a/src/gateway/internal/batch_run.hpp
+++ b/src/gateway/internal/batch_run.hpp
@@ -43,7 +43,11 @@
     time_point texts_saved_at{}; ///< newer text is lost if this gateway fails
     wall_time expires_at{};
 
-    policy::publish_view publish_state() const
+    /// When the wanted groups will be complete at the latest, as far as the items' lengths are known; none if
+    /// they are not.
+    std::optional<time_point> wanted_by(time_point now) const;
+
+    policy::publish_view publish_state(time_point now) const
     {
         policy::publish_view view;
         view.results = progress.unpublished_results();
@@ -54,6 +58,7 @@
         view.published_groups = progress.published_groups();
         view.last_publish = last_publish;
         view.due = due;
+        view.wanted_by = view.results > 0 ? wanted_by(now) : std::nullopt;
         return view;
     }
 
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -16,6 +16,7 @@
 #include "policy/publish_plan.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/retry_budget.hpp"
+#include "policy/run_length.hpp"
 #include "policy/scheduler.hpp"
 #include "policy/slow_start.hpp"
 #include "policy/step_placement.hpp"
--- a/src/policy/publish_plan.hpp
+++ b/src/policy/publish_plan.hpp
@@ -5,6 +5,7 @@
 #include "base/clock.hpp"
 
 #include <cstddef>
+#include <optional>
 
 namespace vanillagauge::policy {
 
@@ -17,6 +18,8 @@
     std::size_t published_groups = 0; ///< all items published
     time_point last_publish{};        ///< start of the last write
     time_point due{};                 ///< when the trainer's results are due
+    /// When the wanted groups will be complete at the latest; none: unknown.
+    std::optional<time_point> wanted_by{};
 };
 
 bool should_publish(const publish_view& batch, time_point now);
--- a/tests/policy/publish_plan_tests.cpp
+++ b/tests/policy/publish_plan_tests.cpp
@@ -78,6 +78,37 @@
     EXPECT_LE(batch.published_after[3], milliseconds(6400));
 }
 
+// Guards against a trainer that pauses after a few results while its last wanted group completes: it goes on
+// half a second later, and falls behind with each step.
+TEST(publish_plan, holds_results_while_the_wanted_groups_are_about_to_complete)
+{
+    played_batch batch;
+    const auto due = batch.view.due;
+    batch.complete_group();
+    batch.view.last_publish = due - milliseconds(1800);
+    batch.view.wanted_by = due + milliseconds(100);
+    EXPECT_TRUE(should_publish(batch.view, due - milliseconds(700))) << "the trainer has read again by then";
+    EXPECT_FALSE(should_publish(batch.view, due - milliseconds(550)));
+    EXPECT_FALSE(should_publish(batch.view, due));
+    batch.view.complete_groups = batch.view.wanted_groups;
+    EXPECT_TRUE(should_publish(batch.view, due + milliseconds(100)));
+}
+
+// Guards against groups that are complete in time and count as late, since the last wanted one comes too
+// late.
+TEST(publish_plan, publishes_for_the_last_read_where_the_wanted_groups_come_too_late)
+{
+    played_batch batch;
+    const auto due = batch.view.due;
+    batch.complete_group();
+    batch.view.wanted_by = due + milliseconds(600);
+    batch.view.last_publish = due - milliseconds(100);
+    EXPECT_TRUE(should_publish(batch.view, due));
+    batch.view.last_publish = due;
+    EXPECT_FALSE(should_publish(batch.view, due + milliseconds(300)));
+    EXPECT_TRUE(should_publish(batch.view, due + milliseconds(350)));
+}
+
 TEST(publish_plan, ignores_results_of_incomplete_groups)
 {
     played_batch batch;
