Move only runs that may miss their due time

Half of the new connections follow a cut run.

Change: policy/run_move leaves a run where it is while its likely rest ends a second before the due time at its engine's present speed. Long items, and those that outlast their hint, move as before.

Policy tests 112 of 112, gateway tests 114 of 114.

--- a/src/gateway/batch_runner_placement.cpp
+++ b/src/gateway/batch_runner_placement.cpp
@@ -1,6 +1,7 @@
 // Chooses the items to start, their engines, and the runs to move to faster engines.
 #include "gateway/internal/batch_run.hpp"
 #include "policy/engine_speed.hpp"
+#include "policy/run_move.hpp"
 #include "policy/step_placement.hpp"
 
 #include <algorithm>
@@ -132,6 +133,11 @@
         if (!slow || !run->connection || now - run->began < min_run_time) {
             continue;
         }
+        const policy::run_view view{batch.progress.length_of(entry.first), run->engine->mean_gap_ms,
+                                    batch.due};
+        if (!policy::may_miss_due_time(view, now)) {
+            continue;
+        }
         const bool better = std::any_of(engines.begin(), engines.end(), [&](const target_ref& engine) {
             return engine != run->engine && engine->streams < engine->info.slots &&
                    now >= engine->back_off_until && engine->mean_gap_ms > 0 &&
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -17,6 +17,7 @@
 #include "policy/quarantine.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/run_length.hpp"
+#include "policy/run_move.hpp"
 #include "policy/scheduler.hpp"
 #include "policy/slow_start.hpp"
 #include "policy/step_placement.hpp"
