--- a/src/policy/order_lease.hpp
+++ b/src/policy/order_lease.hpp
@@ -34,9 +34,9 @@
 public:
     explicit order_lease(order_lease_options options) : options_(std::move(options)) {}
 
-    /// Whether this process should acquire the lease once it is free.
     /// Whether the stored lease may name this VM; if not, it is not read before this VM is a candidate.
     void set_eligible(bool eligible) { eligible_ = eligible; }
+    /// Whether this process should acquire the lease once it is free.
     void on_candidate(bool candidate) { candidate_ = candidate; }
     /// Ends ordering because this process stops. Returns the version to overwrite with a released lease; none
     /// if this process does not hold the lease.
