--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr const char* member_kind = "gateways";
-
 /// Replica entries that expire during a store outage are renewed within two seconds of its end if the replica
 /// is alive; the replica stays in use until then.
 constexpr milliseconds expiry_grace{2200};
@@ -31,11 +29,7 @@
 constexpr policy::quarantine_limits crash_limits{2, 3};
 
 constexpr milliseconds housekeeping_interval{100};
-/// Bounds of the exponential backoff with which a VM that knows no other lists the members in the store
-/// again. A fleet of one costs two calls a minute.
-constexpr milliseconds min_discovery_delay{500};
-constexpr milliseconds max_discovery_delay{30000};
-constexpr milliseconds register_retry_delay{1000};
+constexpr milliseconds retirement_retry_delay{1000};
 
 /// A VM to be retired that runs a gateway completes its retirement itself within this time.
 constexpr milliseconds absence_time{1000};
@@ -72,6 +66,7 @@
     observe::metrics counts;
     fleet_view fleet;
     peer_relay relay;
+    member_registry members;
     target_registry targets;
     configuration current;
     policy::quarantine crashes{crash_limits};
@@ -92,13 +87,9 @@
     net::http_service peers;
     bool draining = false;
     std::map<std::string, time_point> open_retirements; ///< by VM, when they were seen here
-    std::optional<std::vector<std::string>> registered; ///< VMs registered in the store, once listed
 
     net::task<void> serve_peer(const net::http_request& request, net::responder& answer);
     net::task<void> run_housekeeping();
-    net::task<bool> register_member();
-    net::task<void> list_members();
-    net::task<void> discover_members();
     net::task<void> mark_retired(std::string vm);
     void retire_absent();
     void on_replica(const object_change& change);
@@ -108,14 +99,13 @@
     void on_retirement(const object_change& change);
     void replicas_changed();
     bool ready() const;
-    bool sees_all_registered() const;
     bool serves_callers() const { return !settings.gateway.front_listen.empty(); }
 };
 
 gateway::state::state(wire::event_loop& events, const config::settings& chosen, object_store& store,
                       duty_platform& platform, const target_protocol& protocol, store_schema known)
     : event_loop(events), loop(events.context()), settings(chosen), schema(std::move(known)),
-      fleet(events, settings), relay(loop, store, fleet), targets(loop),
+      fleet(events, settings), relay(loop, store, fleet), members(loop, relay, fleet), targets(loop),
       forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
       scorer(forwarding, protocol, [this]() -> const configuration& { return current; }),
       runner(loop, relay, fleet, targets, protocol, scorer, counts),
@@ -271,82 +261,8 @@
                          {{"vm", vm}, {"outcome", ok(marked) ? "done" : describe(failure(marked))}});
             co_return;
         }
-        co_await net::sleep_for(loop, register_retry_delay);
-    }
-}
-
-net::task<bool> gateway::state::register_member()
-{
-    const json self{{"peer", fleet.peer_address()}};
-    const auto created = co_await relay.create(member_kind, fleet.self(), self);
-    if (ok(created)) {
-        co_return true;
-    }
-    if (failure(created).code != error_code::conflict) {
-        co_return false;
-    }
-    // A restarted VM is registered already; a fleet that restarts as a whole would spend two calls more for
-    // each.
-    const auto existing = json::parse(failure(created).current, nullptr, false);
-    if (string_or_empty(existing, "peer") == fleet.peer_address()) {
-        co_return true;
+        co_await net::sleep_for(loop, retirement_retry_delay);
     }
-    const auto earlier = co_await relay.read(member_kind, fleet.self());
-    if (!ok(earlier)) {
-        co_return false;
-    }
-    const auto written = co_await relay.replace(member_kind, fleet.self(), self, value(earlier).revision);
-    co_return ok(written);
-}
-
-net::task<void> gateway::state::list_members()
-{
-    const auto listed = co_await relay.list(member_kind, {});
-    if (!ok(listed)) {
-        co_return;
-    }
-    std::vector<std::string> addresses;
-    registered.emplace();
-    for (const auto& object : value(listed).objects) {
-        registered->push_back(object.name);
-        const auto address = string_or_empty(object.value, "peer");
-        if (object.name != fleet.self() && !address.empty()) {
-            addresses.push_back(address);
-        }
-    }
-    fleet.add_peers(std::move(addresses));
-}
-
-// The configured seeds may all be dead when a VM starts, so members are registered in the store. Each VM
-// registers before it lists: of two VMs starting together, at least one then sees the other. Listing first
-// could leave both isolated for good.
-net::task<void> gateway::state::discover_members()
-{
-    while (!co_await register_member()) {
-        co_await net::sleep_for(loop, register_retry_delay);
-    }
-    // The others find their peers by their seeds. Those that may own batches learn here which peers are
-    // missing.
-    if (fleet.is_large() || fleet.peers().size() <= 1) {
-        co_await list_members();
-    }
-    auto delay = min_discovery_delay;
-    while (true) {
-        co_await net::sleep_for(loop, delay);
-        const bool alone = fleet.peers().size() <= 1;
-        delay = alone ? std::min(delay * 2, max_discovery_delay) : min_discovery_delay;
-        if (alone) {
-            co_await list_members();
-        }
-    }
-}
-
-// Replaced VMs stay registered, so this may never become true; the batch runner then relies on the time since
-// the start.
-bool gateway::state::sees_all_registered() const
-{
-    const auto is_alive = [this](const std::string& vm) { return fleet.find_peer(vm) != nullptr; };
-    return registered && std::all_of(registered->begin(), registered->end(), is_alive);
 }
 
 bool gateway::state::ready() const
@@ -357,7 +273,7 @@
 net::task<void> gateway::state::run_housekeeping()
 {
     while (true) {
-        if (sees_all_registered()) {
+        if (members.sees_all()) {
             runner.mark_view_complete();
         }
         const auto generation = targets.generation();
@@ -427,7 +343,7 @@
     }
     held.event_loop.post([this] {
         auto& all = *state_;
-        net::start(all.loop, all.discover_members());
+        all.members.start();
         net::start(all.loop, all.run_housekeeping());
         all.feeds.start();
         if (all.serves_callers()) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "gateway/feed_sync.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/forwarder.hpp"
+#include "gateway/member_registry.hpp"
 #include "gateway/object_store.hpp"
 #include "gateway/peer_relay.hpp"
 #include "gateway/target_protocol.hpp"
--- a/tests/adapter/protocol_tests.cpp
+++ b/tests/adapter/protocol_tests.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_frontend.hpp"
+#include "platform/batch_json.hpp"
 #include "platform/replica_protocol.hpp"
 
 #include <gtest/gtest.h>
