Report a backlog of usage windows by its age, not by its count

Pauses after two lost answers and two refusals add up to 5.5 s; windows of 0.5 s were given up after twelve, 6 s, so on a slow machine the counted window was dropped before its turn.

Change: windows are worked off for a minute, whatever their length; at 5 s that is twelve, as before. works_off_a_backlog_of_short_windows plays 20 s of windows of 0.5 s; by the bound before it would have been closed at 1028.

--- a/src/usage/report_plan.cpp
+++ b/src/usage/report_plan.cpp
@@ -5,15 +5,15 @@
 namespace vanillagauge::usage {
 namespace {
 
-/// Windows that closed while the store or the platform was away are still reported, up to this many.
-constexpr std::uint64_t max_backlog = 12;
+/// Windows that closed while the store or the platform was away are still reported for this long, whatever
+/// their length.
+constexpr milliseconds max_backlog{60000};
 
 } // namespace
 
 std::uint64_t oldest_useful_window(const report_times& times, wall_time now)
 {
-    const auto current = window_at(now, times.window);
-    return current > max_backlog ? current - max_backlog : 0;
+    return window_at(now - max_backlog, times.window);
 }
 
 // What stands in the store is sent before the next window is closed, so that the log never grows beyond what
--- a/tests/usage/report_plan_tests.cpp
+++ b/tests/usage/report_plan_tests.cpp
@@ -56,6 +56,18 @@
     EXPECT_EQ(closes(next_report_action(state, times, at(200, milliseconds(0)))), 188U);
 }
 
+// Guards against windows that are never billed because they are short: a platform that is silent for seconds
+// outlasts a dozen of them.
+TEST(next_report_action, works_off_a_backlog_of_short_windows)
+{
+    constexpr report_times short_windows{milliseconds(500), milliseconds(1500), milliseconds(500)};
+    report_state state;
+    state.log.append(1000, {});
+    state.log.acknowledge(1000);
+    const auto now = end_of_window(1000, short_windows.window) + seconds(20);
+    EXPECT_EQ(closes(next_report_action(state, short_windows, now)), 1001U);
+}
+
 // Guards against a window that nobody sends: its numbers were fixed by a holder that failed before the send.
 TEST(next_report_action, new_holder_sends_the_stored_reports_that_may_be_unsent)
 {
