Log that the removal of a replica is delayed, and export the age of feeds

The log named a removed replica only once its removal took effect, so it could not tell when the gateway learned of it, nor that and why it waited. replica_removal_delayed gives the replica, the delay and the age of the store failure that caused it; the gauge feed_age_ms gives the age of each copy. No decision changes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -153,6 +153,13 @@
         const auto now = steady::now();
         const bool outage =
             feeds.last_failure() != time_point{} && now - feeds.last_failure() < outage_window;
+        if (outage) {
+            const auto failure_age = milliseconds_between(feeds.last_failure(), now);
+            observe::log(observe::log_level::info, "replica_removal_delayed",
+                         {{"replica", object.name},
+                          {"delay_ms", std::int64_t{expiry_grace.count()}},
+                          {"failure_ms_ago", std::int64_t{failure_age.count()}}});
+        }
         targets.remove(object.name, outage ? now + expiry_grace : now);
         replicas_changed();
         return;
@@ -439,10 +446,16 @@
 std::string gateway::metrics_page() const
 {
     const auto& held = *state_;
+    const auto now = steady::now();
     for (const auto* content :
          {&held.configurations, &held.replicas, &held.versions, &held.batch_headers, &held.retirements}) {
         state_->counts.set("feed_objects{kind=\"" + content->kind() + "\"}",
                            static_cast<double>(content->objects().size()));
+        if (content->synced()) {
+            const auto age = milliseconds_between(content->confirmed_at(), now);
+            state_->counts.set("feed_age_ms{kind=\"" + content->kind() + "\"}",
+                               static_cast<double>(age.count()));
+        }
     }
     return node::build_info("vg-gateway") + " 1\n" + held.counts.page();
 }
