Count the age of a gateway's copy from the last answer of the store that is in it

A gateway that watches the store passed its copy on as current until a ping failed, 0.5 to 1.7 s after the store had gone silent to it; those that poll it then trusted the copy for 1.3 s more, beside up to 1 s that was still served. Callers could be sent to a replica, or routed by a configuration, whose change the store had acknowledged more than two seconds before, though the gateway that took them reaches the store.

The bounds of the links were set one by one, and the age that the next link counted on was assumed, not known. Now a copy counts its age from the sending of the last call of which the answer is in it: a listing, or a ping that the store answered while the watch was pending. Ages go along with each feed in the response to a poll, so that a frequent feed that is behind does not make the others look old. Times are by the clock that counts suspension.

--- a/src/gateway/feed.cpp
+++ b/src/gateway/feed.cpp
@@ -42,7 +42,7 @@
 void feed::advance(std::uint64_t as_of, time_point requested_at)
 {
     as_of_ = std::max(as_of_, as_of);
-    confirmed_at_ = std::max(confirmed_at_, requested_at);
+    confirm(requested_at);
     synced_ = true;
 }
 
@@ -139,7 +139,7 @@
     if (update.as_of < as_of_) {
         // The sender's watch started at an earlier revision and has seen no change since. Ignoring the update
         // would make this copy stale and cause a full listing each second.
-        confirmed_at_ = std::max(confirmed_at_, requested_at);
+        confirm(requested_at);
         return;
     }
     for (auto& removed : update.removed) {
--- a/src/gateway/feed.hpp
+++ b/src/gateway/feed.hpp
@@ -5,6 +5,7 @@
 #include "gateway/object_store.hpp"
 #include "net/async_condition.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -34,6 +35,7 @@
     /// `on_change` runs for each change, including those detected by a new listing.
     feed(std::string kind, handler on_change) : kind_(std::move(kind)), on_change_(std::move(on_change)) {}
 
+    /// All times are by `time_since_boot`, so that a suspension of this VM counts toward the age of its copy.
     /// Applies a complete listing at revision `as_of`.
     void apply_listing(std::map<std::string, stored_object> listed, std::uint64_t as_of,
                        time_point requested_at);
@@ -42,6 +44,8 @@
     void apply_own_write(stored_object object) { apply({std::move(object), false}); }
     /// Applies an update from a watching gateway; it was current at `requested_at`.
     void apply_update(feed_update update, time_point requested_at);
+    /// The store has just confirmed, to a call made at `requested_at`, that nothing has changed.
+    void confirm(time_point requested_at) { confirmed_at_ = std::max(confirmed_at_, requested_at); }
     /// Returns to the initial empty state; reports each object as removed.
     void reset();
 
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/internal/sync_messages.hpp"
 #include "observe/log.hpp"
+#include "policy/copy_age.hpp"
 
 #include <algorithm>
 #include <random>
@@ -15,22 +16,6 @@
 /// The store counts a watch as one call, however long it waits.
 constexpr milliseconds watch_timeout{20000};
 
-/// A pending watch cannot tell an idle store from an unreachable one, and the gateway would keep reporting
-/// "no change" to its peers. Changes must apply everywhere within two seconds; TCP keep-alive takes some
-/// three to detect a dead connection, and never detects a store that is silent on a live one. So an idle
-/// watcher pings the store. A stale read suffices.
-constexpr milliseconds ping_interval{600};
-constexpr milliseconds ping_timeout{500};
-
-/// Longest wait of a poll that is served. A source may be unresponsive, or cut off from the store without
-/// having noticed; polls with this limit reach a working one within the two seconds in which changes must
-/// apply.
-constexpr milliseconds max_poll_time{600};
-constexpr milliseconds poll_margin{400};
-
-/// An older copy is not served to peers.
-constexpr milliseconds max_served_age{1000};
-
 /// A gateway that has just started reads the store once no further peer has appeared for the calm time, or
 /// after the meeting time. If all VMs start together, each first knows but a few others and would take itself
 /// for one of the watchers.
@@ -42,9 +27,8 @@
 constexpr milliseconds max_retry_delay{700};
 constexpr milliseconds idle_delay{100};
 
-/// Delay before the next watch, so that one call returns a burst of changes. Uses a sixth of the two seconds
-/// in which changes must apply.
-constexpr milliseconds coalescing_delay{300};
+/// Between two pings while watches are sent one after another.
+constexpr milliseconds min_ping_interval{50};
 
 /// Per thread: gateways in one process would race on a shared generator.
 std::mt19937_64& random()
@@ -53,6 +37,12 @@
     return shared;
 }
 
+/// The clock of `feed`.
+time_point now_by_boot()
+{
+    return time_point{time_since_boot()};
+}
+
 duration retry_delay()
 {
     std::uniform_int_distribution<std::int64_t> delay(min_retry_delay.count(), max_retry_delay.count());
@@ -64,7 +54,7 @@
 feed_sync::feed_sync(net::loop& loop, object_store& direct, peer_relay& peers, fleet_view& fleet,
                      policy::quarantine& crashes, const std::vector<feed_registration>& feeds)
     : loop_(loop), direct_(direct), peers_(peers), fleet_(fleet), crashes_(crashes), changed_(loop),
-      watch_ended_(loop), started_(steady::now())
+      watch_ended_(loop), watch_sent_(loop), started_(now_by_boot())
 {
     for (const auto& chosen : feeds) {
         feeds_.push_back({chosen.content, chosen.needed_here, chosen.pace});
@@ -103,15 +93,12 @@
 
 duration feed_sync::age_of(const synced_feed& entry) const
 {
-    if (entry.store_reachable) {
-        return duration{0};
-    }
-    return steady::now() - std::max(entry.content->confirmed_at(), started_);
+    return now_by_boot() - std::max(entry.content->confirmed_at(), started_);
 }
 
 bool feed_sync::is_meeting_peers()
 {
-    const auto now = steady::now();
+    const auto now = now_by_boot();
     if (now - started_ >= meeting_time) {
         return false;
     }
@@ -146,20 +133,19 @@
     return watches;
 }
 
-std::optional<milliseconds> feed_sync::served_age(const internal::sync_request& request) const
+bool feed_sync::is_served(const synced_feed& entry) const
 {
-    milliseconds oldest{0};
-    for (const auto& entry : feeds_) {
-        if (!request.since.contains(entry.content->kind())) {
-            continue;
-        }
-        const auto age = std::chrono::ceil<milliseconds>(age_of(entry));
-        if (!entry.content->synced() || age > max_served_age) {
-            return std::nullopt;
-        }
-        oldest = std::max(oldest, age);
-    }
-    return oldest;
+    return entry.content->synced() && age_of(entry) <= policy::max_served_age;
+}
+
+// A frequent feed that is behind must not keep the others from the polling gateway.
+bool feed_sync::is_current(const internal::sync_request& request) const
+{
+    return std::all_of(feeds_.begin(), feeds_.end(), [&](const synced_feed& entry) {
+        const bool soon =
+            entry.pace == policy::feed_pace::steady && request.since.contains(entry.content->kind());
+        return !soon || is_served(entry);
+    });
 }
 
 void feed_sync::set_source(const std::string& source)
@@ -177,7 +163,7 @@
         const auto known = confirmed_at();
         const auto age_ms = known == time_point{} // no feed synced yet
                                 ? std::int64_t{-1}
-                                : std::chrono::duration_cast<milliseconds>(last_failure_ - known).count();
+                                : milliseconds_between(known, now_by_boot()).count();
         observe::log(observe::log_level::warning, "feeds_lost",
                      {{"why", describe(why)}, {"confirmed_ms_ago", std::int64_t{age_ms}}});
     }
@@ -213,7 +199,7 @@
         }
         entry.store_reachable = served;
         fleet_.set_watch_failing(!served);
-        const auto delay = served ? duration{coalescing_delay} : retry_delay();
+        const auto delay = served ? duration{policy::coalescing_delay} : retry_delay();
         co_await net::sleep_for(loop_, delay);
     }
 }
@@ -223,7 +209,7 @@
     std::map<std::string, stored_object> listed;
     std::uint64_t as_of = 0;
     std::string after;
-    const auto requested_at = steady::now();
+    const auto requested_at = now_by_boot();
     while (true) {
         const auto page = co_await direct_.list(entry.content->kind(), after);
         if (!ok(page)) {
@@ -243,7 +229,6 @@
     }
     entry.content->apply_listing(std::move(listed), as_of, requested_at);
     entry.listed = true;
-    last_answer_ = steady::now();
     store_down_ = false;
     set_source("store");
     changed_.notify();
@@ -258,15 +243,18 @@
 
 net::task<bool> feed_sync::watch(synced_feed& entry)
 {
-    const auto requested_at = steady::now();
+    const auto requested_at = now_by_boot();
     const auto since = entry.content->as_of();
     const auto call = std::make_shared<watch_call>();
     const auto generation = watch_generation_;
     net::start(loop_, run_watch(entry.content->kind(), since, call));
-    const auto until = requested_at + 2 * watch_timeout;
+    entry.watched_since = requested_at;
+    watch_sent_.notify();
+    const auto until = steady::now() + 2 * watch_timeout;
     while (!call->answer && generation == watch_generation_) {
         co_await watch_ended_.wait_until(until);
     }
+    entry.watched_since.reset();
     // Changes since the watch was abandoned may have been missed, so list again.
     if (!call->answer) {
         entry.listed = false;
@@ -274,7 +262,6 @@
     }
     auto& seen = *call->answer;
     if (ok(seen)) {
-        last_answer_ = steady::now();
         entry.content->apply_changes(std::move(value(seen)), requested_at);
         store_down_ = false;
         changed_.notify();
@@ -290,31 +277,68 @@
     co_return co_await list(entry);
 }
 
+std::optional<time_point> feed_sync::ping_due() const
+{
+    std::optional<time_point> due;
+    for (const auto& entry : feeds_) {
+        if (entry.watched_since) {
+            const auto next = entry.content->confirmed_at() + policy::ping_interval;
+            due = due ? std::min(*due, next) : next;
+        }
+    }
+    return due;
+}
+
 net::task<void> feed_sync::ping_store()
 {
     while (true) {
-        co_await net::sleep_for(loop_, ping_interval);
-        if (!watches_store() || steady::now() - last_answer_ < ping_interval) {
-            continue;
-        }
-        const auto generation = watch_generation_;
-        const auto answered = co_await direct_.ping(feeds_.front().content->kind(), ping_timeout);
-        if (ok(answered)) {
-            last_answer_ = steady::now();
+        const auto due = ping_due();
+        const auto wait = due ? *due - now_by_boot() : duration{policy::ping_interval};
+        if (!due || wait > duration{0}) {
+            co_await watch_sent_.wait_until(steady::now() + wait);
             continue;
         }
-        if (!watches_store() || generation != watch_generation_) {
-            continue;
-        }
-        record_failure(failure(answered));
-        ++watch_generation_;
-        for (auto& entry : feeds_) {
-            entry.store_reachable = false;
+        co_await ping();
+        co_await net::sleep_for(loop_, min_ping_interval);
+    }
+}
+
+// The store answers a pending watch as soon as there is a change. So an answer to a call sent after the watch
+// says that there was none until then.
+net::task<bool> feed_sync::ping()
+{
+    const auto smallest =
+        std::min_element(feeds_.begin(), feeds_.end(), [](const synced_feed& left, const synced_feed& right) {
+            return left.content->objects().size() < right.content->objects().size();
+        });
+    const auto generation = watch_generation_;
+    const auto requested_at = now_by_boot();
+    const auto answered = co_await direct_.ping(smallest->content->kind(), policy::ping_timeout);
+    if (generation != watch_generation_) {
+        co_return false;
+    }
+    if (!ok(answered)) {
+        abandon_watches(failure(answered));
+        co_return false;
+    }
+    for (auto& entry : feeds_) {
+        if (entry.watched_since && *entry.watched_since <= requested_at) {
+            entry.content->confirm(requested_at);
         }
-        fleet_.set_watch_failing(true);
-        watch_ended_.notify();
-        changed_.notify();
     }
+    co_return true;
+}
+
+void feed_sync::abandon_watches(const error& why)
+{
+    record_failure(why);
+    ++watch_generation_;
+    for (auto& entry : feeds_) {
+        entry.store_reachable = false;
+    }
+    fleet_.set_watch_failing(true);
+    watch_ended_.notify();
+    changed_.notify();
 }
 
 // A watching gateway polls its peers too: the store may have stopped responding to this VM alone, on a
@@ -338,19 +362,19 @@
 
 net::task<bool> feed_sync::poll_peer(std::string address)
 {
-    const auto requested_at = steady::now();
+    const auto requested_at = now_by_boot();
     const auto known = crash_revisions_[address];
     const auto poll_time = plan().poll_time();
     internal::sync_request request{
-        poll_time, {}, crashes_.update_since(known.sent, requested_at), known.received};
+        poll_time, {}, crashes_.update_since(known.sent, steady::now()), known.received};
     for (const auto& entry : feeds_) {
         if (is_needed(entry)) {
             request.since[entry.content->kind()] = entry.content->synced() ? entry.content->as_of() : 0;
         }
     }
     auto body = internal::to_json(request);
-    const auto answer =
-        co_await peers_.call_peer(address, "/sync", std::move(body), requested_at + poll_time + poll_margin);
+    const auto until = steady::now() + poll_time + policy::poll_margin;
+    const auto answer = co_await peers_.call_peer(address, "/sync", std::move(body), until);
     if (!ok(answer)) {
         co_return false;
     }
@@ -363,13 +387,9 @@
     crash_revisions_[address] = {request.crashes.as_of, value(response).crashes.as_of};
     const bool served = value(response).current;
     bool changed = crashes_.merge(value(response).crashes, steady::now());
-    if (served) {
-        const auto confirmed_at =
-            policy::confirmed_at(requested_at, value(response).held, value(response).age);
-        changed = apply_response(std::move(value(response)), confirmed_at) || changed;
-        if (!watches_store()) {
-            set_source(address);
-        }
+    changed = apply_response(std::move(value(response)), requested_at) || changed;
+    if (served && !watches_store()) {
+        set_source(address);
     }
     if (changed) {
         changed_.notify();
@@ -377,37 +397,39 @@
     co_return served;
 }
 
-bool feed_sync::apply_response(internal::sync_response response, time_point confirmed_at)
+bool feed_sync::apply_response(internal::sync_response response, time_point requested_at)
 {
     if (response.failure_age) {
-        last_failure_ = std::max(last_failure_, confirmed_at - *response.failure_age);
+        last_failure_ = std::max(last_failure_, steady::now() - *response.failure_age);
     }
     bool changed = false;
     for (auto& entry : feeds_) {
         const auto found = response.feeds.find(entry.content->kind());
         if (found != response.feeds.end()) {
             const auto before = entry.content->as_of();
-            entry.content->apply_update(std::move(found->second), confirmed_at);
+            auto& served = found->second;
+            entry.content->apply_update(std::move(served.update),
+                                        policy::confirmed_at(requested_at, response.held, served.age));
             changed = changed || entry.content->changed_since(before);
         }
     }
     return changed;
 }
 
-const feed* feed_sync::find(const std::string& kind) const
+const feed_sync::synced_feed* feed_sync::find(const std::string& kind) const
 {
     const auto found = std::find_if(feeds_.begin(), feeds_.end(), [&kind](const synced_feed& entry) {
         return entry.content->kind() == kind;
     });
-    return found == feeds_.end() ? nullptr : found->content;
+    return found == feeds_.end() ? nullptr : &*found;
 }
 
 bool feed_sync::has_updates(const internal::sync_request& request) const
 {
     return crashes_.changed_since(request.crashes_since) ||
            std::any_of(request.since.begin(), request.since.end(), [this](const auto& entry) {
-               const auto* content = find(entry.first);
-               return content != nullptr && content->changed_since(entry.second);
+               const auto* known = find(entry.first);
+               return known != nullptr && is_served(*known) && known->content->changed_since(entry.second);
            });
 }
 
@@ -422,28 +444,25 @@
         co_return response;
     }
     const auto& wanted = value(read);
-    const auto requested_at = steady::now();
-    if (crashes_.merge(wanted.crashes, requested_at)) {
+    const auto received_at = now_by_boot();
+    if (crashes_.merge(wanted.crashes, steady::now())) {
         changed_.notify();
     }
-    const auto until = requested_at + std::min(wanted.wait, max_poll_time);
-    while (served_age(wanted) && !has_updates(wanted) && steady::now() < until) {
+    const auto until = steady::now() + std::min<milliseconds>(wanted.wait, policy::poll_time_of_others);
+    while (is_current(wanted) && !has_updates(wanted) && steady::now() < until) {
         co_await changed_.wait_until(until);
     }
     internal::sync_response answer;
-    const auto age = served_age(wanted);
-    answer.current = age.has_value();
-    answer.held = std::chrono::floor<milliseconds>(steady::now() - requested_at);
-    answer.age = age.value_or(milliseconds{0});
+    answer.current = is_current(wanted);
+    answer.held = std::chrono::floor<milliseconds>(now_by_boot() - received_at);
     answer.crashes = crashes_.update_since(wanted.crashes_since, steady::now());
     if (last_failure_ != time_point{}) {
         answer.failure_age = std::chrono::duration_cast<milliseconds>(steady::now() - last_failure_);
     }
-    if (answer.current) {
-        for (const auto& [kind, since] : wanted.since) {
-            if (const auto* content = find(kind)) {
-                answer.feeds[kind] = content->update_since(since);
-            }
+    for (const auto& [kind, since] : wanted.since) {
+        if (const auto* known = find(kind); known != nullptr && is_served(*known)) {
+            answer.feeds[kind] = {known->content->update_since(since),
+                                  std::chrono::ceil<milliseconds>(age_of(*known))};
         }
     }
     response.body = internal::to_json(answer).dump();
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -51,8 +51,9 @@
         feed* content = nullptr;
         bool needed_here = true;
         policy::feed_pace pace = policy::feed_pace::steady;
-        bool listed = false;          ///< a watch may start from its revision
-        bool store_reachable = false; ///< its last call to the store succeeded
+        bool listed = false;                       ///< a watch may start from its revision
+        bool store_reachable = false;              ///< its last call to the store succeeded
+        std::optional<time_point> watched_since{}; ///< when the pending watch was sent; none: none is pending
     };
     net::loop& loop_;
     object_store& direct_;
@@ -63,27 +64,31 @@
     std::vector<synced_feed> feeds_;
     net::async_condition changed_;
     net::async_condition watch_ended_; ///< a watch was answered or abandoned
-    std::string source_;               ///< of the last update: "store", a peer's address, or empty
-    std::size_t next_source_ = 0;      ///< changes when a source fails
+    net::async_condition watch_sent_;
+    std::string source_;          ///< of the last update: "store", a peer's address, or empty
+    std::size_t next_source_ = 0; ///< changes when a source fails
     time_point started_;
     std::size_t peers_met_ = 0;
     time_point last_met_{};
     time_point last_failure_{};
     bool store_down_ = false;
-    time_point last_answer_{};           ///< last response of the store to any call
     std::uint64_t watch_generation_ = 0; ///< incremented to abandon pending watches
 
     net::task<void> sync_from_store(std::size_t index);
     net::task<bool> list(synced_feed& entry);
     net::task<bool> watch(synced_feed& entry);
     net::task<void> run_watch(std::string kind, std::uint64_t since, std::shared_ptr<watch_call> call);
+    /// When the next ping is due; none if no watch is pending.
+    std::optional<time_point> ping_due() const;
     net::task<void> ping_store();
+    net::task<bool> ping();
+    void abandon_watches(const error& why);
     net::task<void> poll_peers();
     net::task<bool> poll_peer(std::string address);
     /// Returns whether anything changed.
-    bool apply_response(internal::sync_response response, time_point confirmed_at);
+    bool apply_response(internal::sync_response response, time_point requested_at);
     bool has_updates(const internal::sync_request& request) const;
-    const feed* find(const std::string& kind) const;
+    const synced_feed* find(const std::string& kind) const;
     policy::feed_plan plan() const;
     /// Whether this gateway has just started and its peers still appear.
     bool is_meeting_peers();
@@ -92,8 +97,9 @@
     /// Whether the store has answered the last call of each feed that is watched here; false if none is.
     bool watches_store() const;
     duration age_of(const synced_feed& entry) const;
-    /// Age of the oldest copy among the requested kinds; none if one of them is too old to be served.
-    std::optional<milliseconds> served_age(const internal::sync_request& request) const;
+    bool is_served(const synced_feed& entry) const;
+    /// Whether all requested copies are served whose changes are to be in force soon.
+    bool is_current(const internal::sync_request& request) const;
     time_point confirmed_at() const;
     void set_source(const std::string& source);
     void record_failure(const error& why);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -446,7 +446,7 @@
 std::string gateway::metrics_page() const
 {
     const auto& held = *state_;
-    const auto now = steady::now();
+    const time_point now{time_since_boot()};
     for (const auto* content :
          {&held.configurations, &held.replicas, &held.versions, &held.batch_headers, &held.retirements}) {
         state_->counts.set("feed_objects{kind=\"" + content->kind() + "\"}",
--- a/src/gateway/internal/sync_messages.cpp
+++ b/src/gateway/internal/sync_messages.cpp
@@ -73,12 +73,12 @@
     json document;
     document["serves"] = response.current;
     document["held_ms"] = response.held.count();
-    document["age_ms"] = response.age.count();
     if (response.failure_age) {
         document["failed_ms_ago"] = response.failure_age->count();
     }
-    for (const auto& [kind, update] : response.feeds) {
-        document["feeds"][kind] = to_json(update);
+    for (const auto& [kind, served] : response.feeds) {
+        auto& content = document["feeds"][kind] = to_json(served.update);
+        content["age_ms"] = served.age.count();
     }
     document["crashes"] = to_json(response.crashes);
     return document;
@@ -92,7 +92,6 @@
             sync_response response;
             response.current = from.at("serves").get<bool>();
             response.held = bounded(from.at("held_ms"), max_wait_ms);
-            response.age = bounded(from.at("age_ms"), max_record_age_ms);
             if (const auto failed = from.find("failed_ms_ago"); failed != from.end()) {
                 response.failure_age = bounded(*failed, max_record_age_ms);
             }
@@ -101,7 +100,8 @@
                 if (!ok(update)) {
                     return failure(update);
                 }
-                response.feeds[kind] = std::move(value(update));
+                response.feeds[kind] = {std::move(value(update)),
+                                        bounded(content.at("age_ms"), max_record_age_ms)};
             }
             response.crashes = crashes_from_json(from.at("crashes"));
             return response;
--- a/src/gateway/internal/sync_messages.hpp
+++ b/src/gateway/internal/sync_messages.hpp
@@ -19,12 +19,16 @@
     std::uint64_t crashes_since = 0;            ///< of the receiver's crash records, last received
 };
 
+struct served_feed {
+    feed_update update;
+    milliseconds age{0}; ///< since the copy was confirmed, when the response was sent
+};
+
 struct sync_response {
-    bool current = false;                      ///< the responding gateway's copies of all requested kinds
-    milliseconds held{0};                      ///< from the receipt of the request to this response
-    milliseconds age{0};                       ///< then, since the oldest of them was confirmed
-    std::optional<milliseconds> failure_age{}; ///< time since its last store failure
-    std::map<std::string, feed_update> feeds{};
+    bool current = false;                       ///< the requested copies that are to be in force soon
+    milliseconds held{0};                       ///< from the receipt of the request to this response
+    std::optional<milliseconds> failure_age{};  ///< time since its last store failure
+    std::map<std::string, served_feed> feeds{}; ///< by kind; without those that are too old
     policy::crash_update crashes{};
 };
 
--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -1,6 +1,7 @@
 #include "policy/feed_plan.hpp"
 
 #include "base/digest.hpp"
+#include "policy/copy_age.hpp"
 
 #include <algorithm>
 
@@ -13,17 +14,12 @@
 /// Bounds the polls that a gateway serves.
 constexpr std::size_t gateways_per_relay = 24;
 
-/// A gateway whose copy has not been confirmed for this long asks the store itself. Those that should serve
-/// the others do so first: if all did at once, the store would be read once for each gateway.
-constexpr milliseconds staleness_limit{1300};
-constexpr milliseconds frequent_staleness_limit{2600};
+/// For a feed of which no change is bounded in time. Gateways that should serve the others ask the store
+/// sooner: if all did at once, it would be read once for each gateway.
+constexpr milliseconds frequent_refresh_age{2600};
 /// After a start of all gateways a first copy passes through the watchers and relays.
 constexpr milliseconds start_limit{3000};
 
-/// Copies of gateways that serve others are kept fresher than the others'.
-constexpr milliseconds serving_poll_time{300};
-constexpr milliseconds poll_time_of_others{600};
-
 } // namespace
 
 std::size_t serving_count(std::size_t gateways)
@@ -60,21 +56,26 @@
 // frequent feed has one, whose silence delays steps by a second or two and breaks nothing.
 bool feed_plan::watches(feed_pace pace, const copy& known) const
 {
+    const auto max_age = polls_relays() ? relayed_refresh_age : refresh_age;
     if (watches_store()) {
-        return pace == feed_pace::steady || *rank_ == 0 || known.age > staleness_limit;
+        return pace == feed_pace::steady || *rank_ == 0 || known.age > max_age;
     }
     if (!known.synced) {
         return known.age > start_limit;
     }
-    return known.age > (pace == feed_pace::steady ? staleness_limit : frequent_staleness_limit);
+    return known.age > (pace == feed_pace::steady ? max_age : frequent_refresh_age);
+}
+
+bool feed_plan::polls_relays() const
+{
+    return chosen_.size() > store_watchers && !serves();
 }
 
 std::vector<std::string> feed_plan::sources() const
 {
     const auto watchers = std::min(store_watchers, chosen_.size());
-    const bool relayed = chosen_.size() > store_watchers;
-    const auto first = relayed && !serves() ? watchers : 0;
-    const auto last = relayed && !serves() ? chosen_.size() : watchers;
+    const auto first = polls_relays() ? watchers : 0;
+    const auto last = polls_relays() ? chosen_.size() : watchers;
     std::vector<std::string> found;
     for (auto index = first; index < last; ++index) {
         if (chosen_[index] != self_) {
--- a/src/policy/feed_plan.hpp
+++ b/src/policy/feed_plan.hpp
@@ -44,6 +44,7 @@
     std::optional<std::size_t> rank_; ///< none: not chosen
 
     bool watches_store() const;
+    bool polls_relays() const;
 };
 
 /// When a copy was last known to be current that was received from a peer: it had been confirmed `age` before
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -4,6 +4,7 @@
 
 #include "policy/background_capacity.hpp"
 #include "policy/concurrency_limit.hpp"
+#include "policy/copy_age.hpp"
 #include "policy/engine_speed.hpp"
 #include "policy/fair_queue.hpp"
 #include "policy/feed_plan.hpp"
--- a/tests/gateway/feed_sync_tests.cpp
+++ b/tests/gateway/feed_sync_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <set>
 
 namespace vanillagauge::gateway {
@@ -59,12 +60,35 @@
     }
 }
 
-std::size_t replicas_known(running_gateway& served)
+/// The value of a gauge for one kind; none if the page does not have it.
+std::optional<double> gauge_of(running_gateway& served, const std::string& name, const std::string& kind)
 {
     const auto page = served.query<std::string>([](gateway& asked) { return asked.metrics_page(); });
-    const std::string series = "feed_objects{kind=\"servers\"} ";
+    const auto series = name + "{kind=\"" + kind + "\"} ";
     const auto at = page.find(series);
-    return at == std::string::npos ? 0 : std::stoul(page.substr(at + series.size()));
+    return at == std::string::npos ? std::nullopt : std::optional{std::stod(page.substr(at + series.size()))};
+}
+
+std::size_t replicas_known(running_gateway& served)
+{
+    return static_cast<std::size_t>(gauge_of(served, "feed_objects", "servers").value_or(0));
+}
+
+// Guards against a watcher that passes its copy on as current while the store is silent to it, so that the
+// gateways that poll it begin to count its age only once a ping has failed.
+TEST(feed_sync, copies_age_from_the_last_answer_of_the_store)
+{
+    four_gateways all({0, 1, 2, 3});
+    std::this_thread::sleep_for(milliseconds(2000)); // polls are under way
+    all.modify_store([](standins::fake_store& store) { store.faults.second_silent = true; });
+    constexpr milliseconds silence{450};
+    std::this_thread::sleep_for(silence);
+    for (const auto& served : all.gateways) {
+        for (const auto* kind : {"config", "servers"}) {
+            EXPECT_GE(gauge_of(*served, "feed_age_ms", kind).value_or(0),
+                      static_cast<double>(silence.count()));
+        }
+    }
 }
 
 // Guards against sending replica updates to VMs that serve no callers and don't watch the store.
