Take the store for away only if no gateway had an answer

Callers' requests and scoring calls reached replicas up to 372 ms later than two seconds after the store had acknowledged that they left. Each of the late replicas had left without reporting draining; its entry was just removed. A gateway keeps a replica whose entry vanishes for 2.2 s more if the store was away in the three seconds before, since entries that expire in an outage come back. It took a failed call of any gateway for that, its own or one that it was told of: so one gateway with a one-way cut, or one that the store turns away, made the whole fleet keep replicas that had left.

The class of fault: a failure seen on one way is taken for the state of what is at its end. The evidence for an outage is now the absence of answers to anyone: the times at which the store confirmed a copy travel with the copies, so where anyone gets answers all gateways know it within 1.5 s, and a longer gap is an outage. Failures are no longer passed on between gateways.

--- a/src/gateway/feed.cpp
+++ b/src/gateway/feed.cpp
@@ -39,10 +39,15 @@
     on_change_(change);
 }
 
-void feed::advance(std::uint64_t as_of, time_point requested_at)
+void feed::confirm(time_point requested_at)
+{
+    confirmed_at_ = std::max(confirmed_at_, requested_at);
+    grace_.on_answer(requested_at);
+}
+
+void feed::advance(std::uint64_t as_of)
 {
     as_of_ = std::max(as_of_, as_of);
-    confirm(requested_at);
     synced_ = true;
 }
 
@@ -84,6 +89,7 @@
 void feed::apply_listing(std::map<std::string, stored_object> listed, std::uint64_t as_of,
                          time_point requested_at)
 {
+    confirm(requested_at);
     if (as_of >= as_of_) {
         remove_absent([&listed](const std::string& name) { return listed.contains(name); }, as_of);
     }
@@ -91,11 +97,12 @@
         apply({std::move(object), false});
     }
     discard_removals(std::max(as_of, as_of_));
-    advance(as_of, requested_at);
+    advance(as_of);
 }
 
 void feed::apply_changes(object_changes changes, time_point requested_at)
 {
+    confirm(requested_at);
     for (auto& change : changes.events) {
         if (change.removed) {
             record_removal(change.object, changes.as_of);
@@ -103,7 +110,7 @@
         }
         apply(std::move(change));
     }
-    advance(changes.as_of, requested_at);
+    advance(changes.as_of);
 }
 
 // Sending all names each time would make the fleet's traffic grow with VMs times replicas.
@@ -136,10 +143,10 @@
 
 void feed::apply_update(feed_update update, time_point requested_at)
 {
+    confirm(requested_at);
     if (update.as_of < as_of_) {
-        // The sender's watch started at an earlier revision and has seen no change since. Ignoring the update
-        // would make this copy stale and cause a full listing each second.
-        confirm(requested_at);
+        // The sender's watch started at an earlier revision and has seen no change since. Not to count that
+        // as a confirmation would make this copy stale and cause a full listing each second.
         return;
     }
     for (auto& removed : update.removed) {
@@ -155,7 +162,7 @@
                       update.as_of);
         discard_removals(update.as_of);
     }
-    advance(update.as_of, requested_at);
+    advance(update.as_of);
 }
 
 void feed::reset()
@@ -166,6 +173,7 @@
     changed_as_of_ = 0;
     removals_since_ = 0;
     synced_ = false;
+    grace_ = {};
     for (const auto& [name, object] : previous) {
         on_change_({object, true});
     }
--- a/src/gateway/feed.hpp
+++ b/src/gateway/feed.hpp
@@ -4,8 +4,8 @@
 
 #include "gateway/object_store.hpp"
 #include "net/async_condition.hpp"
+#include "policy/expiry_grace.hpp"
 
-#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -45,7 +45,7 @@
     /// Applies an update from a watching gateway; it was current at `requested_at`.
     void apply_update(feed_update update, time_point requested_at);
     /// The store has just confirmed, to a call made at `requested_at`, that nothing has changed.
-    void confirm(time_point requested_at) { confirmed_at_ = std::max(confirmed_at_, requested_at); }
+    void confirm(time_point requested_at);
     /// Returns to the initial empty state; reports each object as removed.
     void reset();
 
@@ -57,6 +57,8 @@
     std::uint64_t as_of() const { return as_of_; }
     /// The last time at which the content was known to be current.
     time_point confirmed_at() const { return confirmed_at_; }
+    /// Until when objects that vanish may have expired because the store was away; the epoch if it was not.
+    time_point expiry_grace_ends_at() const { return grace_.ends_at(); }
     /// Whether there are changes after the revision `since`.
     bool changed_since(std::uint64_t since) const { return synced_ && changed_as_of_ > since; }
     /// The changes after the revision `since`.
@@ -76,12 +78,13 @@
     std::uint64_t removals_since_ = 0; ///< `removals_` is complete after this revision
     bool synced_ = false;
     time_point confirmed_at_{};
+    policy::expiry_grace grace_;
 
     void apply(object_change change);
     void remove_absent(const std::function<bool(const std::string&)>& present, std::uint64_t as_of);
     void record_removal(const stored_object& object, std::uint64_t as_of);
     void discard_removals(std::uint64_t as_of);
-    void advance(std::uint64_t as_of, time_point requested_at);
+    void advance(std::uint64_t as_of);
 };
 
 } // namespace vanillagauge::gateway
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -158,7 +158,6 @@
 
 void feed_sync::record_failure(const error& why)
 {
-    last_failure_ = steady::now();
     if (!store_down_) {
         const auto known = confirmed_at();
         const auto age_ms = known == time_point{} // no feed synced yet
@@ -399,9 +398,6 @@
 
 bool feed_sync::apply_response(internal::sync_response response, time_point requested_at)
 {
-    if (response.failure_age) {
-        last_failure_ = std::max(last_failure_, steady::now() - *response.failure_age);
-    }
     bool changed = false;
     for (auto& entry : feeds_) {
         const auto found = response.feeds.find(entry.content->kind());
@@ -456,9 +452,6 @@
     answer.current = is_current(wanted);
     answer.held = std::chrono::floor<milliseconds>(now_by_boot() - received_at);
     answer.crashes = crashes_.update_since(wanted.crashes_since, steady::now());
-    if (last_failure_ != time_point{}) {
-        answer.failure_age = std::chrono::duration_cast<milliseconds>(steady::now() - last_failure_);
-    }
     for (const auto& [kind, since] : wanted.since) {
         if (const auto* known = find(kind); known != nullptr && is_served(*known)) {
             answer.feeds[kind] = {known->content->update_since(since),
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -34,9 +34,6 @@
     /// Serves a long poll: waits for an update, at most as long as the request allows.
     net::task<net::http_response> serve(const net::http_request& request);
 
-    /// The last store failure, here or at a watching gateway; the epoch if none.
-    time_point last_failure() const { return last_failure_; }
-
 private:
     /// A pending watch, shared with the task that runs it.
     struct watch_call {
@@ -70,7 +67,6 @@
     time_point started_;
     std::size_t peers_met_ = 0;
     time_point last_met_{};
-    time_point last_failure_{};
     bool store_down_ = false;
     std::uint64_t watch_generation_ = 0; ///< incremented to abandon pending watches
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,12 +18,6 @@
 
 namespace {
 
-/// Replica entries that expire during a store outage are renewed within two seconds of its end if the replica
-/// is alive; the replica stays in use until then.
-constexpr milliseconds expiry_grace{2200};
-/// A removal within this time of the store's last failure may be caused by the outage.
-constexpr milliseconds outage_window{3000};
-
 /// A request is quarantined after losing two replicas here, or three across all gateways: a harmless request
 /// may be in flight at two gateways when replicas are lost at the same time.
 constexpr policy::quarantine_limits crash_limits{2, 3};
@@ -150,17 +144,13 @@
 {
     const auto& object = change.object;
     if (change.removed) {
-        const auto now = steady::now();
-        const bool outage =
-            feeds.last_failure() != time_point{} && now - feeds.last_failure() < outage_window;
-        if (outage) {
-            const auto failure_age = milliseconds_between(feeds.last_failure(), now);
+        const auto delay =
+            milliseconds_between(time_point{time_since_boot()}, replicas.expiry_grace_ends_at());
+        if (delay > milliseconds{0}) {
             observe::log(observe::log_level::info, "replica_removal_delayed",
-                         {{"replica", object.name},
-                          {"delay_ms", std::int64_t{expiry_grace.count()}},
-                          {"failure_ms_ago", std::int64_t{failure_age.count()}}});
+                         {{"replica", object.name}, {"delay_ms", std::int64_t{delay.count()}}});
         }
-        targets.remove(object.name, outage ? now + expiry_grace : now);
+        targets.remove(object.name, steady::now() + delay);
         replicas_changed();
         return;
     }
--- a/src/gateway/internal/sync_messages.cpp
+++ b/src/gateway/internal/sync_messages.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::int64_t max_wait_ms = 60LL * 1000;
-/// No gateway keeps a failure or a crash record for longer; larger values are clamped.
+/// No gateway keeps a copy or a crash record for longer; larger values are clamped.
 constexpr std::int64_t max_record_age_ms = 24LL * 3600 * 1000;
 
 milliseconds bounded(const json& document, std::int64_t max_ms)
@@ -73,9 +73,6 @@
     json document;
     document["serves"] = response.current;
     document["held_ms"] = response.held.count();
-    if (response.failure_age) {
-        document["failed_ms_ago"] = response.failure_age->count();
-    }
     for (const auto& [kind, served] : response.feeds) {
         auto& content = document["feeds"][kind] = to_json(served.update);
         content["age_ms"] = served.age.count();
@@ -92,9 +89,6 @@
             sync_response response;
             response.current = from.at("serves").get<bool>();
             response.held = bounded(from.at("held_ms"), max_wait_ms);
-            if (const auto failed = from.find("failed_ms_ago"); failed != from.end()) {
-                response.failure_age = bounded(*failed, max_record_age_ms);
-            }
             for (const auto& [kind, content] : member_or_null(from, "feeds").items()) {
                 auto update = feed_update_from_json(content);
                 if (!ok(update)) {
--- a/src/gateway/internal/sync_messages.hpp
+++ b/src/gateway/internal/sync_messages.hpp
@@ -6,7 +6,6 @@
 #include "policy/quarantine.hpp"
 
 #include <map>
-#include <optional>
 #include <string>
 
 namespace vanillagauge::gateway::internal {
@@ -27,7 +26,6 @@
 struct sync_response {
     bool current = false;                       ///< the requested copies that are to be in force soon
     milliseconds held{0};                       ///< from the receipt of the request to this response
-    std::optional<milliseconds> failure_age{};  ///< time since its last store failure
     std::map<std::string, served_feed> feeds{}; ///< by kind; without those that are too old
     policy::crash_update crashes{};
 };
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -37,8 +37,7 @@
     explicit target_registry(net::loop& loop) : loop_(loop) {}
 
     void update(const replica& known);
-    /// Removes a replica whose entry was deleted, at `keep_until`. Entries that expired because of a store
-    /// outage are renewed soon after it, so after a recent outage the replica stays in use until then.
+    /// Removes a replica whose entry has vanished, at `keep_until`; one that drains at once.
     void remove(const std::string& id, time_point keep_until);
     /// Completes the delayed removals that are due.
     void remove_expired(time_point now);
--- /dev/null
+++ b/src/policy/expiry_grace.cpp
@@ -0,0 +1,31 @@
+#include "policy/expiry_grace.hpp"
+
+#include "policy/copy_age.hpp"
+
+namespace vanillagauge::policy {
+namespace {
+
+/// Where the store serves anyone, all gateways know of an answer after a shorter time without one.
+constexpr milliseconds min_outage{1500};
+static_assert(min_outage > relayed_refresh_age + hop_allowance);
+
+/// Entries that expired are renewed within two seconds of the store's return if their replicas are alive.
+constexpr milliseconds renewal_time{2200};
+
+} // namespace
+
+// A replica that leaves without draining and an entry that expired while the store was away look alike; using
+// the first breaks the drain, dropping the second refuses requests. A failed call does not tell them apart:
+// the store may be out of reach for one gateway only. So the store counts as having been away only where no
+// gateway had an answer.
+void expiry_grace::on_answer(time_point requested_at)
+{
+    if (last_answer_ && requested_at - *last_answer_ >= min_outage) {
+        ends_at_ = requested_at + renewal_time;
+    }
+    if (!last_answer_ || requested_at > *last_answer_) {
+        last_answer_ = requested_at;
+    }
+}
+
+} // namespace vanillagauge::policy
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -6,6 +6,7 @@
 #include "policy/concurrency_limit.hpp"
 #include "policy/copy_age.hpp"
 #include "policy/engine_speed.hpp"
+#include "policy/expiry_grace.hpp"
 #include "policy/fair_queue.hpp"
 #include "policy/feed_plan.hpp"
 #include "policy/latency_quantile.hpp"
--- a/tests/gateway/leaving_replicas_tests.cpp
+++ b/tests/gateway/leaving_replicas_tests.cpp
@@ -86,5 +86,26 @@
     EXPECT_EQ(all.received_after(all.leaving, removed_at + max_drain_time), 0U);
 }
 
+// Guards against refused requests after an outage in which the entries of living replicas expired.
+TEST(leaving_replicas, are_told_from_those_whose_entries_expired_in_an_outage)
+{
+    constexpr milliseconds outage{2000};
+    constexpr milliseconds renewal_time{1500};
+    cut_off_watchers all({});
+    all.modify_store([](standins::fake_store& store) { store.faults.refuse = true; });
+    int failed = all.send_until(steady::now() + outage);
+    all.modify_store([](standins::fake_store& store) {
+        store.remove("servers", "r1");
+        store.remove("servers", "r2");
+        store.faults.refuse = false;
+    });
+    const auto back_at = steady::now();
+    failed += all.send_until(back_at + renewal_time);
+    all.put_replica(all.staying, "plain", "ready");
+    failed += all.send_until(back_at + seconds(4));
+    EXPECT_EQ(failed, 0);
+    EXPECT_EQ(all.received_after(all.leaving, back_at + seconds(3)), 0U) << "its entry has not come back";
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
