Ask again whether a replica may be used when nothing but the sending is left

A request is given to a replica and then waits for its connection, for up to its whole time where the replica's queue of new connections is full. Nobody looked again before the bytes left, so requests, streams and items of batches were sent to replicas that had meanwhile drained or gone, also after the gateway itself knew. The same gap stands wherever choice and sending are apart: at retries, moved and resumed runs, scoring calls and speculative batches, which all send through these two places.

A request whose replica left goes back to the queue, without a spent attempt, since nothing was sent.

--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -49,17 +49,20 @@
     observe::span hop(observe::trace_from_id(batch->progress.header().id), "item_run");
     hop.set_attribute("request_id", batch->progress.items()[index].item.id);
     hop.set_attribute("replica", engine->info.instance_id());
-    auto taken = co_await engine->pool.acquire(steady::now() + connect_timeout);
-    if (auto* connection = std::get_if<std::shared_ptr<net::http_connection>>(&taken)) {
-        run->connection = *connection;
-        if (!batch->ended && batch->progress.items()[index].state == work_state::running) {
-            co_await read_answer(batch, index, engine, run);
-        }
-    }
-    else {
+    const auto until = steady::now() + connect_timeout;
+    auto taken = co_await engine->pool.acquire(until);
+    const auto* connection = std::get_if<std::shared_ptr<net::http_connection>>(&taken);
+    if (connection == nullptr) {
         engine->back_off_until = steady::now() + failure_backoff;
         batch->progress.release(index, {}, engine->info.instance_id());
     }
+    else if (!co_await targets_.may_send(engine, until)) {
+        batch->progress.release(index, {}, engine->info.instance_id());
+    }
+    else if (!batch->ended && batch->progress.items()[index].state == work_state::running) {
+        run->connection = *connection;
+        co_await read_answer(batch, index, engine, run);
+    }
     --engine->streams;
     batch->item_runs.erase(index);
     batch->changed.notify();
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds max_retry_delay{700};
 constexpr milliseconds idle_delay{100};
 
+/// While a caller waits for a copy to become current.
+constexpr milliseconds refresh_poll_interval{10};
+
 /// Between two pings while watches are sent one after another.
 constexpr milliseconds min_ping_interval{50};
 
@@ -133,6 +136,24 @@
     return watches;
 }
 
+// An older copy is still used while the store is away: whether its answer failed or is missing, nothing
+// better is to be had.
+bool feed_sync::is_usable(const synced_feed& entry) const
+{
+    if (store_down_ || age_of(entry) <= policy::max_copy_age) {
+        return true;
+    }
+    return entry.asked_since && now_by_boot() - *entry.asked_since >= policy::refresh_timeout;
+}
+
+net::task<void> feed_sync::refresh(std::string kind, time_point until)
+{
+    const auto* entry = find(kind);
+    while (entry != nullptr && !is_usable(*entry) && steady::now() < until) {
+        co_await changed_.wait_until(std::min(until, steady::now() + refresh_poll_interval));
+    }
+}
+
 bool feed_sync::is_served(const synced_feed& entry) const
 {
     return entry.content->synced() && age_of(entry) <= policy::max_served_age;
@@ -178,6 +199,7 @@
         if (!should_watch(entry)) {
             entry.store_reachable = false;
             entry.listed = false;
+            entry.asked_since.reset();
             if (!is_needed(entry) && entry.content->synced()) {
                 entry.content->reset();
             }
@@ -209,6 +231,7 @@
     std::uint64_t as_of = 0;
     std::string after;
     const auto requested_at = now_by_boot();
+    entry.asked_since = entry.asked_since.value_or(requested_at);
     while (true) {
         const auto page = co_await direct_.list(entry.content->kind(), after);
         if (!ok(page)) {
@@ -228,6 +251,7 @@
     }
     entry.content->apply_listing(std::move(listed), as_of, requested_at);
     entry.listed = true;
+    entry.asked_since.reset();
     store_down_ = false;
     set_source("store");
     changed_.notify();
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -31,6 +31,9 @@
     void start();
     /// Abandons pending watches and lists again, after a change of the store's address.
     void restart_watches();
+    /// Waits, at most until `until`, for a copy of the kind that is young enough to act upon. Returns at once
+    /// if it is, or if the store was asked for it in vain.
+    net::task<void> refresh(std::string kind, time_point until);
     /// Serves a long poll: waits for an update, at most as long as the request allows.
     net::task<net::http_response> serve(const net::http_request& request);
 
@@ -50,6 +53,7 @@
         policy::feed_pace pace = policy::feed_pace::steady;
         bool listed = false;                       ///< a watch may start from its revision
         bool store_reachable = false;              ///< its last call to the store succeeded
+        std::optional<time_point> asked_since{};   ///< when it was first listed in vain; none: it was not
         std::optional<time_point> watched_since{}; ///< when the pending watch was sent; none: none is pending
     };
     net::loop& loop_;
@@ -93,6 +97,7 @@
     /// Whether the store has answered the last call of each feed that is watched here; false if none is.
     bool watches_store() const;
     duration age_of(const synced_feed& entry) const;
+    bool is_usable(const synced_feed& entry) const;
     bool is_served(const synced_feed& entry) const;
     /// Whether all requested copies are served whose changes are to be in force soon.
     bool is_current(const internal::sync_request& request) const;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -181,6 +181,7 @@
         const auto began = steady::now();
         if (!at || !at->usable) {
             queue->finish(instance_id, {});
+            outcome.replica_left = true;
             outcome.result = not_run(error_code::unavailable, "the replica has left", no_replica_retry_after);
         }
         else {
@@ -199,6 +200,7 @@
             outcome.replica = instance_id;
             attempt_span.set_attribute("outcome", outcome.text());
             current.internal_errors += outcome.internal_error() ? 1 : 0;
+            current.attempts -= outcome.replica_left ? 1 : 0;
             count_run(current, outcome);
             report(*queue, at, outcome, steady::now() - began);
         }
@@ -207,6 +209,10 @@
             break;
         }
         current.work.tried.insert(instance_id);
+        if (outcome.replica_left) {
+            admitted = co_await queue->admit(current.work);
+            continue;
+        }
         const auto next = queue->retry(current.work);
         if (!next) {
             break;
@@ -267,7 +273,7 @@
     ended.latency = took;
     const auto* failed = std::get_if<error>(&outcome.result);
     const bool cancelled = failed != nullptr && failed->code == error_code::cancelled;
-    if (cancelled || outcome.not_run) {
+    if (cancelled || outcome.not_run || outcome.replica_left) {
         ended.kind = policy::attempt_result::unknown;
     }
     else {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -129,6 +129,7 @@
               return serve_peer(request, answer);
           })
 {
+    targets.set_refresher([this](time_point until) { return feeds.refresh(schema.replicas, until); });
     forwarding.set_run_recorder([this](const std::string& organisation, usage::wall_time began) {
         runs.record_run(organisation, began);
     });
--- a/src/gateway/internal/forwarded_call.hpp
+++ b/src/gateway/internal/forwarded_call.hpp
@@ -43,7 +43,8 @@
     std::variant<net::http_response, error> result = error{};
     bool finished_stream = false; ///< the client received the complete stream
     bool not_run = false;
-    bool closed = false; ///< by the replica, before a response
+    bool replica_left = false; ///< before anything was sent to it
+    bool closed = false;       ///< by the replica, before a response
     bool reused_connection = false;
     std::optional<policy::load_report> load{};
     std::string replica{};
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -54,6 +54,12 @@
     newest = std::max(newest, version);
 }
 
+net::task<bool> target_registry::may_send(target_ref at, time_point until) const
+{
+    co_await refresh_(until);
+    co_return at->usable;
+}
+
 void target_registry::update(const replica& known)
 {
     ++generation_;
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -5,6 +5,7 @@
 #include "gateway/replica.hpp"
 #include "net/connection_pool.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,8 +35,16 @@
 
 class target_registry {
 public:
+    /// Waits until the registry is up to date, at most until the given time.
+    using refresher = std::function<net::task<void>(time_point)>;
+
     explicit target_registry(net::loop& loop) : loop_(loop) {}
 
+    void set_refresher(refresher refresh) { refresh_ = std::move(refresh); }
+    /// Whether a request may be sent to the replica now. To be asked last, once the connection stands: the
+    /// replica may have left since it was chosen.
+    net::task<bool> may_send(target_ref at, time_point until) const;
+
     void update(const replica& known);
     /// Removes a replica whose entry has vanished, at `keep_until`; one that drains at once.
     void remove(const std::string& id, time_point keep_until);
@@ -51,6 +60,7 @@
 
 private:
     net::loop& loop_;
+    refresher refresh_ = [](time_point) -> net::task<void> { co_return; };
     std::map<std::string, target_ref> targets_;       ///< by id
     std::map<std::string, time_point> removal_times_; ///< by id, of delayed removals
     std::uint64_t generation_ = 0;
--- a/tests/gateway/deployment.hpp
+++ b/tests/gateway/deployment.hpp
@@ -238,6 +238,14 @@
     return request;
 }
 
+/// Streaming requests carry token counts.
+inline net::http_request make_stream_request(const std::string& id)
+{
+    auto request = make_request("/flow/1", id);
+    request.fields.add("Token-Counts", "5,9");
+    return request;
+}
+
 } // namespace vanillagauge::gateway
 
 #endif
--- a/tests/gateway/forwarding_tests.cpp
+++ b/tests/gateway/forwarding_tests.cpp
@@ -239,14 +239,6 @@
     EXPECT_EQ(all.status_of(all.served.address(), make_request("/safe/1", "a1")), 404);
 }
 
-/// Streaming requests carry token counts.
-net::http_request make_stream_request(const std::string& id)
-{
-    auto request = make_request("/flow/1", id);
-    request.fields.add("Token-Counts", "5,9");
-    return request;
-}
-
 // Guards against a request that crashes replicas and is retried by its caller at one gateway after the other,
 // each of which would allow it two more.
 TEST(forwarding, quarantines_crashing_request_at_every_gateway)
--- a/tests/gateway/leaving_replicas_tests.cpp
+++ b/tests/gateway/leaving_replicas_tests.cpp
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <set>
 
 namespace vanillagauge::gateway {
@@ -74,6 +79,98 @@
     }
 };
 
+/// A replica whose queue of new connections is full, so that connecting to it takes a second.
+class congested_listener {
+public:
+    congested_listener()
+        : listener_(::socket(AF_INET, SOCK_STREAM, 0)), filler_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        address_.sin_family = AF_INET;
+        address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address_);
+        EXPECT_EQ(::bind(listener_, as_socket_address(), size), 0);
+        EXPECT_EQ(::listen(listener_, 0), 0);
+        EXPECT_EQ(::getsockname(listener_, as_socket_address(), &size), 0);
+        EXPECT_EQ(::connect(filler_, as_socket_address(), size), 0);
+    }
+    ~congested_listener()
+    {
+        ::close(filler_);
+        ::close(listener_);
+    }
+    congested_listener(const congested_listener&) = delete;
+    congested_listener& operator=(const congested_listener&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(ntohs(address_.sin_port)); }
+
+    /// Accepts connections until `until`; returns how many of them carry a request.
+    int count_requests(time_point until)
+    {
+        int requests = 0;
+        while (steady::now() < until) {
+            const auto accepted = accept_one(milliseconds(50));
+            if (accepted >= 0) {
+                requests += carries_bytes(accepted, milliseconds(500)) ? 1 : 0;
+                ::close(accepted);
+            }
+        }
+        return requests;
+    }
+
+private:
+    int listener_;
+    int filler_;
+    sockaddr_in address_{};
+
+    sockaddr* as_socket_address()
+    {
+        void* address = &address_;
+        return static_cast<sockaddr*>(address);
+    }
+    static bool readable(int descriptor, milliseconds within)
+    {
+        pollfd waited{descriptor, POLLIN, 0};
+        return ::poll(&waited, 1, static_cast<int>(within.count())) > 0;
+    }
+    int accept_one(milliseconds within) const
+    {
+        return readable(listener_, within) ? ::accept(listener_, nullptr, nullptr) : -1;
+    }
+    static bool carries_bytes(int descriptor, milliseconds within)
+    {
+        char byte = 0;
+        return readable(descriptor, within) && ::recv(descriptor, &byte, 1, 0) > 0;
+    }
+};
+
+// Guards against a request that is sent to a replica which has left while the request waited for a
+// connection.
+TEST(leaving_replicas, get_no_request_that_was_waiting_for_a_connection)
+{
+    congested_listener congested;
+    deployment all;
+    auto entry = all.add_replica("r1", "lm").entry("lm", "m", "ready");
+    entry["Address"] = congested.address();
+    all.modify_store([&](standins::fake_store& store) { store.put("servers", "r2", entry); });
+    auto& served = all.add_gateway("a");
+    ASSERT_TRUE(deployment::eventually([&] { return served.ready(); }));
+    constexpr int streams = 8; // several of them go to each replica
+    std::vector<std::future<int>> answers;
+    for (int stream = 0; stream < streams; ++stream) {
+        answers.push_back(std::async(std::launch::async, [&all, &served, stream] {
+            return all.status_of(served.address(), make_stream_request("f" + std::to_string(stream)));
+        }));
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    entry["State"] = "draining";
+    all.modify_store([&](standins::fake_store& store) { store.put("servers", "r2", entry); });
+    std::this_thread::sleep_for(milliseconds(500)); // the gateway knows
+    EXPECT_EQ(congested.count_requests(steady::now() + seconds(3)), 0);
+    for (auto& answer : answers) {
+        EXPECT_EQ(answer.get(), 200);
+    }
+}
+
 // Guards against a failure on one gateway's way to the store that makes all others keep a replica that left.
 TEST(leaving_replicas, get_nothing_late_when_a_watcher_is_cut_off_from_the_store)
 {
