Do not bring back an object that a newer copy has seen removed

Found by looking for the cause of late requests elsewhere: a listing, or the answer of a watch, that is older than what a gateway has learned from another one put objects back which that had seen removed. The removal lies before the revision from which the gateway then goes on, so a replica that left would have been used until the next whole listing.

A copy knows all objects up to its revision, so an unknown object with an older one has been removed. Guarded in feed::apply, which all ways share. feed.does_not_bring_back_a_removed_object fails before, at three of its expectations.

--- a/src/gateway/feed.cpp
+++ b/src/gateway/feed.cpp
@@ -16,13 +16,17 @@
 
 } // namespace
 
-// A delayed response must not restore an older state.
+// A delayed response must not restore an older state: neither of an object that is known, nor one that was
+// removed, since all objects up to `as_of_` are known.
 void feed::apply(object_change change)
 {
     const auto found = objects_.find(change.object.name);
     if (found != objects_.end() && change.object.revision < found->second.revision) {
         return;
     }
+    if (found == objects_.end() && synced_ && change.object.revision <= as_of_) {
+        return;
+    }
     if (change.removed) {
         if (found == objects_.end()) {
             return;
--- a/tests/gateway/feed_tests.cpp
+++ b/tests/gateway/feed_tests.cpp
@@ -106,6 +106,24 @@
     EXPECT_TRUE(other.content.objects().contains("b"));
 }
 
+// Guards against a replica that has left and is used again, since a listing or the answer of a watch arrives
+// after a newer copy from another gateway.
+TEST(feed, does_not_bring_back_a_removed_object)
+{
+    watched_feed watcher;
+    watched_feed other;
+    watcher.content.apply_listing({{"a", make_object("a", 5)}, {"x", make_object("x", 90)}}, 100, start);
+    other.content.apply_update(watcher.content.update_since(0), start);
+    watcher.content.apply_changes({{{make_object("x", 90), true}}, 110}, start);
+    other.content.apply_update(watcher.content.update_since(100), start);
+    other.content.apply_listing({{"a", make_object("a", 5)}, {"x", make_object("x", 90)}}, 105, start);
+    EXPECT_FALSE(other.content.objects().contains("x"));
+    other.content.apply_changes({{{make_object("x", 103), false}}, 103}, start);
+    EXPECT_FALSE(other.content.objects().contains("x"));
+    EXPECT_TRUE(other.content.objects().contains("a"));
+    EXPECT_EQ(other.seen, (std::vector<std::string>{"+a@5", "+x@90", "-x@90"}));
+}
+
 // Guards against dropping the removal of an object that only the other gateway knows.
 TEST(feed, propagates_removal_of_unknown_object)
 {
