--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -401,6 +401,11 @@
     return state_->current;
 }
 
+milliseconds gateway::configuration_age() const
+{
+    return milliseconds_between(state_->configurations.confirmed_at(), time_point{time_since_boot()});
+}
+
 bool gateway::ready() const
 {
     return state_->ready();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -74,6 +74,8 @@
 
     /// Has version 0 until one is loaded.
     const configuration& current_configuration() const;
+    /// Since the copy of the configuration was last known to be current.
+    milliseconds configuration_age() const;
     bool ready() const;
     std::size_t batches_running() const;
     /// Gateways that accept callers; empty if none does.
