Take nothing that a held up gateway missed for a failure of the store

Found while looking for the cause elsewhere: a gateway that was held up (a busy or suspended VM, a long turn of its loop) reads late what waits for it. Its calls then seem to have failed, though their answers are there; the time in which it did not ask looks like an outage, so that it kept replicas that had left for 2.2 s more; and a ping that overtakes the watch sent just before it confirmed a copy in which the change was still missing.

A call that ends later than its timeout allows proves nothing and is made again; an outage needs a failed call beside the gap, here or at the gateway that is polled; a ping confirms a watch that had reached the store before, and waits for answers that are already here.

--- a/src/gateway/feed.hpp
+++ b/src/gateway/feed.hpp
@@ -46,6 +46,8 @@
     void apply_update(feed_update update, time_point requested_at);
     /// The store has just confirmed, to a call made at `requested_at`, that nothing has changed.
     void confirm(time_point requested_at);
+    /// A call to the store failed, here or at a gateway that this one polls.
+    void note_failure(time_point now) { grace_.on_failure(now); }
     /// Returns to the initial empty state; reports each object as removed.
     void reset();
 
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -30,6 +30,12 @@
 /// While a caller waits for a copy to become current.
 constexpr milliseconds refresh_poll_interval{10};
 
+/// A call to the store has ended after this time even if the store is silent.
+constexpr milliseconds max_call_time{2000};
+
+/// A timer that is later than this was held up with its process.
+constexpr milliseconds timer_delay{250};
+
 /// Between two pings while watches are sent one after another.
 constexpr milliseconds min_ping_interval{50};
 
@@ -46,6 +52,13 @@
     return time_point{time_since_boot()};
 }
 
+/// Whether a call ended so late that this process must have been held up. Its answer may be here unread, so
+/// its failure says nothing about the store.
+bool was_held_up(time_point requested_at, milliseconds max_time)
+{
+    return now_by_boot() - requested_at > max_time + timer_delay;
+}
+
 duration retry_delay()
 {
     std::uniform_int_distribution<std::int64_t> delay(min_retry_delay.count(), max_retry_delay.count());
@@ -140,7 +153,7 @@
 // better is to be had.
 bool feed_sync::is_usable(const synced_feed& entry) const
 {
-    if (store_down_ || age_of(entry) <= policy::max_copy_age) {
+    if (age_of(entry) <= policy::max_copy_age || last_failure_ > entry.content->confirmed_at()) {
         return true;
     }
     return entry.asked_since && now_by_boot() - *entry.asked_since >= policy::refresh_timeout;
@@ -177,8 +190,17 @@
     source_ = source;
 }
 
+void feed_sync::note_failure()
+{
+    for (auto& entry : feeds_) {
+        entry.content->note_failure(now_by_boot());
+    }
+}
+
 void feed_sync::record_failure(const error& why)
 {
+    last_failure_ = now_by_boot();
+    note_failure();
     if (!store_down_) {
         const auto known = confirmed_at();
         const auto age_ms = known == time_point{} // no feed synced yet
@@ -233,7 +255,12 @@
     const auto requested_at = now_by_boot();
     entry.asked_since = entry.asked_since.value_or(requested_at);
     while (true) {
+        const auto page_requested_at = now_by_boot();
         const auto page = co_await direct_.list(entry.content->kind(), after);
+        if (!ok(page) && was_held_up(page_requested_at, max_call_time)) {
+            entry.asked_since.reset();
+            co_return false;
+        }
         if (!ok(page)) {
             record_failure(failure(page));
             co_return false;
@@ -305,7 +332,8 @@
     std::optional<time_point> due;
     for (const auto& entry : feeds_) {
         if (entry.watched_since) {
-            const auto next = entry.content->confirmed_at() + policy::ping_interval;
+            const auto next = std::max(entry.content->confirmed_at() + policy::ping_interval,
+                                       *entry.watched_since + policy::hop_allowance);
             due = due ? std::min(*due, next) : next;
         }
     }
@@ -321,6 +349,9 @@
             co_await watch_sent_.wait_until(steady::now() + wait);
             continue;
         }
+        if (-wait > timer_delay) {
+            co_await net::sleep_for(loop_, policy::hop_allowance); // answers that wait here are read first
+        }
         co_await ping();
         co_await net::sleep_for(loop_, min_ping_interval);
     }
@@ -337,7 +368,8 @@
     const auto generation = watch_generation_;
     const auto requested_at = now_by_boot();
     const auto answered = co_await direct_.ping(smallest->content->kind(), policy::ping_timeout);
-    if (generation != watch_generation_) {
+    if (generation != watch_generation_ ||
+        (!ok(answered) && was_held_up(requested_at, policy::ping_timeout))) {
         co_return false;
     }
     if (!ok(answered)) {
@@ -345,7 +377,7 @@
         co_return false;
     }
     for (auto& entry : feeds_) {
-        if (entry.watched_since && *entry.watched_since <= requested_at) {
+        if (entry.watched_since && *entry.watched_since + policy::hop_allowance <= requested_at) {
             entry.content->confirm(requested_at);
         }
     }
@@ -409,6 +441,9 @@
     }
     crash_revisions_[address] = {request.crashes.as_of, value(response).crashes.as_of};
     const bool served = value(response).current;
+    if (value(response).store_failed) {
+        note_failure();
+    }
     bool changed = crashes_.merge(value(response).crashes, steady::now());
     changed = apply_response(std::move(value(response)), requested_at) || changed;
     if (served && !watches_store()) {
@@ -474,6 +509,7 @@
     }
     internal::sync_response answer;
     answer.current = is_current(wanted);
+    answer.store_failed = last_failure_ > confirmed_at();
     answer.held = std::chrono::floor<milliseconds>(now_by_boot() - received_at);
     answer.crashes = crashes_.update_since(wanted.crashes_since, steady::now());
     for (const auto& [kind, since] : wanted.since) {
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -72,6 +72,7 @@
     std::size_t peers_met_ = 0;
     time_point last_met_{};
     bool store_down_ = false;
+    time_point last_failure_{};          ///< of a call to the store, made here
     std::uint64_t watch_generation_ = 0; ///< incremented to abandon pending watches
 
     net::task<void> sync_from_store(std::size_t index);
@@ -104,6 +105,7 @@
     time_point confirmed_at() const;
     void set_source(const std::string& source);
     void record_failure(const error& why);
+    void note_failure();
 };
 
 } // namespace vanillagauge::gateway
--- a/src/gateway/internal/sync_messages.cpp
+++ b/src/gateway/internal/sync_messages.cpp
@@ -72,6 +72,7 @@
 {
     json document;
     document["serves"] = response.current;
+    document["store_failed"] = response.store_failed;
     document["held_ms"] = response.held.count();
     for (const auto& [kind, served] : response.feeds) {
         auto& content = document["feeds"][kind] = to_json(served.update);
@@ -88,6 +89,7 @@
         document, std::move(malformed), [](const json& from) -> result<sync_response> {
             sync_response response;
             response.current = from.at("serves").get<bool>();
+            response.store_failed = from.at("store_failed").get<bool>();
             response.held = bounded(from.at("held_ms"), max_wait_ms);
             for (const auto& [kind, content] : member_or_null(from, "feeds").items()) {
                 auto update = feed_update_from_json(content);
--- a/src/gateway/internal/sync_messages.hpp
+++ b/src/gateway/internal/sync_messages.hpp
@@ -25,6 +25,7 @@
 
 struct sync_response {
     bool current = false;                       ///< the requested copies that are to be in force soon
+    bool store_failed = false;                  ///< since the responding gateway's copies were confirmed
     milliseconds held{0};                       ///< from the receipt of the request to this response
     std::map<std::string, served_feed> feeds{}; ///< by kind; without those that are too old
     policy::crash_update crashes{};
--- a/src/policy/copy_age.hpp
+++ b/src/policy/copy_age.hpp
@@ -16,7 +16,7 @@
 
 /// A pending watch does not tell an idle store from one that is out of reach: TCP keep-alive takes some
 /// three seconds to notice a dead connection, and never notices a store that is silent on a live one. So
-/// the gateways that watch ping the store; a watch that was pending all the while is confirmed by the answer.
+/// the gateways that watch ping the store; the answer confirms a watch that had reached the store before.
 constexpr milliseconds ping_interval{250};
 constexpr milliseconds ping_timeout{500};
 
@@ -48,7 +48,7 @@
 /// No request is sent by an older copy, unless the store has been asked in vain.
 constexpr milliseconds max_copy_age{1800};
 
-constexpr milliseconds calm_age_at_watcher = ping_interval + coalescing_delay + hop_allowance;
+constexpr milliseconds calm_age_at_watcher = ping_interval + coalescing_delay + 2 * hop_allowance;
 constexpr milliseconds calm_age = calm_age_at_watcher + poll_time_of_others + hop_allowance;
 constexpr milliseconds calm_age_behind_relay = calm_age + serving_poll_time + hop_allowance;
 
--- a/src/policy/expiry_grace.cpp
+++ b/src/policy/expiry_grace.cpp
@@ -15,17 +15,20 @@
 } // namespace
 
 // A replica that leaves without draining and an entry that expired while the store was away look alike; using
-// the first breaks the drain, dropping the second refuses requests. A failed call does not tell them apart:
-// the store may be out of reach for one gateway only. So the store counts as having been away only where no
-// gateway had an answer.
+// the first breaks the drain, dropping the second refuses requests. A failed call alone does not tell them
+// apart: the store may be out of reach for one gateway only. Nor does the lack of answers: the gateways may
+// have been held up, so that none asked. So the store counts as having been away only where calls failed and
+// no gateway had an answer.
 void expiry_grace::on_answer(time_point requested_at)
 {
-    if (last_answer_ && requested_at - *last_answer_ >= min_outage) {
-        ends_at_ = requested_at + renewal_time;
+    if (last_answer_ && requested_at <= *last_answer_) {
+        return;
     }
-    if (!last_answer_ || requested_at > *last_answer_) {
-        last_answer_ = requested_at;
+    const bool failed = last_answer_ && last_failure_ && *last_failure_ > *last_answer_;
+    if (failed && requested_at - *last_answer_ >= min_outage) {
+        ends_at_ = requested_at + renewal_time;
     }
+    last_answer_ = requested_at;
 }
 
 } // namespace vanillagauge::policy
--- a/src/policy/expiry_grace.hpp
+++ b/src/policy/expiry_grace.hpp
@@ -12,11 +12,14 @@
 public:
     /// The store answered a call that some gateway made at `requested_at`, and this gateway knows of it.
     void on_answer(time_point requested_at);
+    /// A call to the store failed, made by this gateway or one that told it.
+    void on_failure(time_point now) { last_failure_ = now; }
     /// Entries that vanish before may have expired in an outage of the store; the epoch if there was none.
     time_point ends_at() const { return ends_at_; }
 
 private:
     std::optional<time_point> last_answer_;
+    std::optional<time_point> last_failure_;
     time_point ends_at_{};
 };
 
--- a/tests/gateway/leaving_replicas_tests.cpp
+++ b/tests/gateway/leaving_replicas_tests.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <future>
 #include <set>
 
 namespace vanillagauge::gateway {
@@ -183,6 +184,35 @@
     EXPECT_EQ(all.received_after(all.leaving, removed_at + max_drain_time), 0U);
 }
 
+// Guards against a gateway that was held up and, before it reads what waits for it, sends requests to a
+// replica that left meanwhile.
+TEST(leaving_replicas, get_nothing_from_a_gateway_that_was_held_up)
+{
+    cut_off_watchers all({});
+    std::vector<std::future<bool>> pauses;
+    for (auto* served : all.connected) {
+        pauses.push_back(std::async(std::launch::async, [served] {
+            return served->query<bool>([](gateway&) {
+                std::this_thread::sleep_for(milliseconds(3000));
+                return true;
+            });
+        }));
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    const auto removed_at = all.remove_leaving();
+    std::vector<std::future<int>> answers;
+    for (int turn = 0; turn < 8; ++turn) {
+        answers.push_back(std::async(std::launch::async, [&all, turn] {
+            auto& served = *all.connected[static_cast<std::size_t>(turn) % all.connected.size()];
+            return all.status_of(served.address(), make_request("/safe/1", "h" + std::to_string(turn)));
+        }));
+    }
+    for (auto& answer : answers) {
+        EXPECT_EQ(answer.get(), 200);
+    }
+    EXPECT_EQ(all.received_after(all.leaving, removed_at + max_drain_time), 0U);
+}
+
 // Guards against refused requests after an outage in which the entries of living replicas expired.
 TEST(leaving_replicas, are_told_from_those_whose_entries_expired_in_an_outage)
 {
--- a/tests/policy/expiry_grace_tests.cpp
+++ b/tests/policy/expiry_grace_tests.cpp
@@ -12,6 +12,7 @@
     expiry_grace grace;
     grace.on_answer(start);
     EXPECT_EQ(grace.ends_at(), time_point{});
+    grace.on_failure(start + seconds{1});
     grace.on_answer(start + seconds{3});
     EXPECT_GE(grace.ends_at(), start + seconds{5});
     EXPECT_LE(grace.ends_at(), start + milliseconds{5500});
@@ -26,11 +27,23 @@
 {
     expiry_grace grace;
     for (milliseconds at{0}; at < seconds{20}; at += milliseconds{1400}) {
+        grace.on_failure(start + at - milliseconds{700});
         grace.on_answer(start + at);
         grace.on_answer(start + at - milliseconds{200}); // an older copy from another source
     }
     EXPECT_EQ(grace.ends_at(), time_point{});
 }
 
+// Guards against gateways that are held up together and take the time in which none of them asked for an
+// outage.
+TEST(expiry_grace, needs_a_failed_call)
+{
+    expiry_grace grace;
+    grace.on_failure(start - seconds{1});
+    grace.on_answer(start);
+    grace.on_answer(start + seconds{3});
+    EXPECT_EQ(grace.ends_at(), time_point{});
+}
+
 } // namespace
 } // namespace vanillagauge::policy
