Decide about routes and keys by a configuration that is known to be in force

A caller got 404 for a route, or 401 for a key, by a configuration that had been replaced more than two seconds before, when the gateway had been held up: the request and the change wait for it together, and the request takes fewer turns of its loop.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,9 @@
 constexpr policy::quarantine_limits crash_limits{2, 3};
 
 constexpr milliseconds housekeeping_interval{100};
+
+/// Longer than a ping or a listing of the store takes to succeed or to fail.
+constexpr milliseconds max_refresh_time{1000};
 constexpr milliseconds retirement_retry_delay{1000};
 
 /// A VM to be retired that runs a gateway completes its retirement itself within this time.
@@ -401,6 +404,11 @@
     return state_->current;
 }
 
+net::task<void> gateway::refresh_configuration()
+{
+    return state_->feeds.refresh(state_->schema.configurations, steady::now() + max_refresh_time);
+}
+
 milliseconds gateway::configuration_age() const
 {
     return milliseconds_between(state_->configurations.confirmed_at(), time_point{time_since_boot()});
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -74,6 +74,9 @@
 
     /// Has version 0 until one is loaded.
     const configuration& current_configuration() const;
+    /// Waits until the copy of the configuration is young enough to decide by, or the store was asked for it
+    /// in vain.
+    net::task<void> refresh_configuration();
     /// Since the copy of the configuration was last known to be current.
     milliseconds configuration_age() const;
     bool ready() const;
--- a/tests/gateway/feed_sync_tests.cpp
+++ b/tests/gateway/feed_sync_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
 #include <optional>
 #include <set>
 
@@ -131,6 +132,45 @@
     }
 }
 
+/// Statuses of the answers to requests for an added route. The request and the change of the configuration
+/// wait together for a gateway that is held up for three seconds, `after` its start.
+std::vector<int> statuses_after_a_pause(milliseconds after)
+{
+    deployment all;
+    all.add_replica("r1", "plain");
+    auto& served = all.add_gateway("a");
+    EXPECT_TRUE(deployment::eventually(
+        [&] { return all.status_of(served.address(), make_request("/safe/1", "warm")) == 200; }));
+    std::this_thread::sleep_for(after);
+    const auto pause = std::async(std::launch::async, [&served] {
+        return served.query<bool>([](gateway&) {
+            std::this_thread::sleep_for(milliseconds(3000));
+            return true;
+        });
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    all.put_configuration(2);
+    std::vector<std::future<int>> answers;
+    for (int turn = 0; turn < 4; ++turn) {
+        answers.push_back(std::async(std::launch::async, [&all, &served, turn] {
+            return all.status_of(served.address(), make_request("/added/1", "p" + std::to_string(turn)));
+        }));
+    }
+    std::vector<int> statuses;
+    for (auto& answer : answers) {
+        statuses.push_back(answer.get());
+    }
+    return statuses;
+}
+
+// Guards against a 404 by a configuration that was replaced while the gateway was held up.
+TEST(feed_sync, refuses_no_route_by_the_copy_of_before_a_pause)
+{
+    const std::vector<int> served(4, 200);
+    EXPECT_EQ(statuses_after_a_pause(milliseconds(0)), served) << "between two watches";
+    EXPECT_EQ(statuses_after_a_pause(milliseconds(700)), served) << "while a watch is pending";
+}
+
 TEST(feed_sync, applies_configuration_after_brief_store_refusal)
 {
     four_gateways all;
