Move the listings, watches and pings of the store to a file of their own

feed_sync.cpp had grown to 525 lines with two jobs: what a gateway asks the store, and what gateways ask each other. The clock of all ages is feed::now, which stood in two places. No behaviour changes.

--- a/src/gateway/feed.hpp
+++ b/src/gateway/feed.hpp
@@ -35,7 +35,9 @@
     /// `on_change` runs for each change, including those detected by a new listing.
     feed(std::string kind, handler on_change) : kind_(std::move(kind)), on_change_(std::move(on_change)) {}
 
-    /// All times are by `time_since_boot`, so that a suspension of this VM counts toward the age of its copy.
+    /// The clock of all times here: it counts a suspension of this VM toward the age of its copy.
+    static time_point now() { return time_point{time_since_boot()}; }
+
     /// Applies a complete listing at revision `as_of`.
     void apply_listing(std::map<std::string, stored_object> listed, std::uint64_t as_of,
                        time_point requested_at);
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -5,7 +5,6 @@
 #include "policy/copy_age.hpp"
 
 #include <algorithm>
-#include <random>
 
 namespace vanillagauge::gateway {
 
@@ -13,64 +12,24 @@
 
 namespace {
 
-/// The store counts a watch as one call, however long it waits.
-constexpr milliseconds watch_timeout{20000};
-
 /// A gateway that has just started reads the store once no further peer has appeared for the calm time, or
 /// after the meeting time. If all VMs start together, each first knows but a few others and would take itself
 /// for one of the watchers.
 constexpr milliseconds calm_time{300};
 constexpr milliseconds meeting_time{1000};
 
-/// Bounds of the random delay between attempts while the store fails; each attempt costs a call.
-constexpr milliseconds min_retry_delay{250};
-constexpr milliseconds max_retry_delay{700};
+/// After a poll that was not served.
 constexpr milliseconds idle_delay{100};
 
 /// While a caller waits for a copy to become current.
 constexpr milliseconds refresh_poll_interval{10};
 
-/// A call to the store has ended after this time even if the store is silent.
-constexpr milliseconds max_call_time{2000};
-
-/// A timer that is later than this was held up with its process.
-constexpr milliseconds timer_delay{250};
-
-/// Between two pings while watches are sent one after another.
-constexpr milliseconds min_ping_interval{50};
-
-/// Per thread: gateways in one process would race on a shared generator.
-std::mt19937_64& random()
-{
-    thread_local std::mt19937_64 shared{std::random_device{}()};
-    return shared;
-}
-
-/// The clock of `feed`.
-time_point now_by_boot()
-{
-    return time_point{time_since_boot()};
-}
-
-/// Whether a call ended so late that this process must have been held up. Its answer may be here unread, so
-/// its failure says nothing about the store.
-bool was_held_up(time_point requested_at, milliseconds max_time)
-{
-    return now_by_boot() - requested_at > max_time + timer_delay;
-}
-
-duration retry_delay()
-{
-    std::uniform_int_distribution<std::int64_t> delay(min_retry_delay.count(), max_retry_delay.count());
-    return milliseconds{delay(random())};
-}
-
 } // namespace
 
 feed_sync::feed_sync(net::loop& loop, object_store& direct, peer_relay& peers, fleet_view& fleet,
                      policy::quarantine& crashes, const std::vector<feed_registration>& feeds)
     : loop_(loop), direct_(direct), peers_(peers), fleet_(fleet), crashes_(crashes), changed_(loop),
-      watch_ended_(loop), watch_sent_(loop), started_(now_by_boot())
+      watch_ended_(loop), watch_sent_(loop), started_(feed::now())
 {
     for (const auto& chosen : feeds) {
         feeds_.push_back({chosen.content, chosen.needed_here, chosen.pace});
@@ -109,12 +68,12 @@
 
 duration feed_sync::age_of(const synced_feed& entry) const
 {
-    return now_by_boot() - std::max(entry.content->confirmed_at(), started_);
+    return feed::now() - std::max(entry.content->confirmed_at(), started_);
 }
 
 bool feed_sync::is_meeting_peers()
 {
-    const auto now = now_by_boot();
+    const auto now = feed::now();
     if (now - started_ >= meeting_time) {
         return false;
     }
@@ -156,7 +115,7 @@
     if (age_of(entry) <= policy::max_copy_age || last_failure_ > entry.content->confirmed_at()) {
         return true;
     }
-    return entry.asked_since && now_by_boot() - *entry.asked_since >= policy::refresh_timeout;
+    return entry.asked_since && feed::now() - *entry.asked_since >= policy::refresh_timeout;
 }
 
 net::task<void> feed_sync::refresh(std::string kind, time_point until)
@@ -193,209 +152,25 @@
 void feed_sync::note_failure()
 {
     for (auto& entry : feeds_) {
-        entry.content->note_failure(now_by_boot());
+        entry.content->note_failure(feed::now());
     }
 }
 
 void feed_sync::record_failure(const error& why)
 {
-    last_failure_ = now_by_boot();
+    last_failure_ = feed::now();
     note_failure();
     if (!store_down_) {
         const auto known = confirmed_at();
         const auto age_ms = known == time_point{} // no feed synced yet
                                 ? std::int64_t{-1}
-                                : milliseconds_between(known, now_by_boot()).count();
+                                : milliseconds_between(known, feed::now()).count();
         observe::log(observe::log_level::warning, "feeds_lost",
                      {{"why", describe(why)}, {"confirmed_ms_ago", std::int64_t{age_ms}}});
     }
     store_down_ = true;
 }
 
-// After a failure only the first feed retries, because every attempt costs a call even if the store refuses
-// it.
-net::task<void> feed_sync::sync_from_store(std::size_t index)
-{
-    auto& entry = feeds_[index];
-    while (true) {
-        if (!should_watch(entry)) {
-            entry.store_reachable = false;
-            entry.listed = false;
-            entry.asked_since.reset();
-            if (!is_needed(entry) && entry.content->synced()) {
-                entry.content->reset();
-            }
-            co_await net::sleep_for(loop_, idle_delay);
-            continue;
-        }
-        if (store_down_ && index != 0) {
-            entry.store_reachable = false;
-            co_await net::sleep_for(loop_, idle_delay);
-            continue;
-        }
-        bool served = false;
-        if (entry.listed) {
-            served = co_await watch(entry);
-        }
-        else {
-            served = co_await list(entry);
-        }
-        entry.store_reachable = served;
-        fleet_.set_watch_failing(!served);
-        const auto delay = served ? duration{policy::coalescing_delay} : retry_delay();
-        co_await net::sleep_for(loop_, delay);
-    }
-}
-
-net::task<bool> feed_sync::list(synced_feed& entry)
-{
-    std::map<std::string, stored_object> listed;
-    std::uint64_t as_of = 0;
-    std::string after;
-    const auto requested_at = now_by_boot();
-    entry.asked_since = entry.asked_since.value_or(requested_at);
-    while (true) {
-        const auto page_requested_at = now_by_boot();
-        const auto page = co_await direct_.list(entry.content->kind(), after);
-        if (!ok(page) && was_held_up(page_requested_at, max_call_time)) {
-            entry.asked_since.reset();
-            co_return false;
-        }
-        if (!ok(page)) {
-            record_failure(failure(page));
-            co_return false;
-        }
-        for (const auto& object : value(page).objects) {
-            after = object.name;
-            listed[object.name] = object;
-        }
-        // Changes made while the pages are read are returned by the watch, which starts at the first page's
-        // revision.
-        as_of = as_of == 0 ? value(page).as_of : as_of;
-        if (!value(page).more) {
-            break;
-        }
-    }
-    entry.content->apply_listing(std::move(listed), as_of, requested_at);
-    entry.listed = true;
-    entry.asked_since.reset();
-    store_down_ = false;
-    set_source("store");
-    changed_.notify();
-    co_return true;
-}
-
-net::task<void> feed_sync::run_watch(std::string kind, std::uint64_t since, std::shared_ptr<watch_call> call)
-{
-    call->answer = co_await direct_.watch(std::move(kind), since, watch_timeout);
-    watch_ended_.notify();
-}
-
-net::task<bool> feed_sync::watch(synced_feed& entry)
-{
-    const auto requested_at = now_by_boot();
-    const auto since = entry.content->as_of();
-    const auto call = std::make_shared<watch_call>();
-    const auto generation = watch_generation_;
-    net::start(loop_, run_watch(entry.content->kind(), since, call));
-    entry.watched_since = requested_at;
-    watch_sent_.notify();
-    const auto until = steady::now() + 2 * watch_timeout;
-    while (!call->answer && generation == watch_generation_) {
-        co_await watch_ended_.wait_until(until);
-    }
-    entry.watched_since.reset();
-    // Changes since the watch was abandoned may have been missed, so list again.
-    if (!call->answer) {
-        entry.listed = false;
-        co_return false;
-    }
-    auto& seen = *call->answer;
-    if (ok(seen)) {
-        entry.content->apply_changes(std::move(value(seen)), requested_at);
-        store_down_ = false;
-        changed_.notify();
-        co_return true;
-    }
-    entry.listed = false;
-    if (failure(seen).code == error_code::stale_cursor) {
-        observe::log(observe::log_level::warning, "feed_history_gone",
-                     {{"kind", entry.content->kind()}, {"as_of", static_cast<std::int64_t>(since)}});
-    }
-    // A store that dropped its history ends watches but keeps serving. List at once: a delay would hold back
-    // the changes missed in between from every gateway.
-    co_return co_await list(entry);
-}
-
-std::optional<time_point> feed_sync::ping_due() const
-{
-    std::optional<time_point> due;
-    for (const auto& entry : feeds_) {
-        if (entry.watched_since) {
-            const auto next = std::max(entry.content->confirmed_at() + policy::ping_interval,
-                                       *entry.watched_since + policy::hop_allowance);
-            due = due ? std::min(*due, next) : next;
-        }
-    }
-    return due;
-}
-
-net::task<void> feed_sync::ping_store()
-{
-    while (true) {
-        const auto due = ping_due();
-        const auto wait = due ? *due - now_by_boot() : duration{policy::ping_interval};
-        if (!due || wait > duration{0}) {
-            co_await watch_sent_.wait_until(steady::now() + wait);
-            continue;
-        }
-        if (-wait > timer_delay) {
-            co_await net::sleep_for(loop_, policy::hop_allowance); // answers that wait here are read first
-        }
-        co_await ping();
-        co_await net::sleep_for(loop_, min_ping_interval);
-    }
-}
-
-// The store answers a pending watch as soon as there is a change. So an answer to a call sent after the watch
-// says that there was none until then.
-net::task<bool> feed_sync::ping()
-{
-    const auto smallest =
-        std::min_element(feeds_.begin(), feeds_.end(), [](const synced_feed& left, const synced_feed& right) {
-            return left.content->objects().size() < right.content->objects().size();
-        });
-    const auto generation = watch_generation_;
-    const auto requested_at = now_by_boot();
-    const auto answered = co_await direct_.ping(smallest->content->kind(), policy::ping_timeout);
-    if (generation != watch_generation_ ||
-        (!ok(answered) && was_held_up(requested_at, policy::ping_timeout))) {
-        co_return false;
-    }
-    if (!ok(answered)) {
-        abandon_watches(failure(answered));
-        co_return false;
-    }
-    for (auto& entry : feeds_) {
-        if (entry.watched_since && *entry.watched_since + policy::hop_allowance <= requested_at) {
-            entry.content->confirm(requested_at);
-        }
-    }
-    co_return true;
-}
-
-void feed_sync::abandon_watches(const error& why)
-{
-    record_failure(why);
-    ++watch_generation_;
-    for (auto& entry : feeds_) {
-        entry.store_reachable = false;
-    }
-    fleet_.set_watch_failing(true);
-    watch_ended_.notify();
-    changed_.notify();
-}
-
 // A watching gateway polls its peers too: the store may have stopped responding to this VM alone, on a
 // connection that still looks healthy.
 net::task<void> feed_sync::poll_peers()
@@ -417,7 +192,7 @@
 
 net::task<bool> feed_sync::poll_peer(std::string address)
 {
-    const auto requested_at = now_by_boot();
+    const auto requested_at = feed::now();
     const auto known = crash_revisions_[address];
     const auto poll_time = plan().poll_time();
     internal::sync_request request{
@@ -499,7 +274,7 @@
         co_return response;
     }
     const auto& wanted = value(read);
-    const auto received_at = now_by_boot();
+    const auto received_at = feed::now();
     if (crashes_.merge(wanted.crashes, steady::now())) {
         changed_.notify();
     }
@@ -510,7 +285,7 @@
     internal::sync_response answer;
     answer.current = is_current(wanted);
     answer.store_failed = last_failure_ > confirmed_at();
-    answer.held = std::chrono::floor<milliseconds>(now_by_boot() - received_at);
+    answer.held = std::chrono::floor<milliseconds>(feed::now() - received_at);
     answer.crashes = crashes_.update_since(wanted.crashes_since, steady::now());
     for (const auto& [kind, since] : wanted.since) {
         if (const auto* known = find(kind); known != nullptr && is_served(*known)) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -148,8 +148,7 @@
 {
     const auto& object = change.object;
     if (change.removed) {
-        const auto delay =
-            milliseconds_between(time_point{time_since_boot()}, replicas.expiry_grace_ends_at());
+        const auto delay = milliseconds_between(feed::now(), replicas.expiry_grace_ends_at());
         if (delay > milliseconds{0}) {
             observe::log(observe::log_level::info, "replica_removal_delayed",
                          {{"replica", object.name}, {"delay_ms", std::int64_t{delay.count()}}});
@@ -411,7 +410,7 @@
 
 milliseconds gateway::configuration_age() const
 {
-    return milliseconds_between(state_->configurations.confirmed_at(), time_point{time_since_boot()});
+    return milliseconds_between(state_->configurations.confirmed_at(), feed::now());
 }
 
 bool gateway::ready() const
@@ -450,7 +449,7 @@
 std::string gateway::metrics_page() const
 {
     const auto& held = *state_;
-    const time_point now{time_since_boot()};
+    const auto now = feed::now();
     for (const auto* content :
          {&held.configurations, &held.replicas, &held.versions, &held.batch_headers, &held.retirements}) {
         state_->counts.set("feed_objects{kind=\"" + content->kind() + "\"}",
