--- a/tests/gateway/feed_sync_tests.cpp
+++ b/tests/gateway/feed_sync_tests.cpp
@@ -150,13 +150,16 @@
     });
     std::this_thread::sleep_for(milliseconds(100));
     all.put_configuration(2);
+    constexpr int requests = 4;
     std::vector<std::future<int>> answers;
-    for (int turn = 0; turn < 4; ++turn) {
+    answers.reserve(requests);
+    for (int turn = 0; turn < requests; ++turn) {
         answers.push_back(std::async(std::launch::async, [&all, &served, turn] {
             return all.status_of(served.address(), make_request("/added/1", "p" + std::to_string(turn)));
         }));
     }
     std::vector<int> statuses;
+    statuses.reserve(requests);
     for (auto& answer : answers) {
         statuses.push_back(answer.get());
     }
--- a/tests/gateway/leaving_replicas_tests.cpp
+++ b/tests/gateway/leaving_replicas_tests.cpp
@@ -27,7 +27,7 @@
     standins::fake_replica& staying = add_replica("r1", "plain");
     standins::fake_replica& leaving = add_replica("r2", "plain");
     std::vector<running_gateway*> connected;
-    int requests = 0;
+    int sent = 0;
 
     explicit cut_off_watchers(const std::set<int>& cut)
     {
@@ -63,8 +63,8 @@
     {
         int failed = 0;
         while (steady::now() < until) {
-            auto& served = *connected[static_cast<std::size_t>(requests) % connected.size()];
-            const auto id = "n" + std::to_string(++requests);
+            auto& served = *connected[static_cast<std::size_t>(sent) % connected.size()];
+            const auto id = "n" + std::to_string(++sent);
             failed += status_of(served.address(), make_request("/safe/1", id)) == 200 ? 0 : 1;
             std::this_thread::sleep_for(request_interval);
         }
@@ -157,6 +157,7 @@
     ASSERT_TRUE(deployment::eventually([&] { return served.ready(); }));
     constexpr int streams = 8; // several of them go to each replica
     std::vector<std::future<int>> answers;
+    answers.reserve(streams);
     for (int stream = 0; stream < streams; ++stream) {
         answers.push_back(std::async(std::launch::async, [&all, &served, stream] {
             return all.status_of(served.address(), make_stream_request("f" + std::to_string(stream)));
@@ -190,6 +191,7 @@
 {
     cut_off_watchers all({});
     std::vector<std::future<bool>> pauses;
+    pauses.reserve(all.connected.size());
     for (auto* served : all.connected) {
         pauses.push_back(std::async(std::launch::async, [served] {
             return served->query<bool>([](gateway&) {
@@ -200,8 +202,10 @@
     }
     std::this_thread::sleep_for(milliseconds(100));
     const auto removed_at = all.remove_leaving();
+    constexpr int requests = 8;
     std::vector<std::future<int>> answers;
-    for (int turn = 0; turn < 8; ++turn) {
+    answers.reserve(requests);
+    for (int turn = 0; turn < requests; ++turn) {
         answers.push_back(std::async(std::launch::async, [&all, turn] {
             auto& served = *all.connected[static_cast<std::size_t>(turn) % all.connected.size()];
             return all.status_of(served.address(), make_request("/safe/1", "h" + std::to_string(turn)));
