Poll any gateway where the store and all sources are out of reach

Callers of a gateway that was cut off from the store and from the storage VMs got answers by its old copy until the cut ended: 404 on a route that exists, requests to replicas that left. Six fronts that knew better were in reach.

Cause: a gateway polls only the planned sources, the three watchers of the store. They are often storage VMs, and a cut takes them away together with the store. The gossip replaces watchers whose watch fails; theirs work. Class: what happens on the observer's way is taken for the state of what it observes.

Change: if a source does not respond and the copy is older than the age at which the store is asked, the other gateways that serve callers are polled for two seconds, then the next source is tried. Nothing changes while the sources respond.

--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -171,30 +171,69 @@
     store_down_ = true;
 }
 
+bool feed_sync::is_behind() const
+{
+    return std::any_of(feeds_.begin(), feeds_.end(), [this](const synced_feed& entry) {
+        return entry.pace == policy::feed_pace::steady && is_needed(entry) &&
+               age_of(entry) > policy::refresh_age;
+    });
+}
+
 // A watching gateway polls its peers too: the store may have stopped responding to this VM alone, on a
 // connection that still looks healthy.
 net::task<void> feed_sync::poll_peers()
 {
     while (true) {
-        const auto sources = plan().sources();
-        const auto* source =
-            sources.empty() ? nullptr : fleet_.find_peer(sources[next_source_ % sources.size()]);
-        bool served = false;
-        if (source != nullptr && !source->relay_address.empty()) {
-            served = co_await poll_peer(source->relay_address);
+        const auto poll_time = polls_substitutes() ? policy::serving_poll_time : plan().poll_time();
+        auto address = source_address();
+        auto polled = poll_result::behind;
+        if (!address.empty()) {
+            polled = co_await poll_peer(std::move(address), poll_time);
         }
-        if (!served) {
-            ++next_source_;
+        if (polled != poll_result::current) {
+            change_source(polled);
             co_await net::sleep_for(loop_, idle_delay);
         }
     }
 }
 
-net::task<bool> feed_sync::poll_peer(std::string address)
+// VMs without callers do not keep all feeds, so they are no substitutes.
+std::string feed_sync::source_address() const
+{
+    std::vector<std::string> vms;
+    if (polls_substitutes()) {
+        for (const auto& peer : fleet_.peers()) {
+            if (!peer.front_address.empty()) {
+                vms.push_back(peer.vm);
+            }
+        }
+        vms = plan().substitutes(vms);
+    }
+    else {
+        vms = plan().sources();
+    }
+    const auto* source = vms.empty() ? nullptr : fleet_.find_peer(vms[next_source_ % vms.size()]);
+    return source == nullptr ? std::string{} : source->relay_address;
+}
+
+// A cut may take away the store and all gateways that watch it, while others in reach know better. Those of
+// which the watch works are not replaced for one gateway that does not reach them.
+void feed_sync::change_source(poll_result last)
+{
+    ++next_source_;
+    if (last != poll_result::unreachable || polls_substitutes() || !is_behind()) {
+        return;
+    }
+    substitutes_until_ = steady::now() + policy::source_retry_interval;
+    observe::log(
+        observe::log_level::warning, "feed_sources_lost",
+        {{"confirmed_ms_ago", std::int64_t{milliseconds_between(confirmed_at(), feed::now()).count()}}});
+}
+
+net::task<feed_sync::poll_result> feed_sync::poll_peer(std::string address, milliseconds poll_time)
 {
     const auto requested_at = feed::now();
     const auto known = crash_revisions_[address];
-    const auto poll_time = plan().poll_time();
     internal::sync_request request{
         poll_time, {}, crashes_.update_since(known.sent, steady::now()), known.received};
     for (const auto& entry : feeds_) {
@@ -206,13 +245,13 @@
     const auto until = steady::now() + poll_time + policy::poll_margin;
     const auto answer = co_await peers_.call_peer(address, "/sync", std::move(body), until);
     if (!ok(answer)) {
-        co_return false;
+        co_return poll_result::unreachable;
     }
     auto response = internal::sync_response_from_json(value(answer));
     if (!ok(response)) {
         observe::log(observe::log_level::warning, "peer_unreadable",
                      {{"address", address}, {"why", describe(failure(response))}});
-        co_return false;
+        co_return poll_result::unreachable;
     }
     crash_revisions_[address] = {request.crashes.as_of, value(response).crashes.as_of};
     const bool served = value(response).current;
@@ -227,7 +266,7 @@
     if (changed) {
         changed_.notify();
     }
-    co_return served;
+    co_return served ? poll_result::current : poll_result::behind;
 }
 
 bool feed_sync::apply_response(internal::sync_response response, time_point requested_at)
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -42,6 +42,11 @@
     struct watch_call {
         std::optional<result<object_changes>> answer;
     };
+    enum class poll_result {
+        current,    ///< all copies whose changes are to be in force soon
+        behind,     ///< the peer's own copies are too old
+        unreachable ///< no response, or none that could be read
+    };
     /// Positions up to which two gateways have exchanged their crash records.
     struct crash_revisions {
         std::uint64_t sent = 0;     ///< of this gateway's records
@@ -66,8 +71,9 @@
     net::async_condition changed_;
     net::async_condition watch_ended_; ///< a watch was answered or abandoned
     net::async_condition watch_sent_;
-    std::string source_;          ///< of the last update: "store", a peer's address, or empty
-    std::size_t next_source_ = 0; ///< changes when a source fails
+    std::string source_;             ///< of the last update: "store", a peer's address, or empty
+    std::size_t next_source_ = 0;    ///< changes when a source fails
+    time_point substitutes_until_{}; ///< other gateways are polled in place of the planned sources
     time_point started_;
     std::size_t peers_met_ = 0;
     time_point last_met_{};
@@ -85,7 +91,12 @@
     net::task<bool> ping();
     void abandon_watches(const error& why);
     net::task<void> poll_peers();
-    net::task<bool> poll_peer(std::string address);
+    net::task<poll_result> poll_peer(std::string address, milliseconds poll_time);
+    bool polls_substitutes() const { return steady::now() < substitutes_until_; }
+    /// The relay address of the gateway to poll next; empty if there is none.
+    std::string source_address() const;
+    /// Chooses another source, and substitutes if the source is out of reach and the copies are old.
+    void change_source(poll_result last);
     /// Returns whether anything changed.
     bool apply_response(internal::sync_response response, time_point requested_at);
     bool has_updates(const internal::sync_request& request) const;
@@ -100,6 +111,9 @@
     duration age_of(const synced_feed& entry) const;
     bool is_usable(const synced_feed& entry) const;
     bool is_served(const synced_feed& entry) const;
+    /// Whether a copy whose changes are to be in force soon is so old that this gateway asks the store for
+    /// it.
+    bool is_behind() const;
     /// Whether all requested copies are served whose changes are to be in force soon.
     bool is_current(const internal::sync_request& request) const;
     time_point confirmed_at() const;
--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -20,6 +20,15 @@
 /// After a start of all gateways a first copy passes through the watchers and relays.
 constexpr milliseconds start_limit{3000};
 
+/// Puts a first element that differs from gateway to gateway, so that they spread over those to poll.
+void rotate_by_name(std::vector<std::string>& vms, const std::string& self)
+{
+    if (!vms.empty()) {
+        const auto turn = hash64(self) % vms.size();
+        std::rotate(vms.begin(), vms.begin() + static_cast<std::ptrdiff_t>(turn), vms.end());
+    }
+}
+
 } // namespace
 
 std::size_t serving_count(std::size_t gateways)
@@ -84,10 +93,23 @@
     }
     // The others spread over those that serve them; the watchers ask the first, which alone watches all
     // feeds.
-    if (!watches_store() && !found.empty()) {
-        const auto turn = hash64(self_) % found.size();
-        std::rotate(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(turn), found.end());
+    if (!watches_store()) {
+        rotate_by_name(found, self_);
+    }
+    return found;
+}
+
+// Spread by name: a watcher that is out of reach for many gateways must not send them all to one.
+std::vector<std::string> feed_plan::substitutes(const std::vector<std::string>& living) const
+{
+    const auto planned = sources();
+    std::vector<std::string> found;
+    for (const auto& vm : living) {
+        if (vm != self_ && std::find(planned.begin(), planned.end(), vm) == planned.end()) {
+            found.push_back(vm);
+        }
     }
+    rotate_by_name(found, self_);
     return found;
 }
 
--- a/src/policy/feed_plan.hpp
+++ b/src/policy/feed_plan.hpp
@@ -35,6 +35,9 @@
     bool serves() const { return rank_.has_value(); }
     /// The gateways to poll, in the order in which to try them.
     std::vector<std::string> sources() const;
+    /// The other gateways among `living`, to poll while those are out of reach, in the order in which to try
+    /// them.
+    std::vector<std::string> substitutes(const std::vector<std::string>& living) const;
     /// How long a poll waits for a change.
     milliseconds poll_time() const;
 
--- a/tests/gateway/deployment.hpp
+++ b/tests/gateway/deployment.hpp
@@ -147,9 +147,9 @@
         modify_store([&](standins::fake_store& store) { store.put("servers", known.id(), entry); });
     }
 
-    running_gateway& add_gateway(const std::string& vm)
+    running_gateway& add_gateway(const std::string& vm, const std::vector<std::string>& seeds = {})
     {
-        gateways.push_back(std::make_unique<running_gateway>(vm, store_address_, std::vector<std::string>{}));
+        gateways.push_back(std::make_unique<running_gateway>(vm, store_address_, seeds));
         return *gateways.back();
     }
     /// Serves no callers.
@@ -161,10 +161,9 @@
         return *gateways.back();
     }
     /// Uses the store's second address.
-    running_gateway& add_gateway_at_second(const std::string& vm)
+    running_gateway& add_gateway_at_second(const std::string& vm, const std::vector<std::string>& seeds = {})
     {
-        gateways.push_back(
-            std::make_unique<running_gateway>(vm, second_store_address_, std::vector<std::string>{}));
+        gateways.push_back(std::make_unique<running_gateway>(vm, second_store_address_, seeds));
         return *gateways.back();
     }
 
--- a/tests/policy/feed_plan_tests.cpp
+++ b/tests/policy/feed_plan_tests.cpp
@@ -74,6 +74,33 @@
     EXPECT_EQ(feed_plan(chosen, second).sources().front(), name_of(0));
 }
 
+// Guards against a fleet that sends all polls to one gateway when a watcher is out of reach, and against
+// gateways that poll those out of reach again.
+TEST(feed_plan, spreads_substitutes_over_the_other_gateways)
+{
+    constexpr std::size_t gateways = 66;
+    const auto chosen = make_chosen(gateways);
+    std::vector<std::string> living;
+    for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+        living.push_back(name_of(gateway));
+    }
+    std::map<std::string, std::size_t> polls;
+    for (const auto& vm : living) {
+        const feed_plan plan(chosen, vm);
+        const auto found = plan.substitutes(living);
+        ASSERT_FALSE(found.empty());
+        EXPECT_EQ(std::count(found.begin(), found.end(), vm), 0);
+        for (const auto& source : plan.sources()) {
+            EXPECT_EQ(std::count(found.begin(), found.end(), source), 0);
+        }
+        ++polls[found.front()];
+    }
+    for (const auto& [vm, count] : polls) {
+        EXPECT_LE(count, 8U) << vm;
+    }
+    EXPECT_TRUE(feed_plan(chosen, living.front()).substitutes({living.front()}).empty());
+}
+
 // Guards against a fleet that stays without updates while its watchers are silent, and against one that reads
 // the store at once from all gateways.
 TEST(feed_plan, asks_the_store_where_no_peer_confirms)
