Date a peer's failed call by when it failed

Cause, by reading: a gateway told those that poll it only that its last call to the store failed, and they dated that when they read it. The peer's next answer may be older than that date, so the failure stayed newer than an answer that came after it. Same class: what happened to the observer is taken for the state of what it observes.

Change: the age of the failure travels as the ages of copies do, and the newest failure counts.

--- a/src/gateway/feed.hpp
+++ b/src/gateway/feed.hpp
@@ -49,7 +49,7 @@
     /// The store has just confirmed, to a call made at `requested_at`, that nothing has changed.
     void confirm(time_point requested_at);
     /// A call to the store failed, here or at a gateway that this one polls.
-    void note_failure(time_point now) { grace_.on_failure(now); }
+    void note_failure(time_point failed_at) { grace_.on_failure(failed_at); }
     /// Returns to the initial empty state; reports each object as removed.
     void reset();
 
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -149,17 +149,17 @@
     source_ = source;
 }
 
-void feed_sync::note_failure()
+void feed_sync::note_failure(time_point failed_at)
 {
     for (auto& entry : feeds_) {
-        entry.content->note_failure(feed::now());
+        entry.content->note_failure(failed_at);
     }
 }
 
 void feed_sync::record_failure(const error& why)
 {
     last_failure_ = feed::now();
-    note_failure();
+    note_failure(last_failure_);
     if (!store_down_) {
         const auto known = confirmed_at();
         const auto age_ms = known == time_point{} // no feed synced yet
@@ -255,8 +255,8 @@
     }
     crash_revisions_[address] = {request.crashes.as_of, value(response).crashes.as_of};
     const bool served = value(response).current;
-    if (value(response).store_failed) {
-        note_failure();
+    if (const auto failure_age = value(response).failure_age) {
+        note_failure(policy::time_at_peer(requested_at, value(response).held, *failure_age));
     }
     bool changed = crashes_.merge(value(response).crashes, steady::now());
     changed = apply_response(std::move(value(response)), requested_at) || changed;
@@ -278,7 +278,7 @@
             const auto before = entry.content->as_of();
             auto& served = found->second;
             entry.content->apply_update(std::move(served.update),
-                                        policy::confirmed_at(requested_at, response.held, served.age));
+                                        policy::time_at_peer(requested_at, response.held, served.age));
             changed = changed || entry.content->changed_since(before);
         }
     }
@@ -323,7 +323,9 @@
     }
     internal::sync_response answer;
     answer.current = is_current(wanted);
-    answer.store_failed = last_failure_ > confirmed_at();
+    if (last_failure_ > confirmed_at()) {
+        answer.failure_age = std::chrono::ceil<milliseconds>(feed::now() - last_failure_);
+    }
     answer.held = std::chrono::floor<milliseconds>(feed::now() - received_at);
     answer.crashes = crashes_.update_since(wanted.crashes_since, steady::now());
     for (const auto& [kind, since] : wanted.since) {
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -119,7 +119,7 @@
     time_point confirmed_at() const;
     void set_source(const std::string& source);
     void record_failure(const error& why);
-    void note_failure();
+    void note_failure(time_point failed_at);
 };
 
 } // namespace vanillagauge::gateway
--- a/src/gateway/internal/sync_messages.cpp
+++ b/src/gateway/internal/sync_messages.cpp
@@ -72,7 +72,9 @@
 {
     json document;
     document["serves"] = response.current;
-    document["store_failed"] = response.store_failed;
+    if (response.failure_age) {
+        document["failure_age_ms"] = response.failure_age->count();
+    }
     document["held_ms"] = response.held.count();
     for (const auto& [kind, served] : response.feeds) {
         auto& content = document["feeds"][kind] = to_json(served.update);
@@ -89,7 +91,9 @@
         document, std::move(malformed), [](const json& from) -> result<sync_response> {
             sync_response response;
             response.current = from.at("serves").get<bool>();
-            response.store_failed = from.at("store_failed").get<bool>();
+            if (const auto age = from.find("failure_age_ms"); age != from.end()) {
+                response.failure_age = bounded(*age, max_record_age_ms);
+            }
             response.held = bounded(from.at("held_ms"), max_wait_ms);
             for (const auto& [kind, content] : member_or_null(from, "feeds").items()) {
                 auto update = feed_update_from_json(content);
--- a/src/gateway/internal/sync_messages.hpp
+++ b/src/gateway/internal/sync_messages.hpp
@@ -6,6 +6,7 @@
 #include "policy/quarantine.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace vanillagauge::gateway::internal {
@@ -25,7 +26,8 @@
 
 struct sync_response {
     bool current = false;                       ///< the requested copies that are to be in force soon
-    bool store_failed = false;                  ///< since the responding gateway's copies were confirmed
+    std::optional<milliseconds> failure_age{};  ///< of a call to the store that failed after the copies were
+                                                ///< confirmed, when the response was sent
     milliseconds held{0};                       ///< from the receipt of the request to this response
     std::map<std::string, served_feed> feeds{}; ///< by kind; without those that are too old
     policy::crash_update crashes{};
--- a/src/policy/expiry_grace.cpp
+++ b/src/policy/expiry_grace.cpp
@@ -2,6 +2,8 @@
 
 #include "policy/copy_age.hpp"
 
+#include <algorithm>
+
 namespace vanillagauge::policy {
 namespace {
 
@@ -14,6 +16,12 @@
 
 } // namespace
 
+// A failure that a peer had may be told after a later one of this gateway.
+void expiry_grace::on_failure(time_point failed_at)
+{
+    last_failure_ = last_failure_ ? std::max(*last_failure_, failed_at) : failed_at;
+}
+
 // A replica that leaves without draining and an entry that expired while the store was away look alike; using
 // the first breaks the drain, dropping the second refuses requests. A failed call alone does not tell them
 // apart: the store may be out of reach for one gateway only. Nor does the lack of answers: the gateways may
--- a/src/policy/expiry_grace.hpp
+++ b/src/policy/expiry_grace.hpp
@@ -13,7 +13,7 @@
     /// The store answered a call that some gateway made at `requested_at`, and this gateway knows of it.
     void on_answer(time_point requested_at);
     /// A call to the store failed, made by this gateway or one that told it.
-    void on_failure(time_point now) { last_failure_ = now; }
+    void on_failure(time_point failed_at);
     /// Entries that vanish before may have expired in an outage of the store; the epoch if there was none.
     time_point ends_at() const { return ends_at_; }
 
--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -40,7 +40,7 @@
 // Counted from the request, not from the response, whose time under way is not known. What the peer held the
 // poll counts: without it each relay between the store and a gateway would add a whole poll to the age, and
 // in a large fleet all copies would seem too old.
-time_point confirmed_at(time_point requested_at, milliseconds held, milliseconds age)
+time_point time_at_peer(time_point requested_at, milliseconds held, milliseconds age)
 {
     return requested_at + held - age;
 }
--- a/src/policy/feed_plan.hpp
+++ b/src/policy/feed_plan.hpp
@@ -50,9 +50,9 @@
     bool polls_relays() const;
 };
 
-/// When a copy was last known to be current that was received from a peer: it had been confirmed `age` before
-/// the response, which the peer sent `held` after it received the request.
-time_point confirmed_at(time_point requested_at, milliseconds held, milliseconds age);
+/// When something happened at a peer, by this gateway's clock: `age` before the response, which the peer sent
+/// `held` after it received the request.
+time_point time_at_peer(time_point requested_at, milliseconds held, milliseconds age);
 
 /// How many gateways serve the feeds of a fleet.
 std::size_t serving_count(std::size_t gateways);
--- a/tests/policy/expiry_grace_tests.cpp
+++ b/tests/policy/expiry_grace_tests.cpp
@@ -1,4 +1,5 @@
 #include "policy/expiry_grace.hpp"
+#include "policy/feed_plan.hpp"
 
 #include <gtest/gtest.h>
 
@@ -34,6 +35,19 @@
     EXPECT_EQ(grace.ends_at(), time_point{});
 }
 
+// Guards against a failure that a peer had before its last answer and that is dated when it is told: the next
+// time in which no gateway asks would then count as an outage.
+TEST(expiry_grace, dates_a_failure_by_when_it_happened_at_the_peer)
+{
+    constexpr milliseconds held{0};
+    expiry_grace grace;
+    grace.on_answer(time_at_peer(start, held, milliseconds{300}));
+    grace.on_failure(time_at_peer(start, held, milliseconds{200}));
+    grace.on_answer(time_at_peer(start + milliseconds{50}, held, milliseconds{100}));
+    grace.on_answer(start + seconds{3});
+    EXPECT_EQ(grace.ends_at(), time_point{});
+}
+
 // Guards against gateways that are held up together and take the time in which none of them asked for an
 // outage.
 TEST(expiry_grace, needs_a_failed_call)
--- a/tests/policy/feed_plan_tests.cpp
+++ b/tests/policy/feed_plan_tests.cpp
@@ -130,7 +130,7 @@
             return;
         }
         const auto age = std::chrono::ceil<milliseconds>(now - source_confirmed);
-        confirmed = std::max(confirmed, confirmed_at(requested_at, poll_time, age));
+        confirmed = std::max(confirmed, time_at_peer(requested_at, poll_time, age));
         requested_at = now + round_trip;
     }
 
