Keep the stopping gateway of a test busy for as long as the test needs it

Cause, by the log of a failing run: the test keeps the gateway busy with four callers that ask one after another. Once its limit of concurrent requests has grown to four, they are answered in the same millisecond and stay in step from then on, so that each round has a gap with nothing in flight. A look of the stop plan fell into such a gap of 10 ms at 2.5 s after the stop order; from then on a gateway with nothing to do takes no more connections, as it should, and the request of the test came at 4.2 s. Ruled out: a refusal for its time limit, which the test guards against; it would be an answer with 503.

--- a/tests/stop/stopping_gateway_tests.cpp
+++ b/tests/stop/stopping_gateway_tests.cpp
@@ -41,6 +41,15 @@
                                [&](const auto& run) { return run.attempt_id == id; });
         });
     }
+    /// Submits a batch that waits for a version of the weights that is never named, so that it stays open.
+    int submit_batch_that_waits()
+    {
+        auto submission = make_request("/lots/b1", "b1");
+        submission.body = R"({"Step":0,"Model":"m","MinVersion":9,"DesiredCount":1,"Items":[
+            {"Id":"i1","Path":"/lots/1","Headers":{"Model":"m","Token-Counts":"5,5","Prompt-Prefix":"aa:5"},
+             "Body":"aGk=","Tokens":10,"Group":"g"}]})";
+        return world.status_of(address, submission);
+    }
     /// Sends `first`, and `second` at the given time. Returns the response and the time it took after
     /// `second`.
     std::pair<std::string, duration> send_in_two_parts(const std::string& first, const std::string& second,
@@ -97,11 +106,7 @@
 {
     world.add_replica("lm1", "lm");
     start(milliseconds(3000)); // gives up 1.8 s after the stop order, ends 0.3 s later
-    auto submission = make_request("/lots/b1", "b1");
-    submission.body = R"({"Step":0,"Model":"m","MinVersion":9,"DesiredCount":1,"Items":[
-        {"Id":"i1","Path":"/lots/1","Headers":{"Model":"m","Token-Counts":"5,5","Prompt-Prefix":"aa:5"},
-         "Body":"aGk=","Tokens":10,"Group":"g"}]})";
-    ASSERT_EQ(world.status_of(address, submission), 202);
+    ASSERT_EQ(submit_batch_that_waits(), 202);
     const auto order = steady::now();
     auto reading = std::async(std::launch::async, [&] {
         return send_in_two_parts("GET /api/lots/b1?After=0 HTTP/1.1\r\nHost: h\r\nWait-Ms: 1000\r\n", "\r\n",
@@ -131,8 +136,10 @@
 // Guards against refusing a fast request because its time limit exceeds the remaining life of the process.
 TEST_F(request_at_stopping_gateway, serves_fast_request_with_long_timeout)
 {
+    world.add_replica("lm1", "lm");
     start(milliseconds(8000));
-    // Keeps the gateway busy, as a batch does.
+    // The callers alone would leave gaps with nothing in flight, in which a stopping gateway closes its port.
+    ASSERT_EQ(submit_batch_that_waits(), 202);
     std::atomic<bool> over{false};
     world.modify_store([this](standins::fake_store&) { replica.work_time = milliseconds(150); });
     const auto keep_busy = [&] {
@@ -143,7 +150,7 @@
             }
         }
     };
-    std::array<std::thread, 4> busy; // a single one would leave gaps with nothing in flight
+    std::array<std::thread, 4> busy;
     for (auto& caller : busy) {
         caller = std::thread(keep_busy);
         std::this_thread::sleep_for(milliseconds(40)); // so that they don't end at the same moment
