Say once that a replica left, with Retry-After, and drop a result that nobody reads

"The replica has left" was made in two places, of which one lacked Retry-After: a request that ended right there, at its deadline, was refused truthfully but not told when to come back. Now both come from attempt_outcome::left. A refusal after that no longer keeps flags of the attempt before. feed_sync::ping returned a bool that nobody read. A comment says why copies are confirmed before they are applied.

--- a/src/gateway/feed.cpp
+++ b/src/gateway/feed.cpp
@@ -90,6 +90,8 @@
     removals_since_ = std::max(removals_since_, as_of);
 }
 
+// Each update is confirmed before it is applied: the grace for entries that expired in an outage, which ends
+// with this answer, must be known when removals are reported.
 void feed::apply_listing(std::map<std::string, stored_object> listed, std::uint64_t as_of,
                          time_point requested_at)
 {
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -88,7 +88,7 @@
     /// When the next ping is due; none if no watch is pending.
     std::optional<time_point> ping_due() const;
     net::task<void> ping_store();
-    net::task<bool> ping();
+    net::task<void> ping();
     void abandon_watches(const error& why);
     net::task<void> poll_peers();
     net::task<poll_result> poll_peer(std::string address, milliseconds poll_time);
--- a/src/gateway/feed_sync_store.cpp
+++ b/src/gateway/feed_sync_store.cpp
@@ -196,7 +196,7 @@
 
 // The store answers a pending watch as soon as there is a change. So an answer to a call sent after the watch
 // says that there was none until then.
-net::task<bool> feed_sync::ping()
+net::task<void> feed_sync::ping()
 {
     const auto smallest =
         std::min_element(feeds_.begin(), feeds_.end(), [](const synced_feed& left, const synced_feed& right) {
@@ -207,18 +207,17 @@
     const auto answered = co_await direct_.ping(smallest->content->kind(), policy::ping_timeout);
     if (generation != watch_generation_ ||
         (!ok(answered) && was_held_up(requested_at, policy::ping_timeout))) {
-        co_return false;
+        co_return;
     }
     if (!ok(answered)) {
         abandon_watches(failure(answered));
-        co_return false;
+        co_return;
     }
     for (auto& entry : feeds_) {
         if (entry.watched_since && *entry.watched_since + policy::hop_allowance <= requested_at) {
             entry.content->confirm(requested_at);
         }
     }
-    co_return true;
 }
 
 void feed_sync::abandon_watches(const error& why)
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -16,13 +16,13 @@
 constexpr int hang_latency_factor = 4;
 constexpr milliseconds min_hang_timeout{400};
 
-/// Retry-After for a service without a usable replica; a crashed one restarts within seconds.
-constexpr milliseconds no_replica_retry_after{500};
-
 /// Retry-After of a stopping gateway: nearly immediate, since another one serves.
 constexpr milliseconds stopping_retry_after{1};
 
-error not_run(error_code code, std::string detail, milliseconds retry_after)
+/// Retry-After for a service without a usable replica; a crashed one restarts within seconds.
+constexpr milliseconds no_replica_retry_after{500};
+
+error refusal(error_code code, std::string detail, milliseconds retry_after)
 {
     return {code, run_state::not_run, std::move(detail), retry_after};
 }
@@ -45,6 +45,14 @@
 {
 }
 
+forwarder::attempt_outcome forwarder::attempt_outcome::left()
+{
+    attempt_outcome outcome;
+    outcome.replica_left = true;
+    outcome.result = refusal(error_code::unavailable, "the replica has left", no_replica_retry_after);
+    return outcome;
+}
+
 // Internal calls have a separate queue: they take longer than callers' requests and come in bursts, so a
 // shared queue and latency estimate would make every replica look slow and delay callers.
 admission_queue* forwarder::queue_of(const call& current)
@@ -138,7 +146,7 @@
     ticket->on_cancel(nullptr);
     log_outcome(current, outcome);
     if (outcome.not_run) {
-        outcome.result = not_run(error_code::overloaded, "the replicas are full", no_replica_retry_after);
+        outcome.result = refusal(error_code::overloaded, "the replicas are full", no_replica_retry_after);
     }
     internal_call_outcome answered{error{}, current.internal_errors};
     std::visit([&answered](auto& ended) { answered.response = std::move(ended); }, outcome.result);
@@ -156,13 +164,13 @@
 {
     attempt_outcome outcome;
     if (stop_ && !accepts(current)) {
-        outcome.result = not_run(error_code::unavailable, "the gateway stops", stopping_retry_after);
+        outcome.result = refusal(error_code::unavailable, "the gateway stops", stopping_retry_after);
         co_return outcome;
     }
     auto* queue = queue_of(current);
     if (queue == nullptr) {
         outcome.result =
-            not_run(error_code::unavailable, "the service has no usable replica", no_replica_retry_after);
+            refusal(error_code::unavailable, "the service has no usable replica", no_replica_retry_after);
         co_return outcome;
     }
     const auto suspect = crashes_.check(current.fingerprint, steady::now());
@@ -181,8 +189,7 @@
         const auto began = steady::now();
         if (!at || !at->usable) {
             queue->finish(instance_id, {});
-            outcome.replica_left = true;
-            outcome.result = not_run(error_code::unavailable, "the replica has left", no_replica_retry_after);
+            outcome = attempt_outcome::left();
         }
         else {
             ++current.attempts;
@@ -300,7 +307,7 @@
         co_return;
     }
     auto reason = outcome.not_run
-                      ? not_run(error_code::overloaded, "the replicas are full", no_replica_retry_after)
+                      ? refusal(error_code::overloaded, "the replicas are full", no_replica_retry_after)
                       : std::get<error>(outcome.result);
     co_await current.answer->send(protocol_.error_response(reason));
 }
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -59,11 +59,6 @@
                 failed.detail};
 }
 
-error replica_left()
-{
-    return {error_code::unavailable, run_state::not_run, "the replica has left"};
-}
-
 } // namespace
 
 void forwarder::record_crash(const call& current, bool reused)
@@ -100,9 +95,7 @@
     }
     connection = std::get<std::shared_ptr<net::http_connection>>(taken);
     if (!co_await targets_.may_send(at, until)) {
-        outcome.replica_left = true;
-        outcome.result = replica_left();
-        co_return outcome;
+        co_return attempt_outcome::left();
     }
     if (current.client_gone) {
         outcome.result = error{error_code::cancelled, run_state::not_run, "the client has left"};
--- a/src/gateway/internal/forwarded_call.hpp
+++ b/src/gateway/internal/forwarded_call.hpp
@@ -49,6 +49,9 @@
     std::optional<policy::load_report> load{};
     std::string replica{};
 
+    /// The replica left before anything was sent to it.
+    static attempt_outcome left();
+
     std::string text() const
     {
         if (finished_stream) {
