Refuse no request as "not run" that an earlier replica may have run

Callers of an idempotent route got 503, which promises "not run", for a request that one replica had run and reset before another refused it; the same where the second replica left or the queue refused the retry. Requests that may run once were never concerned: they are not sent again after a reset.

Cause: the outcome of the last attempt alone decided; the doubt of an earlier one was forgotten.

Change: an earlier attempt that may have run puts a later refusal in doubt, so the answer is 502.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -179,6 +179,7 @@
         co_return outcome;
     }
     auto admitted = co_await queue->admit(current.work);
+    bool may_have_run = false; // at an earlier replica
     while (true) {
         if (!ok(admitted)) {
             outcome.result = failure(admitted);
@@ -215,6 +216,7 @@
         if (outcome.succeeded() || !may_retry(current, outcome, now)) {
             break;
         }
+        may_have_run = may_have_run || outcome.may_have_run();
         current.work.tried.insert(instance_id);
         if (outcome.replica_left) {
             admitted = co_await queue->admit(current.work);
@@ -226,6 +228,9 @@
         }
         admitted = *next;
     }
+    if (may_have_run) {
+        outcome.put_in_doubt();
+    }
     co_return outcome;
 }
 
--- a/src/gateway/internal/forwarded_call.hpp
+++ b/src/gateway/internal/forwarded_call.hpp
@@ -5,6 +5,7 @@
 #include "gateway/forwarder.hpp"
 #include "observe/trace.hpp"
 
+#include <algorithm>
 #include <variant>
 
 namespace vanillagauge::gateway {
@@ -52,6 +53,25 @@
     /// The replica left before anything was sent to it.
     static attempt_outcome left();
 
+    /// Whether the replica may have begun to work on the request.
+    bool may_have_run() const
+    {
+        const auto* failed = std::get_if<error>(&result);
+        return !not_run && (failed == nullptr || failed->ran != run_state::not_run);
+    }
+    /// Withdraws the statement that the request has not run, since an earlier replica may have run it.
+    void put_in_doubt()
+    {
+        if (not_run) {
+            not_run = false;
+            result = error{error_code::unavailable, run_state::in_doubt,
+                           "the replicas are full, and an earlier one may have run the request"};
+        }
+        else if (auto* failed = std::get_if<error>(&result)) {
+            failed->ran = std::max(failed->ran, run_state::in_doubt);
+        }
+    }
+
     std::string text() const
     {
         if (finished_stream) {
--- a/tests/gateway/forwarding_tests.cpp
+++ b/tests/gateway/forwarding_tests.cpp
@@ -8,6 +8,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <set>
 
 namespace vanillagauge::gateway {
 namespace {
@@ -362,5 +363,38 @@
     EXPECT_FALSE(faults_left());
 }
 
+// Guards against a refusal that says "not run" for a request that one replica ran before another refused it.
+TEST(forwarding, refuses_nothing_that_an_earlier_replica_ran)
+{
+    constexpr int turns = 60;
+    one_gateway all;
+    std::set<std::string> refused;
+    for (int turn = 0; turn < turns; ++turn) {
+        const auto id = "q" + std::to_string(turn);
+        all.modify_store([&](standins::fake_store&) {
+            all.first.script = {replica_fault::reset};
+            all.second.script = {replica_fault::shed};
+        });
+        if (all.status_of(all.served.address(), make_request("/safe/" + id, id)) == 503) {
+            refused.insert(id);
+        }
+        all.modify_store([&](standins::fake_store&) {
+            all.first.script.clear();
+            all.second.script.clear();
+        });
+        for (const auto* good : {"a", "b", "c", "d"}) { // so that the first replica stays in use
+            all.status_of(all.served.address(), make_request("/safe/" + id + good, id + good));
+        }
+    }
+    const auto ran = all.inspect_store<std::vector<standins::received_request>>(
+        [&](standins::fake_store&) { return all.first.started_requests; });
+    int lost = 0;
+    for (const auto& request : ran) {
+        lost += request.fault == replica_fault::reset ? 1 : 0;
+        EXPECT_FALSE(refused.contains(request.attempt_id)) << request.attempt_id;
+    }
+    EXPECT_GT(lost, 0);
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
