Test that a small organisation is served while a large one floods

48 callers of one organisation keep the queue of a service full; another organisation sends sixty requests one after another.

--- a/tests/gateway/organisation_tests.cpp
+++ b/tests/gateway/organisation_tests.cpp
@@ -1,6 +1,11 @@
 // Organisations with keys, through whole gateways.
 #include "organisation_deployment.hpp"
 
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <thread>
+
 namespace vanillagauge::gateway {
 namespace {
 
@@ -124,5 +129,62 @@
     });
 }
 
+/// Requests of one organisation, sent one after another, and what became of them.
+struct caller_load {
+    int sent = 0;
+    int served = 0;
+    duration longest{0};
+
+    void send(organisations_deployment& all, const std::string& address, const std::string& id,
+              const std::string& key)
+    {
+        const auto begun = steady::now();
+        const auto status = all.status_of(address, with_key(make_request("/safe/" + id, id), key));
+        ++sent;
+        served += status == 200 ? 1 : 0;
+        longest = std::max(longest, steady::now() - begun);
+    }
+};
+
+// Guards against an organisation whose few requests wait behind those of one that floods the same service, or
+// are refused for them.
+TEST(organisations, small_one_is_served_while_a_large_one_floods)
+{
+    constexpr int flooding_callers = 48;
+    constexpr int small_requests = 60;
+    constexpr milliseconds work_time{20};
+    organisations_deployment all;
+    all.modify_store([&](standins::fake_store&) { all.plain.work_time = work_time; });
+    auto& served = all.serving_gateway("a");
+    std::atomic<bool> over{false};
+    std::vector<std::future<caller_load>> flood;
+    flood.reserve(flooding_callers);
+    for (int caller = 0; caller < flooding_callers; ++caller) {
+        flood.push_back(std::async(std::launch::async, [&, caller] {
+            caller_load load;
+            while (!over) {
+                const auto id = "f" + std::to_string(caller) + "-" + std::to_string(load.sent);
+                load.send(all, served.address(), id, "key-a");
+            }
+            return load;
+        }));
+    }
+    std::this_thread::sleep_for(milliseconds(500)); // the queue is long
+    caller_load small;
+    for (int turn = 0; turn < small_requests; ++turn) {
+        small.send(all, served.address(), "s" + std::to_string(turn), "key-c");
+    }
+    over = true;
+    caller_load large;
+    for (auto& caller : flood) {
+        const auto load = caller.get();
+        large.sent += load.sent;
+        large.served += load.served;
+        large.longest = std::max(large.longest, load.longest);
+    }
+    EXPECT_EQ(small.served, small.sent);
+    EXPECT_LT(small.longest, large.longest);
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
