--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -216,8 +216,8 @@
     return source == nullptr ? std::string{} : source->relay_address;
 }
 
-// A cut may take away the store and all gateways that watch it, while others in reach know better. Those of
-// which the watch works are not replaced for one gateway that does not reach them.
+// A cut may take away the store and all watchers at once, while other gateways in reach know better. The
+// membership replaces a watcher only if its watch fails, not because one gateway cannot reach it.
 void feed_sync::change_source(poll_result last)
 {
     ++next_source_;
--- a/src/policy/copy_age.hpp
+++ b/src/policy/copy_age.hpp
@@ -30,8 +30,8 @@
 /// A response to a poll is missing if it has not come this long after the poll's wait.
 constexpr milliseconds poll_margin{400};
 
-/// A gateway that did not answer is not polled again for this long if the copy is old: each poll in vain
-/// takes a poll's time, during which the copy ages. Any other gateway is polled instead.
+/// After a source did not answer and the copy is old, other gateways are polled for this long before the next
+/// source is tried: each poll in vain takes a poll's time, during which the copy ages.
 constexpr milliseconds source_retry_interval{2000};
 
 /// An older copy is not served to peers.
