--- a/tests/stop/stopping_gateway_tests.cpp
+++ b/tests/stop/stopping_gateway_tests.cpp
@@ -1,6 +1,6 @@
 #include "stop_client.hpp"
 
-#include "tests/gateway/deployment.hpp"
+#include "tests/gateway/batch_deployment.hpp"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -17,6 +17,9 @@
 using tests::sent_request;
 using tests::stop_client;
 
+/// A batch that asks for it stays open.
+constexpr std::uint64_t version_never_named = 9;
+
 class request_at_stopping_gateway : public testing::Test {
 protected:
     deployment world;
@@ -41,15 +44,6 @@
                                [&](const auto& run) { return run.attempt_id == id; });
         });
     }
-    /// Submits a batch that waits for a version of the weights that is never named, so that it stays open.
-    int submit_batch_that_waits()
-    {
-        auto submission = make_request("/lots/b1", "b1");
-        submission.body = R"({"Step":0,"Model":"m","MinVersion":9,"DesiredCount":1,"Items":[
-            {"Id":"i1","Path":"/lots/1","Headers":{"Model":"m","Token-Counts":"5,5","Prompt-Prefix":"aa:5"},
-             "Body":"aGk=","Tokens":10,"Group":"g"}]})";
-        return world.status_of(address, submission);
-    }
     /// Sends `first`, and `second` at the given time. Returns the response and the time it took after
     /// `second`.
     std::pair<std::string, duration> send_in_two_parts(const std::string& first, const std::string& second,
@@ -106,7 +100,7 @@
 {
     world.add_replica("lm1", "lm");
     start(milliseconds(3000)); // gives up 1.8 s after the stop order, ends 0.3 s later
-    ASSERT_EQ(submit_batch_that_waits(), 202);
+    ASSERT_EQ(world.status_of(address, make_batch("b1", version_never_named)), 202);
     const auto order = steady::now();
     auto reading = std::async(std::launch::async, [&] {
         return send_in_two_parts("GET /api/lots/b1?After=0 HTTP/1.1\r\nHost: h\r\nWait-Ms: 1000\r\n", "\r\n",
@@ -139,7 +133,7 @@
     world.add_replica("lm1", "lm");
     start(milliseconds(8000));
     // The callers alone would leave gaps with nothing in flight, in which a stopping gateway closes its port.
-    ASSERT_EQ(submit_batch_that_waits(), 202);
+    ASSERT_EQ(world.status_of(address, make_batch("b1", version_never_named)), 202);
     std::atomic<bool> over{false};
     world.modify_store([this](standins::fake_store&) { replica.work_time = milliseconds(150); });
     const auto keep_busy = [&] {
