Take tests out of a ctest entry by one function

Three folders wrote the same pair by hand: a filter that leaves tests out of an entry, and an entry of their own.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -51,3 +51,9 @@
   target_link_libraries(${name}_tests PRIVATE vg_flags GTest::gtest GTest::gmock GTest::gtest_main ${ARGN})
   add_test(NAME ${name} COMMAND ${name}_tests)
 endfunction()
+
+# vg_separate_test(NAME OF FILTER): takes tests out of the entry OF into one of their own, which KNOWN-RED.txt can list.
+function(vg_separate_test name of filter)
+  set_property(TEST ${of} APPEND PROPERTY ENVIRONMENT "GTEST_FILTER=-${filter}")
+  add_test(NAME ${name} COMMAND ${of}_tests --gtest_filter=${filter})
+endfunction()
