--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
 // A replica sends a second copy of one answer late, where the answer to the next item is expected. The item
 // is then listed as terminated, though no replica has answered it with 422 or 500.
-#include "../standins/batches.hpp"
+#include "../batches.hpp"
 
 #include <thread>
 
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,8 +1,9 @@
 // The gateway that runs a batch is killed, and the trainer ends the batch while another gateway takes it over
-// and one answer of the store is lost. The end is acknowledged, but the batch's items run on.
-#include "../standins/batches.hpp"
+// and the store is silent for a moment. The end is acknowledged, but the batch's items run on.
+#include "../batches.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <thread>
 
 namespace {
@@ -15,6 +16,7 @@
 constexpr milliseconds cancel{3000};
 constexpr milliseconds contact{3000};
 
+constexpr milliseconds silence{60};          ///< of the store
 constexpr milliseconds run_time{2500};       ///< before the gateway is killed
 constexpr milliseconds takeover_time{15000}; ///< at most
 constexpr milliseconds watch_time{14000};    ///< after the end's acknowledgement
@@ -24,12 +26,12 @@
     steady::time_point at;
 };
 
-/// What the replica saw, and the moment of the lost answer.
+/// What the replica saw, and the store's silence.
 struct observed {
     std::mutex lock;
     std::condition_variable changed;
     std::vector<run_start> runs;
-    bool answer_lost = false;
+    std::optional<steady::time_point> silent_until; ///< none: it has not begun
 };
 
 } // namespace
@@ -42,16 +44,15 @@
     const auto wanted = make_batch(items);
     observed seen;
     std::atomic<bool> owner_killed{false};
-    // The successor reads the texts that the first gateway saved of the batch; that answer is lost, once.
+    // The silence begins as the successor's read of the saved texts is due, and takes every answer then due.
     objects.loses_answer = [&](const store::call& made) {
         const bool texts = made.method == "GET" && made.kind == "batch-texts" && made.name == wanted.id;
         const std::lock_guard held(seen.lock);
-        if (!texts || !owner_killed || seen.answer_lost) {
-            return false;
+        if (texts && owner_killed && !seen.silent_until) {
+            seen.silent_until = steady::now() + silence;
+            seen.changed.notify_all();
         }
-        seen.answer_lost = true;
-        seen.changed.notify_all();
-        return true;
+        return seen.silent_until && steady::now() < *seen.silent_until;
     };
     const auto engine =
         std::make_shared<replica>(replica::traits{"i-1", "lm", "m", 4, 40, milliseconds(50)}, record);
@@ -85,10 +86,12 @@
             }
         }
         std::unique_lock held(seen.lock);
-        if (!seen.changed.wait_for(held, takeover_time, [&] { return seen.answer_lost; })) {
+        if (!seen.changed.wait_for(held, takeover_time, [&] { return seen.silent_until.has_value(); })) {
             record.line("no gateway read the texts of the batch: the case could not run");
             gateways.finish(not_run);
         }
+        held.unlock();
+        std::this_thread::sleep_for(silence + milliseconds(10));
     }
     if (!end_batch(ends_at, wanted.id, record)) {
         gateways.finish(not_run);
--- a/review/standins/batches.hpp
+++ b/review/batches.hpp
@@ -1,6 +1,6 @@
 /// A trainer's calls for one batch, and the configuration that serves it.
-#ifndef VANILLAGAUGE_REVIEW_STANDINS_BATCHES_HPP
-#define VANILLAGAUGE_REVIEW_STANDINS_BATCHES_HPP
+#ifndef VANILLAGAUGE_REVIEW_BATCHES_HPP
+#define VANILLAGAUGE_REVIEW_BATCHES_HPP
 
 #include "users.hpp"
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,13 +1,13 @@
 #!/usr/bin/env bash
-# Builds the cases' stand-ins into review/bin.
+# Builds the cases' stand-ins into target/review, beside the programs that the deploy file builds.
 set -euo pipefail
-cd "$(dirname "$0")"
-mkdir -p bin
+cd "$(dirname "$0")/.."
+out=target/review
+mkdir -p "$out"
 compile() { "${CXX:-g++}" -std=c++20 -O1 -pthread "$@"; }
-compile -c standins/users.cpp -o bin/users.o &
-compile -c standins/batches.cpp -o bin/batches.o &
-wait -n
-wait -n
-for case in [0-9]*/case.cpp; do
-    compile "$case" bin/users.o bin/batches.o -o "bin/case-${case%%/*}"
+compile -c review/users.cpp -o "$out/users.o"
+compile -c review/batches.cpp -o "$out/batches.o"
+for case in review/[0-9]/case.cpp; do
+    number=$(basename "$(dirname "$case")")
+    compile "$case" "$out/users.o" "$out/batches.o" -o "$out/case-$number"
 done
--- a/review/standins/users.cpp
+++ b/review/users.cpp
@@ -24,6 +24,8 @@
 namespace {
 
 constexpr milliseconds heartbeat{1200};
+/// Of the store, as the deployments' sheets say.
+constexpr milliseconds answer_time{4};
 constexpr const char* objects_path = "/api/objects/";
 
 std::string lower(std::string text)
@@ -366,7 +368,8 @@
         return;
     }
     std::stringstream parts(path.substr(std::string(objects_path).size()));
-    call wanted{request.method, {}, {}, !request.query("Watch").empty()};
+    call wanted{
+        request.method, {}, {}, !request.query("Watch").empty(), !request.query("AllowStale").empty()};
     std::getline(parts, wanted.kind, '/');
     std::getline(parts, wanted.name, '/');
     std::string answer;
@@ -379,6 +382,7 @@
     else {
         answer = write(request, wanted);
     }
+    std::this_thread::sleep_for(answer_time);
     if (loses_answer(wanted)) {
         record_.line("store: the answer to " + request.method + " " + request.target + " is lost");
         at.stay_silent();
--- a/review/standins/users.hpp
+++ b/review/users.hpp
@@ -1,7 +1,7 @@
 /// Stand-ins for the users' side: metadata store, replicas and clients, and the gateway processes under test.
 /// They use blocking sockets and one thread a connection, so that a case can send any bytes at any moment.
-#ifndef VANILLAGAUGE_REVIEW_STANDINS_USERS_HPP
-#define VANILLAGAUGE_REVIEW_STANDINS_USERS_HPP
+#ifndef VANILLAGAUGE_REVIEW_USERS_HPP
+#define VANILLAGAUGE_REVIEW_USERS_HPP
 
 #include <nlohmann/json.hpp>
 
@@ -109,9 +109,10 @@
         std::string kind;
         std::string name;
         bool watch = false;
+        bool may_be_stale = false; ///< the gateways' pings are such calls
     };
-    /// Set before the first call. True: the call is done and its answer is lost; the connection returns
-    /// nothing more.
+    /// Set before the first call; asked when the answer is due. True: the call is done and its answer is
+    /// lost; the connection returns nothing more.
     std::function<bool(const call&)> loses_answer = [](const call&) { return false; };
 
 private:
