Prepare the gateway's folders for the parts of hard load

engine_view answers for the engines' places in one class, with today's own counts; the order of batches has a file of its own.

--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -3,6 +3,7 @@
 #define VANILLAGAUGE_GATEWAY_BATCH_RUNNER_HPP
 
 #include "gateway/batch_progress.hpp"
+#include "gateway/engines/engine_view.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/item_scorer.hpp"
 #include "gateway/object_store.hpp"
@@ -25,8 +26,8 @@
 public:
     /// All must outlive it.
     batch_runner(net::loop& loop, object_store& store, const fleet_view& fleet,
-                 const target_registry& targets, const target_protocol& protocol, item_scorer& scorer,
-                 observe::metrics& counts);
+                 const target_registry& targets, engine_view& engines, const target_protocol& protocol,
+                 item_scorer& scorer, observe::metrics& counts);
 
     /// Caches the items of a batch that is being accepted here, so that they need not be read back.
     void cache_items(const std::string& batch, std::vector<batch_item> items);
@@ -69,6 +70,7 @@
     object_store& store_;
     const fleet_view& fleet_;
     const target_registry& targets_;
+    engine_view& engines_;
     const target_protocol& protocol_;
     item_scorer& scorer_;
     observe::metrics& counts_;
--- a/src/gateway/batch_runner_placement.cpp
+++ b/src/gateway/batch_runner_placement.cpp
@@ -1,4 +1,4 @@
-// Chooses the items to start, their engines, and the runs to move to faster engines.
+// Chooses the engines of the items to start, and the runs to move to faster engines.
 #include "gateway/internal/batch_run.hpp"
 #include "policy/engine_speed.hpp"
 #include "policy/run_move.hpp"
@@ -45,26 +45,6 @@
     return false;
 }
 
-// Earliest deadline first: a trainer is idle until its batch is complete.
-void batch_runner::place_items()
-{
-    std::vector<batch_run_ref> batches;
-    for (const auto& [id, batch] : active_) {
-        if (batch && !batch->ended) {
-            batches.push_back(batch);
-        }
-    }
-    std::sort(batches.begin(), batches.end(), [](const batch_run_ref& left, const batch_run_ref& right) {
-        const auto& a = left->progress.header();
-        const auto& b = right->progress.header();
-        return a.accepted + a.result_time < b.accepted + b.result_time;
-    });
-    for (const auto& batch : batches) {
-        const auto engines = targets_.of_service(batch->progress.header().service);
-        place_items_of(batch, engines);
-    }
-}
-
 bool batch_runner::place_items_of(const batch_run_ref& batch, const std::vector<target_ref>& engines)
 {
     const auto now = steady::now();
@@ -74,9 +54,10 @@
         policy::engine_view view;
         view.id = engine->info.instance_id();
         view.in_flight = engine->streams;
-        view.limit = engine->info.slots;
+        view.limit = engine->streams + engines_.free_places(*engine, now);
         view.version = engine->version_of(progress.header().model);
-        view.usable = now >= engine->back_off_until;
+        view.usable =
+            now >= engine->back_off_until && !engines_.is_loading(*engine, progress.header().model, now);
         views.push_back(std::move(view));
     }
     // Load hardly slows an engine down, so the fast engines are filled first.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,6 +65,7 @@
     peer_relay relay;
     member_registry members;
     target_registry targets;
+    engine_view engines;
     configuration current;
     policy::quarantine crashes{crash_limits};
     forwarder forwarding;
@@ -105,7 +106,7 @@
       fleet(events, settings), relay(loop, store, fleet), members(loop, relay, fleet), targets(loop),
       forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
       scorer(forwarding, protocol, [this]() -> const configuration& { return current; }),
-      runner(loop, relay, fleet, targets, protocol, scorer, counts),
+      runner(loop, relay, fleet, targets, engines, protocol, scorer, counts),
       replicas(schema.replicas, [this](const object_change& change) { on_replica(change); }),
       configurations(schema.configurations,
                      [this](const object_change& change) { on_configuration(change); }),
