Stand-in engine: a limit of streams, loads that refuse new ones

Tests of placement need engines that reject what exceeds their places, and that reject new streams while they load. The load report states the streams that run.

--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -1,5 +1,7 @@
 #include "standins/users/fake_replica.hpp"
 
+#include <algorithm>
+
 namespace vanillagauge::standins {
 
 using nlohmann::json;
@@ -45,7 +47,7 @@
     if (fault != replica_fault::no_stamp) {
         fields.add("Server-Stamp", "stamp-" + id_);
     }
-    fields.add("Replica-Load", "1,0,4");
+    fields.add("Replica-Load", std::to_string(std::max(1, running_streams_)) + ",0,4");
     fields.add("Weight-Versions", std::to_string(version));
     return fields;
 }
@@ -84,6 +86,11 @@
     co_await run(request, answer, fault);
 }
 
+bool fake_replica::refuses_streams() const
+{
+    return (max_streams > 0 && running_streams_ >= max_streams) || steady::now() < loads_until_;
+}
+
 int fake_replica::apply_order(const json& order)
 {
     const auto expected = order.at("Expected").get<std::uint64_t>();
@@ -94,6 +101,7 @@
         return 409;
     }
     ++accepted_orders_;
+    loads_until_ = steady::now() + load_time;
     version = wanted;
     return 202;
 }
@@ -115,6 +123,11 @@
                                   replica_fault fault)
 {
     net::http_response response;
+    const bool streams = request.fields.contains("Token-Counts");
+    if (streams && refuses_streams()) {
+        ++refused_streams;
+        fault = replica_fault::shed;
+    }
     if (fault == replica_fault::shed) {
         response.status = 503;
         response.fields.add("Not-Executed", "1");
@@ -134,9 +147,10 @@
         co_await net::sleep_for(loop_, seconds(30));
         co_return;
     }
-    if (request.fields.contains("Token-Counts") && fault != replica_fault::fail &&
-        fault != replica_fault::unprocessable) {
+    if (streams && fault != replica_fault::fail && fault != replica_fault::unprocessable) {
+        ++running_streams_;
         co_await stream(request, answer, fault);
+        --running_streams_;
         co_return;
     }
     if (work_time.count() > 0) {
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -53,10 +53,13 @@
     nlohmann::json entry(const std::string& service, const std::string& model,
                          const std::string& state) const;
 
-    int events = 4;                                 ///< per stream
-    milliseconds event_interval{5};                 ///< between two events
-    milliseconds work_time{0};                      ///< before a plain answer
-    std::uint64_t version = 1;                      ///< of its weights
+    int events = 4;                 ///< per stream
+    milliseconds event_interval{5}; ///< between two events
+    milliseconds work_time{0};      ///< before a plain answer
+    std::uint64_t version = 1;      ///< of its weights
+    int max_streams = 0;            ///< refuses further ones as not executed; 0: no limit
+    milliseconds load_time{0};      ///< refuses new streams for this long after an order
+    int refused_streams = 0;
     std::vector<replica_fault> script;              ///< faults of the next requests, in order
     std::set<std::string> always_fail;              ///< attempt ids always answered 500
     std::vector<received_request> started_requests; ///< all that started to run
@@ -69,12 +72,15 @@
     std::string id_;
     std::string address_;
     std::uint64_t accepted_orders_ = 0;
+    int running_streams_ = 0;
+    time_point loads_until_{};
     net::http_service service_;
 
     net::task<void> serve(const net::http_request& request, net::responder& answer);
     net::task<void> run(const net::http_request& request, net::responder& answer, replica_fault fault);
     net::task<void> stream(const net::http_request& request, net::responder& answer, replica_fault fault);
     /// Returns the HTTP status; throws json::exception if a field is missing.
+    bool refuses_streams() const;
     int apply_order(const nlohmann::json& order);
     net::task<void> handle_order(const net::http_request& request, net::responder& answer);
     net::http_fields response_fields(const net::http_request& request, replica_fault fault) const;
