Gateways share their view of the engines

Each owner counted only its own streams, and only the holder of the duty lease knew which engines load, so two owners filled the same places and sent items to loading engines. Gateways that run batches or order loads now report streams, events left and loads to the owners of open batches (/engine-report); placement uses the sum.

--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -57,6 +57,10 @@
     std::optional<std::string> find_body(const std::string& batch, const std::string& item) const;
 
     const batch_header* find(const std::string& batch) const;
+    /// This gateway's streams at the engines, and the events that those of running batches have left.
+    std::vector<policy::engine_use> engine_uses() const;
+    /// By service, the VMs of the live gateways that own an open batch of it.
+    std::map<std::string, std::set<std::string>> open_owners() const;
     std::size_t running() const { return active_.size(); }
     bool starts_batches() const { return starts_batches_; }
     bool runs(const std::string& batch) const { return active_.contains(batch); }
--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -68,6 +68,47 @@
     batch->changed.notify();
 }
 
+std::vector<policy::engine_use> batch_runner::engine_uses() const
+{
+    std::map<std::string, policy::engine_use> uses;
+    // Streams of a batch that has ended still use their places until their connections are closed.
+    for (const auto& engine : targets_.all()) {
+        if (engine->streams > 0) {
+            const auto instance_id = engine->info.instance_id();
+            uses[instance_id] = {instance_id, engine->streams, 0};
+        }
+    }
+    for (const auto& [id, batch] : active_) {
+        if (!batch) {
+            continue;
+        }
+        for (const auto& [index, run] : batch->item_runs) {
+            const auto use = uses.find(run->engine->info.instance_id());
+            if (use != uses.end()) {
+                const auto left = policy::likely_events_left(batch->progress.length_of(index));
+                use->second.events_left += left.value_or(0);
+            }
+        }
+    }
+    std::vector<policy::engine_use> listed;
+    listed.reserve(uses.size());
+    for (auto& [engine, use] : uses) {
+        listed.push_back(std::move(use));
+    }
+    return listed;
+}
+
+std::map<std::string, std::set<std::string>> batch_runner::open_owners() const
+{
+    std::map<std::string, std::set<std::string>> owners;
+    for (const auto& [id, header] : headers_) {
+        if (!header.ended && fleet_.is_alive(header.owner_vm, header.owner_incarnation)) {
+            owners[header.service].insert(header.owner_vm);
+        }
+    }
+    return owners;
+}
+
 void batch_runner::handle_failure(batch_run& batch, std::size_t index, target_ref engine, int status,
                                   bool not_run)
 {
@@ -183,6 +224,9 @@
         co_return;
     }
     const auto marks = protocol_.parse_metadata(head->status, head->fields, sent.attempt_id);
+    if (marks.load) {
+        engines_.observe_load(*engine, *marks.load, steady::now());
+    }
     if (marks.weights_version > 0) {
         engine->record_version(progress.header().model, marks.weights_version);
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 
+#include "gateway/engines/engine_exchange.hpp"
 #include "gateway/untrusted_json.hpp"
 #include "net/http_service.hpp"
 #include "node/program.hpp"
@@ -80,6 +81,7 @@
     batch_service batches;
     duty_lease duties;
     weights_updater weights;
+    engine_exchange engine_reports;
     usage_exchange runs;
     usage_reporter usage_reports;
     net::http_service peers;
@@ -104,7 +106,7 @@
                       duty_platform& platform, const target_protocol& protocol, store_schema known)
     : event_loop(events), loop(events.context()), settings(chosen), schema(std::move(known)),
       fleet(events, settings), relay(loop, store, fleet), members(loop, relay, fleet), targets(loop),
-      forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
+      engines(fleet.self()), forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
       scorer(forwarding, protocol, [this]() -> const configuration& { return current; }),
       runner(loop, relay, fleet, targets, engines, protocol, scorer, counts),
       replicas(schema.replicas, [this](const object_change& change) { on_replica(change); }),
@@ -122,8 +124,9 @@
              {&batch_headers, serves_callers(), policy::feed_pace::frequent},
              {&retirements}}),
       batches(loop, relay, batch_headers, runner, fleet), duties(loop, relay, fleet, settings),
-      weights(loop, duties, targets, protocol, settings,
+      weights(loop, duties, targets, engines, protocol, settings,
               [this]() -> const configuration& { return current; }),
+      engine_reports(loop, relay, fleet, targets, runner, engines, counts),
       runs(loop, relay, fleet, duties, report_times(settings)),
       usage_reports(loop, relay, platform, duties, runs, counts, settings.vm, report_times(settings),
                     [this]() -> const configuration& { return current; }),
@@ -313,6 +316,9 @@
     else if (request.target == usage_window_path) {
         response = runs.serve_window(request);
     }
+    else if (request.target == engine_report_path) {
+        response = engine_reports.serve(request);
+    }
     else if (request.target == "/sync") {
         response = co_await feeds.serve(request);
     }
@@ -350,6 +356,7 @@
         if (all.serves_callers()) {
             all.duties.start();
             all.weights.start();
+            all.engine_reports.start();
             all.runs.start();
             all.usage_reports.start();
         }
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -39,9 +39,11 @@
 } // namespace
 
 weights_updater::weights_updater(net::loop& loop, duty_lease& lease, target_registry& targets,
-                                 const target_protocol& protocol, const config::settings& settings,
+                                 engine_view& engines, const target_protocol& protocol,
+                                 const config::settings& settings,
                                  std::function<const configuration&()> current)
-    : loop_(loop), lease_(lease), targets_(targets), protocol_(protocol), current_(std::move(current)),
+    : loop_(loop), lease_(lease), targets_(targets), engines_(engines), protocol_(protocol),
+      current_(std::move(current)),
       order_holder_(settings.gateway.model_order_holder.empty() ? settings.vm
                                                                 : settings.gateway.model_order_holder)
 {
@@ -215,6 +217,8 @@
                 single_version(engine->info.service) ? load_mode::finish_first : load_mode::keep_running;
             order.holder = order_holder_;
             order.expected_orders = value(report).orders_accepted;
+            // The engine may begin before its response is here.
+            engines_.begin_load(*engine, model, version, steady::now());
             const auto answer = co_await send_order(engine, order);
             if (!ok(answer)) {
                 pause = failure(answer).ran == run_state::not_run ? refused_backoff : unanswered_backoff;
@@ -251,6 +255,7 @@
             co_await net::sleep_for(loop_, report_poll_interval);
         }
     }
+    engines_.end_load(*engine, engine->version_of(model) >= version, steady::now());
     observe::log(
         observe::log_level::info, "weights_ordered",
         {{"replica", instance_id},
--- a/src/gateway/weights_updater.hpp
+++ b/src/gateway/weights_updater.hpp
@@ -5,6 +5,7 @@
 
 #include "gateway/configuration.hpp"
 #include "gateway/duty_lease.hpp"
+#include "gateway/engines/engine_view.hpp"
 #include "gateway/target_protocol.hpp"
 #include "gateway/target_registry.hpp"
 
@@ -17,8 +18,8 @@
 
 class weights_updater {
 public:
-    /// `current` returns the active configuration. All must outlive it.
-    weights_updater(net::loop& loop, duty_lease& lease, target_registry& targets,
+    /// `current` returns the active configuration; `engines` learns of each load. All must outlive it.
+    weights_updater(net::loop& loop, duty_lease& lease, target_registry& targets, engine_view& engines,
                     const target_protocol& protocol, const config::settings& settings,
                     std::function<const configuration&()> current);
 
@@ -34,6 +35,7 @@
     net::loop& loop_;
     duty_lease& lease_;
     target_registry& targets_;
+    engine_view& engines_;
     const target_protocol& protocol_;
     std::function<const configuration&()> current_;
     std::string order_holder_;
