--- a/src/policy/load_hint.hpp
+++ b/src/policy/load_hint.hpp
@@ -4,6 +4,8 @@
 
 #include "base/base.hpp"
 
+#include <optional>
+
 namespace vanillagauge::policy {
 
 struct load_report {
@@ -11,6 +13,8 @@
     int waiting = 0;
     int capacity = 0;
     milliseconds age{0}; ///< age of the measurement, as reported by the target
+    /// How long work currently takes, as a multiple of the usual time; none if not reported.
+    std::optional<double> slowdown{};
 };
 
 class load_hint {
--- a/tests/adapter/protocol_tests.cpp
+++ b/tests/adapter/protocol_tests.cpp
@@ -67,6 +67,24 @@
     EXPECT_FALSE(protocol.parse_metadata(200, odd, "a").load);
 }
 
+// Guards against a malformed slowdown that is used, or that hides the valid figures before it.
+TEST(replica_protocol, drops_a_malformed_slowdown_alone)
+{
+    const auto load_of = [](const std::string& text) {
+        net::http_fields fields;
+        fields.add("Replica-Load", text);
+        return replica_protocol().parse_metadata(200, fields, "a").load;
+    };
+    EXPECT_EQ(load_of("3,1,8,250")->slowdown, 2.5);
+    EXPECT_EQ(load_of("3,1,8,10000")->slowdown, 100.0);
+    for (const char* odd : {"", ",", ",0", ",-150", ",10001", ",nan", ",inf", ",150x", ",1e999", ",150,2"}) {
+        const auto load = load_of(std::string("3,1,8") + odd);
+        ASSERT_TRUE(load) << odd;
+        EXPECT_EQ(load->capacity, 8) << odd;
+        EXPECT_EQ(load->slowdown, std::nullopt) << odd;
+    }
+}
+
 TEST(replica_protocol, responds_with_not_run_statuses_only_where_it_is_certain)
 {
     const replica_protocol protocol;
