Choose replicas by expected finish where they report their slowdown

One replica in each failure domain meant that a gateway used the one next to it, however slow, until its limit was reached; and a replica six times slower than the group's median was ejected although it was never faster. Where a replica reports the slowdown, a request now goes to the lowest work time x current slowdown x (1 + requests ahead / slots): of all targets up to 16, of two random ones above. Slowness is judged against the target's own median too.

--- a/src/policy/outlier_ejection.cpp
+++ b/src/policy/outlier_ejection.cpp
@@ -80,9 +80,14 @@
     return target.consecutive_failures >= failures_to_avoid && now - target.last_failure < avoid_time;
 }
 
-bool is_slow(duration latency, duration group_median)
+// Load pattern: replicas that differ permanently in speed. Judged against the group alone, the slowest is
+// ejected although it could serve what the others have no room for; a slow answer is one that is unusual for
+// the target itself. The group's median still bounds it, so that a fast target whose VM is busy for a moment
+// isn't ejected for answers that are normal elsewhere.
+bool is_slow(duration latency, duration own_median, duration group_median)
 {
-    return latency > slow_floor && group_median.count() > 0 && latency > slow_factor * group_median;
+    const auto usual = std::max(own_median, group_median);
+    return latency > slow_floor && own_median.count() > 0 && latency > slow_factor * usual;
 }
 
 } // namespace vanillagauge::policy
--- a/src/policy/outlier_ejection.hpp
+++ b/src/policy/outlier_ejection.hpp
@@ -37,8 +37,9 @@
 /// elsewhere, and after a while one trial request.
 bool failed_recently(const target_health& target, time_point now);
 
-/// Whether a response is slow enough to count as a failure.
-bool is_slow(duration latency, duration group_median);
+/// Whether a response is slow enough to count as a failure, by the medians of the target and of its group. A
+/// target that is permanently slower than its group is not slow.
+bool is_slow(duration latency, duration own_median, duration group_median);
 
 } // namespace vanillagauge::policy
 
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -47,6 +47,29 @@
     return second;
 }
 
+// Load pattern: few targets of uneven speed. Two random choices out of four are the two slowest in one draw
+// out of six. Starts at a random index, so that targets without figures share the load.
+std::optional<std::size_t> place_least_loaded(const std::vector<std::size_t>& candidates,
+                                              const is_usable& usable, const load_of& load,
+                                              std::mt19937_64& random)
+{
+    std::optional<std::size_t> least;
+    double least_load = 0;
+    const auto start = candidates.empty() ? 0 : random() % candidates.size();
+    for (std::size_t tries = 0; tries < candidates.size(); ++tries) {
+        const auto index = candidates[(start + tries) % candidates.size()];
+        if (!usable(index)) {
+            continue;
+        }
+        const double found = load(index);
+        if (!least || found < least_load) {
+            least = index;
+            least_load = found;
+        }
+    }
+    return least;
+}
+
 // Load pattern: prompts that share long prefixes. Spread at random, every engine computes and caches all of
 // them and soon evicts each. On a hash ring a prefix stays at its targets when others join or leave.
 prefix_ring::prefix_ring(const std::vector<std::pair<std::string, std::size_t>>& targets)
--- a/src/policy/placement.hpp
+++ b/src/policy/placement.hpp
@@ -24,6 +24,11 @@
                                              const is_usable& usable, const load_of& load,
                                              std::mt19937_64& random);
 
+/// The least loaded of all usable candidates, a random one of equally loaded ones; none if none is usable.
+std::optional<std::size_t> place_least_loaded(const std::vector<std::size_t>& candidates,
+                                              const is_usable& usable, const load_of& load,
+                                              std::mt19937_64& random);
+
 /// Consistent hashing of prefixes to targets: few prefixes move when targets join or leave.
 class prefix_ring {
 public:
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -26,6 +26,7 @@
 #include "policy/store_breaker.hpp"
 #include "policy/straggler.hpp"
 #include "policy/target_pool.hpp"
+#include "policy/target_speed.hpp"
 #include "policy/wave_fence.hpp"
 #include "policy/wave_plan.hpp"
 #include "policy/weight_load_plan.hpp"
--- a/src/policy/target_pool.cpp
+++ b/src/policy/target_pool.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds min_hedge_delay{100};
 constexpr milliseconds first_hedge_delay{1000};
 constexpr double max_relative_latency = 10;
+/// Services of up to this size choose among all targets: cheap, and few gateways choose at the same moment.
+constexpr std::size_t small_service = 16;
 
 } // namespace
 
@@ -101,7 +103,9 @@
     }
     bool out = false;
     if (report.kind == attempt_result::answered) {
-        const bool slow = is_slow(report.latency, median_.value());
+        const bool slow = is_slow(report.latency, entry.median.value(), median_.value());
+        entry.speed.on_answer(report.latency, in_flight, options_.initial_limit, now);
+        work_time_.add(entry.speed.work_time());
         median_.add(report.latency);
         p95_.add(report.latency);
         entry.median.add(report.latency);
@@ -123,9 +127,13 @@
 void target_pool::on_report(const std::string& id, const load_report& report, time_point now)
 {
     const auto found = index_by_id_.find(id);
-    if (found != index_by_id_.end()) {
-        entries_[found->second].hint.on_report(report, now);
+    if (found == index_by_id_.end()) {
+        return;
     }
+    auto& entry = entries_[found->second];
+    entry.hint.on_report(report, now);
+    entry.speed.on_report(report, entry.in_flight, now);
+    slowdown_reported_ = slowdown_reported_ || report.slowdown.has_value();
 }
 
 int target_pool::in_flight(const std::string& id) const
@@ -174,6 +182,63 @@
     return use * std::clamp(relative, 1.0, max_relative_latency);
 }
 
+/// A target that was not tried for long is assumed to be as fast as the others, if its own time is longer.
+duration target_pool::current_work_time(const record& entry, time_point now) const
+{
+    const auto own = entry.speed.current_work_time(now);
+    if (!entry.speed.needs_trial(now)) {
+        return own;
+    }
+    return own.count() > 0 ? std::min(own, work_time()) : work_time();
+}
+
+// Load pattern: targets of uneven speed, one in each failure domain, on VMs that are busy for moments. The
+// use of the limit alone, or the near domain first, sends requests to a busy VM while others are idle.
+// Another domain is less than a millisecond away, a slow VM tens of milliseconds, so the domain is not
+// considered.
+double target_pool::expected_finish(std::size_t index, time_point now) const
+{
+    const auto& entry = entries_[index];
+    const int slots = std::max(1, entry.speed.slots(options_.initial_limit, now));
+    const double ahead = entry.speed.requests(entry.in_flight, now);
+    // Before the first response of the service all work times are unknown: only the load decides.
+    const auto unit = std::max<duration>(current_work_time(entry, now), std::chrono::microseconds{1});
+    return static_cast<double>(unit.count()) * (1 + ahead / slots);
+}
+
+// Load pattern: too little capacity. A request that waits for a slot longer than its caller does occupies the
+// queue, is answered late and is repeated by its caller; refused on arrival, it can still succeed elsewhere.
+// Without reports of the slowdown, a target's slots are unknown and the queue's own estimate decides.
+bool target_pool::can_end_in_time(const work& item, std::size_t queued, time_point now)
+{
+    if (!slowdown_reported_ || usable_.empty()) {
+        return true;
+    }
+    const std::chrono::duration<double> left = item.deadline - now;
+    const double queued_share = static_cast<double>(queued) / static_cast<double>(usable_.size());
+    bool any = false;
+    for (const auto index : usable_) {
+        auto& entry = entries_[index];
+        if (ejection_.is_ejected(entry.health, now) || item.tried.contains(entry.target.id)) {
+            continue;
+        }
+        any = true;
+        const int slots = std::max(1, entry.speed.slots(options_.initial_limit, now));
+        const int ahead = entry.speed.requests(entry.in_flight, now);
+        const std::chrono::duration<double> unit = current_work_time(entry, now);
+        const auto wait = unit * ((ahead + queued_share - slots + 1) / slots);
+        if (ahead < slots || wait + unit <= left) {
+            return true;
+        }
+    }
+    return !any;
+}
+
+duration target_pool::work_time() const
+{
+    return work_time_.value();
+}
+
 std::optional<std::size_t> target_pool::choose(const work& item, time_point now)
 {
     if (item.prefix != 0) {
@@ -193,6 +258,12 @@
 std::optional<std::size_t> target_pool::choose_usable(const std::function<bool(std::size_t)>& usable,
                                                       const work& item, time_point now)
 {
+    if (slowdown_reported_) {
+        const auto finish = [&](std::size_t index) { return expected_finish(index, now); };
+        return usable_.size() <= small_service
+                   ? place_least_loaded(usable_, usable, std::ref(finish), random_)
+                   : place_two_choices(usable_, usable, std::ref(finish), random_);
+    }
     const auto load = [&](std::size_t index) { return cost(index, now); };
     const auto near = by_domain_.find(item.near_domain);
     if (near != by_domain_.end()) {
--- a/src/policy/target_pool.hpp
+++ b/src/policy/target_pool.hpp
@@ -7,6 +7,7 @@
 #include "policy/load_hint.hpp"
 #include "policy/outlier_ejection.hpp"
 #include "policy/placement.hpp"
+#include "policy/target_speed.hpp"
 #include "policy/work.hpp"
 
 #include <functional>
@@ -64,6 +65,11 @@
     int limit(const std::string& id, time_point now) const;
     /// How long to wait for a response before hedging.
     duration hedge_delay() const;
+    /// Whether the request can end before its deadline at some target, if `queued` requests start before it.
+    /// True unless every usable target is known to have no free slot and too long a wait.
+    bool can_end_in_time(const work& item, std::size_t queued, time_point now);
+    /// Median time of a request without waiting; zero if no response was received yet.
+    duration work_time() const;
 
 private:
     struct record {
@@ -74,6 +80,7 @@
         target_health health{};
         time_point joined{}; ///< start of its slow start; the epoch: no ramp
         latency_quantile median{0.5};
+        target_speed speed{};
     };
 
     std::mt19937_64 random_;
@@ -89,6 +96,8 @@
     outlier_ejection ejection_;
     latency_quantile median_{0.5};
     latency_quantile p95_{0.95};
+    latency_quantile work_time_{0.5}; ///< without waiting
+    bool slowdown_reported_ = false;  ///< by any target: requests are placed by expected finish
 
     void rebuild_index();
     record updated_record(const pool_target& target, time_point now);
@@ -100,6 +109,8 @@
                                              time_point now);
     std::optional<std::size_t> choose_cached(const work& item, time_point now);
     double cost(std::size_t index, time_point now) const;
+    duration current_work_time(const record& entry, time_point now) const;
+    double expected_finish(std::size_t index, time_point now) const;
 };
 
 } // namespace vanillagauge::policy
--- a/tests/policy/simulation.cpp
+++ b/tests/policy/simulation.cpp
@@ -35,7 +35,9 @@
 {
     std::vector<pool_target> pool;
     for (const auto& [id, target] : targets_) {
-        pool.push_back({id, target.domain, false});
+        if (!target.gone) {
+            pool.push_back({id, target.domain, false});
+        }
     }
     scheduler_.update(pool, now_);
 }
@@ -92,6 +94,7 @@
         sum.late += outcome.late;
         sum.failed += outcome.failed;
         sum.refused += outcome.refused;
+        sum.returned += outcome.returned;
         sum.max_refusal_time = std::max(sum.max_refusal_time, outcome.max_refusal_time);
         sum.min_retry_after = std::min(sum.min_retry_after, outcome.min_retry_after);
         sum.latencies.insert(sum.latencies.end(), outcome.latencies.begin(), outcome.latencies.end());
@@ -148,7 +151,7 @@
         return;
     }
     const auto service =
-        std::chrono::duration_cast<duration>(running_.at(id).request.service * target.slowness);
+        std::chrono::duration_cast<duration>(running_.at(id).request.service * target.slowness * target.busy);
     auto& worker = *std::min_element(target.free_at.begin(), target.free_at.end());
     worker = std::max(worker, now_) + service;
     schedule(worker, [this, id, name, began = now_] { end(id, name, began, false); });
@@ -167,15 +170,41 @@
         ++(latency <= found->second.request.deadline ? outcome.in_time : outcome.late);
     }
     running_.erase(found);
+    report(targets_.at(target));
     scheduler_.finish(target, {failed ? attempt_result::failed : attempt_result::answered, now_ - began},
                       now_);
     advance();
 }
 
+void simulation::report(const simulated_target& target)
+{
+    using kind = simulated_target::report_kind;
+    if (target.reports == kind::none) {
+        return;
+    }
+    const int requests = scheduler_.pool().in_flight(target.id);
+    load_report report{std::min(requests, target.workers), std::max(0, requests - target.workers),
+                       target.workers, target.report_age};
+    if (target.reports == kind::with_slowdown) {
+        report.slowdown = target.wrong_slowdown.value_or(target.busy);
+    }
+    scheduler_.on_report(target.id, report, now_);
+}
+
 void simulation::refuse(std::uint64_t id, const error& reason)
 {
     const auto found = running_.find(id);
     auto& outcome = outcomes_[found->second.request.caller];
+    if (auto again = found->second.request; again.retries) {
+        again.retries = false;
+        again.deadline -=
+            std::chrono::duration_cast<milliseconds>(now_ - found->second.requested_at) + reason.retry_after;
+        --outcome.requests; // counted again when it returns
+        ++outcome.returned;
+        schedule(now_ + reason.retry_after, [this, again] { arrive(again); });
+        running_.erase(found);
+        return;
+    }
     ++outcome.refused;
     outcome.max_refusal_time = std::max(outcome.max_refusal_time, now_ - found->second.requested_at);
     const bool truthful = reason.ran == run_state::not_run;
--- a/tests/policy/simulation.hpp
+++ b/tests/policy/simulation.hpp
@@ -4,6 +4,7 @@
 
 #include "policy/policy.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <queue>
@@ -18,7 +19,13 @@
     double slowness = 1;      ///< factor on service times
     bool fails = false;       ///< fails immediately
     double report_factor = 1; ///< factor on its true load in reports
-    int max_running = 0;      ///< maximum number in flight
+    bool gone = false;        ///< not among the pool's targets
+    /// Load report on each response; its fields replace the true ones where set.
+    enum class report_kind { none, without_slowdown, with_slowdown } reports = report_kind::none;
+    double busy = 1;                        ///< further factor on service times, reported as the slowdown
+    std::optional<double> wrong_slowdown{}; ///< reported in place of `busy`
+    milliseconds report_age{0};             ///< of its reports
+    int max_running = 0;                    ///< maximum number in flight
     std::int64_t started = 0;
     time_point last_start{};
     std::vector<time_point> free_at{};
@@ -29,6 +36,7 @@
     priority urgency = priority::member;
     milliseconds service{10};
     milliseconds deadline{1000};
+    bool retries = false; ///< once after a refusal, at the time that it gives
 };
 
 struct caller_outcome {
@@ -37,11 +45,19 @@
     std::int64_t late = 0;
     std::int64_t failed = 0;
     std::int64_t refused = 0;
+    std::int64_t returned = 0;             ///< retries after a refusal
     duration max_refusal_time{0};          ///< from the request to its refusal
     milliseconds min_retry_after{1 << 30}; ///< minimum delay given with refusals
     std::vector<duration> latencies{};
 
     duration quantile(double share) const;
+    /// The share of all requests that was answered within `limit`.
+    double share_within(duration limit) const
+    {
+        const auto good = std::count_if(latencies.begin(), latencies.end(),
+                                        [limit](duration latency) { return latency <= limit; });
+        return static_cast<double>(good) / static_cast<double>(requests);
+    }
     double success_share() const
     {
         return requests == 0 ? 0 : static_cast<double>(in_time) / static_cast<double>(requests);
@@ -61,6 +77,8 @@
     void run();
 
     void add(simulated_target target);
+    /// Call after a change of a target's `gone`.
+    void update_targets();
     simulated_target& target(const std::string& id) { return targets_.at(id); }
     caller_outcome& outcome_of(const std::string& caller) { return outcomes_[caller]; }
     caller_outcome total() const;
@@ -94,11 +112,11 @@
     time_point timer_{};
     std::uint64_t next_ = 1;
 
-    void update_targets();
     void schedule(time_point when, std::function<void()> action);
     void arrive(const simulated_request& request);
     void begin(std::uint64_t id, const std::string& target);
     void end(std::uint64_t id, const std::string& target, time_point began, bool failed);
+    void report(const simulated_target& target);
     void refuse(std::uint64_t id, const error& reason);
     void advance();
     void arm_timer();
