Compute Retry-After from the expected wait, by urgency and spread

Refusals carried the time to drain the whole queue (up to 5 s), or a fixed 500 or 1000 ms where the replicas are full or gone: longer than many callers wait, and the same for all, so that they return together. The delay now follows the requests ahead and the drain rate, the work time or the length of the outage; it is between 50 ms and a third of the caller's remaining time, shorter for urgent requests, and spread at random by 25%.

--- a/src/gateway/admission_queue.hpp
+++ b/src/gateway/admission_queue.hpp
@@ -32,6 +32,11 @@
     /// Cancels a waiting request whose client has disconnected.
     void cancel(std::uint64_t work_id);
 
+    /// When the caller of a request that the replicas refused should return.
+    milliseconds full_retry_after(const policy::work& item)
+    {
+        return scheduler_.full_retry_after(item, steady::now());
+    }
     /// Time without a response after which to try another replica.
     duration hedge_delay() const { return scheduler_.pool().hedge_delay(); }
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -2,6 +2,7 @@
 #include "gateway/internal/forwarded_call.hpp"
 #include "observe/log.hpp"
 #include "policy/background_capacity.hpp"
+#include "policy/retry_after.hpp"
 
 #include <algorithm>
 
@@ -19,9 +20,6 @@
 /// Retry-After of a stopping gateway: nearly immediate, since another one serves.
 constexpr milliseconds stopping_retry_after{1};
 
-/// Retry-After for a service without a usable replica; a crashed one restarts within seconds.
-constexpr milliseconds no_replica_retry_after{500};
-
 error refusal(error_code code, std::string detail, milliseconds retry_after)
 {
     return {code, run_state::not_run, std::move(detail), retry_after};
@@ -49,7 +47,7 @@
 {
     attempt_outcome outcome;
     outcome.replica_left = true;
-    outcome.result = refusal(error_code::unavailable, "the replica has left", no_replica_retry_after);
+    outcome.result = refusal(error_code::unavailable, "the replica has left", policy::min_retry_after);
     return outcome;
 }
 
@@ -146,13 +144,20 @@
     ticket->on_cancel(nullptr);
     log_outcome(current, outcome);
     if (outcome.not_run) {
-        outcome.result = refusal(error_code::overloaded, "the replicas are full", no_replica_retry_after);
+        outcome.result = replicas_full(current);
     }
     internal_call_outcome answered{error{}, current.internal_errors};
     std::visit([&answered](auto& ended) { answered.response = std::move(ended); }, outcome.result);
     co_return answered;
 }
 
+error forwarder::replicas_full(const call& current)
+{
+    auto* queue = queue_of(current);
+    return refusal(error_code::overloaded, "the replicas are full",
+                   queue == nullptr ? policy::min_retry_after : queue->full_retry_after(current.work));
+}
+
 bool forwarder::accepts(const call& current) const
 {
     const auto form = current.chosen.kind == route_kind::stream ? policy::response_kind::stream
@@ -169,8 +174,10 @@
     }
     auto* queue = queue_of(current);
     if (queue == nullptr) {
-        outcome.result =
-            refusal(error_code::unavailable, "the service has no usable replica", no_replica_retry_after);
+        const auto now = steady::now();
+        outcome.result = refusal(
+            error_code::unavailable, "the service has no usable replica",
+            policy::retry_after(now - started_at_, current.work.urgency, current.deadline - now, random_));
         co_return outcome;
     }
     const auto suspect = crashes_.check(current.fingerprint, steady::now());
@@ -311,9 +318,7 @@
         co_await current.answer->send(std::move(*response));
         co_return;
     }
-    auto reason = outcome.not_run
-                      ? refusal(error_code::overloaded, "the replicas are full", no_replica_retry_after)
-                      : std::get<error>(outcome.result);
+    auto reason = outcome.not_run ? replicas_full(current) : std::get<error>(outcome.result);
     co_await current.answer->send(protocol_.error_response(reason));
 }
 
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -96,11 +96,15 @@
     run_recorder record_run_ = [](const std::string&, usage::wall_time) {};
     std::mt19937_64 random_{std::random_device{}()};
     std::uint64_t next_work_ = 1;
+    /// A service that has had no replica yet counts as lost since then.
+    time_point started_at_ = steady::now();
 
     admission_queue* queue_of(const call& current);
     call begin(const route& chosen, const caller_request& request);
     void cancel(call& current);
     bool accepts(const call& current) const;
+    /// The refusal of a request that the replicas have refused.
+    error replicas_full(const call& current);
     net::task<attempt_outcome> run(call& current);
     net::task<attempt_outcome> attempt(call& current, target_ref at, time_point until);
     net::task<attempt_outcome> stream(call& current, target_ref at, time_point until);
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -1,5 +1,7 @@
 #include "policy/fair_queue.hpp"
 
+#include "policy/retry_after.hpp"
+
 #include <algorithm>
 
 namespace vanillagauge::policy {
@@ -16,8 +18,6 @@
 /// Maximum wait in a standing queue, but at least the time to serve a few requests.
 constexpr milliseconds standing_wait{100};
 constexpr double min_queue = 4;
-constexpr milliseconds min_retry_after{50};
-constexpr milliseconds max_retry_after{5000};
 constexpr std::chrono::duration<double> rate_window{0.25};
 constexpr double rate_smoothing = 0.4;
 /// Targets change: the rate of an earlier burst is not representative.
@@ -49,12 +49,11 @@
     if (now - rate_at_ > rate_life) {
         drain_rate_ = 0;
     }
-    const double wait = drain_rate_ > 0 ? static_cast<double>(requests_ahead(item)) / drain_rate_ : 0;
-    if (wait_policy_ == wait_policy::shed_early && std::chrono::duration<double>(wait) > allowed_wait) {
-        return refused("the queue is longer than the request may wait");
+    if (wait_policy_ == wait_policy::shed_early && expected_wait(item) > allowed_wait) {
+        return refused("the queue is longer than the request may wait", item, now);
     }
-    if (size() >= max_waiting && !evict_for(item)) {
-        return refused("the queue is full");
+    if (size() >= max_waiting && !evict_for(item, now)) {
+        return refused("the queue is full", item, now);
     }
     insert(std::move(item), now + allowed_wait, now);
     return done{};
@@ -107,8 +106,8 @@
 {
     while (!expiries_.empty() && expiries_.begin()->first <= now) {
         const auto id = expiries_.begin()->second;
-        remove(id);
-        refused_.push_back({id, refused("no target was free in time")});
+        const auto item = remove(id);
+        refused_.push_back({id, refused("no target was free in time", item, now)});
     }
     return std::exchange(refused_, {});
 }
@@ -145,13 +144,10 @@
     return expiries_.begin()->first;
 }
 
-milliseconds fair_queue::drain_time() const
+duration fair_queue::expected_wait(const work& item) const
 {
-    if (drain_rate_ <= 0) {
-        return min_retry_after;
-    }
-    const auto total = std::chrono::duration<double>(static_cast<double>(size()) / drain_rate_);
-    return std::chrono::duration_cast<milliseconds>(total);
+    const double wait = drain_rate_ > 0 ? static_cast<double>(requests_ahead(item)) / drain_rate_ : 0;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
 std::size_t fair_queue::bucket_of(const work& item) const
@@ -175,7 +171,7 @@
 
 /// Evicts the newest request of the longest bucket in the lowest class if that class is lower than the new
 /// request's or that bucket is longer than its own.
-bool fair_queue::evict_for(const work& item)
+bool fair_queue::evict_for(const work& item, time_point now)
 {
     for (std::size_t lowest = priority_count; lowest-- > 0;) {
         auto& queue = classes_[lowest];
@@ -193,8 +189,8 @@
             return false;
         }
         const auto id = longest->ids.back();
-        remove(id);
-        refused_.push_back({id, refused("evicted for a request of another caller or class")});
+        const auto evicted = remove(id);
+        refused_.push_back({id, refused("evicted for a request of another caller or class", evicted, now)});
         return true;
     }
     return false;
@@ -237,9 +233,9 @@
     return item;
 }
 
-error fair_queue::refused(const char* why) const
+error fair_queue::refused(const char* why, const work& item, time_point now)
 {
-    const auto back = std::clamp(drain_time(), min_retry_after, max_retry_after);
+    const auto back = retry_after(expected_wait(item), item.urgency, item.deadline - now, random_);
     return {error_code::overloaded, run_state::not_run, why, back};
 }
 
--- a/src/policy/fair_queue.hpp
+++ b/src/policy/fair_queue.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <list>
 #include <optional>
+#include <random>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -29,7 +30,7 @@
 public:
     /// `seed` of the bucket hash; use a different one in each process.
     explicit fair_queue(std::uint64_t seed, wait_policy policy = wait_policy::shed_early)
-        : seed_(seed), wait_policy_(policy)
+        : seed_(seed), wait_policy_(policy), random_(seed)
     {
     }
 
@@ -49,8 +50,10 @@
     bool empty() const { return entries_.empty(); }
     /// When the next request reaches its maximum wait; none if the queue is empty.
     std::optional<time_point> next_expiry() const;
-    /// Estimated time to serve all queued requests.
-    milliseconds drain_time() const;
+    /// Requests that would be served before this one.
+    std::size_t requests_ahead(const work& item) const;
+    /// Estimated time to serve them; zero if the drain rate is unknown.
+    duration expected_wait(const work& item) const;
 
 private:
     static constexpr std::size_t bucket_count = 256;
@@ -75,6 +78,7 @@
 
     std::uint64_t seed_;
     wait_policy wait_policy_;
+    std::mt19937_64 random_;
     std::array<class_queue, priority_count> classes_;
     std::unordered_map<std::uint64_t, waiting> entries_;
     std::set<std::pair<time_point, std::uint64_t>> expiries_;
@@ -86,12 +90,11 @@
     time_point nonempty_since_;
 
     std::size_t bucket_of(const work& item) const;
-    std::size_t requests_ahead(const work& item) const;
-    bool evict_for(const work& item);
+    bool evict_for(const work& item, time_point now);
     void insert(work item, time_point expires_at, time_point now);
     duration max_wait_of(const work& item, time_point now) const;
     work remove(std::uint64_t id);
-    error refused(const char* why) const;
+    error refused(const char* why, const work& item, time_point now);
 };
 
 } // namespace vanillagauge::policy
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -17,6 +17,7 @@
 #include "policy/placement.hpp"
 #include "policy/publish_plan.hpp"
 #include "policy/quarantine.hpp"
+#include "policy/retry_after.hpp"
 #include "policy/retry_budget.hpp"
 #include "policy/run_length.hpp"
 #include "policy/run_move.hpp"
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -1,11 +1,16 @@
 #include "policy/scheduler.hpp"
 
-namespace vanillagauge::policy {
-namespace {
+#include "policy/retry_after.hpp"
+
+#include <algorithm>
 
-constexpr milliseconds no_target_retry_after{1000};
+namespace vanillagauge::policy {
 
-} // namespace
+void scheduler::update(const std::vector<pool_target>& targets, time_point now)
+{
+    pool_.update(targets, now);
+    lost_at_ = pool_.size() > 0 ? std::nullopt : std::optional(lost_at_.value_or(now));
+}
 
 void scheduler::on_report(const std::string& target, const load_report& report, time_point now)
 {
@@ -17,8 +22,11 @@
 {
     budget_.on_request();
     if (pool_.size() == 0) {
+        // An outage that has lasted long is likely to last long.
+        const auto back =
+            retry_after(now - lost_at_.value_or(now), item.urgency, item.deadline - now, random_);
         return error{error_code::unavailable, run_state::not_run, "the deployment has no usable target",
-                     no_target_retry_after};
+                     back};
     }
     if (queue_.empty()) {
         if (auto taken = acquire(item, now)) {
@@ -55,6 +63,13 @@
     queue_.on_finished(now);
 }
 
+// The targets free slots at the rate of their work time; the requests that wait here use them first.
+milliseconds scheduler::full_retry_after(const work& item, time_point now)
+{
+    const auto wait = std::max<duration>(pool_.work_time(), queue_.expected_wait(item));
+    return retry_after(wait, item.urgency, item.deadline - now, random_);
+}
+
 queue_changes scheduler::advance(time_point now)
 {
     queue_changes found;
--- a/src/policy/scheduler.hpp
+++ b/src/policy/scheduler.hpp
@@ -28,11 +28,12 @@
 class scheduler {
 public:
     scheduler(std::uint64_t seed, pool_options options, wait_policy policy = wait_policy::shed_early)
-        : pool_(seed, options), queue_(seed, policy), unlimited_(!options.limited)
+        : pool_(seed, options), queue_(seed, policy), wait_policy_(policy), unlimited_(!options.limited),
+          random_(seed)
     {
     }
 
-    void update(const std::vector<pool_target>& targets, time_point now) { pool_.update(targets, now); }
+    void update(const std::vector<pool_target>& targets, time_point now);
     void on_report(const std::string& target, const load_report& report, time_point now);
     /// Submits a first attempt. If queued, a later `advance` returns it.
     decision submit(work item, time_point now);
@@ -47,6 +48,8 @@
     queue_changes advance(time_point now);
 
     std::optional<time_point> next_expiry() const { return queue_.next_expiry(); }
+    /// When the caller of a request that the targets refused should return.
+    milliseconds full_retry_after(const work& item, time_point now);
     std::size_t waiting() const { return queue_.size(); }
     const target_pool& pool() const { return pool_; }
 
@@ -54,7 +57,10 @@
     target_pool pool_;
     fair_queue queue_;
     retry_budget budget_;
+    wait_policy wait_policy_;
     bool unlimited_;
+    std::mt19937_64 random_;
+    std::optional<time_point> lost_at_; ///< since when there is no usable target
 };
 
 } // namespace vanillagauge::policy
--- a/tests/policy/decision_tests.cpp
+++ b/tests/policy/decision_tests.cpp
@@ -248,5 +248,49 @@
     EXPECT_EQ(queue.pop().caller, "gate");
 }
 
+// Guards against callers that return at the same moment, before more urgent ones, or too late to be served.
+TEST(retry_after, orders_callers_by_urgency_and_spreads_them)
+{
+    std::mt19937_64 random(1);
+    for (const seconds wait : {seconds{1}, seconds{100}}) {
+        milliseconds latest_so_far{0};
+        for (const auto urgency : {priority::gate, priority::member, priority::batch}) {
+            milliseconds earliest{1 << 30};
+            milliseconds latest{0};
+            for (int caller = 0; caller < 1000; ++caller) {
+                const auto back = retry_after(wait, urgency, seconds{9}, random);
+                earliest = std::min(earliest, back);
+                latest = std::max(latest, back);
+            }
+            EXPECT_GE(earliest, latest_so_far);
+            EXPECT_GT(latest, 1.2 * earliest);
+            EXPECT_LE(latest, seconds{3});
+            latest_so_far = latest;
+        }
+    }
+    EXPECT_GE(retry_after(duration{0}, priority::gate, seconds{9}, random), min_retry_after);
+    EXPECT_EQ(retry_after(seconds{1}, priority::batch, milliseconds{90}, random), min_retry_after);
+    EXPECT_EQ(retry_after(seconds{1}, priority::gate, milliseconds{-5}, random), min_retry_after);
+}
+
+// Guards against "no usable target" with a fixed delay: a caller waits as long as the outage has lasted.
+TEST(retry_after, of_a_lost_service_grows_with_the_outage)
+{
+    scheduler decisions(1, {});
+    decisions.update({{"a", "near"}}, start);
+    decisions.update({}, start + seconds{1});
+    decisions.update({}, start + seconds{2});
+    work item;
+    item.deadline = start + seconds{60};
+    const auto delay_after = [&](seconds passed) {
+        const auto decided = decisions.submit(item, start + seconds{1} + passed);
+        EXPECT_EQ(std::get<error>(decided).ran, run_state::not_run);
+        return std::get<error>(decided).retry_after;
+    };
+    EXPECT_LT(delay_after(seconds{0}), milliseconds{100});
+    EXPECT_GE(delay_after(seconds{4}), seconds{3});
+    EXPECT_LE(delay_after(seconds{4}), seconds{5});
+}
+
 } // namespace
 } // namespace vanillagauge::policy
