Refuse on arrival if no replica can finish the request in time

By the replicas' reports the wait is known on arrival; a request that cannot end before its deadline anywhere waited in the queue until half of its time was gone. Internal calls still wait until their deadline.

--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -28,6 +28,12 @@
         return error{error_code::unavailable, run_state::not_run, "the deployment has no usable target",
                      back};
     }
+    const auto ahead = queue_.requests_ahead(item);
+    if (wait_policy_ == wait_policy::shed_early && !pool_.can_end_in_time(item, ahead, now)) {
+        return error{error_code::overloaded, run_state::not_run,
+                     "every target's expected wait is longer than the remaining time",
+                     full_retry_after(item, now)};
+    }
     if (queue_.empty()) {
         if (auto taken = acquire(item, now)) {
             return std::move(*taken);
