Fair queue: yield to callers with less recent service

Requests that start without queueing were not counted, so whenever a queue formed for a moment, a caller that had just received most of the capacity counted as equal to all others. A caller's first queued request now yields to up to eight of each other caller, by its share of the service of the last 5 s in this process. A caller with all of it still gets its equal share of a standing queue.

--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -3,6 +3,7 @@
 #include "policy/retry_after.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillagauge::policy {
 namespace {
@@ -18,6 +19,10 @@
 /// Maximum wait in a standing queue, but at least the time to serve a few requests.
 constexpr milliseconds standing_wait{100};
 constexpr double min_queue = 4;
+/// A caller with all of the recent service yields to so many requests of each other caller.
+constexpr double max_yield = 8;
+/// Service of so long ago counts for a third.
+constexpr std::chrono::duration<double> service_memory{5};
 constexpr std::chrono::duration<double> rate_window{0.25};
 constexpr double rate_smoothing = 0.4;
 /// Targets change: the rate of an earlier burst is not representative.
@@ -102,6 +107,27 @@
     return item;
 }
 
+double fair_queue::recent_service::at_time(time_point now) const
+{
+    return cost * std::exp(-std::chrono::duration<double>(now - at) / service_memory);
+}
+
+void fair_queue::recent_service::add(double more, time_point now)
+{
+    cost = at_time(now) + more;
+    at = now;
+}
+
+// Load pattern: a queue that forms for moments only, and one caller with most of the load. Most requests
+// start without queueing, and virtual time doesn't see them: each time a queue forms, all callers would count
+// as equal although one has just received most of the capacity.
+void fair_queue::on_started(const work& item, time_point now)
+{
+    auto& queue = classes_[static_cast<std::size_t>(item.urgency)];
+    queue.received.add(item.cost, now);
+    queue.buckets[bucket_of(item)].received.add(item.cost, now);
+}
+
 std::vector<refusal> fair_queue::collect_refused(time_point now)
 {
     while (!expiries_.empty() && expiries_.begin()->first <= now) {
@@ -207,7 +233,9 @@
     }
     if (chosen.ids.empty()) {
         // An idle caller accumulates no credit.
-        chosen.start_tag = std::max(chosen.start_tag, queue.virtual_time);
+        const double all = queue.received.at_time(now);
+        const double share = all > 0 ? std::min(1.0, chosen.received.at_time(now) / all) : 0;
+        chosen.start_tag = std::max(chosen.start_tag, queue.virtual_time + max_yield * share);
         queue.active.insert({chosen.start_tag, bucket_index});
     }
     const auto in_bucket = chosen.ids.insert(chosen.ids.end(), id);
--- a/src/policy/fair_queue.hpp
+++ b/src/policy/fair_queue.hpp
@@ -41,6 +41,9 @@
     work pop();
     /// Requests that have reached their maximum wait or were evicted since the last call.
     std::vector<refusal> collect_refused(time_point now);
+    /// Records a request that starts, queued or not: its caller's next queued request yields to callers that
+    /// received less service recently.
+    void on_started(const work& item, time_point now);
     /// Records a request finished by a target, to estimate the drain rate.
     void on_finished(time_point now);
 
@@ -59,15 +62,25 @@
     static constexpr std::size_t bucket_count = 256;
 
     using id_position = std::list<std::uint64_t>::iterator;
+    /// Cost of the requests started recently; it decays.
+    struct recent_service {
+        double cost = 0;
+        time_point at;
+
+        double at_time(time_point now) const;
+        void add(double more, time_point now);
+    };
     struct bucket {
         std::list<std::uint64_t> ids;
         double start_tag = 0; ///< virtual start time of its next request
+        recent_service received{};
     };
     struct class_queue {
         std::array<bucket, bucket_count> buckets;
         std::set<std::pair<double, std::size_t>> active; ///< non-empty buckets, by tag
         double virtual_time = 0;
         std::size_t size = 0;
+        recent_service received{}; ///< by all buckets
     };
     struct waiting {
         work item;
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -36,6 +36,7 @@
     }
     if (queue_.empty()) {
         if (auto taken = acquire(item, now)) {
+            queue_.on_started(item, now);
             return std::move(*taken);
         }
     }
@@ -86,7 +87,7 @@
             break;
         }
         found.started.push_back(std::move(*taken));
-        queue_.pop();
+        queue_.on_started(queue_.pop(), now);
     }
     return found;
 }
--- a/tests/policy/decision_tests.cpp
+++ b/tests/policy/decision_tests.cpp
@@ -248,6 +248,35 @@
     EXPECT_EQ(queue.pop().caller, "gate");
 }
 
+// Guards against a caller with most of the recent service that is first whenever a queue forms, and against
+// starving it instead.
+TEST(fair_queue, prefers_callers_with_less_recent_service)
+{
+    fair_queue queue(1);
+    work item;
+    item.deadline = start + seconds{2};
+    const auto of = [&item](const std::string& caller) {
+        item.caller = caller;
+        ++item.id;
+        return item;
+    };
+    for (int index = 0; index < 100; ++index) {
+        queue.on_started(of("large"), start);
+    }
+    queue.on_started(of("small"), start);
+    for (int index = 0; index < 20; ++index) {
+        ASSERT_TRUE(ok(queue.push(of("large"), start)));
+        ASSERT_TRUE(ok(queue.push(of("small"), start)));
+    }
+    int of_large = 0;
+    for (int index = 0; index < 20; ++index) {
+        const bool large = queue.pop().caller == "large";
+        EXPECT_FALSE(large && index < 7) << index;
+        of_large += large ? 1 : 0;
+    }
+    EXPECT_GE(of_large, 5);
+}
+
 // Guards against callers that return at the same moment, before more urgent ones, or too late to be served.
 TEST(retry_after, orders_callers_by_urgency_and_spreads_them)
 {
