--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -1,6 +1,9 @@
 #include "policy/fair_queue.hpp"
 
+#include "policy/retry_after.hpp"
+
 #include <algorithm>
+#include <cmath>
 
 namespace vanillagauge::policy {
 namespace {
@@ -16,8 +19,10 @@
 /// Maximum wait in a standing queue, but at least the time to serve a few requests.
 constexpr milliseconds standing_wait{100};
 constexpr double min_queue = 4;
-constexpr milliseconds min_retry_after{50};
-constexpr milliseconds max_retry_after{5000};
+/// A caller with all of the recent service yields to so many requests of each other caller.
+constexpr double max_yield = 8;
+/// Service of so long ago counts for a third.
+constexpr std::chrono::duration<double> service_memory{5};
 constexpr std::chrono::duration<double> rate_window{0.25};
 constexpr double rate_smoothing = 0.4;
 /// Targets change: the rate of an earlier burst is not representative.
@@ -49,12 +54,11 @@
     if (now - rate_at_ > rate_life) {
         drain_rate_ = 0;
     }
-    const double wait = drain_rate_ > 0 ? static_cast<double>(requests_ahead(item)) / drain_rate_ : 0;
-    if (wait_policy_ == wait_policy::shed_early && std::chrono::duration<double>(wait) > allowed_wait) {
-        return refused("the queue is longer than the request may wait");
+    if (wait_policy_ == wait_policy::shed_early && expected_wait(item) > allowed_wait) {
+        return refused("the queue is longer than the request may wait", item, now);
     }
-    if (size() >= max_waiting && !evict_for(item)) {
-        return refused("the queue is full");
+    if (size() >= max_waiting && !evict_for(item, now)) {
+        return refused("the queue is full", item, now);
     }
     insert(std::move(item), now + allowed_wait, now);
     return done{};
@@ -103,12 +107,33 @@
     return item;
 }
 
+double fair_queue::recent_service::at_time(time_point now) const
+{
+    return cost * std::exp(-std::chrono::duration<double>(now - at) / service_memory);
+}
+
+void fair_queue::recent_service::add(double more, time_point now)
+{
+    cost = at_time(now) + more;
+    at = now;
+}
+
+// Load pattern: a queue that forms for moments only, and one caller with most of the load. Most requests
+// start without queueing, and virtual time doesn't see them: each time a queue forms, all callers would count
+// as equal although one has just received most of the capacity.
+void fair_queue::on_started(const work& item, time_point now)
+{
+    auto& queue = classes_[static_cast<std::size_t>(item.urgency)];
+    queue.received.add(item.cost, now);
+    queue.buckets[bucket_of(item)].received.add(item.cost, now);
+}
+
 std::vector<refusal> fair_queue::collect_refused(time_point now)
 {
     while (!expiries_.empty() && expiries_.begin()->first <= now) {
         const auto id = expiries_.begin()->second;
-        remove(id);
-        refused_.push_back({id, refused("no target was free in time")});
+        const auto item = remove(id);
+        refused_.push_back({id, refused("no target was free in time", item, now)});
     }
     return std::exchange(refused_, {});
 }
@@ -145,13 +170,10 @@
     return expiries_.begin()->first;
 }
 
-milliseconds fair_queue::drain_time() const
+duration fair_queue::expected_wait(const work& item) const
 {
-    if (drain_rate_ <= 0) {
-        return min_retry_after;
-    }
-    const auto total = std::chrono::duration<double>(static_cast<double>(size()) / drain_rate_);
-    return std::chrono::duration_cast<milliseconds>(total);
+    const double wait = drain_rate_ > 0 ? static_cast<double>(requests_ahead(item)) / drain_rate_ : 0;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
 std::size_t fair_queue::bucket_of(const work& item) const
@@ -175,7 +197,7 @@
 
 /// Evicts the newest request of the longest bucket in the lowest class if that class is lower than the new
 /// request's or that bucket is longer than its own.
-bool fair_queue::evict_for(const work& item)
+bool fair_queue::evict_for(const work& item, time_point now)
 {
     for (std::size_t lowest = priority_count; lowest-- > 0;) {
         auto& queue = classes_[lowest];
@@ -193,8 +215,8 @@
             return false;
         }
         const auto id = longest->ids.back();
-        remove(id);
-        refused_.push_back({id, refused("evicted for a request of another caller or class")});
+        const auto evicted = remove(id);
+        refused_.push_back({id, refused("evicted for a request of another caller or class", evicted, now)});
         return true;
     }
     return false;
@@ -211,7 +233,9 @@
     }
     if (chosen.ids.empty()) {
         // An idle caller accumulates no credit.
-        chosen.start_tag = std::max(chosen.start_tag, queue.virtual_time);
+        const double all = queue.received.at_time(now);
+        const double share = all > 0 ? std::min(1.0, chosen.received.at_time(now) / all) : 0;
+        chosen.start_tag = std::max(chosen.start_tag, queue.virtual_time + max_yield * share);
         queue.active.insert({chosen.start_tag, bucket_index});
     }
     const auto in_bucket = chosen.ids.insert(chosen.ids.end(), id);
@@ -237,9 +261,9 @@
     return item;
 }
 
-error fair_queue::refused(const char* why) const
+error fair_queue::refused(const char* why, const work& item, time_point now)
 {
-    const auto back = std::clamp(drain_time(), min_retry_after, max_retry_after);
+    const auto back = retry_after(expected_wait(item), item.urgency, item.deadline - now, random_);
     return {error_code::overloaded, run_state::not_run, why, back};
 }
 
--- a/src/policy/fair_queue.hpp
+++ b/src/policy/fair_queue.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <list>
 #include <optional>
+#include <random>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -29,7 +30,7 @@
 public:
     /// `seed` of the bucket hash; use a different one in each process.
     explicit fair_queue(std::uint64_t seed, wait_policy policy = wait_policy::shed_early)
-        : seed_(seed), wait_policy_(policy)
+        : seed_(seed), wait_policy_(policy), random_(seed)
     {
     }
 
@@ -40,6 +41,9 @@
     work pop();
     /// Requests that have reached their maximum wait or were evicted since the last call.
     std::vector<refusal> collect_refused(time_point now);
+    /// Records a request that starts, queued or not: its caller's next queued request yields to callers that
+    /// received less service recently.
+    void on_started(const work& item, time_point now);
     /// Records a request finished by a target, to estimate the drain rate.
     void on_finished(time_point now);
 
@@ -49,22 +53,34 @@
     bool empty() const { return entries_.empty(); }
     /// When the next request reaches its maximum wait; none if the queue is empty.
     std::optional<time_point> next_expiry() const;
-    /// Estimated time to serve all queued requests.
-    milliseconds drain_time() const;
+    /// Requests that would be served before this one.
+    std::size_t requests_ahead(const work& item) const;
+    /// Estimated time to serve them; zero if the drain rate is unknown.
+    duration expected_wait(const work& item) const;
 
 private:
     static constexpr std::size_t bucket_count = 256;
 
     using id_position = std::list<std::uint64_t>::iterator;
+    /// Cost of the requests started recently; it decays.
+    struct recent_service {
+        double cost = 0;
+        time_point at;
+
+        double at_time(time_point now) const;
+        void add(double more, time_point now);
+    };
     struct bucket {
         std::list<std::uint64_t> ids;
         double start_tag = 0; ///< virtual start time of its next request
+        recent_service received{};
     };
     struct class_queue {
         std::array<bucket, bucket_count> buckets;
         std::set<std::pair<double, std::size_t>> active; ///< non-empty buckets, by tag
         double virtual_time = 0;
         std::size_t size = 0;
+        recent_service received{}; ///< by all buckets
     };
     struct waiting {
         work item;
@@ -75,6 +91,7 @@
 
     std::uint64_t seed_;
     wait_policy wait_policy_;
+    std::mt19937_64 random_;
     std::array<class_queue, priority_count> classes_;
     std::unordered_map<std::uint64_t, waiting> entries_;
     std::set<std::pair<time_point, std::uint64_t>> expiries_;
@@ -86,12 +103,11 @@
     time_point nonempty_since_;
 
     std::size_t bucket_of(const work& item) const;
-    std::size_t requests_ahead(const work& item) const;
-    bool evict_for(const work& item);
+    bool evict_for(const work& item, time_point now);
     void insert(work item, time_point expires_at, time_point now);
     duration max_wait_of(const work& item, time_point now) const;
     work remove(std::uint64_t id);
-    error refused(const char* why) const;
+    error refused(const char* why, const work& item, time_point now);
 };
 
 } // namespace vanillagauge::policy
--- a/tests/policy/decision_tests.cpp
+++ b/tests/policy/decision_tests.cpp
@@ -248,5 +248,42 @@
     EXPECT_EQ(queue.pop().caller, "gate");
 }
 
+// Guards against a caller with most of the recent service that is first whenever a queue forms, and against
+// starving it instead.
+TEST(fair_queue, prefers_callers_with_less_recent_service)
+{
+    fair_queue queue(1);
+    work item;
+    item.caller = "large";
+    item.deadline = start + seconds{2};
+    queue.on_started(item, start);
+    for (item.id = 1; item.id <= 40; ++item.id) {
+        item.caller = item.id % 2 == 1 ? "large" : "small";
+        ASSERT_TRUE(ok(queue.push(item, start)));
+    }
+    std::string order;
+    for (int index = 0; index < 20; ++index) {
+        order += queue.pop().caller[0];
+    }
+    EXPECT_GE(order.find('l'), 7U) << order;
+    EXPECT_GE(std::count(order.begin(), order.end(), 'l'), 5) << order;
+}
+
+// Guards against callers that return at the same moment, before more urgent ones, or too late to be served.
+TEST(retry_after, orders_callers_by_urgency_and_spreads_them)
+{
+    std::mt19937_64 random(1);
+    std::set<milliseconds> of_gate;
+    std::set<milliseconds> of_batch;
+    for (int caller = 0; caller < 1000; ++caller) {
+        of_gate.insert(retry_after(seconds{100}, priority::gate, seconds{9}, random));
+        of_batch.insert(retry_after(seconds{100}, priority::batch, seconds{9}, random));
+    }
+    EXPECT_LT(*of_gate.rbegin(), *of_batch.begin());
+    EXPECT_GT(*of_batch.rbegin(), 1.2 * *of_batch.begin());
+    EXPECT_LE(*of_batch.rbegin(), seconds{3});
+    EXPECT_EQ(retry_after(seconds{1}, priority::batch, milliseconds{-5}, random), min_retry_after);
+}
+
 } // namespace
 } // namespace vanillagauge::policy
--- a/tests/policy/scheduler_tests.cpp
+++ b/tests/policy/scheduler_tests.cpp
@@ -211,5 +211,33 @@
     EXPECT_GT(run.target("new").max_running, early);
 }
 
+// Guards against holding a request that no replica can finish in time, and against refusing one although a
+// slot is free, the figures are old, or the request may wait until its deadline.
+TEST(refusal_on_arrival, only_if_every_known_wait_is_too_long)
+{
+    const time_point start{seconds{10}};
+    const auto submit = [&](milliseconds left, int on_b, milliseconds age, wait_policy policy) {
+        scheduler decisions(1, {.initial_limit = 6}, policy);
+        decisions.update({{"a", "near"}, {"b", "far"}}, time_point{});
+        for (const auto& [id, running] : {std::pair{"a", 66}, std::pair{"b", on_b}}) {
+            decisions.finish(id, {attempt_result::answered, milliseconds{100}}, start);
+            decisions.on_report(id, {running, 0, 6, milliseconds{0}, 1.0}, start);
+        }
+        work item;
+        item.deadline = start + age + left;
+        return decisions.submit(item, start + age);
+    };
+    using std::holds_alternative;
+    const auto early = wait_policy::shed_early; // the wait is 61 / 6 x 100 ms
+    const auto refused = submit(milliseconds{1000}, 66, milliseconds{0}, early);
+    ASSERT_TRUE(holds_alternative<error>(refused));
+    EXPECT_EQ(std::get<error>(refused).ran, run_state::not_run);
+    EXPECT_FALSE(holds_alternative<error>(submit(milliseconds{1200}, 66, milliseconds{0}, early)));
+    EXPECT_FALSE(holds_alternative<error>(submit(milliseconds{1000}, 66, milliseconds{600}, early)));
+    EXPECT_FALSE(holds_alternative<error>(submit(milliseconds{10}, 5, milliseconds{0}, early)));
+    EXPECT_FALSE(holds_alternative<error>(
+        submit(milliseconds{1000}, 66, milliseconds{0}, wait_policy::until_deadline)));
+}
+
 } // namespace
 } // namespace vanillagauge::policy
--- a/tests/policy/simulation.cpp
+++ b/tests/policy/simulation.cpp
@@ -31,13 +31,13 @@
     update_targets();
 }
 
-void simulation::update_targets()
+void simulation::update_targets(bool present)
 {
     std::vector<pool_target> pool;
     for (const auto& [id, target] : targets_) {
         pool.push_back({id, target.domain, false});
     }
-    scheduler_.update(pool, now_);
+    scheduler_.update(present ? pool : std::vector<pool_target>{}, now_);
 }
 
 void simulation::load(double rate, milliseconds length, std::function<simulated_request()> make)
@@ -148,7 +148,7 @@
         return;
     }
     const auto service =
-        std::chrono::duration_cast<duration>(running_.at(id).request.service * target.slowness);
+        std::chrono::duration_cast<duration>(running_.at(id).request.service * target.slowness * target.busy);
     auto& worker = *std::min_element(target.free_at.begin(), target.free_at.end());
     worker = std::max(worker, now_) + service;
     schedule(worker, [this, id, name, began = now_] { end(id, name, began, false); });
@@ -167,6 +167,13 @@
         ++(latency <= found->second.request.deadline ? outcome.in_time : outcome.late);
     }
     running_.erase(found);
+    if (const auto& from = targets_.at(target); from.reports) {
+        load_report report{scheduler_.pool().in_flight(target), 0, from.workers, from.report_age};
+        if (from.reports_slowdown) {
+            report.slowdown = from.wrong_slowdown > 0 ? from.wrong_slowdown : from.busy;
+        }
+        scheduler_.on_report(target, report, now_);
+    }
     scheduler_.finish(target, {failed ? attempt_result::failed : attempt_result::answered, now_ - began},
                       now_);
     advance();
@@ -176,6 +183,14 @@
 {
     const auto found = running_.find(id);
     auto& outcome = outcomes_[found->second.request.caller];
+    if (auto again = found->second.request; again.retries) {
+        again.retries = false;
+        again.deadline -= reason.retry_after + milliseconds_between(found->second.requested_at, now_);
+        --outcome.requests; // counted again when it returns
+        schedule(now_ + reason.retry_after, [this, again] { arrive(again); });
+        running_.erase(found);
+        return;
+    }
     ++outcome.refused;
     outcome.max_refusal_time = std::max(outcome.max_refusal_time, now_ - found->second.requested_at);
     const bool truthful = reason.ran == run_state::not_run;
--- a/tests/policy/simulation.hpp
+++ b/tests/policy/simulation.hpp
@@ -4,6 +4,7 @@
 
 #include "policy/policy.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <queue>
@@ -18,7 +19,12 @@
     double slowness = 1;      ///< factor on service times
     bool fails = false;       ///< fails immediately
     double report_factor = 1; ///< factor on its true load in reports
-    int max_running = 0;      ///< maximum number in flight
+    double busy = 1;          ///< further factor on service times, reported as the slowdown
+    bool reports = false;     ///< its load on each response
+    bool reports_slowdown = false;
+    double wrong_slowdown = 0;  ///< reported in place of `busy` unless 0
+    milliseconds report_age{0}; ///< of its reports on responses
+    int max_running = 0;        ///< maximum number in flight
     std::int64_t started = 0;
     time_point last_start{};
     std::vector<time_point> free_at{};
@@ -29,6 +35,7 @@
     priority urgency = priority::member;
     milliseconds service{10};
     milliseconds deadline{1000};
+    bool retries = false; ///< once after a refusal, at the time that it gives
 };
 
 struct caller_outcome {
@@ -42,6 +49,13 @@
     std::vector<duration> latencies{};
 
     duration quantile(double share) const;
+    /// The share of all requests that was answered within `limit`.
+    double share_within(duration limit) const
+    {
+        const auto good = std::count_if(latencies.begin(), latencies.end(),
+                                        [limit](duration latency) { return latency <= limit; });
+        return static_cast<double>(good) / static_cast<double>(requests);
+    }
     double success_share() const
     {
         return requests == 0 ? 0 : static_cast<double>(in_time) / static_cast<double>(requests);
@@ -61,6 +75,8 @@
     void run();
 
     void add(simulated_target target);
+    /// Sets the pool's targets: all, or none while the service is away.
+    void update_targets(bool present = true);
     simulated_target& target(const std::string& id) { return targets_.at(id); }
     caller_outcome& outcome_of(const std::string& caller) { return outcomes_[caller]; }
     caller_outcome total() const;
@@ -94,7 +110,6 @@
     time_point timer_{};
     std::uint64_t next_ = 1;
 
-    void update_targets();
     void schedule(time_point when, std::function<void()> action);
     void arrive(const simulated_request& request);
     void begin(std::uint64_t id, const std::string& target);
