Keep the most recently used connections of a full pool

A pool with 64 idle connections closed the one that was released, which has the longest time until its peer closes it, and kept the oldest. It now closes the one idle longest. has_idle tells whether a request needs a new connection.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -46,9 +46,21 @@
 void connection_pool::release(std::shared_ptr<http_connection> connection, duration idle_time)
 {
     drop_expired();
-    if (idle_time.count() > 0 && idle_.size() < max_idle && connection->reusable()) {
-        idle_.push_back({std::move(connection), steady::now() + idle_time});
+    if (idle_time.count() <= 0 || !connection->reusable()) {
+        return;
     }
+    // The one released last has the longest time until the peer closes it.
+    if (idle_.size() >= max_idle) {
+        idle_.erase(idle_.begin());
+    }
+    idle_.push_back({std::move(connection), steady::now() + idle_time});
+}
+
+bool connection_pool::has_idle()
+{
+    drop_expired();
+    std::erase_if(idle_, [](const idle_connection& entry) { return !entry.connection->reusable(); });
+    return !idle_.empty();
 }
 
 duration idle_time_of(const http_fields& fields, duration fallback)
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -17,8 +17,11 @@
     task<http_result<std::shared_ptr<http_connection>>> acquire(time_point deadline);
     /// Always a new connection.
     task<http_result<std::shared_ptr<http_connection>>> acquire_new(time_point deadline);
-    /// Pools the connection for at most `idle_time`; closes it if it is not reusable.
+    /// Pools the connection for at most `idle_time`; closes it if it is not reusable. A full pool closes the
+    /// connection that has been idle longest.
     void release(std::shared_ptr<http_connection> connection, duration idle_time);
+    /// Whether `acquire` would return an open connection.
+    bool has_idle();
     void clear() { idle_.clear(); }
 
     const std::string& address() const { return address_; }
