Bound what the system holds for a reader that stalls

A response is written piece by piece, but the socket's send buffer grows to some megabytes for each caller that has stopped reading. It is 256 KB now; the time limit of a write closes the connection. A complete response is still held whole in the gateway until it is written.

--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -26,6 +26,10 @@
 /// which can destroy the response before the client has read it.
 constexpr milliseconds linger_time{1000};
 
+/// Bounds what the system holds for a reader that stalls; unbounded, it grows to some megabytes a connection.
+/// The system doubles the value for its own overhead.
+constexpr int send_buffer_bytes = 128 << 10;
+
 std::string status_line(int status)
 {
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
@@ -139,6 +143,8 @@
 task<void> service_connection::serve_requests()
 {
     internal::configure_socket(stream_.socket());
+    error_code ignored;
+    stream_.socket().set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
     while (keep_alive_ && !aborted_) {
         const auto limits = owner_->limits();
         if (!co_await wait_for_request(limits)) {
