Return connections of finished streams to the pool, and count new ones

A stream's connection was closed although its answer had been read to the end, so each next one opened another. replica_connections_total counts connections opened for callers' requests. The second request on a connection was recorded as the first, since the count was read before the request was sent; the estimate of whether a request ran uses it.

--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -112,11 +112,14 @@
     if (request.fields.contains(observe::traceparent_header)) {
         request.fields.set(observe::traceparent_header, observe::traceparent(current.attempt_context));
     }
-    outcome.reused_connection = connection->reused();
     current.sent = true;
     current.sent_at = steady::now();
     current.sent_wall = std::chrono::system_clock::now();
     const auto written = co_await connection->send(request, until);
+    outcome.reused_connection = connection->reused(); // counts the request just sent
+    if (!outcome.reused_connection) {
+        counts_.add("replica_connections_total");
+    }
     // A replica may respond and close before reading all of a long body; that response is valid.
     const auto* unwritten = std::get_if<net::http_failure>(&written);
     if (unwritten != nullptr && unwritten->kind != net::failure_kind::closed) {
@@ -177,11 +180,15 @@
     net::response_head head;
     auto outcome = co_await open_answer(current, at, until, connection, head);
     auto* response = std::get_if<net::http_response>(&outcome.result);
+    const auto idle_time =
+        head.keep_alive ? net::idle_time_of(head.fields, default_idle_timeout) : duration{0};
+    bool complete = false; // the answer was read to its end
     if (response != nullptr && !outcome.not_run && head.status >= 200 && head.status < 300) {
         const auto load = outcome.load;
         outcome = co_await forward_events(current, *connection, std::move(head));
         outcome.load = load;
-        if (outcome.finished_stream) {
+        complete = outcome.finished_stream;
+        if (complete) {
             crashes_.on_answer(current.fingerprint, steady::now());
         }
     }
@@ -189,12 +196,16 @@
         auto body = co_await connection->read_body(max_response_bytes, until);
         if (auto* text = std::get_if<std::string>(&body)) {
             response->body = std::move(*text);
+            complete = true;
         }
         else {
             outcome.result = connection_error(std::get<net::http_failure>(body), current.repeatable());
         }
     }
-    if (connection) {
+    if (connection && complete) {
+        at->pool.release(connection, idle_time);
+    }
+    else if (connection) {
         connection->close();
     }
     current.connection.reset();
