Relay plain idempotent requests through two hubs per service

Each pair of 64 gateways and four replicas sees a request in 20 s, so nearly every one opened a connection. A gateway without an idle connection now passes the request to a hub, which admits it and sends it over a connection that is in use. A hub accepts by the head of its response within 100 ms and shows signs of life while the request waits, so that a full queue is not taken for a lost hub.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -89,7 +89,8 @@
         "cpu_share": {"type": "number", "minimum": 0, "maximum": 1024},
         "duties_address": {"$ref": "#/definitions/optional_address"},
         "usage_window_s": {"type": "number", "minimum": 0, "maximum": 86400},
-        "usage_due_s": {"type": "number", "minimum": 0.1, "maximum": 86400}
+        "usage_due_s": {"type": "number", "minimum": 0.1, "maximum": 86400},
+        "max_direct_pairs": {"type": "integer", "minimum": 0, "maximum": 1000000}
       }
     }
   }
@@ -138,6 +139,7 @@
     read(*found, "relay_listen", parsed.relay_listen);
     read(*found, "model_order_holder", parsed.model_order_holder);
     read(*found, "cpu_share", parsed.cpu_share);
+    read(*found, "max_direct_pairs", parsed.max_direct_pairs);
     parsed.stop_grace = read_duration(*found, "stop_grace_s", seconds{1}, parsed.stop_grace);
     parsed.order_lease = read_duration(*found, "order_lease_ms", milliseconds{1}, parsed.order_lease);
     read(*found, "duties_address", parsed.duties_address);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -43,6 +43,8 @@
     std::string duties_address;     ///< of the platform's calls for one gateway at a time; empty: none
     milliseconds usage_window{0};   ///< usage is reported by windows of this length; 0: not at all
     milliseconds usage_due{10000};  ///< from a window's end until its report is due
+    /// Plain requests of a service with more pairs of gateway and replica are relayed through hubs.
+    std::size_t max_direct_pairs = 64;
 };
 
 /// How vg-entry balances load. `plain` (round robin, no limits, unlimited retries) is a baseline for
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -178,8 +178,24 @@
         outcome.result = failure(suspect);
         co_return outcome;
     }
-    auto admitted = co_await queue->admit(current.work);
-    bool may_have_run = false; // at an earlier replica
+    result<std::string> admitted = std::string{};
+    auto at_hub = co_await run_at_hub(current);
+    bool may_have_run = current.hub_in_doubt; // at an earlier replica
+    if (at_hub) {
+        outcome = std::move(*at_hub);
+        // A refusal by the hub's queue stands: that queue has the whole view of the service.
+        const bool decided = outcome.succeeded() || current.attempts == 0;
+        const bool retried = !decided && may_retry(current, outcome, steady::now());
+        const auto next = retried ? queue->retry(current.work) : std::nullopt;
+        if (!next) {
+            co_return outcome;
+        }
+        may_have_run = outcome.may_have_run();
+        admitted = *next;
+    }
+    else {
+        admitted = co_await queue->admit(current.work);
+    }
     while (true) {
         if (!ok(admitted)) {
             outcome.result = failure(admitted);
@@ -249,7 +265,7 @@
 // proves, that it has not run. A reset or a time-out proves nothing.
 bool forwarder::may_retry(const call& current, const attempt_outcome& outcome, time_point now) const
 {
-    if (current.client_gone || now >= current.deadline || current.attempts >= current.chosen.attempts) {
+    if (current.client_gone || now >= current.deadline || current.attempts >= current.max_attempts()) {
         return false;
     }
     if (current.response_started) {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -19,6 +19,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace vanillagauge::gateway {
 
@@ -57,6 +58,17 @@
     int internal_errors = 0; ///< replicas that answered 500
 };
 
+/// Outcome of a request that this gateway ran for another one.
+struct relayed_answer {
+    result<net::http_response> response;
+    bool not_run = false;             ///< the response states that its replica did not run the request
+    int attempts = 0;                 ///< replicas that the request was sent to
+    std::string replica{};            ///< of the last attempt; empty if there was none
+    std::vector<std::string> tried{}; ///< replicas that failed, by instance id
+};
+
+class request_relay;
+
 /// Told of each run of a caller's request that acts for an organisation: the organisation, and when the
 /// replica began.
 using run_recorder = std::function<void(const std::string&, usage::wall_time)>;
@@ -74,6 +86,14 @@
     net::task<internal_call_outcome> make_internal_call(route chosen, caller_request request,
                                                         policy::priority urgency,
                                                         std::shared_ptr<cancellation_token> ticket);
+    /// Runs a plain request that another gateway relayed, with at most `attempts` replicas; never relays it
+    /// again.
+    net::task<relayed_answer> run_for_peer(route chosen, caller_request request, int attempts,
+                                           std::shared_ptr<cancellation_token> ticket);
+    /// Without a relay, every request is sent by this gateway. It must outlive the requests.
+    void set_relay(request_relay* relay) { relay_ = relay; }
+    /// Whether `set_stop_plan` was called.
+    bool stopping() const { return stop_ != nullptr; }
     /// From now on refuses callers' requests that the plan does not accept.
     void set_stop_plan(std::shared_ptr<const policy::stop_plan> plan) { stop_ = std::move(plan); }
     void set_run_recorder(run_recorder recorder) { record_run_ = std::move(recorder); }
@@ -88,6 +108,7 @@
     const target_protocol& protocol_;
     observe::metrics& counts_;
     policy::quarantine& crashes_;
+    request_relay* relay_ = nullptr;
     std::string failure_domain_;
     std::shared_ptr<const policy::stop_plan> stop_; ///< null until the process is told to stop
     std::map<std::string, std::unique_ptr<admission_queue>> queues_; ///< for callers' requests, by service
@@ -102,6 +123,9 @@
     void cancel(call& current);
     bool accepts(const call& current) const;
     net::task<attempt_outcome> run(call& current);
+    /// None if this gateway is to send the request itself.
+    net::task<std::optional<attempt_outcome>> run_at_hub(call& current);
+    bool may_relay(const call& current) const;
     net::task<attempt_outcome> attempt(call& current, target_ref at, time_point until);
     net::task<attempt_outcome> stream(call& current, target_ref at, time_point until);
     net::task<attempt_outcome> open_answer(call& current, target_ref at, time_point until,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 
+#include "gateway/callers/request_relay.hpp"
 #include "gateway/untrusted_json.hpp"
 #include "net/http_service.hpp"
 #include "node/program.hpp"
@@ -69,6 +70,7 @@
     configuration current;
     policy::quarantine crashes{crash_limits};
     forwarder forwarding;
+    request_relay hubs;
     item_scorer scorer;
     batch_runner runner;
     feed replicas;
@@ -105,6 +107,10 @@
     : event_loop(events), loop(events.context()), settings(chosen), schema(std::move(known)),
       fleet(events, settings), relay(loop, store, fleet), members(loop, relay, fleet), targets(loop),
       forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
+      hubs(
+          loop, forwarding, fleet, targets, counts, [this]() -> const configuration& { return current; },
+          [this] { return feeds.refresh(schema.configurations, steady::now() + max_refresh_time); },
+          settings.gateway.max_direct_pairs),
       scorer(forwarding, protocol, [this]() -> const configuration& { return current; }),
       runner(loop, relay, fleet, targets, engines, protocol, scorer, counts),
       replicas(schema.replicas, [this](const object_change& change) { on_replica(change); }),
@@ -134,6 +140,7 @@
           })
 {
     targets.set_refresher([this](time_point until) { return feeds.refresh(schema.replicas, until); });
+    forwarding.set_relay(&hubs);
     forwarding.set_run_recorder([this](const std::string& organisation, usage::wall_time began) {
         runs.record_run(organisation, began);
     });
@@ -291,6 +298,10 @@
 
 net::task<void> gateway::state::serve_peer(const net::http_request& request, net::responder& answer)
 {
+    if (request.target == forward_path) {
+        co_await hubs.serve(request, answer);
+        co_return;
+    }
     net::http_response response;
     if (request.target == "/relay") {
         response = co_await relay.serve(request);
--- a/src/gateway/internal/forwarded_call.hpp
+++ b/src/gateway/internal/forwarded_call.hpp
@@ -27,11 +27,15 @@
     int attempts = 0;
     int internal_errors = 0; ///< replicas that answered 500
     bool client_gone = false;
+    bool relayed = false;          ///< by another gateway, which has the client
+    bool hub_in_doubt = false;     ///< a hub was asked and may have run the request
+    int attempt_limit = 0;         ///< set by the gateway that relayed the request; 0: the route's
     bool response_started = false; ///< the head of a stream was sent to the client
     std::optional<std::uint64_t> last_event{};
     std::shared_ptr<net::http_connection> connection{}; ///< of the attempt in flight
 
-    bool internal() const { return answer == nullptr; }
+    bool internal() const { return answer == nullptr && !relayed; }
+    int max_attempts() const { return attempt_limit > 0 ? attempt_limit : chosen.attempts; }
     bool repeatable() const
     {
         return internal() || chosen.kind == route_kind::idempotent ||
--- a/tests/config/settings_tests.cpp
+++ b/tests/config/settings_tests.cpp
@@ -52,6 +52,17 @@
     EXPECT_EQ(value(parsed).gateway.usage_due, milliseconds(2500));
 }
 
+// Guards against a threshold that the operator sets and that stays at its default.
+TEST(settings, reads_the_threshold_of_the_relay)
+{
+    const auto text =
+        replaced(valid, "\"platform\":",
+                 R"("gateway": {"relay_listen": "127.0.0.1:7300", "max_direct_pairs": 32}, "platform":)");
+    const auto parsed = parse_settings(text, "vm.json");
+    ASSERT_TRUE(ok(parsed)) << failure(parsed).detail;
+    EXPECT_EQ(value(parsed).gateway.max_direct_pairs, 32U);
+}
+
 struct invalid_settings {
     const char* name;
     std::string from;
