--- a/tests/gateway/usage_tests.cpp
+++ b/tests/gateway/usage_tests.cpp
@@ -13,6 +13,7 @@
 struct usage_deployment : organisations_deployment {
     standins::fake_duties duties{standins_loop()};
     std::string duties_address = value(duties.open());
+    std::size_t max_direct_pairs = 64;
 
     ~usage_deployment() { gateways.clear(); }
 
@@ -21,6 +22,7 @@
         auto settings = make_settings(vm, store_address(), {});
         settings.failure_domain = domain;
         settings.gateway.duties_address = duties_address;
+        settings.gateway.max_direct_pairs = max_direct_pairs;
         settings.gateway.usage_window = window_length;
         settings.gateway.usage_due = milliseconds(1500);
         gateways.push_back(std::make_unique<running_gateway>(std::move(settings)));
@@ -99,6 +101,33 @@
     all.expect_one_holder_and_one_report_a_window();
 }
 
+// Guards against two bills for a request that one gateway relays and another one runs.
+TEST(usage_reports, count_relayed_runs_once)
+{
+    usage_deployment all;
+    all.max_direct_pairs = 0;
+    for (const auto* vm : {"a", "b", "c"}) {
+        all.add_reporting_gateway(vm, std::string("z-") + vm);
+    }
+    all.wait_until_met(3);
+    // Until the connections of the first requests are no longer kept: a gateway with one relays nothing.
+    std::this_thread::sleep_for(milliseconds(4500));
+    for (auto& served : all.gateways) {
+        all.send_for("key-a", *served, 3);
+    }
+    bool relayed = false;
+    for (auto& served : all.gateways) {
+        const auto page = served->query<std::string>([](gateway& known) { return known.metrics_page(); });
+        relayed = relayed || page.find("requests_for_peers_total{outcome=\"served\"} 3") != std::string::npos;
+    }
+    EXPECT_TRUE(relayed) << "one of the three gateways is no hub";
+    EXPECT_TRUE(deployment::eventually([&] {
+        return all.reported() == runs_by_organisation{{"first", 9}};
+    })) << testing::PrintToString(all.reported());
+    std::this_thread::sleep_for(window_length * 3);
+    EXPECT_EQ(all.reported(), (runs_by_organisation{{"first", 9}}));
+}
+
 // Guards against a bill for what a replica refused, and against none for what it ran without an answer.
 TEST(usage_reports, count_lost_answers_and_not_refusals)
 {
