--- a/src/policy/relay_choice.cpp
+++ b/src/policy/relay_choice.cpp
@@ -7,7 +7,6 @@
 
 /// Two hubs and one gateway that uses them.
 constexpr std::size_t min_gateways = 3;
-constexpr std::size_t max_hubs = 2;
 
 /// Longer than the fleet needs to notice that a gateway is lost, which then is no longer a candidate.
 constexpr milliseconds exclusion_time{3000};
