Load weights by work left and slack, place batches by slack

Each engine loaded each version, so a long run was paused once or twice and a fifth of the engines refused items whenever a step came. Engines two or more versions behind now load first; of the others half load each version, those with the least work left first and those with a run that outlasts the version last, and models in the order of their trainers' slack. An engine without work loads beyond the half unless the next version is near. A model without a server gets a load before all others; the last server of a model does not load.

trainer_schedules holds the trainers' schedules of the configured models, from the batch headers. Gauges trainer_slack_ms, trainer_behind_ms and weight_loads_deferred show the decisions.

--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -73,9 +73,10 @@
 
 batch_runner::batch_runner(net::loop& loop, object_store& store, const fleet_view& fleet,
                            const target_registry& targets, engine_view& engines,
-                           const target_protocol& protocol, item_scorer& scorer, observe::metrics& counts)
+                           const target_protocol& protocol, item_scorer& scorer, observe::metrics& counts,
+                           const trainer_schedules& trainers)
     : loop_(loop), store_(store), fleet_(fleet), targets_(targets), engines_(engines), protocol_(protocol),
-      scorer_(scorer), counts_(counts), started_(steady::now())
+      scorer_(scorer), counts_(counts), trainers_(trainers), started_(steady::now())
 {
 }
 
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -3,6 +3,7 @@
 #define VANILLAGAUGE_GATEWAY_BATCH_RUNNER_HPP
 
 #include "gateway/batch_progress.hpp"
+#include "gateway/batches/trainer_schedules.hpp"
 #include "gateway/engines/engine_view.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/item_scorer.hpp"
@@ -27,7 +28,7 @@
     /// All must outlive it.
     batch_runner(net::loop& loop, object_store& store, const fleet_view& fleet,
                  const target_registry& targets, engine_view& engines, const target_protocol& protocol,
-                 item_scorer& scorer, observe::metrics& counts);
+                 item_scorer& scorer, observe::metrics& counts, const trainer_schedules& trainers);
 
     /// Caches the items of a batch that is being accepted here, so that they need not be read back.
     void cache_items(const std::string& batch, std::vector<batch_item> items);
@@ -74,6 +75,7 @@
     const target_protocol& protocol_;
     item_scorer& scorer_;
     observe::metrics& counts_;
+    const trainer_schedules& trainers_;
     std::map<std::string, batch_header> headers_;
     std::map<std::string, std::vector<batch_item>> cached_items_;
     std::map<std::string, batch_run_ref> active_;
--- a/src/gateway/batch_runner_order.cpp
+++ b/src/gateway/batch_runner_order.cpp
@@ -1,25 +1,37 @@
 // The order in which batches place their items.
 #include "gateway/internal/batch_run.hpp"
+#include "policy/batch_order.hpp"
 
 #include <algorithm>
 
 namespace vanillagauge::gateway {
+namespace {
+
+bool has_started(const batch_progress& progress)
+{
+    const auto& items = progress.items();
+    return std::any_of(items.begin(), items.end(), [](const item_progress& entry) {
+        return entry.runs > 0 || entry.state != work_state::waiting;
+    });
+}
+
+} // namespace
 
-// Earliest deadline first: a trainer is idle until its batch is complete.
 void batch_runner::place_items()
 {
+    const auto now = std::chrono::system_clock::now();
     std::vector<batch_run_ref> batches;
+    std::vector<policy::queued_batch> queued;
     for (const auto& [id, batch] : active_) {
         if (batch && !batch->ended) {
+            const auto& header = batch->progress.header();
             batches.push_back(batch);
+            queued.push_back({header.model, header.step, trainers_.slack(header.model), now - header.accepted,
+                              header.result_time, has_started(batch->progress)});
         }
     }
-    std::sort(batches.begin(), batches.end(), [](const batch_run_ref& left, const batch_run_ref& right) {
-        const auto& a = left->progress.header();
-        const auto& b = right->progress.header();
-        return a.accepted + a.result_time < b.accepted + b.result_time;
-    });
-    for (const auto& batch : batches) {
+    for (const auto index : policy::batch_order(queued)) {
+        const auto& batch = batches[index];
         const auto engines = targets_.of_service(batch->progress.header().service);
         place_items_of(batch, engines);
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -66,6 +66,7 @@
     member_registry members;
     target_registry targets;
     engine_view engines;
+    trainer_schedules trainers;
     configuration current;
     policy::quarantine crashes{crash_limits};
     forwarder forwarding;
@@ -95,6 +96,7 @@
     void on_version(const object_change& change);
     void on_batch(const object_change& change);
     void on_retirement(const object_change& change);
+    void update_trainer(const batch_header& header);
     void replicas_changed();
     bool ready() const;
     bool serves_callers() const { return !settings.gateway.front_listen.empty(); }
@@ -106,7 +108,7 @@
       fleet(events, settings), relay(loop, store, fleet), members(loop, relay, fleet), targets(loop),
       forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
       scorer(forwarding, protocol, [this]() -> const configuration& { return current; }),
-      runner(loop, relay, fleet, targets, engines, protocol, scorer, counts),
+      runner(loop, relay, fleet, targets, engines, protocol, scorer, counts, trainers),
       replicas(schema.replicas, [this](const object_change& change) { on_replica(change); }),
       configurations(schema.configurations,
                      [this](const object_change& change) { on_configuration(change); }),
@@ -122,8 +124,9 @@
              {&batch_headers, serves_callers(), policy::feed_pace::frequent},
              {&retirements}}),
       batches(loop, relay, batch_headers, runner, fleet), duties(loop, relay, fleet, settings),
-      weights(loop, duties, targets, protocol, settings,
-              [this]() -> const configuration& { return current; }),
+      weights(
+          loop, duties, targets, protocol, settings, [this]() -> const configuration& { return current; },
+          engines, trainers, counts),
       runs(loop, relay, fleet, duties, report_times(settings)),
       usage_reports(loop, relay, platform, duties, runs, counts, settings.vm, report_times(settings),
                     [this]() -> const configuration& { return current; }),
@@ -188,9 +191,27 @@
                   {"before", static_cast<std::int64_t>(current.version)},
                   {"revision", static_cast<std::int64_t>(change.object.revision)}});
     current = std::move(value(decoded));
+    for (const auto& [name, object] : batch_headers.objects()) {
+        if (const auto header = header_from_json(name, object.value, object.status); ok(header)) {
+            update_trainer(value(header));
+        }
+    }
     replicas_changed();
 }
 
+// A caller chooses the model that its batch names. Only those of the configuration get a schedule and
+// metrics.
+void gateway::state::update_trainer(const batch_header& header)
+{
+    const auto& known = current.services;
+    if (std::any_of(known.begin(), known.end(), [&header](const auto& entry) {
+            const auto& models = entry.second.models;
+            return std::find(models.begin(), models.end(), header.model) != models.end();
+        })) {
+        trainers.update(header);
+    }
+}
+
 void gateway::state::on_version(const object_change& change)
 {
     if (change.removed) {
@@ -217,6 +238,7 @@
     if (runner.find(value(header).id) == nullptr) {
         weights.note_demand(value(header).model, value(header).work);
     }
+    update_trainer(value(header));
     runner.update_header(value(header));
 }
 
@@ -461,6 +483,7 @@
                                static_cast<double>(age.count()));
         }
     }
+    held.trainers.record(state_->counts);
     return node::build_info("vg-gateway") + " 1\n" + held.counts.page();
 }
 
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -40,8 +40,10 @@
 
 weights_updater::weights_updater(net::loop& loop, duty_lease& lease, target_registry& targets,
                                  const target_protocol& protocol, const config::settings& settings,
-                                 std::function<const configuration&()> current)
+                                 std::function<const configuration&()> current, const engine_view& view,
+                                 const trainer_schedules& trainers, observe::metrics& counts)
     : loop_(loop), lease_(lease), targets_(targets), protocol_(protocol), current_(std::move(current)),
+      engine_view_(view), trainers_(trainers), counts_(counts),
       order_holder_(settings.gateway.model_order_holder.empty() ? settings.vm
                                                                 : settings.gateway.model_order_holder)
 {
@@ -131,21 +133,60 @@
         for (const auto& engine : engines[service]) {
             policy::model_engine view;
             view.id = engine->info.instance_id();
+            view.loading = loading_.contains(view.id);
             for (const auto& [model, version] : versions) {
                 view.versions[model] = engine->version_of(model);
+                // A load that the previous holder of the lease has ordered.
+                view.loading = view.loading || engine_view_.is_loading(*engine, model, now);
             }
-            view.in_flight = engine->streams;
-            view.loading = loading_.contains(view.id);
+            measure_work(view, *engine, now);
             view.backing_off = now < backoff_until_[view.id];
             views.push_back(std::move(view));
         }
-        for (const auto& next : policy::plan_weight_loads(views, versions, demand_)) {
+        std::map<std::string, policy::model_schedule> schedules;
+        for (const auto& [model, version] : versions) {
+            schedules[model] = trainers_.schedule_of(model);
+            schedules[model].finish_first = single_version(service);
+        }
+        auto plan = policy::plan_weight_loads(views, versions, demand_, schedules);
+        for (const auto& [model, version] : versions) {
+            report_deferred(model, plan.deferred[model]);
+        }
+        for (const auto& next : plan.loads) {
             loading_.insert(next.engine);
             net::start(loop_, load(targets_.find(next.engine), next.model, next.version));
         }
     }
 }
 
+// The gateways report the sum of an engine's events, not its longest run. The mean of its streams is the
+// least that the longest run has left.
+void weights_updater::measure_work(policy::model_engine& view, const target& engine, time_point now) const
+{
+    view.in_flight = std::max(engine.streams, engine.info.slots - engine_view_.free_places(engine, now));
+    view.events_left = engine_view_.events_left(engine, now);
+    // The sum comes from peers, and no run lasts longer than this.
+    constexpr double max_left_ms = 600'000;
+    const auto mean_left_ms = view.events_left / std::max(view.in_flight, 1) * engine.mean_gap_ms;
+    view.longest_run_left =
+        milliseconds{static_cast<std::int64_t>(std::clamp(mean_left_ms, 0.0, max_left_ms))};
+}
+
+void weights_updater::report_deferred(const std::string& model, std::size_t engines)
+{
+    auto& reported = deferred_[model];
+    if (reported == engines) {
+        return;
+    }
+    const bool crosses_zero = reported == 0 || engines == 0;
+    reported = engines;
+    counts_.set("weight_loads_deferred{model=\"" + model + "\"}", static_cast<double>(engines));
+    if (crosses_zero) {
+        observe::log(observe::log_level::info, "weight_loads_deferred",
+                     {{"model", model}, {"engines", static_cast<std::int64_t>(engines)}});
+    }
+}
+
 net::task_of<engine_report> weights_updater::request_report(target_ref engine)
 {
     const auto until = steady::now() + call_timeout;
--- a/src/gateway/weights_updater.hpp
+++ b/src/gateway/weights_updater.hpp
@@ -3,8 +3,10 @@
 #ifndef VANILLAGAUGE_GATEWAY_WEIGHTS_UPDATER_HPP
 #define VANILLAGAUGE_GATEWAY_WEIGHTS_UPDATER_HPP
 
+#include "gateway/batches/trainer_schedules.hpp"
 #include "gateway/configuration.hpp"
 #include "gateway/duty_lease.hpp"
+#include "gateway/engines/engine_view.hpp"
 #include "gateway/target_protocol.hpp"
 #include "gateway/target_registry.hpp"
 
@@ -20,7 +22,8 @@
     /// `current` returns the active configuration. All must outlive it.
     weights_updater(net::loop& loop, duty_lease& lease, target_registry& targets,
                     const target_protocol& protocol, const config::settings& settings,
-                    std::function<const configuration&()> current);
+                    std::function<const configuration&()> current, const engine_view& view,
+                    const trainer_schedules& trainers, observe::metrics& counts);
 
     void start();
     /// A trainer requires this version of a model; lower versions are ignored.
@@ -36,15 +39,21 @@
     target_registry& targets_;
     const target_protocol& protocol_;
     std::function<const configuration&()> current_;
+    const engine_view& engine_view_;
+    const trainer_schedules& trainers_;
+    observe::metrics& counts_;
     std::string order_holder_;
     std::map<std::string, std::uint64_t> required_versions_;
     std::map<std::string, double> demand_;            ///< moving mean of the work of a model's batches
     std::set<std::string> loading_;                   ///< instance ids
     std::map<std::string, time_point> backoff_until_; ///< by instance id
+    std::map<std::string, std::size_t> deferred_;     ///< loads by model, as last reported
     bool stopped_ = false;
 
     net::task<void> run_loop();
     void order_loads(time_point now);
+    void measure_work(policy::model_engine& view, const target& engine, time_point now) const;
+    void report_deferred(const std::string& model, std::size_t engines);
     std::vector<target_ref> engines_of(const std::string& model) const;
     net::task<void> load(target_ref engine, std::string model, std::uint64_t version);
     net::task_of<engine_report> request_report(target_ref engine);
--- a/src/policy/weight_load_plan.cpp
+++ b/src/policy/weight_load_plan.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t share_at_once = 5;
 constexpr std::size_t min_at_once = 2;
 
+/// A load takes 0.9 s. An idle engine that starts one later than this before the next version is announced
+/// would refuse the items of the step that comes with that version.
+constexpr milliseconds min_time_for_idle_load{1500};
+
 /// A model that needs less of an engine may share one that another model follows.
 constexpr double max_small_load = 0.5;
 
@@ -24,12 +28,21 @@
     return found == engine.versions.end() ? 0 : found->second;
 }
 
+/// Whether the engine can serve the newest step, which takes the version before the newest as well. An
+/// engine whose version is not known may have none.
+bool serves_newest_step(const model_engine& engine, const std::string& model, std::uint64_t newest)
+{
+    const auto version = version_at(engine, model);
+    return version > 0 && version + 1 >= newest;
+}
+
 struct assignment {
     const model_engine* engine = nullptr;
     std::string model;
     std::uint64_t newest = 0;
 
-    std::uint64_t lag() const { return newest - std::min(newest, version_at(*engine, model)); }
+    bool is_newest() const { return version_at(*engine, model) >= newest; }
+    bool serves() const { return serves_newest_step(*engine, model, newest); }
 };
 
 /// The engines in the order in which a model wants them: those with its newest version first, so that the
@@ -176,6 +189,91 @@
     return assigned;
 }
 
+/// The state of one model, kept up while the plan is made.
+struct model_state {
+    std::size_t missing = 0;         ///< loads that are needed until half of its engines are newest
+    std::size_t serving = 0;         ///< engines that serve its newest step and do not load
+    std::size_t serving_loading = 0; ///< engines that would serve it but load
+    bool loads = false;              ///< an engine that follows it loads
+    model_schedule schedule;
+};
+
+std::map<std::string, model_state> states_of(const std::vector<model_engine>& engines,
+                                             const std::vector<assignment>& assigned,
+                                             const std::map<std::string, std::uint64_t>& newest,
+                                             const std::map<std::string, model_schedule>& schedules)
+{
+    std::map<std::string, model_state> states;
+    for (const auto& [model, version] : newest) {
+        auto& state = states[model];
+        if (const auto found = schedules.find(model); found != schedules.end()) {
+            state.schedule = found->second;
+        }
+        for (const auto& engine : engines) {
+            if (serves_newest_step(engine, model, version)) {
+                ++(engine.loading ? state.serving_loading : state.serving);
+            }
+        }
+        std::size_t followers = 0;
+        std::size_t at_newest = 0;
+        for (const auto& item : assigned) {
+            if (item.model == model) {
+                ++followers;
+                at_newest += item.is_newest() || item.engine->loading ? 1 : 0;
+                state.loads = state.loads || item.engine->loading;
+            }
+        }
+        const auto half = (followers + 1) / 2;
+        state.missing = half - std::min(half, at_newest);
+    }
+    return states;
+}
+
+bool has_long_run(const assignment& item, const model_schedule& schedule)
+{
+    return schedule.next_version_in && item.engine->longest_run_left > *schedule.next_version_in;
+}
+
+/// The order in which engines load: least first.
+auto rank(const assignment& item, const model_state& state)
+{
+    const auto& engine = *item.engine;
+    const bool idle = engine.in_flight == 0 && engine.events_left <= 0;
+    // An engine that lets its runs finish first is blocked until its longest one has ended.
+    const auto blocked = state.schedule.finish_first ? engine.longest_run_left : duration{0};
+    return std::tuple(item.serves(), has_long_run(item, state.schedule),
+                      state.schedule.slack.value_or(duration::max()), !idle, blocked, engine.events_left,
+                      engine.in_flight);
+}
+
+// Guards against a trainer whose steps no engine serves while all places for loads go to the others: each
+// model without a server gets one load before any other.
+void move_unserved_to_front(std::vector<assignment>& behind, std::map<std::string, model_state> states)
+{
+    std::stable_partition(behind.begin(), behind.end(), [&states](const assignment& item) {
+        auto& state = states.at(item.model);
+        const bool first = !state.loads && state.serving + state.serving_loading == 0;
+        state.loads = true;
+        return first;
+    });
+}
+
+/// Whether an engine that serves the newest step may load: half of the engines need it, or it delays nothing.
+bool may_load_serving(const assignment& item, const model_state& state)
+{
+    // Some other engine must serve the newest step meanwhile. Waiting is in vain where there is no other.
+    const bool only_one = state.serving + state.serving_loading == 1;
+    if (state.serving < 2 && !only_one) {
+        return false;
+    }
+    if (state.missing > 0) {
+        return true;
+    }
+    const auto& next = state.schedule.next_version_in;
+    const bool in_time = !next || *next >= min_time_for_idle_load;
+    return item.engine->in_flight == 0 && item.engine->events_left <= 0 && in_time;
+}
+
 } // namespace
 
 std::size_t max_concurrent_loads(std::size_t engines)
@@ -188,31 +286,48 @@
 // loads in four seconds, two at a time), no engine would reach the newest version before the next
 // announcement, and a trainer's steps would find no engine that is fresh enough. So each engine follows one
 // model only; its other models serve until they are too old. With more models than engines some engines
-// follow two: a model without an engine would serve no step after the second. The engines furthest behind
-// load first.
-std::vector<weight_load> plan_weight_loads(const std::vector<model_engine>& engines,
-                                           const std::map<std::string, std::uint64_t>& newest,
-                                           const std::map<std::string, double>& demand)
+// follow two: a model without an engine would serve no step after the second.
+//
+// A load pauses the engine's streams for 0.9 s and keeps new ones out. An engine two versions behind serves
+// no new step, so its load adds a server; it loads first, for the trainer with the least slack before others.
+// An engine one version behind still serves the newest step, so its load takes a server away: only half of a
+// model's engines load each version, those with the least work left, and each engine loads every second one.
+// An idle engine beyond this half delays no run; it loads too unless the next step is near.
+weight_load_plan plan_weight_loads(const std::vector<model_engine>& engines,
+                                   const std::map<std::string, std::uint64_t>& newest,
+                                   const std::map<std::string, double>& demand,
+                                   const std::map<std::string, model_schedule>& schedules)
 {
     const auto loading = static_cast<std::size_t>(std::count_if(
         engines.begin(), engines.end(), [](const model_engine& engine) { return engine.loading; }));
     const auto max_loads = max_concurrent_loads(engines.size());
     auto behind = assign(engines, newest, demand);
+    auto states = states_of(engines, behind, newest, schedules);
     std::erase_if(behind, [](const assignment& item) {
-        return item.lag() == 0 || item.engine->loading || item.engine->backing_off;
+        return item.is_newest() || item.engine->loading || item.engine->backing_off;
     });
-    std::stable_sort(behind.begin(), behind.end(), [](const assignment& left, const assignment& right) {
-        return std::tuple(right.lag(), left.engine->in_flight) <
-               std::tuple(left.lag(), right.engine->in_flight);
+    std::stable_sort(behind.begin(), behind.end(), [&](const assignment& left, const assignment& right) {
+        return rank(left, states.at(left.model)) < rank(right, states.at(right.model));
     });
-    std::vector<weight_load> plan;
+    move_unserved_to_front(behind, states);
+    weight_load_plan plan;
     std::set<const model_engine*> chosen;
     for (const auto& item : behind) {
-        if (loading + plan.size() >= max_loads) {
-            break;
+        auto& state = states.at(item.model);
+        if (item.serves() && !may_load_serving(item, state)) {
+            ++plan.deferred[item.model];
+            continue;
         }
-        if (chosen.insert(item.engine).second) {
-            plan.push_back({item.engine->id, item.model, item.newest});
+        if (loading + plan.loads.size() >= max_loads || !chosen.insert(item.engine).second) {
+            continue;
+        }
+        plan.loads.push_back({item.engine->id, item.model, item.newest});
+        state.missing -= std::min<std::size_t>(state.missing, 1);
+        for (auto& [model, other] : states) {
+            if (serves_newest_step(*item.engine, model, newest.at(model))) {
+                --other.serving;
+                ++other.serving_loading;
+            }
         }
     }
     return plan;
