Resume resubmitted items from their texts

A trainer ends a step when 90% of its groups are complete and submits the others again under the same ids; their items were generated from the start. unfinished_texts keeps the unpublished texts of ended batches at their owner (4 MB, oldest evicted first) by model, organisation, host, path, id and body. They are restored when a batch starts, and when a batch of the model ends while the items wait in another one, where their versions fit.

Counters texts_reused_total and events_reused_total, the gauge unfinished_text_bytes and the log line texts_reused show it.

--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -136,6 +136,7 @@
     active_[header.id] = batch;
     observe::log(observe::log_level::info, "batch_run_ahead",
                  {{"batch", header.id}, {"items", static_cast<std::int64_t>(header.total)}});
+    resume_texts(batch);
     net::start(loop_, run_until_done(batch));
 }
 
@@ -227,6 +228,29 @@
     }
 }
 
+// Continues items that an ended batch left unfinished.
+void batch_runner::resume_texts(const batch_run_ref& batch)
+{
+    const auto resumed = unfinished_texts_.restore(batch->progress);
+    if (resumed.empty()) {
+        return;
+    }
+    std::size_t events = 0;
+    for (const auto index : resumed) {
+        const auto& entry = batch->progress.items()[index];
+        events += entry.events;
+        if (entry.state == work_state::scoring) {
+            net::start(loop_, score_item(batch, index));
+        }
+    }
+    counts_.add("texts_reused_total", static_cast<std::int64_t>(resumed.size()));
+    counts_.add("events_reused_total", static_cast<std::int64_t>(events));
+    observe::log(observe::log_level::info, "texts_reused",
+                 {{"batch", batch->progress.header().id},
+                  {"items", static_cast<std::int64_t>(resumed.size())},
+                  {"events", static_cast<std::int64_t>(events)}});
+}
+
 // Guards against an owner that fails while long items run: without saved texts its successor would generate
 // each of them again from the start. With them it loses about the time between two writes.
 void batch_runner::save_texts(const batch_run_ref& batch)
@@ -325,6 +349,7 @@
         co_await load_texts(batch);
     }
     active_[header.id] = batch;
+    resume_texts(batch);
     co_await run_until_done(batch);
 }
 
@@ -367,6 +392,20 @@
     counts_.add("batches_done_total");
     batch->changed.notify();
     active_.erase(progress.header().id);
+    if (batch->stored) {
+        unfinished_texts_.save(progress);
+        // The step that submits the items again may be here before the end of this one is.
+        std::vector<batch_run_ref> others;
+        for (const auto& [id, other] : active_) {
+            if (other && other->progress.header().model == progress.header().model) {
+                others.push_back(other);
+            }
+        }
+        for (const auto& other : others) {
+            resume_texts(other);
+        }
+        counts_.set("unfinished_text_bytes", static_cast<double>(unfinished_texts_.bytes()));
+    }
     recent_.push_back(std::move(batch));
     if (recent_.size() > max_recent) {
         recent_.pop_front();
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/batch_progress.hpp"
 #include "gateway/batches/trainer_schedules.hpp"
+#include "gateway/batches/unfinished_texts.hpp"
 #include "gateway/engines/engine_view.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/item_scorer.hpp"
@@ -76,6 +77,7 @@
     item_scorer& scorer_;
     observe::metrics& counts_;
     const trainer_schedules& trainers_;
+    unfinished_texts unfinished_texts_;
     std::map<std::string, batch_header> headers_;
     std::map<std::string, std::vector<batch_item>> cached_items_;
     std::map<std::string, batch_run_ref> active_;
@@ -95,6 +97,7 @@
     net::task<void> load_texts(batch_run_ref batch);
     void save_texts(const batch_run_ref& batch);
     net::task<void> write_texts(batch_run_ref batch);
+    void resume_texts(const batch_run_ref& batch);
     net::task<void> run_until_done(batch_run_ref batch);
     void place_items();
     bool place_items_of(const batch_run_ref& batch, const std::vector<target_ref>& engines);
