--- a/src/gateway/batch_runner_placement.cpp
+++ b/src/gateway/batch_runner_placement.cpp
@@ -71,7 +71,7 @@
         view.gap = policy::fractional_ms{engine->mean_gap_ms};
         view.gap_age = now - engine->gap_measured_at;
         view.pause = engines_.is_loading(*engine, header.model, now) ? load_time : duration{0};
-        view.version = engine->version_of(header.model);
+        view.version = engines_.version_of(*engine, header.model, now);
         view.usable = now >= engine->back_off_until;
         index_of[engine.get()] = views.size();
         views.push_back(std::move(view));
