Take placement by finish time out again

The engines of these sites hardly differ in speed; items that wait for a better place leave places empty.

--- a/src/gateway/batch_progress.cpp
+++ b/src/gateway/batch_progress.cpp
@@ -1,6 +1,7 @@
 #include "gateway/batch_progress.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace vanillagauge::gateway {
 
@@ -19,6 +20,13 @@
         items_.push_back({std::move(item), group});
     }
     header_.total = items_.size();
+    order_.resize(items_.size());
+    std::iota(order_.begin(), order_.end(), std::size_t{0});
+    // A long item that starts last ends last and delays its whole group while the replicas that finished the
+    // short ones are idle.
+    std::stable_sort(order_.begin(), order_.end(), [this](std::size_t left, std::size_t right) {
+        return items_[left].item.length_hint > items_[right].item.length_hint;
+    });
 }
 
 void batch_progress::close_in_group(const item_progress& entry)
@@ -279,14 +287,6 @@
     return length;
 }
 
-void batch_progress::mark_resubmitted(const batch_progress& earlier)
-{
-    for (const auto& entry : items_) {
-        auto& group = groups_[entry.group];
-        group.resubmitted = group.resubmitted || earlier.contains(entry.item.id);
-    }
-}
-
 std::size_t batch_progress::open_in_group(std::size_t index) const
 {
     return groups_[items_[index].group].open;
--- a/src/gateway/batch_progress.hpp
+++ b/src/gateway/batch_progress.hpp
@@ -37,7 +37,6 @@
     std::optional<std::uint64_t> last_event{};
     std::set<std::uint64_t> versions{};
     std::uint64_t current_version = 0; ///< weights of the current run
-    milliseconds expected_run{0};      ///< of the current or last run, when it was placed; 0: not known
     item_result result{};              ///< set once finished
 };
 
@@ -106,24 +105,20 @@
     /// no known size.
     policy::run_length length_of(std::size_t index) const;
     std::size_t groups() const { return groups_.size(); }
-    bool is_group_complete(std::size_t group) const { return groups_[group].open == 0; }
-    /// Whether an item of this id is in the batch.
-    bool contains(const std::string& item) const { return index_by_id_.contains(item); }
-    /// Marks the groups with items that an earlier batch contains too.
-    void mark_resubmitted(const batch_progress& earlier);
-    bool is_resubmitted(std::size_t group) const { return groups_[group].resubmitted; }
     /// The text of an unpublished item; none if it has no text.
     std::optional<saved_text> text_to_save(std::size_t index) const;
+    /// All items in the order in which they should run: longest expected output first.
+    const std::vector<std::size_t>& order() const { return order_; }
 
 private:
     batch_header header_;
     std::vector<item_progress> items_;
+    std::vector<std::size_t> order_;
     std::map<std::string, std::size_t> index_by_id_;
     /// Items of a group that are still to be finished and to be published.
     struct group_count {
         std::size_t open = 0;
         std::size_t unpublished = 0;
-        bool resubmitted = false;
     };
     std::vector<group_count> groups_;
     std::size_t complete_groups_ = 0;
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -13,7 +13,6 @@
 #include "gateway/target_registry.hpp"
 #include "net/async_condition.hpp"
 #include "observe/metrics.hpp"
-#include "policy/finish_placement.hpp"
 
 #include <deque>
 #include <map>
@@ -105,10 +104,6 @@
     void resume_texts(const batch_run_ref& batch);
     net::task<void> run_until_done(batch_run_ref batch);
     void place_items();
-    void mark_resubmitted_groups(batch_run& batch);
-    /// The engines as `policy::plan_starts` sees them, with the ends of this gateway's runs.
-    std::vector<policy::finish_engine>
-    engines_for(const batch_header& header, const std::vector<target_ref>& engines, time_point now) const;
     bool place_items_of(const batch_run_ref& batch, const std::vector<target_ref>& engines);
     net::task<void> run_item(batch_run_ref batch, std::size_t index, target_ref engine);
     net::task<void> read_answer(batch_run_ref batch, std::size_t index, target_ref engine,
@@ -124,6 +119,7 @@
     void move_stragglers(batch_run& batch);
     /// Takes the reference by value: callers pass the one in `active_`, which it erases.
     void end(batch_run_ref batch, const char* why);
+    bool has_waiting_items() const;
 };
 
 } // namespace vanillagauge::gateway
--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -146,7 +146,6 @@
                   {"runs", std::int64_t{entry.runs}},
                   {"events", static_cast<std::int64_t>(entry.events)},
                   {"run_ms", std::int64_t{run_ms.count()}},
-                  {"expected_run_ms", std::int64_t{entry.expected_run.count()}},
                   {"age_ms", std::int64_t{age_ms.count()}},
                   {"newest_version", static_cast<std::int64_t>(entry.current_version)}});
 }
--- a/src/gateway/internal/batch_run.hpp
+++ b/src/gateway/internal/batch_run.hpp
@@ -17,7 +17,6 @@
     time_point began{};
     time_point last_event{};
     bool received_event = false;
-    bool moved = false; ///< its connection was closed for a faster engine
 };
 
 struct batch_runner::batch_run {
@@ -32,8 +31,7 @@
     net::async_condition changed;
     std::map<std::size_t, std::shared_ptr<item_run>> item_runs;               ///< by item index
     std::map<std::size_t, std::shared_ptr<cancellation_token>> scoring_calls; ///< by item index
-    bool compared_with_earlier = false; ///< its resubmitted groups are marked
-    bool stored = true;                 ///< false while the batch is speculative
+    bool stored = true; ///< false while the batch is speculative
     bool ended = false;
     bool publishing = false;
     /// By `time_since_boot`: the store had no result after the published ones then; none: never confirmed.
--- a/src/gateway/target_registry.cpp
+++ b/src/gateway/target_registry.cpp
@@ -40,7 +40,6 @@
     constexpr double smoothing = 0.1;
     constexpr double max_ratio = 2.5;
     const std::chrono::duration<double, std::milli> measured = gap;
-    gap_measured_at = steady::now();
     if (mean_gap_ms == 0) {
         mean_gap_ms = measured.count();
         return;
--- a/src/gateway/target_registry.hpp
+++ b/src/gateway/target_registry.hpp
@@ -22,8 +22,7 @@
     int streams = 0;             ///< batch generations in flight from this gateway
     time_point back_off_until{}; ///< gets no new generation before
     double mean_gap_ms = 0;      ///< moving mean of the time between stream events; 0: unknown
-    time_point gap_measured_at{};
-    bool usable = true;                                     ///< neither draining nor removed
+    bool usable = true;          ///< neither draining nor removed
     std::map<std::string, std::uint64_t> observed_versions; ///< weights version by model, from its responses
 
     std::uint64_t version_of(const std::string& model) const;
--- a/src/policy/run_length.cpp
+++ b/src/policy/run_length.cpp
@@ -10,19 +10,6 @@
 
 } // namespace
 
-// The hint is right at the median: half of the runs exceed it, some of them by far.
-std::optional<double> expected_events_left(const run_length& run)
-{
-    double bound = run.generated < run.hint ? run.hint : run.limit;
-    if (run.limit > 0) {
-        bound = std::min(bound, run.limit);
-    }
-    if (bound <= 0) {
-        return std::nullopt;
-    }
-    return std::max(0.0, bound - run.generated);
-}
-
 std::optional<double> likely_events_left(const run_length& run)
 {
     const double by_hint = run.hint * hint_margin;
--- a/src/policy/run_length.hpp
+++ b/src/policy/run_length.hpp
@@ -13,10 +13,6 @@
     double limit = 0;     ///< most that the caller allows; 0: none
 };
 
-/// Expected events that are left: by the hint, and by the limit once the hint is exceeded; none if nothing
-/// bounds them.
-std::optional<double> expected_events_left(const run_length& run);
-
 /// Events that are left at most, but for few runs; none if nothing bounds them.
 std::optional<double> likely_events_left(const run_length& run);
 
--- a/tests/gateway/batch_progress_tests.cpp
+++ b/tests/gateway/batch_progress_tests.cpp
@@ -256,14 +256,13 @@
     EXPECT_LE(progress.items()[0].not_before, now) << "a run that began ends the row of refusals";
 }
 
-// Guards against groups that wait for a second step behind its new ones.
-TEST(batch_progress, knows_the_groups_of_an_earlier_batch)
+TEST(batch_progress, starts_the_longest_items_first)
 {
-    const batch_progress earlier(make_header(), make_items(2));
-    batch_progress progress(make_header(), make_items(4));
-    progress.mark_resubmitted(earlier);
-    EXPECT_TRUE(progress.is_resubmitted(0));
-    EXPECT_FALSE(progress.is_resubmitted(1));
+    auto items = make_items(3);
+    items[1].length_hint = 50;
+    items[2].length_hint = 100;
+    const batch_progress progress(make_header(), items);
+    EXPECT_EQ(progress.order(), (std::vector<std::size_t>{2, 1, 0}));
 }
 
 TEST(batch_progress, counts_complete_and_published_groups)
--- a/tools/load/benchmark/policy_benchmark.cpp
+++ b/tools/load/benchmark/policy_benchmark.cpp
@@ -1,5 +1,4 @@
-/// vg-policy-benchmark: time of one admission and placement, with its release, and of a plan for a step's
-/// items, by the size of the fleet.
+/// vg-policy-benchmark: time of one admission and placement, with its release, by the size of the fleet.
 
 #include "policy/policy.hpp"
 
@@ -88,31 +87,6 @@
     admit_and_place(state, true);
 }
 
-/// Half of the places are taken; the step has an item for each engine, in groups of 12.
-void plan_a_step(benchmark::State& state)
-{
-    std::vector<policy::finish_engine> engines(static_cast<std::size_t>(state.range(0)));
-    policy::finish_step step;
-    for (std::size_t index = 0; index < engines.size(); ++index) {
-        auto& engine = engines[index];
-        engine.id = "engine-" + std::to_string(index);
-        engine.streams = 4;
-        engine.free_places = 4;
-        engine.gap = policy::fractional_ms{32 + static_cast<double>(hash64(engine.id) % 45)};
-        engine.run_ends.assign(4, milliseconds{500});
-        policy::finish_item item;
-        item.prefix_hash = hash64("group", index / 12);
-        item.events_left = index % 12 == 0 ? 100 : 5 + static_cast<double>(hash64(engine.id, 1) % 20);
-        item.likely_events_left = item.events_left * 1.3;
-        step.items.push_back(item);
-    }
-    for (auto _ : state) {
-        benchmark::DoNotOptimize(policy::plan_starts(engines, step));
-    }
-    state.SetComplexityN(state.range(0));
-}
-
-BENCHMARK(plan_a_step)->Arg(50)->Arg(500)->Arg(6500)->Unit(benchmark::kMicrosecond)->Complexity();
 BENCHMARK(without_prefix)->Arg(20)->Arg(6500);
 BENCHMARK(with_prefix)->Arg(20)->Arg(6500);
 BENCHMARK(queue_and_place)->Arg(20)->Arg(6500);
