Take no response of another attempt for an item's own

Only responses with status 200 were compared with the attempt's id. The same held for a late copy of a refusal, for callers' requests too, and for orders: a 200 counted as loaded without a report. Now every status needs the attempt's id, and the engine's report decides after each order. Test: batches.ignore_failures_of_other_attempts.

--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -183,6 +183,13 @@
         co_return;
     }
     const auto marks = protocol_.parse_metadata(head->status, head->fields, sent.attempt_id);
+    // A late second copy of an earlier response on this connection says nothing about this item, whatever its
+    // status: taken for its own, a 422 would terminate it for good.
+    if (marks.names_other_attempt || !(marks.echoes_attempt || marks.not_run)) {
+        connection.close();
+        progress.release(index, {}, instance_id);
+        co_return;
+    }
     if (marks.weights_version > 0) {
         engine->record_version(progress.header().model, marks.weights_version);
     }
@@ -196,7 +203,7 @@
         handle_failure(*batch, index, engine, status, marks.not_run);
         co_return;
     }
-    const bool sound = marks.echoes_attempt && !marks.authentication_code.empty();
+    const bool sound = !marks.authentication_code.empty();
     const auto began = sound ? progress.begin_run(index, marks.weights_version) : run_rejection::wrong_event;
     if (began != run_rejection::none) {
         if (began == run_rejection::mixed_weights) {
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -135,9 +135,10 @@
     head = std::move(std::get<net::response_head>(read));
     const auto marks = protocol_.parse_metadata(head.status, head.fields, current.request.attempt_id);
     outcome.load = marks.load;
-    outcome.not_run = marks.not_run;
+    // A late second refusal of another request says nothing about this one.
+    outcome.not_run = marks.not_run && !marks.names_other_attempt;
     const bool success = head.status >= 200 && head.status < 300;
-    if (!marks.not_run && (!marks.echoes_attempt || (success && marks.authentication_code.empty()))) {
+    if (!outcome.not_run && (!marks.echoes_attempt || (success && marks.authentication_code.empty()))) {
         connection->close();
         outcome.result = error{error_code::incomplete, run_state::in_doubt,
                                "the response has another request's id or no authentication code"};
--- a/src/gateway/target_protocol.hpp
+++ b/src/gateway/target_protocol.hpp
@@ -27,6 +27,7 @@
 struct response_metadata {
     bool not_run = false;              ///< the replica states that it did not run the request
     bool echoes_attempt = false;       ///< it carries the attempt's id
+    bool names_other_attempt = false;  ///< it carries the id of another attempt
     std::string authentication_code{}; ///< of the replica; empty if absent
     std::optional<policy::load_report> load{};
     std::uint64_t weights_version = 0; ///< 0: unknown
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds expected_load_time{900};
 constexpr milliseconds report_poll_interval{150};
 constexpr milliseconds load_timeout{6000};
+/// A report shows within this time that an engine already had the version.
+constexpr milliseconds report_timeout{1000};
 /// An order without a response may be executed seconds later.
 constexpr milliseconds unanswered_backoff{1500};
 constexpr milliseconds refused_backoff{400};
@@ -186,7 +188,8 @@
 }
 
 // Loads one version at one engine. The engine's report decides, not the order: an order whose response was
-// lost may have been executed, or may be seconds later. Each order carries the count of orders that it
+// lost may have been executed, or may be seconds later, and a kept connection may hold a late second copy of
+// the response to an earlier order. Each order carries the count of orders that it
 // expects, so that a second one cannot be executed as well.
 net::task<void> weights_updater::load(target_ref engine, std::string model, std::uint64_t version)
 {
@@ -196,6 +199,7 @@
     std::string outcome = "failed";
     const auto report = co_await request_report(engine);
     bool ordered = false;
+    bool loads = false; ///< the engine has begun to load
     if (ok(report)) {
         const auto found = value(report).weights.find(model);
         const auto loaded = found == value(report).weights.end() ? std::uint64_t{0} : found->second;
@@ -221,11 +225,12 @@
                 outcome = describe(failure(answer));
             }
             else if (value(answer) == order_outcome::already_done) {
-                engine->record_version(model, version);
+                ordered = true;
                 outcome = "already loaded";
             }
             else if (value(answer) == order_outcome::accepted) {
                 ordered = true;
+                loads = true;
                 outcome = "accepted";
             }
             else {
@@ -236,11 +241,11 @@
     else {
         outcome = describe(failure(report));
     }
-    if (ordered) {
+    if (loads) {
         co_await net::sleep_for(loop_, expected_load_time);
     }
-    while (ordered && engine->usable && engine->version_of(model) < version &&
-           steady::now() - began < load_timeout) {
+    const auto report_until = began + (loads ? load_timeout : report_timeout);
+    while (ordered && engine->usable && engine->version_of(model) < version && steady::now() < report_until) {
         const auto latest_report = co_await request_report(engine);
         if (ok(latest_report)) {
             const auto found = value(latest_report).weights.find(model);
--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -4,6 +4,16 @@
 
 using nlohmann::json;
 
+namespace {
+
+bool names_other_attempt(replica_fault fault)
+{
+    return fault == replica_fault::other_attempt || fault == replica_fault::late_rejection ||
+           fault == replica_fault::late_shed;
+}
+
+} // namespace
+
 std::string event_text(const std::string& item, std::uint64_t number)
 {
     return item + "-" + std::to_string(number);
@@ -39,8 +49,8 @@
 net::http_fields fake_replica::response_fields(const net::http_request& request, replica_fault fault) const
 {
     net::http_fields fields;
-    const auto attempt = fault == replica_fault::other_attempt ? std::string_view("another")
-                                                               : request.fields.find("Attempt-Id");
+    const auto attempt =
+        names_other_attempt(fault) ? std::string_view("another") : request.fields.find("Attempt-Id");
     fields.add("Attempt-Id", attempt);
     if (fault != replica_fault::no_stamp) {
         fields.add("Server-Stamp", "stamp-" + id_);
@@ -134,8 +144,9 @@
         co_await net::sleep_for(loop_, seconds(30));
         co_return;
     }
-    if (request.fields.contains("Token-Counts") && fault != replica_fault::fail &&
-        fault != replica_fault::unprocessable) {
+    const bool streams = fault != replica_fault::fail && fault != replica_fault::unprocessable &&
+                         fault != replica_fault::late_rejection && fault != replica_fault::late_shed;
+    if (request.fields.contains("Token-Counts") && streams) {
         co_await stream(request, answer, fault);
         co_return;
     }
@@ -150,9 +161,13 @@
     if (fault == replica_fault::fail) {
         response.status = 500;
     }
-    else if (fault == replica_fault::unprocessable) {
+    else if (fault == replica_fault::unprocessable || fault == replica_fault::late_rejection) {
         response.status = 422;
     }
+    else if (fault == replica_fault::late_shed) {
+        response.status = 503;
+        response.fields.add("Not-Executed", "1");
+    }
     response.body = "answer of " + id_ + " to " + request.body;
     co_await answer.send(std::move(response));
 }
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -18,14 +18,16 @@
 /// Fault injected into the next request that would run.
 enum class replica_fault {
     none,
-    shed,          ///< answers 503 without running it
-    reset,         ///< runs it and resets the connection without an answer
-    silent,        ///< runs it and never answers
-    fail,          ///< answers 500
-    unprocessable, ///< answers 422
-    other_attempt, ///< answers with another attempt's id
-    no_stamp,      ///< answers without its authentication code
-    cut_stream,    ///< closes the connection in the middle of an event
+    shed,           ///< answers 503 without running it
+    reset,          ///< runs it and resets the connection without an answer
+    silent,         ///< runs it and never answers
+    fail,           ///< answers 500
+    unprocessable,  ///< answers 422
+    other_attempt,  ///< answers with another attempt's id
+    no_stamp,       ///< answers without its authentication code
+    cut_stream,     ///< closes the connection in the middle of an event
+    late_rejection, ///< answers 422 with another attempt's id, as a late copy of that one's answer
+    late_shed,      ///< runs it and answers with another attempt's refusal
 };
 
 struct received_request {
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -103,6 +103,20 @@
     EXPECT_LE(given_up, 2);
 }
 
+// Guards against an item that ends for the late failure of another one, whose copy comes on a kept
+// connection.
+TEST(batches, ignore_failures_of_other_attempts)
+{
+    batch_deployment cluster;
+    auto& served = cluster.ready_gateway("a");
+    cluster.modify_store([&](standins::fake_store&) {
+        cluster.one.script = {replica_fault::late_rejection, replica_fault::late_shed};
+        cluster.two.script = {replica_fault::late_shed, replica_fault::late_rejection};
+    });
+    EXPECT_EQ(cluster.status_of(served.address(), make_batch("b1")), 202);
+    expect_complete(cluster.read_all({served.address()}, "b1"));
+}
+
 // The gateway that accepted a batch crashes while running it. Another one runs the remaining items.
 TEST(batches, are_finished_by_another_gateway_after_a_crash)
 {
