Start nothing of a batch that ended during its takeover

Now the end is looked for after the last wait, and scores are asked only then. Test: batches.ended_during_a_takeover_do_not_run, with a store that holds reads of a kind.

--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -103,6 +103,12 @@
     return fleet_.owner_of(header.owner_vm, header.owner_incarnation, owner_key(header)) == fleet_.self();
 }
 
+bool batch_runner::has_ended(const std::string& batch) const
+{
+    const auto* known = find(batch);
+    return known != nullptr && known->ended;
+}
+
 void batch_runner::update_header(const batch_header& header)
 {
     headers_[header.id] = header;
@@ -219,6 +225,11 @@
                  {{"batch", batch->progress.header().id},
                   {"events", static_cast<std::int64_t>(events)},
                   {"outcome", ok(saved) ? std::string("read") : describe(failure(saved))}});
+}
+
+// Texts taken over may be complete but for their scores.
+void batch_runner::resume_scoring(const batch_run_ref& batch)
+{
     for (std::size_t index = 0; index < batch->progress.items().size(); ++index) {
         if (batch->progress.items()[index].state == work_state::scoring) {
             net::start(loop_, score_item(batch, index));
@@ -277,8 +288,7 @@
             }
         }
         co_await net::sleep_for(loop_, store_retry_delay);
-        const auto* known = find(header.id);
-        if (known != nullptr && known->ended) {
+        if (has_ended(header.id)) {
             co_return false;
         }
     }
@@ -300,8 +310,7 @@
         observe::log(observe::log_level::warning, "batch_items_unread",
                      {{"batch", header.id}, {"why", describe(failure(items))}});
         co_await net::sleep_for(loop_, store_retry_delay);
-        const auto* now_known = find(header.id);
-        if (now_known != nullptr && now_known->ended) {
+        if (has_ended(header.id)) {
             active_.erase(header.id);
             co_return;
         }
@@ -309,21 +318,23 @@
     }
     const auto batch = std::make_shared<batch_run>(loop_, store_, header, std::move(value(items)));
     bool loaded = fresh;
-    while (!loaded) {
+    while (!loaded && !has_ended(header.id)) {
         loaded = co_await load_results(*batch);
         if (!loaded) {
             co_await net::sleep_for(loop_, store_retry_delay);
         }
     }
-    const auto* known = find(header.id);
-    if (known != nullptr && known->ended) {
+    if (!fresh && !has_ended(header.id)) {
+        co_await load_texts(batch);
+    }
+    // Asked after the last wait: `update_header` ends only a batch that is active, so one ended during the
+    // takeover would run on for nobody.
+    if (has_ended(header.id)) {
         active_.erase(header.id);
         co_return;
     }
-    if (!fresh) {
-        co_await load_texts(batch);
-    }
     active_[header.id] = batch;
+    resume_scoring(batch);
     co_await run_until_done(batch);
 }
 
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -82,6 +82,8 @@
     bool view_complete_ = false;
 
     bool owned_here(const batch_header& header) const;
+    /// Whether the batch is known to have been ended by its trainer.
+    bool has_ended(const std::string& batch) const;
     void start(const batch_header& header);
     void confirm_speculative(const batch_run_ref& batch, const batch_header& header);
     net::task<void> load_and_run(batch_header header);
@@ -89,6 +91,7 @@
     net::task_of<std::vector<batch_item>> load_items(const batch_header& header);
     net::task<bool> load_results(batch_run& batch);
     net::task<void> load_texts(batch_run_ref batch);
+    void resume_scoring(const batch_run_ref& batch);
     void save_texts(const batch_run_ref& batch);
     net::task<void> write_texts(batch_run_ref batch);
     net::task<void> run_until_done(batch_run_ref batch);
--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -211,7 +211,13 @@
                 events.push_back(std::move(entry));
             }
         }
-        if (!events.empty() || steady::now() >= until || answer.client_disconnected()) {
+        const bool is_due = !events.empty() || steady::now() >= until;
+        if (is_due && faults.lose_watches) {
+            while (!answer.client_disconnected()) {
+                co_await net::sleep_for(loop_, silence_poll_interval);
+            }
+        }
+        if (is_due || answer.client_disconnected()) {
             json body;
             body["events"] = std::move(events);
             body["AsOf"] = revision_;
@@ -256,6 +262,9 @@
         co_return;
     }
     ++read_calls_[parts[0]];
+    while (parts[0] == faults.held_kind && !answer.client_disconnected()) {
+        co_await net::sleep_for(loop_, silence_poll_interval);
+    }
     const auto since = net::query_value(request.target, "Watch");
     if (!since.empty()) {
         const auto wait =
--- a/standins/users/fake_store.hpp
+++ b/standins/users/fake_store.hpp
@@ -23,6 +23,8 @@
     int delay_writes = 0; ///< number of writes left unanswered and applied later, if their precondition holds
     milliseconds write_delay{0}; ///< of those writes
     bool second_silent = false;  ///< requests at the second address, pending ones too, get no response
+    bool lose_watches = false;   ///< watches that are due get no response, also later
+    std::string held_kind{};     ///< reads and lists of this kind wait
 };
 
 class fake_store {
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -117,6 +117,42 @@
     expect_complete(cluster.read_all({served.address()}, "b1"));
 }
 
+// Guards against a batch that runs on for nobody, because its trainer ended it while the texts saved by its
+// failed owner were read back.
+TEST(batches, ended_during_a_takeover_do_not_run)
+{
+    batch_deployment cluster;
+    auto& first = cluster.ready_gateway("a");
+    auto& second = cluster.ready_gateway("b");
+    expect_discovered({&first, &second});
+    cluster.modify_store([&](standins::fake_store& store) {
+        cluster.one.event_interval = milliseconds(400);
+        cluster.two.event_interval = milliseconds(400);
+        store.faults.held_kind = "batch-texts";
+    });
+    EXPECT_EQ(cluster.status_of(first.address(), make_batch("b1")), 202);
+    const auto owner = cluster.inspect_store<std::string>([](standins::fake_store& store) {
+        return store.find("batches", "b1").at("Specification").at("owner").get<std::string>();
+    });
+    auto& successor = owner == "a" ? second : first;
+    (owner == "a" ? first : second).kill();
+    EXPECT_TRUE(deployment::eventually([&] {
+        return cluster.inspect_store<std::uint64_t>(
+                   [](standins::fake_store& store) { return store.read_calls("batch-texts"); }) > 0;
+    }));
+    EXPECT_EQ(cluster.status_of(successor.address(), make_end("b1")), 200);
+    const auto started = [&] {
+        return cluster.inspect_store<std::size_t>([&](standins::fake_store&) {
+            return cluster.one.started_requests.size() + cluster.two.started_requests.size();
+        });
+    };
+    const auto before = started();
+    cluster.modify_store([](standins::fake_store& store) { store.faults.held_kind.clear(); });
+    std::this_thread::sleep_for(milliseconds(500));
+    EXPECT_EQ(started(), before);
+    EXPECT_EQ(successor.query<std::size_t>([](gateway& asked) { return asked.batches_running(); }), 0U);
+}
+
 // The gateway that accepted a batch crashes while running it. Another one runs the remaining items.
 TEST(batches, are_finished_by_another_gateway_after_a_crash)
 {
