Confirm a copy by its watch's own answer, not by a ping

Now the first watcher sends short watches (0.4 s), each confirmed by its own answer; the other watchers take its confirmations by their polls and list when these stay away for 0.85 s. Feeds without a bound in time, retirements among them now, use watches of 1.5 s at one watcher. The sum of the chain stays under two seconds (static_assert). Pings of feeds are gone. Test: feed_sync.applies_configuration_whose_news_was_lost.

--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -29,7 +29,7 @@
 feed_sync::feed_sync(net::loop& loop, object_store& direct, peer_relay& peers, fleet_view& fleet,
                      policy::quarantine& crashes, const std::vector<feed_registration>& feeds)
     : loop_(loop), direct_(direct), peers_(peers), fleet_(fleet), crashes_(crashes), changed_(loop),
-      watch_ended_(loop), watch_sent_(loop), started_(feed::now())
+      watch_ended_(loop), started_(feed::now())
 {
     for (const auto& chosen : feeds) {
         feeds_.push_back({chosen.content, chosen.needed_here, chosen.pace});
@@ -42,7 +42,6 @@
         net::start(loop_, sync_from_store(index));
     }
     net::start(loop_, poll_peers());
-    net::start(loop_, ping_store());
 }
 
 // Each pending watch compares the generation and is abandoned when it changes; its feed is then listed again.
@@ -128,7 +127,9 @@
 
 bool feed_sync::is_served(const synced_feed& entry) const
 {
-    return entry.content->synced() && age_of(entry) <= policy::max_served_age;
+    const auto max_age =
+        entry.pace == policy::feed_pace::steady ? policy::max_served_age : policy::max_served_frequent_age;
+    return entry.content->synced() && age_of(entry) <= max_age;
 }
 
 // A frequent feed that is behind must not keep the others from the polling gateway.
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -56,10 +56,9 @@
         feed* content = nullptr;
         bool needed_here = true;
         policy::feed_pace pace = policy::feed_pace::steady;
-        bool listed = false;                       ///< a watch may start from its revision
-        bool store_reachable = false;              ///< its last call to the store succeeded
-        std::optional<time_point> asked_since{};   ///< when it was first listed in vain; none: it was not
-        std::optional<time_point> watched_since{}; ///< when the pending watch was sent; none: none is pending
+        bool listed = false;                     ///< a watch may start from its revision
+        bool store_reachable = false;            ///< its last call to the store succeeded
+        std::optional<time_point> asked_since{}; ///< when it was first listed in vain; none: it was not
     };
     net::loop& loop_;
     object_store& direct_;
@@ -70,10 +69,9 @@
     std::vector<synced_feed> feeds_;
     net::async_condition changed_;
     net::async_condition watch_ended_; ///< a watch was answered or abandoned
-    net::async_condition watch_sent_;
-    std::string source_;             ///< of the last update: "store", a peer's address, or empty
-    std::size_t next_source_ = 0;    ///< changes when a source fails
-    time_point substitutes_until_{}; ///< other gateways are polled in place of the planned sources
+    std::string source_;               ///< of the last update: "store", a peer's address, or empty
+    std::size_t next_source_ = 0;      ///< changes when a source fails
+    time_point substitutes_until_{};   ///< other gateways are polled in place of the planned sources
     time_point started_;
     std::size_t peers_met_ = 0;
     time_point last_met_{};
@@ -84,12 +82,10 @@
     net::task<void> sync_from_store(std::size_t index);
     net::task<bool> list(synced_feed& entry);
     net::task<bool> watch(synced_feed& entry);
-    net::task<void> run_watch(std::string kind, std::uint64_t since, std::shared_ptr<watch_call> call);
-    /// When the next ping is due; none if no watch is pending.
-    std::optional<time_point> ping_due() const;
-    net::task<void> ping_store();
-    net::task<void> ping();
-    void abandon_watches(const error& why);
+    net::task<void> run_watch(std::string kind, std::uint64_t since, milliseconds wait,
+                              std::shared_ptr<watch_call> call);
+    /// Lists the objects in place of a watch that has no answer.
+    net::task<bool> replace_watch(synced_feed& entry, time_point requested_at, milliseconds wait);
     net::task<void> poll_peers();
     net::task<poll_result> poll_peer(std::string address, milliseconds poll_time);
     bool polls_substitutes() const { return steady::now() < substitutes_until_; }
--- a/src/gateway/feed_sync_store.cpp
+++ b/src/gateway/feed_sync_store.cpp
@@ -1,4 +1,4 @@
-// Listings, watches and pings of the store.
+// Listings and watches of the store.
 #include "gateway/feed_sync.hpp"
 #include "observe/log.hpp"
 #include "policy/copy_age.hpp"
@@ -9,9 +9,6 @@
 namespace vanillagauge::gateway {
 namespace {
 
-/// The store counts a watch as one call, however long it waits.
-constexpr milliseconds watch_timeout{20000};
-
 /// Bounds of the random delay between attempts while the store fails; each attempt costs a call.
 constexpr milliseconds min_retry_delay{250};
 constexpr milliseconds max_retry_delay{700};
@@ -25,9 +22,6 @@
 /// A timer that is later than this was held up with its process.
 constexpr milliseconds timer_delay{250};
 
-/// Between two pings while watches are sent one after another.
-constexpr milliseconds min_ping_interval{50};
-
 /// Per thread: gateways in one process would race on a shared generator.
 std::mt19937_64& random()
 {
@@ -42,6 +36,12 @@
     return feed::now() - requested_at > max_time + timer_delay;
 }
 
+/// How old a copy may become while a watch is pending.
+duration max_age_while_pending(policy::feed_pace pace)
+{
+    return pace == policy::feed_pace::steady ? policy::max_pending_age : policy::max_served_frequent_age;
+}
+
 duration retry_delay()
 {
     std::uniform_int_distribution<std::int64_t> delay(min_retry_delay.count(), max_retry_delay.count());
@@ -71,8 +71,11 @@
             co_await net::sleep_for(loop_, idle_delay);
             continue;
         }
+        const auto as_of = entry.content->as_of();
         bool served = false;
-        if (entry.listed) {
+        // After a pause of this process a watch would confirm the copy by its end only, too late for the
+        // callers that wait.
+        if (entry.listed && age_of(entry) <= max_age_while_pending(entry.pace)) {
             served = co_await watch(entry);
         }
         else {
@@ -80,7 +83,12 @@
         }
         entry.store_reachable = served;
         fleet_.set_watch_failing(!served);
-        co_await net::sleep_for(loop_, served ? duration{policy::coalescing_delay} : retry_delay());
+        if (!served) {
+            co_await net::sleep_for(loop_, retry_delay());
+        }
+        else if (entry.content->changed_since(as_of)) {
+            co_await net::sleep_for(loop_, policy::coalescing_delay);
+        }
     }
 }
 
@@ -122,34 +130,47 @@
     co_return true;
 }
 
-net::task<void> feed_sync::run_watch(std::string kind, std::uint64_t since, std::shared_ptr<watch_call> call)
+net::task<void> feed_sync::run_watch(std::string kind, std::uint64_t since, milliseconds wait,
+                                     std::shared_ptr<watch_call> call)
 {
-    call->answer = co_await direct_.watch(std::move(kind), since, watch_timeout);
+    call->answer = co_await direct_.watch(std::move(kind), since, wait);
     watch_ended_.notify();
 }
 
+// The answer to a watch may be lost, so none is awaited longer than its wait, and none of a copy that has
+// become old meanwhile.
 net::task<bool> feed_sync::watch(synced_feed& entry)
 {
     const auto requested_at = feed::now();
     const auto since = entry.content->as_of();
+    const auto wait = plan().watch_time(entry.pace);
+    const auto max_age = max_age_while_pending(entry.pace);
     const auto call = std::make_shared<watch_call>();
     const auto generation = watch_generation_;
-    net::start(loop_, run_watch(entry.content->kind(), since, call));
-    entry.watched_since = requested_at;
-    watch_sent_.notify();
-    const auto until = steady::now() + 2 * watch_timeout;
+    net::start(loop_, run_watch(entry.content->kind(), since, wait, call));
+    const auto until = requested_at + wait + policy::watch_margin;
     while (!call->answer && generation == watch_generation_) {
-        co_await watch_ended_.wait_until(until);
+        const auto now = feed::now();
+        const auto fresh_until = std::max(entry.content->confirmed_at(), requested_at) + max_age;
+        const auto next = std::min(until, fresh_until);
+        if (now >= next) {
+            break;
+        }
+        co_await watch_ended_.wait_until(steady::now() + (next - now));
     }
-    entry.watched_since.reset();
-    // Changes since the watch was abandoned may have been missed, so list again.
-    if (!call->answer) {
+    if (!call->answer && generation != watch_generation_) {
         entry.listed = false;
         co_return false;
     }
+    if (!call->answer) {
+        co_return co_await replace_watch(entry, requested_at, wait);
+    }
     auto& seen = *call->answer;
     if (ok(seen)) {
-        entry.content->apply_changes(std::move(value(seen)), requested_at);
+        // The store holds a watch for its whole wait unless there is a change, so an answer without one that
+        // took as long says that there was none until then.
+        const bool held = value(seen).events.empty() && feed::now() - requested_at >= wait;
+        entry.content->apply_changes(std::move(value(seen)), held ? requested_at + wait : requested_at);
         store_down_ = false;
         changed_.notify();
         co_return true;
@@ -164,72 +185,21 @@
     co_return co_await list(entry);
 }
 
-std::optional<time_point> feed_sync::ping_due() const
+// A process that was held up itself may have the answer unread, which says nothing about the store.
+net::task<bool> feed_sync::replace_watch(synced_feed& entry, time_point requested_at, milliseconds wait)
 {
-    std::optional<time_point> due;
-    for (const auto& entry : feeds_) {
-        if (entry.watched_since) {
-            const auto next = std::max(entry.content->confirmed_at() + policy::ping_interval,
-                                       *entry.watched_since + policy::hop_allowance);
-            due = due ? std::min(*due, next) : next;
-        }
-    }
-    return due;
-}
-
-net::task<void> feed_sync::ping_store()
-{
-    while (true) {
-        const auto due = ping_due();
-        const auto wait = due ? *due - feed::now() : duration{policy::ping_interval};
-        if (!due || wait > duration{0}) {
-            co_await watch_sent_.wait_until(steady::now() + wait);
-            continue;
-        }
-        if (-wait > timer_delay) {
-            co_await net::sleep_for(loop_, policy::hop_allowance); // answers that wait here are read first
-        }
-        co_await ping();
-        co_await net::sleep_for(loop_, min_ping_interval);
-    }
-}
-
-// The store answers a pending watch as soon as there is a change. So an answer to a call sent after the watch
-// says that there was none until then.
-net::task<void> feed_sync::ping()
-{
-    const auto smallest =
-        std::min_element(feeds_.begin(), feeds_.end(), [](const synced_feed& left, const synced_feed& right) {
-            return left.content->objects().size() < right.content->objects().size();
-        });
-    const auto generation = watch_generation_;
-    const auto requested_at = feed::now();
-    const auto answered = co_await direct_.ping(smallest->content->kind(), policy::ping_timeout);
-    if (generation != watch_generation_ ||
-        (!ok(answered) && was_held_up(requested_at, policy::ping_timeout))) {
-        co_return;
-    }
-    if (!ok(answered)) {
-        abandon_watches(failure(answered));
-        co_return;
-    }
-    for (auto& entry : feeds_) {
-        if (entry.watched_since && *entry.watched_since + policy::hop_allowance <= requested_at) {
-            entry.content->confirm(requested_at);
+    entry.listed = false;
+    const auto max_time = wait + policy::watch_margin;
+    if (!was_held_up(requested_at, max_time)) {
+        if (feed::now() >= requested_at + max_time) {
+            record_failure(
+                {error_code::unavailable, run_state::not_run, "the store does not answer a watch"});
         }
+        // Withdrawn once the listing succeeds. A silent store takes a second to fail it, too long for the
+        // gateways that rely on this one.
+        fleet_.set_watch_failing(true);
     }
-}
-
-void feed_sync::abandon_watches(const error& why)
-{
-    record_failure(why);
-    ++watch_generation_;
-    for (auto& entry : feeds_) {
-        entry.store_reachable = false;
-    }
-    fleet_.set_watch_failing(true);
-    watch_ended_.notify();
-    changed_.notify();
+    co_return co_await list(entry);
 }
 
 } // namespace vanillagauge::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,7 +24,7 @@
 
 constexpr milliseconds housekeeping_interval{100};
 
-/// Longer than a ping or a listing of the store takes to succeed or to fail.
+/// Longer than a watch or a listing of the store takes to succeed or to fail.
 constexpr milliseconds max_refresh_time{1000};
 constexpr milliseconds retirement_retry_delay{1000};
 
@@ -119,7 +119,7 @@
              {&replicas, serves_callers()},
              {&versions, serves_callers(), policy::feed_pace::frequent},
              {&batch_headers, serves_callers(), policy::feed_pace::frequent},
-             {&retirements}}),
+             {&retirements, true, policy::feed_pace::frequent}}),
       batches(loop, relay, batch_headers, runner, fleet), duties(loop, relay, fleet, settings),
       weights(loop, duties, targets, protocol, settings,
               [this]() -> const configuration& { return current; }),
--- a/src/policy/copy_age.hpp
+++ b/src/policy/copy_age.hpp
@@ -14,11 +14,19 @@
 /// the store or one that does.
 constexpr milliseconds max_change_time{2000};
 
-/// A pending watch does not tell an idle store from one that is out of reach: TCP keep-alive takes some
-/// three seconds to notice a dead connection, and never notices a store that is silent on a live one. So
-/// the gateways that watch ping the store; the answer confirms a watch that had reached the store before.
-constexpr milliseconds ping_interval{250};
-constexpr milliseconds ping_timeout{500};
+/// A pending watch does not tell an idle store from one that is out of reach or whose answer was lost: TCP
+/// keep-alive takes some three seconds to notice a dead connection, and never notices a store that is silent
+/// on a live one. An answer on another connection proves nothing about the watch. So the first watcher sends
+/// short watches, each of which confirms its copy by its own answer; the others take its confirmations.
+constexpr milliseconds confirming_watch_time{400};
+/// Of the other watchers, for whom the store counts a watch as one call however long it waits.
+constexpr milliseconds pending_watch_time{20000};
+/// Of a feed whose changes are not bounded in time.
+constexpr milliseconds frequent_watch_time{1500};
+/// A watch is lost if its answer has not come this long after its wait.
+constexpr milliseconds watch_margin{450};
+/// A watcher whose copy is older no longer waits for its pending watch and lists the objects itself.
+constexpr milliseconds max_pending_age{850};
 
 /// Pause between two watches, so that one call returns a burst of changes.
 constexpr milliseconds coalescing_delay{200};
@@ -36,15 +44,15 @@
 
 /// An older copy is not served to peers.
 constexpr milliseconds max_served_age{1000};
+constexpr milliseconds max_served_frequent_age{2000};
 
 /// For scheduling, and for calls between machines of one region.
 constexpr milliseconds hop_allowance{30};
 
 /// A gateway whose copy is older asks the store itself. Above the age of a copy in calm times, so that only
 /// the watchers ask then.
-constexpr milliseconds refresh_age{1100};
-/// Behind a relay.
-constexpr milliseconds relayed_refresh_age{1350};
+constexpr milliseconds refresh_age{1350};
+constexpr milliseconds frequent_refresh_age{2600};
 
 /// The store's answer to that is awaited this long.
 constexpr milliseconds refresh_timeout{450};
@@ -52,14 +60,17 @@
 /// No request is sent by an older copy, unless the store has been asked in vain.
 constexpr milliseconds max_copy_age{1800};
 
-constexpr milliseconds calm_age_at_watcher = ping_interval + coalescing_delay + 2 * hop_allowance;
-constexpr milliseconds calm_age = calm_age_at_watcher + poll_time_of_others + hop_allowance;
-constexpr milliseconds calm_age_behind_relay = calm_age + serving_poll_time + hop_allowance;
+constexpr milliseconds calm_age_at_first_watcher = confirming_watch_time + 2 * hop_allowance;
+/// At the other watchers; in large fleets, where all watchers confirm, at the relays.
+constexpr milliseconds calm_age_at_server = calm_age_at_first_watcher + serving_poll_time + hop_allowance;
+constexpr milliseconds calm_age = calm_age_at_server + poll_time_of_others + hop_allowance;
 
 static_assert(calm_age < refresh_age);
-static_assert(calm_age_behind_relay < relayed_refresh_age);
-static_assert(ping_interval + ping_timeout < max_served_age);
-static_assert(relayed_refresh_age + refresh_timeout <= max_copy_age);
+static_assert(calm_age_at_server < max_pending_age);
+static_assert(max_pending_age < max_served_age);
+static_assert(confirming_watch_time + watch_margin + hop_allowance < max_served_age);
+static_assert(frequent_watch_time + watch_margin + hop_allowance < max_served_frequent_age);
+static_assert(refresh_age + refresh_timeout <= max_copy_age);
 static_assert(max_copy_age + hop_allowance < max_change_time);
 
 } // namespace vanillagauge::policy
--- a/src/policy/expiry_grace.cpp
+++ b/src/policy/expiry_grace.cpp
@@ -9,7 +9,7 @@
 
 /// Where the store serves anyone, all gateways know of an answer after a shorter time without one.
 constexpr milliseconds min_outage{1500};
-static_assert(min_outage > relayed_refresh_age + hop_allowance);
+static_assert(min_outage > refresh_age + hop_allowance);
 
 /// Entries that expired are renewed within two seconds of the store's return if their replicas are alive.
 constexpr milliseconds renewal_time{2200};
--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -14,9 +14,6 @@
 /// Bounds the polls that a gateway serves.
 constexpr std::size_t gateways_per_relay = 24;
 
-/// For a feed of which no change is bounded in time. Gateways that should serve the others ask the store
-/// sooner: if all did at once, it would be read once for each gateway.
-constexpr milliseconds frequent_refresh_age{2600};
 /// After a start of all gateways a first copy passes through the watchers and relays.
 constexpr milliseconds start_limit{3000};
 
@@ -65,14 +62,31 @@
 // frequent feed has one, whose silence delays steps by a second or two and breaks nothing.
 bool feed_plan::watches(feed_pace pace, const copy& known) const
 {
-    const auto max_age = polls_relays() ? relayed_refresh_age : refresh_age;
+    // Gateways that should serve the others ask the store sooner for a frequent feed: if all did at once, it
+    // would be read once for each gateway.
     if (watches_store()) {
-        return pace == feed_pace::steady || *rank_ == 0 || known.age > max_age;
+        return pace == feed_pace::steady || *rank_ == 0 || known.age > refresh_age;
     }
     if (!known.synced) {
         return known.age > start_limit;
     }
-    return known.age > (pace == feed_pace::steady ? max_age : frequent_refresh_age);
+    return known.age > (pace == feed_pace::steady ? refresh_age : frequent_refresh_age);
+}
+
+// Load pattern: three watchers of feeds that seldom change. If each confirmed its copy by short watches,
+// these would be most calls to the store. Behind relays a copy is a poll older, so there each watcher
+// confirms.
+bool feed_plan::confirms() const
+{
+    return watches_store() && (*rank_ == 0 || chosen_.size() > store_watchers);
+}
+
+milliseconds feed_plan::watch_time(feed_pace pace) const
+{
+    if (pace == feed_pace::frequent) {
+        return frequent_watch_time;
+    }
+    return confirms() ? confirming_watch_time : pending_watch_time;
 }
 
 bool feed_plan::polls_relays() const
--- a/src/policy/feed_plan.hpp
+++ b/src/policy/feed_plan.hpp
@@ -38,6 +38,8 @@
     /// The other gateways among `living`, to poll while those are out of reach, in the order in which to try
     /// them.
     std::vector<std::string> substitutes(const std::vector<std::string>& living) const;
+    /// How long a watch of the store waits for a change.
+    milliseconds watch_time(feed_pace pace) const;
     /// How long a poll waits for a change.
     milliseconds poll_time() const;
 
@@ -47,6 +49,7 @@
     std::optional<std::size_t> rank_; ///< none: not chosen
 
     bool watches_store() const;
+    bool confirms() const;
     bool polls_relays() const;
 };
 
--- a/tests/gateway/feed_sync_tests.cpp
+++ b/tests/gateway/feed_sync_tests.cpp
@@ -61,6 +61,19 @@
     }
 }
 
+// Guards against watches whose answers were lost while the store answers every other call: the copy would be
+// taken for current, and an old configuration be served until the watches end.
+TEST(feed_sync, applies_configuration_whose_news_was_lost)
+{
+    four_gateways all;
+    std::this_thread::sleep_for(milliseconds(1500)); // watches are under way
+    all.modify_store([](standins::fake_store& store) { store.faults.lose_watches = true; });
+    all.put_configuration(2);
+    std::this_thread::sleep_for(milliseconds(60));
+    all.modify_store([](standins::fake_store& store) { store.faults.lose_watches = false; });
+    EXPECT_LT(all.time_until_all_serve_the_added_route(), max_apply_time);
+}
+
 /// The value of a gauge for one kind; none if the page does not have it.
 std::optional<double> gauge_of(running_gateway& served, const std::string& name, const std::string& kind)
 {
@@ -76,7 +89,7 @@
 }
 
 // Guards against a watcher that passes its copy on as current while the store is silent to it, so that the
-// gateways that poll it begin to count its age only once a ping has failed.
+// gateways that poll it begin to count its age only once a call has failed.
 TEST(feed_sync, copies_age_from_the_last_answer_of_the_store)
 {
     four_gateways all({0, 1, 2, 3});
--- a/tests/policy/feed_plan_tests.cpp
+++ b/tests/policy/feed_plan_tests.cpp
@@ -163,7 +163,7 @@
     for (milliseconds at{0}; at < seconds(20); at += milliseconds(10)) {
         const auto now = began + at;
         // The watcher's copy is as old as it gets in calm times just before each confirmation.
-        const auto watcher_confirmed = began + at / calm_age_at_watcher * calm_age_at_watcher;
+        const auto watcher_confirmed = began + at / calm_age_at_first_watcher * calm_age_at_first_watcher;
         for (auto& chain : chains) {
             auto source_confirmed = watcher_confirmed;
             for (auto& copy : chain.copies) {
