--- a/src/gateway/batch_runner_placement.cpp
+++ b/src/gateway/batch_runner_placement.cpp
@@ -55,7 +55,7 @@
         view.id = engine->info.instance_id();
         view.in_flight = engine->streams;
         view.limit = engine->streams + engines_.free_places(*engine, now);
-        view.version = engines_.version_of(*engine, progress.header().model, now);
+        view.version = engine->version_of(progress.header().model);
         view.usable =
             now >= engine->back_off_until && !engines_.is_loading(*engine, progress.header().model, now);
         views.push_back(std::move(view));
--- a/src/gateway/engines/engine_view.cpp
+++ b/src/gateway/engines/engine_view.cpp
@@ -5,9 +5,6 @@
 namespace vanillagauge::gateway {
 namespace {
 
-/// An engine takes its model's requests again after this time, unless too many engines load at once.
-constexpr milliseconds expected_load_time{900};
-
 bool by_engine(const policy::engine_use& left, const policy::engine_use& right)
 {
     return left.engine < right.engine;
@@ -30,21 +27,10 @@
     const auto instance_id = engine.info.instance_id();
     const auto own = own_loads_.find(instance_id);
     const bool loading_by_own_order = own != own_loads_.end() && !own->second.loaded &&
-                                      own->second.model == model && now < own->second.ends_at;
+                                      own->second.model == model && now < own->second.listed_until;
     return loading_by_own_order || ledger_.is_loading(instance_id, model, now);
 }
 
-std::uint64_t engine_view::version_of(const target& engine, const std::string& model, time_point now) const
-{
-    const auto instance_id = engine.info.instance_id();
-    auto version = std::max(engine.version_of(model), ledger_.expected_version(instance_id, model, now));
-    const auto own = own_loads_.find(instance_id);
-    if (own != own_loads_.end() && own->second.model == model && now >= own->second.ends_at) {
-        version = std::max(version, own->second.version);
-    }
-    return version;
-}
-
 double engine_view::events_left(const target& engine, time_point now) const
 {
     const auto instance_id = engine.info.instance_id();
@@ -74,8 +60,7 @@
 {
     std::erase_if(own_loads_,
                   [&](const auto& entry) { return entry.second.loaded && now >= entry.second.listed_until; });
-    own_loads_[engine.info.instance_id()] = {model, version, now + expected_load_time,
-                                             now + policy::max_load_left, false};
+    own_loads_[engine.info.instance_id()] = {model, version, now + policy::max_load_left, false};
     ++own_changes_;
 }
 
@@ -102,9 +87,8 @@
     for (const auto& [engine, load] : own_loads_) {
         if (now < load.listed_until) {
             // Rounded up: 0 states that the load has been completed.
-            const auto left = std::chrono::ceil<milliseconds>(load.ends_at - now);
-            loads.push_back({engine, load.model, load.version,
-                             load.loaded ? milliseconds{0} : std::max(left, milliseconds{1})});
+            const auto left = std::chrono::ceil<milliseconds>(load.listed_until - now);
+            loads.push_back({engine, load.model, load.version, load.loaded ? milliseconds{0} : left});
         }
     }
     return loads;
--- a/src/gateway/engines/engine_view.hpp
+++ b/src/gateway/engines/engine_view.hpp
@@ -21,8 +21,6 @@
     int free_places(const target& engine, time_point now) const;
     /// Whether the engine is loading weights of the model and so rejects new requests for it.
     bool is_loading(const target& engine, const std::string& model, time_point now) const;
-    /// The version of the model that the engine has or should have by now.
-    std::uint64_t version_of(const target& engine, const std::string& model, time_point now) const;
     /// Events that the streams of all gateways at the engine have left; 0 if none or not known.
     double events_left(const target& engine, time_point now) const;
 
@@ -50,7 +48,6 @@
     struct own_load {
         std::string model;
         std::uint64_t version = 0;
-        time_point ends_at{};      ///< expected
         time_point listed_until{}; ///< the latest end of the load, or the end of its listing once loaded
         bool loaded = false;
     };
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -136,9 +136,7 @@
         for (const auto& engine : engines[service]) {
             policy::model_engine view;
             view.id = engine->info.instance_id();
-            const auto ordered = loading_.find(view.id);
-            view.loading = ordered != loading_.end();
-            view.load_is_over = view.loading && now >= ordered->second;
+            view.loading = loading_.contains(view.id);
             for (const auto& [model, version] : versions) {
                 view.versions[model] = engine->version_of(model);
                 // A load that the previous holder of the lease has ordered.
@@ -158,7 +156,7 @@
             report_deferred(model, plan.deferred[model]);
         }
         for (const auto& next : plan.loads) {
-            loading_[next.engine] = now + expected_load_time;
+            loading_.insert(next.engine);
             net::start(loop_, load(targets_.find(next.engine), next.model, next.version));
         }
     }
--- a/src/gateway/weights_updater.hpp
+++ b/src/gateway/weights_updater.hpp
@@ -45,7 +45,7 @@
     std::string order_holder_;
     std::map<std::string, std::uint64_t> required_versions_;
     std::map<std::string, double> demand_;            ///< moving mean of the work of a model's batches
-    std::map<std::string, time_point> loading_;       ///< expected end by instance id
+    std::set<std::string> loading_;                   ///< instance ids
     std::map<std::string, time_point> backoff_until_; ///< by instance id
     std::map<std::string, std::size_t> deferred_;     ///< loads by model, as last reported
     bool stopped_ = false;
--- a/src/policy/engine_ledger.cpp
+++ b/src/policy/engine_ledger.cpp
@@ -61,10 +61,7 @@
 {
     const int running = std::clamp(load.running, 0, max_streams);
     const int waiting = std::clamp(load.waiting, 0, max_streams);
-    // Without a queue the count may still contain streams that this gateway has just ended, whose places are
-    // free.
-    const int elsewhere = waiting > 0 ? std::max(0, running + waiting - own_streams) : 0;
-    observations_[engine] = {elsewhere, now};
+    observations_[engine] = {std::max(0, running + waiting - own_streams), now};
 }
 
 void engine_ledger::set_expected_reporters(const std::set<std::string>& vms, time_point now)
@@ -134,23 +131,6 @@
     });
 }
 
-// An engine whose load should have ended takes its model's requests again before its report shows so. If it
-// has not, it rejects them, or runs them under the old version, which the batch detects.
-std::uint64_t engine_ledger::expected_version(const std::string& engine, const std::string& model,
-                                              time_point now) const
-{
-    std::uint64_t version = 0;
-    for (const auto& [vm, held] : reports_) {
-        for (const auto& load : held.loads) {
-            const bool ended = now - held.received >= load.left;
-            if (held.valid(now) && ended && load.engine == engine && load.model == model) {
-                version = std::max(version, load.version);
-            }
-        }
-    }
-    return version;
-}
-
 // A gateway whose batch has just been accepted needs time for its first report, and this gateway may have
 // just begun to exchange reports with it.
 std::set<std::string> engine_ledger::silent_reporters(time_point now) const
--- a/src/policy/engine_ledger.hpp
+++ b/src/policy/engine_ledger.hpp
@@ -72,8 +72,6 @@
     double events_elsewhere(const std::string& engine, time_point now) const;
     /// Whether the engine is loading weights of the model by the order of another gateway.
     bool is_loading(const std::string& engine, const std::string& model, time_point now) const;
-    /// The version that the engine should have by now, by the order of another gateway; 0: none known.
-    std::uint64_t expected_version(const std::string& engine, const std::string& model, time_point now) const;
     /// Expected reporters without a valid report that have been expected for `report_validity`.
     std::set<std::string> silent_reporters(time_point now) const;
     /// The slots of an engine that this gateway may use: all, or its fair share while reporters are silent.
--- a/src/policy/weight_load_plan.cpp
+++ b/src/policy/weight_load_plan.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t share_at_once = 5;
 constexpr std::size_t min_at_once = 2;
 
+/// A load takes 0.9 s. An idle engine that starts one later than this before the next version is announced
+/// would refuse the items of the step that comes with that version.
+constexpr milliseconds min_time_for_idle_load{1500};
+
 /// A model that needs less of an engine may share one that another model follows.
 constexpr double max_small_load = 0.5;
 
@@ -254,8 +258,7 @@
     });
 }
 
-/// Whether an engine that serves the newest step may load: half of the engines need it, or it has no long
-/// run.
+/// Whether an engine that serves the newest step may load: half of the engines need it, or it delays nothing.
 bool may_load_serving(const assignment& item, const model_state& state)
 {
     // Some other engine must serve the newest step meanwhile. Waiting is in vain where there is no other.
@@ -263,14 +266,19 @@
     if (state.serving < 2 && !only_one) {
         return false;
     }
-    return state.missing > 0 || !has_long_run(item, state.schedule);
+    if (state.missing > 0) {
+        return true;
+    }
+    const auto& next = state.schedule.next_version_in;
+    const bool in_time = !next || *next >= min_time_for_idle_load;
+    return item.engine->in_flight == 0 && item.engine->events_left <= 0 && in_time;
 }
 
 } // namespace
 
 std::size_t max_concurrent_loads(std::size_t engines)
 {
-    return std::max(min_at_once, (engines + share_at_once / 2) / share_at_once);
+    return std::max(min_at_once, engines / share_at_once);
 }
 
 // Load pattern: several trainers announce a new version every few seconds for models on the same engines. If
@@ -282,18 +290,16 @@
 //
 // A load pauses the engine's streams for 0.9 s and keeps new ones out. An engine two versions behind serves
 // no new step, so its load adds a server; it loads first, for the trainer with the least slack before others.
-// An engine one version behind still serves the newest step, but not the next one, which often comes together
-// with its version: what loads only then starts that step a second late. So it loads as soon as there is room
-// for the load, those with the least work left first; beyond half of a model's engines not while it has a run
-// that lasts until the next version.
+// An engine one version behind still serves the newest step, so its load takes a server away: only half of a
+// model's engines load each version, those with the least work left, and each engine loads every second one.
+// An idle engine beyond this half delays no run; it loads too unless the next step is near.
 weight_load_plan plan_weight_loads(const std::vector<model_engine>& engines,
                                    const std::map<std::string, std::uint64_t>& newest,
                                    const std::map<std::string, double>& demand,
                                    const std::map<std::string, model_schedule>& schedules)
 {
-    const auto loading = static_cast<std::size_t>(
-        std::count_if(engines.begin(), engines.end(),
-                      [](const model_engine& engine) { return engine.loading && !engine.load_is_over; }));
+    const auto loading = static_cast<std::size_t>(std::count_if(
+        engines.begin(), engines.end(), [](const model_engine& engine) { return engine.loading; }));
     const auto max_loads = max_concurrent_loads(engines.size());
     auto behind = assign(engines, newest, demand);
     auto states = states_of(engines, behind, newest, schedules);
--- a/src/policy/weight_load_plan.hpp
+++ b/src/policy/weight_load_plan.hpp
@@ -20,8 +20,7 @@
     double events_left = 0;       ///< of all its streams; 0: none, or not known
     duration longest_run_left{0}; ///< time that its longest run still needs; 0: not known
     bool loading = false;
-    bool load_is_over = false; ///< by the usual time of a load; its report does not show it yet
-    bool backing_off = false;  ///< its last load order failed recently
+    bool backing_off = false; ///< its last load order failed recently
 };
 
 struct weight_load {
