--- a/src/policy/copy_age.hpp
+++ b/src/policy/copy_age.hpp
@@ -53,6 +53,8 @@
 /// the watchers ask then.
 constexpr milliseconds refresh_age{1350};
 constexpr milliseconds frequent_refresh_age{2600};
+/// The same at the watchers other than the first, which alone watches the frequent feeds.
+constexpr milliseconds standby_refresh_age{2200};
 
 /// The store's answer to that is awaited this long.
 constexpr milliseconds refresh_timeout{450};
@@ -70,6 +72,8 @@
 static_assert(max_pending_age < max_served_age);
 static_assert(confirming_watch_time + watch_margin + hop_allowance < max_served_age);
 static_assert(frequent_watch_time + watch_margin + hop_allowance < max_served_frequent_age);
+static_assert(frequent_watch_time + serving_poll_time + 3 * hop_allowance < max_served_frequent_age);
+static_assert(max_served_frequent_age < standby_refresh_age && standby_refresh_age < frequent_refresh_age);
 static_assert(refresh_age + refresh_timeout <= max_copy_age);
 static_assert(max_copy_age + hop_allowance < max_change_time);
 
--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -65,7 +65,7 @@
     // Gateways that should serve the others ask the store sooner for a frequent feed: if all did at once, it
     // would be read once for each gateway.
     if (watches_store()) {
-        return pace == feed_pace::steady || *rank_ == 0 || known.age > refresh_age;
+        return pace == feed_pace::steady || *rank_ == 0 || known.age > standby_refresh_age;
     }
     if (!known.synced) {
         return known.age > start_limit;
