--- a/src/gateway/callers/request_relay.hpp
+++ b/src/gateway/callers/request_relay.hpp
@@ -27,8 +27,8 @@
 
 /// The hub gave no answer to the request.
 struct relay_failure {
-    const char* cause;    ///< as in the metric relay_fallbacks_total
-    bool in_doubt = true; ///< whether the hub may have run the request
+    const char* cause = ""; ///< as in the metric relay_fallbacks_total
+    bool in_doubt = true;   ///< whether the hub may have run the request
 };
 
 using relay_outcome = std::variant<relayed_answer, relay_failure>;
--- a/tests/gateway/engines/engine_exchange_tests.cpp
+++ b/tests/gateway/engines/engine_exchange_tests.cpp
@@ -74,7 +74,7 @@
     std::string submit_to_owner(const std::string& prefix, const std::string& vm, int items)
     {
         for (int number = 0; number < 10; ++number) {
-            const auto id = prefix + std::to_string(number);
+            auto id = prefix + std::to_string(number);
             EXPECT_EQ(status_of(gateways.front()->address(), batch_of(id, items)), 202);
             if (owner_of(id) == vm) {
                 return id;
--- a/tests/policy/relay_choice_tests.cpp
+++ b/tests/policy/relay_choice_tests.cpp
@@ -75,6 +75,7 @@
 {
     std::vector<std::string> vms;
     const auto count = *rc::gen::inRange(3, 70);
+    vms.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         vms.push_back("vm-" + std::to_string(*rc::gen::inRange(0, 100000)) + "-" + std::to_string(index));
     }
--- a/tests/policy/trainer_slack_tests.cpp
+++ b/tests/policy/trainer_slack_tests.cpp
@@ -126,6 +126,7 @@
             }
         }
         std::vector<queued_batch> queued;
+        queued.reserve(open.size());
         for (const auto& [left, rate, header] : open) {
             queued.push_back({header.model, header.step, trainers.slack(header.model, wall),
                               wall - header.accepted, result_time, true});
@@ -149,7 +150,7 @@
     }
     std::map<std::string, std::int64_t> behind;
     for (const auto& [model, times] : accepted) {
-        behind[model] = (times.back() - interval * (times.size() - 1)).count();
+        behind[model] = (times.back() - interval * static_cast<std::int64_t>(times.size() - 1)).count();
     }
     return behind;
 }
--- a/tests/policy/weight_load_plan_tests.cpp
+++ b/tests/policy/weight_load_plan_tests.cpp
@@ -192,6 +192,7 @@
 std::vector<weight_load> loads_of(const std::vector<std::string>& engines)
 {
     std::vector<weight_load> loads;
+    loads.reserve(engines.size());
     for (const auto& engine : engines) {
         loads.push_back({engine, "m", 5});
     }
