Keep frequent feeds fresh behind relays in large fleets

Cause: the test of copies behind relays took the first watcher's copy of a frequent feed for as young as a steady one's. With its real cycle a follower behind a relay was 2.65 s old in calm times and asked the store at 2.6 s.

--- a/src/policy/copy_age.hpp
+++ b/src/policy/copy_age.hpp
@@ -22,7 +22,7 @@
 /// Of the other watchers, for whom the store counts a watch as one call however long it waits.
 constexpr milliseconds pending_watch_time{20000};
 /// Of a feed whose changes are not bounded in time.
-constexpr milliseconds frequent_watch_time{1500};
+constexpr milliseconds frequent_watch_time{1400};
 /// A watch is lost if its answer has not come this long after its wait.
 constexpr milliseconds watch_margin{450};
 /// A watcher whose copy is older no longer waits for its pending watch and lists the objects itself.
@@ -44,7 +44,7 @@
 
 /// An older copy is not served to peers.
 constexpr milliseconds max_served_age{1000};
-constexpr milliseconds max_served_frequent_age{2000};
+constexpr milliseconds max_served_frequent_age{2100};
 
 /// For scheduling, and for calls between machines of one region.
 constexpr milliseconds hop_allowance{30};
@@ -72,7 +72,10 @@
 static_assert(max_pending_age < max_served_age);
 static_assert(confirming_watch_time + watch_margin + hop_allowance < max_served_age);
 static_assert(frequent_watch_time + watch_margin + hop_allowance < max_served_frequent_age);
-static_assert(frequent_watch_time + serving_poll_time + 3 * hop_allowance < max_served_frequent_age);
+// First watcher, standby watcher, relay; then a follower.
+static_assert(frequent_watch_time + 2 * serving_poll_time + 4 * hop_allowance < max_served_frequent_age);
+static_assert(frequent_watch_time + 2 * serving_poll_time + poll_time_of_others + 5 * hop_allowance <
+              frequent_refresh_age);
 static_assert(max_served_frequent_age < standby_refresh_age && standby_refresh_age < frequent_refresh_age);
 static_assert(refresh_age + refresh_timeout <= max_copy_age);
 static_assert(max_copy_age + hop_allowance < max_change_time);
