--- a/src/gateway/callers/relay_messages.cpp
+++ b/src/gateway/callers/relay_messages.cpp
@@ -19,11 +19,6 @@
 /// More attempts than a route can have.
 constexpr std::int64_t max_attempts = 1000;
 
-error malformed(std::string what)
-{
-    return {error_code::invalid_argument, run_state::not_run, std::move(what)};
-}
-
 std::string encode_base64(std::string_view plain)
 {
     namespace base64 = boost::beast::detail::base64;
--- a/src/gateway/engines/engine_exchange.cpp
+++ b/src/gateway/engines/engine_exchange.cpp
@@ -42,11 +42,6 @@
     return object.at(member).get_ref<const json::number_unsigned_t&>();
 }
 
-error malformed(std::string what)
-{
-    return {error_code::invalid_argument, run_state::not_run, std::move(what)};
-}
-
 } // namespace
 
 json to_json(const policy::engine_report& report)
--- a/src/gateway/internal/usage_messages.cpp
+++ b/src/gateway/internal/usage_messages.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-error malformed(std::string what)
-{
-    return {error_code::invalid_argument, run_state::not_run, std::move(what)};
-}
-
 json to_json(const usage::window_counts& windows)
 {
     json text = json::object();
--- a/src/gateway/untrusted_json.hpp
+++ b/src/gateway/untrusted_json.hpp
@@ -8,9 +8,16 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace vanillagauge::gateway {
 
+/// The error for a message of a peer that cannot be decoded; `invalid_argument`.
+inline error malformed(std::string what)
+{
+    return {error_code::invalid_argument, run_state::not_run, std::move(what)};
+}
+
 /// Returns `read(document)`, or `malformed` with the message appended if it throws json::exception.
 ///
 /// An exception that escapes a task ends the program and all requests in flight.
