Send no request twice with one id on a kept connection

Seen by callers: an item is listed as terminated after fewer failures than its route allows; a caller gets the failure or the refusal of its first attempt in place of the response to the second; an item that comes again in a later batch is listed with the text of its earlier run, made by older weights.

Cause: a replica may send a response once more, late, where the next one is expected. Its id tells it from the responses to other requests, but an item's id is that of all its runs, and a scoring call's that of all its tries, so a late copy of an own earlier response passes for the new one. The run's own response is thrown away with the connection.

Change: a connection keeps the hashes of the ids that it was acquired for, and the pool hands it out for none of them again. So a response with the id of the request that is waited for can only be its own, whatever its status, however late the copy comes and however many requests went over the connection in between. One rule at one place; readers need not tell copies apart.

Price: a new connection only where an item comes again to an engine of which every idle connection has carried it.

--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -50,7 +50,7 @@
     hop.set_attribute("request_id", batch->progress.items()[index].item.id);
     hop.set_attribute("replica", engine->info.instance_id());
     const auto until = steady::now() + connect_timeout;
-    auto taken = co_await engine->pool.acquire(until);
+    auto taken = co_await engine->pool.acquire(until, batch->progress.items()[index].item.id);
     const auto* connection = std::get_if<std::shared_ptr<net::http_connection>>(&taken);
     if (connection == nullptr) {
         engine->back_off_until = steady::now() + failure_backoff;
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -87,7 +87,8 @@
     // A replica may close a pooled connection while the request is in flight, which leaves its execution in
     // doubt. So only repeatable requests reuse one, and none suspected of crashing replicas.
     const bool may_reuse = current.repeatable() && !crashes_.is_suspect(current.fingerprint, steady::now());
-    auto connecting = may_reuse ? at->pool.acquire(until) : at->pool.acquire_new(until);
+    const auto& id = current.request.attempt_id;
+    auto connecting = may_reuse ? at->pool.acquire(until, id) : at->pool.acquire_new(until, id);
     auto taken = co_await std::move(connecting);
     if (const auto* failed = std::get_if<net::http_failure>(&taken)) {
         outcome.result = connection_error(*failed, current.repeatable());
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -20,33 +20,43 @@
     std::erase_if(idle_, [now](const idle_connection& entry) { return now >= entry.expires; });
 }
 
-task<http_result<std::shared_ptr<http_connection>>> connection_pool::acquire(time_point deadline)
+// A peer may send a response once more, at any later time, where the next response is expected. Its id tells
+// it from the responses to other requests, but not from the one to a second request with the same id.
+task<http_result<std::shared_ptr<http_connection>>> connection_pool::acquire(time_point deadline,
+                                                                             std::string exchange)
 {
     drop_expired();
-    while (!idle_.empty()) {
-        auto connection = std::move(idle_.back().connection);
-        idle_.pop_back();
+    for (auto left = idle_.size(); left > 0; --left) {
+        const auto candidate = idle_.begin() + static_cast<std::ptrdiff_t>(left - 1);
+        if (candidate->connection->history().contains(exchange)) {
+            continue;
+        }
+        auto connection = std::move(candidate->connection);
+        idle_.erase(candidate);
         if (connection->reusable()) {
+            connection->history().add(exchange);
             co_return connection;
         }
     }
-    co_return co_await acquire_new(deadline);
+    co_return co_await acquire_new(deadline, std::move(exchange));
 }
 
-task<http_result<std::shared_ptr<http_connection>>> connection_pool::acquire_new(time_point deadline)
+task<http_result<std::shared_ptr<http_connection>>> connection_pool::acquire_new(time_point deadline,
+                                                                                 std::string exchange)
 {
     auto connection = std::make_shared<http_connection>(*loop_);
     auto connected = co_await connection->connect(address_, deadline);
     if (auto* failure = std::get_if<http_failure>(&connected)) {
         co_return std::move(*failure);
     }
+    connection->history().add(exchange);
     co_return connection;
 }
 
 void connection_pool::release(std::shared_ptr<http_connection> connection, duration idle_time)
 {
     drop_expired();
-    if (idle_time.count() <= 0 || !connection->reusable()) {
+    if (idle_time.count() <= 0 || !connection->reusable() || connection->history().full()) {
         return;
     }
     // The one released last has the longest time until the peer closes it.
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -5,6 +5,7 @@
 #include "net/http_client.hpp"
 
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace vanillagauge::net {
@@ -13,12 +14,15 @@
 public:
     connection_pool(loop& context, std::string address) : loop_(&context), address_(std::move(address)) {}
 
-    /// The most recently used connection that is reusable, or a new one.
-    task<http_result<std::shared_ptr<http_connection>>> acquire(time_point deadline);
+    /// The most recently used connection that is reusable and has carried no exchange with this id, or a new
+    /// one. The id is the one that the peer repeats in its response; empty if it repeats none.
+    task<http_result<std::shared_ptr<http_connection>>> acquire(time_point deadline,
+                                                                std::string exchange = {});
     /// Always a new connection.
-    task<http_result<std::shared_ptr<http_connection>>> acquire_new(time_point deadline);
-    /// Pools the connection for at most `idle_time`; closes it if it is not reusable. A full pool closes the
-    /// connection that has been idle longest.
+    task<http_result<std::shared_ptr<http_connection>>> acquire_new(time_point deadline,
+                                                                    std::string exchange = {});
+    /// Pools the connection for at most `idle_time`; closes it if it is not reusable or its history is full.
+    /// A full pool closes the connection that has been idle longest.
     void release(std::shared_ptr<http_connection> connection, duration idle_time);
     /// Whether `acquire` would return an open connection.
     bool has_idle();
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -2,6 +2,7 @@
 #ifndef VANILLAGAUGE_NET_HTTP_CLIENT_HPP
 #define VANILLAGAUGE_NET_HTTP_CLIENT_HPP
 
+#include "net/exchange_history.hpp"
 #include "net/http_message.hpp"
 #include "net/task.hpp"
 
@@ -70,6 +71,8 @@
     /// taken for the next response.
     bool reusable();
     bool reused() const { return requests_ > 1; }
+    /// The exchanges for which the connection was acquired.
+    exchange_history& history() { return history_; }
 
 private:
     boost::beast::tcp_stream stream_;
@@ -78,6 +81,7 @@
     bool sent_ = false;
     bool closed_ = false;
     int requests_ = 0;
+    exchange_history history_;
 
     http_failure to_failure(const boost::system::error_code& code) const;
 };
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -69,6 +69,11 @@
     return connection_.client_disconnected();
 }
 
+std::uint64_t responder::connection_number() const
+{
+    return connection_.number();
+}
+
 void responder::on_client_disconnect(std::function<void()> callback)
 {
     connection_.on_client_disconnect(std::move(callback));
--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -5,6 +5,7 @@
 #include "net/http_message.hpp"
 #include "net/task.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,6 +44,8 @@
     /// request.
     void on_client_disconnect(std::function<void()> callback);
     bool answered() const { return answered_; }
+    /// Numbers the service's connections from 1 in the order in which they were accepted.
+    std::uint64_t connection_number() const;
 
 private:
     service_connection& connection_;
--- a/src/net/internal/service_connection.hpp
+++ b/src/net/internal/service_connection.hpp
@@ -29,6 +29,7 @@
     bool draining = false;
     std::set<service_connection*> connections;
     std::size_t in_flight = 0;
+    std::uint64_t accepted = 0;                    ///< connections so far
     std::optional<http_response> failure_response; ///< sent to each further request after abort_requests
 
     void start_connection(boost::asio::ip::tcp::socket socket);
@@ -40,7 +41,7 @@
 class service_connection : public std::enable_shared_from_this<service_connection> {
 public:
     service_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<http_service::state> owner)
-        : stream_(std::move(socket)), owner_(std::move(owner))
+        : stream_(std::move(socket)), owner_(std::move(owner)), number_(++owner_->accepted)
     {
         owner_->connections.insert(this);
     }
@@ -64,6 +65,7 @@
     /// The Connection field, if needed, and the empty line that ends the head.
     std::string connection_fields();
 
+    std::uint64_t number() const { return number_; }
     bool client_disconnected() const { return client_disconnected_; }
     void on_client_disconnect(std::function<void()> callback);
 
@@ -78,6 +80,7 @@
 
     boost::beast::tcp_stream stream_;
     std::shared_ptr<http_service::state> owner_;
+    std::uint64_t number_;
     boost::beast::flat_buffer buffer_;
     std::function<void()> on_disconnect_;
     std::uint64_t watched_request_ = 0; ///< number of the request watched for a disconnect
--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -62,6 +62,28 @@
     return fields;
 }
 
+net::task<void> fake_replica::send_late_copy(const net::http_request& request, net::responder& answer)
+{
+    const auto id = std::string(request.fields.find("Attempt-Id"));
+    const auto found = last_answers_.find({answer.connection_number(), id});
+    if (!repeats_answers || found == last_answers_.end()) {
+        co_return;
+    }
+    ++late_copies;
+    auto copy = found->second;
+    last_answers_.erase(found);
+    co_await answer.send(std::move(copy));
+}
+
+void fake_replica::keep_answer(const net::http_request& request, const net::responder& answer,
+                               const net::http_response& sent)
+{
+    if (repeats_answers) {
+        const auto id = std::string(request.fields.find("Attempt-Id"));
+        last_answers_[{answer.connection_number(), id}] = sent;
+    }
+}
+
 net::task<void> fake_replica::serve(const net::http_request& request, net::responder& answer)
 {
     net::http_response response;
@@ -138,9 +160,12 @@
         ++refused_streams;
         fault = replica_fault::shed;
     }
+    co_await send_late_copy(request, answer);
     if (fault == replica_fault::shed) {
         response.status = 503;
+        response.fields.add("Attempt-Id", request.fields.find("Attempt-Id"));
         response.fields.add("Not-Executed", "1");
+        keep_answer(request, answer, response);
         co_await answer.send(std::move(response));
         co_return;
     }
@@ -184,6 +209,7 @@
         response.fields.add("Not-Executed", "1");
     }
     response.body = "answer of " + id_ + " to " + request.body;
+    keep_answer(request, answer, response);
     co_await answer.send(std::move(response));
 }
 
@@ -192,9 +218,10 @@
 {
     const auto item = std::string(request.fields.find("Attempt-Id"));
     const auto after = std::string(request.fields.find("Last-Event-Id"));
-    auto fields = response_fields(request, fault);
-    fields.add("Content-Type", "text/event-stream");
-    bool open = co_await answer.begin(200, std::move(fields));
+    net::http_response whole;
+    whole.fields = response_fields(request, fault);
+    whole.fields.add("Content-Type", "text/event-stream");
+    bool open = co_await answer.begin(200, whole.fields);
     auto sent_version = version;
     for (auto number = after.empty() ? 1 : std::stoi(after) + 1; open && number <= events; ++number) {
         co_await net::sleep_for(loop_, event_interval);
@@ -211,12 +238,14 @@
             co_return;
         }
         text += "\n\n";
+        whole.body += text;
         open = co_await answer.write(std::move(text));
     }
     if (!open) {
         ++cancelled;
         co_return;
     }
+    keep_answer(request, answer, whole);
     co_await answer.finish();
 }
 
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace vanillagauge::standins {
@@ -68,6 +69,10 @@
     std::vector<nlohmann::json> orders;             ///< in order of arrival
     std::vector<time_point> order_times;            ///< arrival time of each order
     int cancelled = 0;                              ///< runs whose client disconnected before the end
+    /// Sends each answer once more, late: before the answer to the next request with the same attempt id on
+    /// its connection.
+    bool repeats_answers = false;
+    int late_copies = 0; ///< sent so far
 
 private:
     net::loop& loop_;
@@ -77,7 +82,12 @@
     int running_streams_ = 0;
     time_point loads_until_{};
     net::http_service service_;
+    using connection_and_attempt = std::pair<std::uint64_t, std::string>;
+    std::map<connection_and_attempt, net::http_response> last_answers_;
 
+    net::task<void> send_late_copy(const net::http_request& request, net::responder& answer);
+    void keep_answer(const net::http_request& request, const net::responder& answer,
+                     const net::http_response& sent);
     net::task<void> serve(const net::http_request& request, net::responder& answer);
     net::task<void> run(const net::http_request& request, net::responder& answer, replica_fault fault);
     net::task<void> stream(const net::http_request& request, net::responder& answer, replica_fault fault);
--- a/tests/net/kept_connection_tests.cpp
+++ b/tests/net/kept_connection_tests.cpp
@@ -30,23 +30,36 @@
     co_return opened;
 }
 
-task<std::shared_ptr<http_connection>> take(connection_pool& pool)
+task<std::shared_ptr<http_connection>> take(connection_pool& pool, std::string exchange = {})
 {
-    auto taken = co_await pool.acquire(steady::now() + patience);
+    auto taken = co_await pool.acquire(steady::now() + patience, std::move(exchange));
     co_return std::get<std::shared_ptr<http_connection>>(taken);
 }
 
+/// Acquires a connection, uses it for one exchange with this id, and releases it.
+task<std::shared_ptr<http_connection>> use(connection_pool& pool, std::string id)
+{
+    const auto connection = co_await take(pool, std::move(id));
+    http_request request;
+    request.fields.add("Host", "test");
+    co_await exchange(*connection, request, 1024, steady::now() + patience);
+    pool.release(connection, patience);
+    co_return connection;
+}
+
+task<void> answer_empty(const http_request&, responder& answer)
+{
+    http_response empty;
+    co_await answer.send(std::move(empty));
+}
+
 // Guards against a full pool that closes the connections with the longest time left.
 TEST(connection_pool, keeps_the_most_recently_used_connections)
 {
     constexpr std::size_t one_too_many = 65;
     loop_thread thread;
     http_service service(
-        thread.context(), [] { return service_limits{}; },
-        [](const http_request&, responder& answer) -> task<void> {
-            http_response empty;
-            co_await answer.send(std::move(empty));
-        });
+        thread.context(), [] { return service_limits{}; }, answer_empty);
     connection_pool pool(thread.context(), value(service.open("127.0.0.1:0")));
     EXPECT_FALSE(pool.has_idle());
     const auto opened = thread.run(fill(pool, one_too_many));
@@ -61,6 +74,40 @@
     EXPECT_FALSE(pool.has_idle());
 }
 
+// Guards against a late second copy of a response that is taken for the one to a second request with the same
+// id, also if other requests went over the connection in between.
+TEST(connection_pool, never_carries_an_id_twice_on_one_connection)
+{
+    loop_thread thread;
+    http_service service(
+        thread.context(), [] { return service_limits{}; }, answer_empty);
+    connection_pool pool(thread.context(), value(service.open("127.0.0.1:0")));
+    const auto first = thread.run(use(pool, "a"));
+    EXPECT_EQ(thread.run(use(pool, "b")), first);
+    const auto second = thread.run(use(pool, "a"));
+    EXPECT_NE(second, first);
+    EXPECT_EQ(thread.run(use(pool, "b")), second);
+    const auto third = thread.run(use(pool, "a"));
+    EXPECT_NE(third, first);
+    EXPECT_NE(third, second);
+    EXPECT_EQ(thread.run(use(pool, "c")), third);
+}
+
+// Guards against a connection whose history grows without bound.
+TEST(connection_pool, keeps_no_connection_with_a_full_history)
+{
+    loop_thread thread;
+    http_service service(
+        thread.context(), [] { return service_limits{}; }, answer_empty);
+    connection_pool pool(thread.context(), value(service.open("127.0.0.1:0")));
+    std::set<std::shared_ptr<http_connection>> used;
+    for (std::size_t number = 0; number < exchange_history::max_exchanges; ++number) {
+        used.insert(thread.run(use(pool, std::to_string(number))));
+    }
+    EXPECT_EQ(used.size(), 1U);
+    EXPECT_FALSE(pool.has_idle());
+}
+
 // Guards against megabytes in the gateway for each caller that has stopped reading, and connections that it
 // holds for ever.
 TEST(http_service, bounds_what_it_holds_for_a_reader_that_stalls)
