Take no refusal without an id for the response on a kept connection

Seen by callers: a request on a kept connection is answered 503 with the promise that it has not run, while the replica runs it, if a refusal without an id comes first, as a late copy of the one to a request that had no id (a report, an order, a probe by the platform).

Cause: a refusal that carries no id counted as the own one of whichever request was waiting. The load that a foreign response reports was used too: it was read before the id was compared.

Change: one decision, response_metadata::answers_attempt, for items and for requests: the id is the attempt's own, or there is none, the response is a refusal and the connection has carried nothing before. A response that is dropped is now logged (foreign_response_dropped) and counted (foreign_responses_total); before, nothing told it from a broken connection.

--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -1,5 +1,6 @@
 // Runs items at replicas.
 #include "gateway/internal/batch_run.hpp"
+#include "gateway/internal/foreign_response.hpp"
 #include "observe/log.hpp"
 #include "observe/trace.hpp"
 
@@ -226,7 +227,8 @@
     const auto marks = protocol_.parse_metadata(head->status, head->fields, sent.attempt_id);
     // A late second copy of an earlier response on this connection says nothing about this item, whatever its
     // status: taken for its own, a 422 would terminate it for good.
-    if (marks.names_other_attempt || !(marks.echoes_attempt || marks.not_run)) {
+    if (!marks.answers_attempt(connection.reused())) {
+        report_foreign_response(counts_, item.id, instance_id, head->status);
         connection.close();
         progress.release(index, {}, instance_id);
         co_return;
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -1,4 +1,5 @@
 // Attempts at a single replica.
+#include "gateway/internal/foreign_response.hpp"
 #include "gateway/internal/forwarded_call.hpp"
 #include "observe/log.hpp"
 
@@ -138,16 +139,22 @@
     }
     head = std::move(std::get<net::response_head>(read));
     const auto marks = protocol_.parse_metadata(head.status, head.fields, current.request.attempt_id);
-    outcome.load = marks.load;
-    // A late second refusal of another request says nothing about this one.
-    outcome.not_run = marks.not_run && !marks.names_other_attempt;
+    if (!marks.answers_attempt(connection->reused())) {
+        report_foreign_response(counts_, current.request.attempt_id, current.replica, head.status);
+        connection->close();
+        outcome.result =
+            error{error_code::incomplete, run_state::in_doubt, "the response belongs to another request"};
+        co_return outcome;
+    }
     const bool success = head.status >= 200 && head.status < 300;
-    if (!outcome.not_run && (!marks.echoes_attempt || (success && marks.authentication_code.empty()))) {
+    if (success && !marks.not_run && marks.authentication_code.empty()) {
         connection->close();
-        outcome.result = error{error_code::incomplete, run_state::in_doubt,
-                               "the response has another request's id or no authentication code"};
+        outcome.result =
+            error{error_code::incomplete, run_state::in_doubt, "the response has no authentication code"};
         co_return outcome;
     }
+    outcome.load = marks.load;
+    outcome.not_run = marks.not_run;
     outcome.result = net::http_response{head.status, end_to_end_fields(head.fields), {}};
     co_return outcome;
 }
--- a/src/gateway/target_protocol.hpp
+++ b/src/gateway/target_protocol.hpp
@@ -23,14 +23,23 @@
     std::optional<std::uint64_t> resume_after{}; ///< id of the last event already received
 };
 
+/// Whose id a response carries.
+enum class attempt_echo { none, own, other };
+
 /// Metadata in the head of a replica's response.
 struct response_metadata {
-    bool not_run = false;              ///< the replica states that it did not run the request
-    bool echoes_attempt = false;       ///< it carries the attempt's id
-    bool names_other_attempt = false;  ///< it carries the id of another attempt
+    bool not_run = false; ///< the replica states that it did not run the request
+    attempt_echo echo = attempt_echo::none;
     std::string authentication_code{}; ///< of the replica; empty if absent
     std::optional<policy::load_report> load{};
     std::uint64_t weights_version = 0; ///< 0: unknown
+
+    /// Whether it is the response to the attempt. A refusal may carry no id, and is then the attempt's own
+    /// only on a connection that has carried no other request.
+    bool answers_attempt(bool reused_connection) const
+    {
+        return echo == attempt_echo::own || (echo == attempt_echo::none && not_run && !reused_connection);
+    }
 };
 
 /// An engine's status report, some hundred milliseconds old.
--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -174,6 +174,12 @@
          std::string(request.fields.find("Last-Event-Id")), std::string(request.fields.find("Deadline-Ms")),
          std::string(request.fields.find("traceparent")), std::string(request.fields.find("Tenant")),
          request.fields.contains("Api-Key"), steady::now(), fault});
+    if (fault == replica_fault::nameless_shed) {
+        net::http_response refusal;
+        refusal.status = 503;
+        refusal.fields.add("Not-Executed", "1");
+        co_await answer.send(std::move(refusal));
+    }
     if (fault == replica_fault::reset) {
         answer.abort();
         co_return;
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -29,6 +29,7 @@
     cut_stream,     ///< closes the connection in the middle of an event
     late_rejection, ///< answers 422 with another attempt's id, as a late copy of that one's answer
     late_shed,      ///< runs it and answers with another attempt's refusal
+    nameless_shed,  ///< runs it and first sends a refusal without an id, as a late copy of a probe's
 };
 
 struct received_request {
--- a/tests/adapter/protocol_tests.cpp
+++ b/tests/adapter/protocol_tests.cpp
@@ -60,13 +60,37 @@
     fields.add("Replica-Load", "3,1,8");
     const auto metadata = protocol.parse_metadata(503, fields, "a");
     EXPECT_TRUE(metadata.not_run);
-    EXPECT_FALSE(metadata.echoes_attempt);
+    EXPECT_EQ(metadata.echo, gateway::attempt_echo::other);
     EXPECT_EQ(metadata.load->waiting, 1);
     net::http_fields odd;
     odd.add("Replica-Load", "many");
     EXPECT_FALSE(protocol.parse_metadata(200, odd, "a").load);
 }
 
+// Guards against a late second copy of another request's response, or of a refusal without an id, that is
+// taken for an attempt's own.
+TEST(replica_protocol, takes_only_an_own_response_for_the_attempt)
+{
+    const auto answers = [](int status, const net::http_fields& fields, bool reused) {
+        return replica_protocol().parse_metadata(status, fields, "a").answers_attempt(reused);
+    };
+    net::http_fields own;
+    own.add("Attempt-Id", "a");
+    net::http_fields other;
+    other.add("Attempt-Id", "b");
+    other.add("Not-Executed", "1");
+    net::http_fields anonymous_refusal;
+    anonymous_refusal.add("Not-Executed", "1");
+    const net::http_fields anonymous;
+    for (const bool reused : {false, true}) {
+        EXPECT_TRUE(answers(500, own, reused));
+        EXPECT_FALSE(answers(503, other, reused));
+        EXPECT_FALSE(answers(200, anonymous, reused));
+    }
+    EXPECT_TRUE(answers(503, anonymous_refusal, false));
+    EXPECT_FALSE(answers(503, anonymous_refusal, true));
+}
+
 // Guards against a malformed slowdown that is used, or that hides the valid figures before it.
 TEST(replica_protocol, drops_a_malformed_slowdown_alone)
 {
--- a/tests/gateway/late_copy_tests.cpp
+++ b/tests/gateway/late_copy_tests.cpp
@@ -116,5 +116,15 @@
     EXPECT_EQ(cluster.status_of(served.address(), make_request("/safe/1", "a1")), 200);
 }
 
+// Guards against a caller that is told "not run" of a request that runs, because a refusal without an id,
+// sent before on the connection that was kept, is taken for the response.
+TEST_F(late_copies, do_not_refuse_a_request_by_a_refusal_without_an_id)
+{
+    EXPECT_EQ(cluster.status_of(served.address(), make_request("/safe/1", "a1")), 200);
+    script(plain, {replica_fault::nameless_shed});
+    EXPECT_EQ(cluster.status_of(served.address(), make_request("/safe/1", "a2")), 502);
+    EXPECT_EQ(runs_at(plain), 2U);
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
