Take no response to an item for the one to a weight order or a report

Cause: orders and requests for reports share kept connections with items and scoring calls and no id was compared, so a late copy of an item's failure counted as the engine's refusal of the order. The order itself was accepted. (A copy with status 200 counted as "already loaded"; the report that follows caught that since.)

Not covered: a late copy of an older report, or of the response to an older order, bears no id. An older report lowers nothing (versions only rise, an order by its count of orders is refused as a conflict), and after an order only reports decide.

--- a/src/gateway/target_protocol.hpp
+++ b/src/gateway/target_protocol.hpp
@@ -67,7 +67,16 @@
     std::uint64_t expected_orders = 0; ///< condition: orders accepted by the engine so far
 };
 
-enum class order_outcome { accepted, already_done, conflict, fenced, other_replica, unknown_version, failed };
+enum class order_outcome {
+    accepted,
+    already_done,
+    conflict,
+    fenced,
+    other_replica,
+    unknown_version,
+    failed,
+    answer_lost, ///< another response was read in its place
+};
 
 class target_protocol {
 public:
--- a/src/gateway/weights_updater.cpp
+++ b/src/gateway/weights_updater.cpp
@@ -1,5 +1,6 @@
 #include "gateway/weights_updater.hpp"
 
+#include "gateway/internal/foreign_response.hpp"
 #include "observe/log.hpp"
 #include "policy/weight_load_plan.hpp"
 
@@ -25,19 +26,6 @@
 /// For an engine that specifies no idle timeout of connections.
 constexpr milliseconds default_idle_time{4000};
 
-net::task_of<net::http_response> exchange_with(target_ref engine,
-                                               std::shared_ptr<net::http_connection> connection,
-                                               net::http_request request, time_point until)
-{
-    auto answer = co_await net::exchange(*connection, request, max_response_bytes, until);
-    if (const auto* failed = std::get_if<net::http_failure>(&answer)) {
-        co_return error{error_code::unavailable, run_state::in_doubt, failed->detail};
-    }
-    auto& response = std::get<net::http_response>(answer);
-    engine->pool.release(connection, net::idle_time_of(response.fields, default_idle_time));
-    co_return std::move(response);
-}
-
 } // namespace
 
 weights_updater::weights_updater(net::loop& loop, duty_lease& lease, target_registry& targets,
@@ -190,6 +178,27 @@
     }
 }
 
+// Reports and orders carry no id and their responses repeat none. A response with an id is a late second copy
+// of the one to an item or a scoring call, whose connections they share.
+net::task<weights_updater::engine_exchange_result>
+weights_updater::exchange(target_ref engine, std::shared_ptr<net::http_connection> connection,
+                          net::http_request request, time_point until)
+{
+    auto answer = co_await net::exchange(*connection, request, max_response_bytes, until);
+    if (const auto* failed = std::get_if<net::http_failure>(&answer)) {
+        co_return error{error_code::unavailable, run_state::in_doubt, failed->detail};
+    }
+    auto& response = std::get<net::http_response>(answer);
+    const auto marks = protocol_.parse_metadata(response.status, response.fields, {});
+    if (marks.echo != attempt_echo::none) {
+        report_foreign_response(counts_, request.target, engine->info.instance_id(), response.status);
+        connection->close();
+        co_return foreign_response{};
+    }
+    engine->pool.release(connection, net::idle_time_of(response.fields, default_idle_time));
+    co_return std::move(response);
+}
+
 net::task_of<engine_report> weights_updater::request_report(target_ref engine)
 {
     const auto until = steady::now() + call_timeout;
@@ -198,12 +207,16 @@
         co_return error{error_code::unavailable, run_state::not_run, failed->detail};
     }
     const auto connection = std::get<std::shared_ptr<net::http_connection>>(taken);
-    const auto request = protocol_.report_request(engine->info);
-    const auto response = co_await exchange_with(engine, connection, request, until);
-    if (!ok(response)) {
-        co_return failure(response);
+    auto request = protocol_.report_request(engine->info);
+    const auto answer = co_await exchange(engine, connection, std::move(request), until);
+    if (const auto* failed = std::get_if<error>(&answer)) {
+        co_return *failed;
     }
-    co_return protocol_.parse_report(value(response));
+    if (std::holds_alternative<foreign_response>(answer)) {
+        co_return error{error_code::unavailable, run_state::in_doubt,
+                        "the response belongs to another request"};
+    }
+    co_return protocol_.parse_report(std::get<net::http_response>(answer));
 }
 
 net::task_of<order_outcome> weights_updater::send_order(target_ref engine, load_order order)
@@ -221,18 +234,21 @@
         co_return error{error_code::conflict, run_state::not_run, "the lease has expired"};
     }
     order.fencing_token = *fencing_token;
-    const auto request = protocol_.order_request(engine->info, order);
-    const auto response = co_await exchange_with(engine, connection, request, until);
-    if (!ok(response)) {
-        co_return failure(response);
+    auto request = protocol_.order_request(engine->info, order);
+    const auto answer = co_await exchange(engine, connection, std::move(request), until);
+    if (const auto* failed = std::get_if<error>(&answer)) {
+        co_return *failed;
+    }
+    if (std::holds_alternative<foreign_response>(answer)) {
+        co_return order_outcome::answer_lost;
     }
-    co_return protocol_.parse_order(value(response));
+    co_return protocol_.parse_order(std::get<net::http_response>(answer));
 }
 
 // Loads one version at one engine. The engine's report decides, not the order: an order whose response was
 // lost may have been executed, or may be seconds later, and a kept connection may hold a late second copy of
-// the response to an earlier order. Each order carries the count of orders that it
-// expects, so that a second one cannot be executed as well.
+// the response to an earlier order. Each order carries the count of orders that it expects, so that a second
+// one cannot be executed as well.
 net::task<void> weights_updater::load(target_ref engine, std::string model, std::uint64_t version)
 {
     const auto instance_id = engine->info.instance_id();
@@ -272,10 +288,11 @@
                 ordered = true;
                 outcome = "already loaded";
             }
-            else if (value(answer) == order_outcome::accepted) {
+            else if (value(answer) == order_outcome::accepted ||
+                     value(answer) == order_outcome::answer_lost) {
                 ordered = true;
                 loads = true;
-                outcome = "accepted";
+                outcome = value(answer) == order_outcome::accepted ? "accepted" : "answer lost";
             }
             else {
                 outcome = "refused";
--- a/src/gateway/weights_updater.hpp
+++ b/src/gateway/weights_updater.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <variant>
 
 namespace vanillagauge::gateway {
 
@@ -56,6 +57,12 @@
     void report_deferred(const std::string& model, std::size_t engines);
     std::vector<target_ref> engines_of(const std::string& model) const;
     net::task<void> load(target_ref engine, std::string model, std::uint64_t version);
+    /// The connection's response belongs to another request; the one to this request is lost.
+    struct foreign_response {};
+    using engine_exchange_result = std::variant<net::http_response, foreign_response, error>;
+    net::task<engine_exchange_result> exchange(target_ref engine,
+                                               std::shared_ptr<net::http_connection> connection,
+                                               net::http_request request, time_point until);
     net::task_of<engine_report> request_report(target_ref engine);
     net::task_of<order_outcome> send_order(target_ref engine, load_order order);
     bool single_version(const std::string& service) const;
--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -69,7 +69,6 @@
     if (!repeats_answers || found == last_answers_.end()) {
         co_return;
     }
-    ++late_copies;
     auto copy = found->second;
     last_answers_.erase(found);
     co_await answer.send(std::move(copy));
@@ -82,6 +81,9 @@
         const auto id = std::string(request.fields.find("Attempt-Id"));
         last_answers_[{answer.connection_number(), id}] = sent;
     }
+    if (repeats_answers_before_orders) {
+        last_answer_on_[answer.connection_number()] = sent;
+    }
 }
 
 net::task<void> fake_replica::serve(const net::http_request& request, net::responder& answer)
@@ -104,6 +106,9 @@
         co_return;
     }
     if (request.target == "/api/order") {
+        if (auto copy = last_answer_on_.extract(answer.connection_number())) {
+            co_await answer.send(std::move(copy.mapped()));
+        }
         co_await handle_order(request, answer);
         co_return;
     }
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -73,7 +73,8 @@
     /// Sends each answer once more, late: before the answer to the next request with the same attempt id on
     /// its connection.
     bool repeats_answers = false;
-    int late_copies = 0; ///< sent so far
+    /// Sends a connection's last answer to an attempt once more, late: before the answer to an order.
+    bool repeats_answers_before_orders = false;
 
 private:
     net::loop& loop_;
@@ -86,6 +87,8 @@
     using connection_and_attempt = std::pair<std::uint64_t, std::string>;
     std::map<connection_and_attempt, net::http_response> last_answers_;
 
+    std::map<std::uint64_t, net::http_response> last_answer_on_; ///< by connection
+
     net::task<void> send_late_copy(const net::http_request& request, net::responder& answer);
     void keep_answer(const net::http_request& request, const net::responder& answer,
                      const net::http_response& sent);
--- a/tests/gateway/late_copy_tests.cpp
+++ b/tests/gateway/late_copy_tests.cpp
@@ -126,5 +126,27 @@
     EXPECT_EQ(runs_at(plain), 2U);
 }
 
+// Guards against items that are sent to an engine while it loads weights and refuses them, because the copy
+// of an item's failure is taken for the refusal of the order.
+TEST_F(late_copies, do_not_hide_a_load)
+{
+    cluster.modify_store([&](standins::fake_store&) {
+        engine.repeats_answers_before_orders = true;
+        engine.always_fail = {"b1-i0"};
+        engine.load_time = milliseconds(600);
+    });
+    EXPECT_EQ(cluster.status_of(served.address(), make_one_item("b1")), 202);
+    EXPECT_EQ(only_result("b1").value("State", ""), "terminated");
+    cluster.modify_store([](standins::fake_store& store) {
+        store.put("versions", "m", {{"Model", "m"}, {"Version", 2}});
+    });
+    EXPECT_TRUE(deployment::eventually([&] {
+        return cluster.inspect_store<bool>([&](standins::fake_store&) { return !engine.orders.empty(); });
+    }));
+    EXPECT_EQ(cluster.status_of(served.address(), make_one_item("b2")), 202);
+    EXPECT_EQ(only_result("b2").value("State", ""), "completed");
+    EXPECT_EQ(cluster.inspect_store<int>([&](standins::fake_store&) { return engine.refused_streams; }), 0);
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
