Compare the id in a hub's answer with that of the request it was read for

But nothing would have told a wrong one: the answers to /forward named no request, so any that could be decoded was given to the caller, with its status, stamp and body.

Change: an answer names its request; another one's is dropped with its connection, and the gateway goes on as after a lost hub ("foreign" in relay_fallbacks_total). A connection goes back to its pool only after its answer was found to be sound, and after a declined request only if that answer was read to its end; before, the pool's own check of the parser did that.

hub_answers.are_dropped_if_they_name_another_request against this commit with the comparison off: failed in three of three runs; with it passed in three of three, the seven request_relay tests too.

--- a/src/gateway/callers/forwarder_relay.cpp
+++ b/src/gateway/callers/forwarder_relay.cpp
@@ -88,7 +88,8 @@
     current.relayed = true;
     current.attempt_limit = attempts;
     if (ticket->cancelled()) {
-        co_return relayed_answer{error{error_code::cancelled, run_state::not_run, "the client has left"}};
+        co_return relayed_answer{request.attempt_id,
+                                 error{error_code::cancelled, run_state::not_run, "the client has left"}};
     }
     ticket->on_cancel([this, &current] { cancel(current); });
     auto outcome = co_await run(current);
@@ -105,7 +106,7 @@
                   {"attempts", std::int64_t{current.attempts}},
                   {"took_ms", std::int64_t{took.count()}},
                   {"outcome", text}});
-    relayed_answer answer{error{}, outcome.not_run, current.attempts, outcome.replica};
+    relayed_answer answer{request.attempt_id, error{}, outcome.not_run, current.attempts, outcome.replica};
     answer.tried.assign(current.work.tried.begin(), current.work.tried.end());
     if (!outcome.succeeded() && !outcome.replica.empty()) {
         answer.tried.push_back(outcome.replica);
--- a/src/gateway/callers/relay_messages.cpp
+++ b/src/gateway/callers/relay_messages.cpp
@@ -80,7 +80,7 @@
 
 result<relayed_answer> answer_from_json(const json& from)
 {
-    relayed_answer answer{error{}};
+    relayed_answer answer{from.at("attempt_id").get<std::string>(), error{}};
     from.at("replica").get_to(answer.replica);
     from.at("tried").get_to(answer.tried);
     from.at("not_run").get_to(answer.not_run);
@@ -144,7 +144,8 @@
 
 std::string to_text(const relayed_answer& answer)
 {
-    json document{{"attempts", answer.attempts},
+    json document{{"attempt_id", answer.attempt_id},
+                  {"attempts", answer.attempts},
                   {"replica", answer.replica},
                   {"tried", answer.tried},
                   {"not_run", answer.not_run}};
--- a/src/gateway/callers/request_relay.cpp
+++ b/src/gateway/callers/request_relay.cpp
@@ -152,18 +152,24 @@
         co_return relay_failure{cause_of(*failed)};
     }
     const auto body = co_await read_answer(*connection, until);
-    const bool accepted = std::get<net::response_head>(read).status == 200;
-    if (const auto* failed = std::get_if<net::http_failure>(&body); failed != nullptr && accepted) {
-        co_return relay_failure{cause_of(*failed)};
-    }
-    pool->release(connection, hub_idle_time);
-    if (!accepted) {
+    const auto* failed_body = std::get_if<net::http_failure>(&body);
+    if (std::get<net::response_head>(read).status != 200) {
+        if (failed_body == nullptr) {
+            pool->release(connection, hub_idle_time);
+        }
         co_return relay_failure{"declined", false};
     }
+    if (failed_body != nullptr) {
+        co_return relay_failure{cause_of(*failed_body)};
+    }
     auto answer = relayed_answer_from_text(std::get<std::string>(body));
     if (!ok(answer)) {
         co_return relay_failure{"malformed"};
     }
+    if (value(answer).attempt_id != request.attempt_id) {
+        co_return relay_failure{"foreign"};
+    }
+    pool->release(connection, hub_idle_time);
     co_return std::move(value(answer));
 }
 
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -60,6 +60,7 @@
 
 /// Outcome of a request that this gateway ran for another one.
 struct relayed_answer {
+    std::string attempt_id; ///< of the request
     result<net::http_response> response;
     bool not_run = false;             ///< the response states that its replica did not run the request
     int attempts = 0;                 ///< replicas that the request was sent to
