Ask again whether a request crashes replicas once it has waited in the queue

Seen by callers of other requests: a further replica is lost for each request that waits in the queue while requests with the same content crash theirs, so more than the three that BUDGET allows.

Cause: a check that stands before a wait. The quarantine was asked when a request arrived; then it waited for a place, up to its deadline, and was sent without being asked about again. Found by reading all waits for that class.

Evidence: queued_requests.reach_no_replica_once_they_are_known_to_crash_them against this commit with the second check off: failed in three of three runs (status 200 of a replica in place of the refusal); with it passed in three of three. A first form of the test passed without the mend, since the request was not in the queue yet when the crashes were recorded; it now waits for that.

Change: forwarder::admit asks after the wait and gives the place back, so that the next request gets it. Immediate retries are not asked about again, as before: a harmless request that meets two crashed replicas still has its third attempt.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -165,6 +165,18 @@
     return current.internal() || stop_->accepts(current.request.arrived_at, current.deadline, form);
 }
 
+// Whether a request crashes replicas may have become known while it waited.
+net::task_of<std::string> forwarder::admit(call& current, admission_queue& queue)
+{
+    auto admitted = co_await queue.admit(current.work);
+    const auto suspect = crashes_.check(current.fingerprint, steady::now());
+    if (ok(admitted) && !ok(suspect)) {
+        queue.finish(value(admitted), {});
+        co_return failure(suspect);
+    }
+    co_return admitted;
+}
+
 net::task<forwarder::attempt_outcome> forwarder::run(call& current)
 {
     attempt_outcome outcome;
@@ -201,7 +213,7 @@
         admitted = *next;
     }
     else {
-        admitted = co_await queue->admit(current.work);
+        admitted = co_await admit(current, *queue);
     }
     while (true) {
         if (!ok(admitted)) {
@@ -242,7 +254,7 @@
         may_have_run = may_have_run || outcome.may_have_run();
         current.work.tried.insert(instance_id);
         if (outcome.replica_left) {
-            admitted = co_await queue->admit(current.work);
+            admitted = co_await admit(current, *queue);
             continue;
         }
         const auto next = queue->retry(current.work);
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -127,6 +127,9 @@
     bool accepts(const call& current) const;
     /// The refusal of a request that the replicas have refused.
     error replicas_full(const call& current);
+    /// The replica to send the request to, once there is room; `quarantined` if it is known to crash
+    /// replicas.
+    net::task_of<std::string> admit(call& current, admission_queue& queue);
     net::task<attempt_outcome> run(call& current);
     /// None if this gateway is to send the request itself.
     net::task<std::optional<attempt_outcome>> run_at_hub(call& current);
