--- a/tests/gateway/feed_sync_tests.cpp
+++ b/tests/gateway/feed_sync_tests.cpp
@@ -187,6 +187,35 @@
     EXPECT_EQ(statuses_after_a_pause(milliseconds(700)), served) << "while a watch is pending";
 }
 
+// Guards against a replica that works on after its caller has left, because the time that the request waited
+// for a newer configuration was not taken off its deadline.
+TEST(feed_sync, takes_its_wait_off_the_deadline_of_a_request)
+{
+    constexpr milliseconds deadline{1500};
+    constexpr milliseconds shortest_wait{200};
+    constexpr milliseconds time_on_the_way{150};
+    deployment all;
+    auto& plain = all.add_replica("r1", "plain");
+    auto& served = all.add_gateway_at_second("a");
+    EXPECT_TRUE(deployment::eventually(
+        [&] { return all.status_of(served.address(), make_request("/safe/1", "warm")) == 200; }));
+    all.modify_store([](standins::fake_store& store) { store.faults.second_silent = true; });
+    served.query<bool>([](gateway&) {
+        std::this_thread::sleep_for(milliseconds(3000));
+        return true;
+    });
+    auto request = make_request("/safe/1", "a1");
+    request.fields.set("Deadline-Ms", std::to_string(deadline.count()));
+    const auto sent_at = steady::now();
+    EXPECT_EQ(all.status_of(served.address(), request), 200);
+    const auto seen = all.inspect_store<standins::received_request>(
+        [&](standins::fake_store&) { return plain.started_requests.back(); });
+    ASSERT_EQ(seen.attempt_id, "a1");
+    const auto waited = seen.received_at - sent_at;
+    EXPECT_GE(waited, shortest_wait) << "the copy was young enough: nothing was tested";
+    EXPECT_LE(milliseconds{std::stoi(seen.deadline_ms)}, deadline - waited + time_on_the_way);
+}
+
 TEST(feed_sync, applies_configuration_after_brief_store_refusal)
 {
     four_gateways all;
