Compare the submitter again when another gateway has stored the batch meanwhile

Seen by trainers of two organisations: one is answered 202 for a batch that the other one submitted under the same id; it is told that the batch exists, and the results are never its own.

Cause: a check before a wait. Whether the id belongs to another organisation was asked before the batch is stored and of the store's answer, but not where the gateway learns of the batch from a peer while its own call to the store hangs.

Found by reading.

--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -109,7 +109,8 @@
         co_await current->changed.wait_until(steady::now() + poll_interval);
     }
     if (!current->outcome) {
-        current->outcome = done{};
+        const auto* known = runner_.find(id);
+        current->outcome = known != nullptr ? check_same_submitter(*known, header) : result<done>(done{});
     }
     const auto stored = *current->outcome;
     if (ok(stored)) {
--- a/tests/gateway/organisation_tests.cpp
+++ b/tests/gateway/organisation_tests.cpp
@@ -101,6 +101,26 @@
     EXPECT_EQ(all.status_of(other.address(), with_key(make_end("b1"), "key-b")), 200);
 }
 
+// Guards against an organisation that is told "accepted" of another's batch, which its gateway learns of from
+// a peer while its own call to the store hangs.
+TEST(organisations, batch_stored_meanwhile_by_another_is_not_accepted_for_this_one)
+{
+    organisations_deployment all;
+    auto& first = all.serving_gateway("a");
+    auto& second = all.add_gateway_at_second("b");
+    EXPECT_TRUE(deployment::eventually([&] {
+        return second.ready() &&
+               all.status_of(second.address(), with_key(make_request("/safe/w", "w2"), "key-c")) == 200;
+    }));
+    all.modify_store([](standins::fake_store& store) { store.faults.second_silent = true; });
+    auto answer = std::async(std::launch::async, [&] {
+        return all.status_of(second.address(), with_key(make_batch("b1"), "key-c"));
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    EXPECT_EQ(all.status_of(first.address(), with_key(make_batch("b1"), "key-a")), 202);
+    EXPECT_EQ(answer.get(), 400);
+}
+
 // Guards against a successor that runs a batch for nobody: its items reach replicas with the organisation of
 // the submitter, whose key is gone by then.
 TEST(organisations, batch_runs_for_its_submitter_after_a_takeover_and_without_its_key)
