Close the HTTP server only when no handler holds a connection any more

Seen: heap use after free in http_call.stream_is_cancelled_on_client_disconnect under the address sanitizer (KNOWN-RED wire_client_disconnect); in the product's programs, a crash at a stop while a stream's client has just left.

Cause: close() waits until each connection has ended, but a handler that runs on after its client has left still holds its connection, and drops it when the server's io_context is gone.

Change: live_connections counts the connections that exist, ended ones included, and close() waits for the last.

--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -39,6 +39,7 @@
 struct http_server::state {
     using connection = std::shared_ptr<internal::http_connection>;
 
+    internal::live_connections live;
     internal::server_context shared;
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
@@ -54,7 +55,7 @@
 
     state(const dispatcher& calls, http_limits limits,
           std::map<std::string, std::function<std::string()>> pages)
-        : shared{calls, limits, std::move(pages)}
+        : shared{calls, limits, std::move(pages), live}
     {
     }
 
@@ -158,6 +159,13 @@
     }
 
     void drain()
+    {
+        drain_connections();
+        // A handler whose client has left may still run; its last access to the connection is to the socket.
+        live.wait_until_none();
+    }
+
+    void drain_connections()
     {
         std::unique_lock lock(mutex);
         draining = true;
--- a/src/wire/internal/http_connection.cpp
+++ b/src/wire/internal/http_connection.cpp
@@ -51,8 +51,8 @@
 } // namespace
 
 http_connection::http_connection(socket peer, const server_context& context)
-    : socket_(std::move(peer)), read_timer_(socket_.get_executor()), write_timer_(socket_.get_executor()),
-      context_(context)
+    : live_(context.live), socket_(std::move(peer)), read_timer_(socket_.get_executor()),
+      write_timer_(socket_.get_executor()), context_(context)
 {
 }
 
--- a/src/wire/internal/http_connection.hpp
+++ b/src/wire/internal/http_connection.hpp
@@ -4,6 +4,7 @@
 
 #include "wire/http_server.hpp"
 #include "wire/internal/http_reply.hpp"
+#include "wire/internal/live_connections.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -24,6 +25,7 @@
     const dispatcher& calls;
     http_limits limits;
     std::map<std::string, std::function<std::string()>> pages;
+    live_connections& live;
 };
 
 /// Member functions run on the strand of the socket unless documented otherwise.
@@ -45,6 +47,7 @@
     enum class stage { idle, head, body, call, ended };
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    live_connections::entry live_; ///< first, so that it counts until the socket is destroyed
     socket socket_;
     boost::asio::steady_timer read_timer_;
     boost::asio::steady_timer write_timer_;
