Restart the primary in its test only when its backup has the outcome

Seen: claims_on_sockets.a_restarted_primary_lets_its_backup_decide_on_older_keys got "in doubt: the key's primary was lost after it claimed the call" in place of the recorded answer (KNOWN-RED claims_restarted_primary).

Cause: the test, as suspected. A primary answers its caller before it tells its backup the outcome; lost in between, it leaves a key that nobody can decide on, and "in doubt" is the promised answer (docs/design/claims.md). The test restarted it at once and expected the recorded answer, which holds only once the backup has it.

All expectations are as they were: the recorded answer, marked as repeated, one run.

Change: the backup counts the outcomes it has (vg_entry_claims_settled_total), the test waits for the first.

--- a/src/entry/claim_calls.cpp
+++ b/src/entry/claim_calls.cpp
@@ -295,6 +295,7 @@
     store_.with_backup(claimed.key.pair, [&](claims::backup& backup) {
         if (is_settled(request.record())) {
             backup.settle(claimed, wall_milliseconds());
+            context_.metrics.add("vg_entry_claims_settled_total");
             return;
         }
         const auto verdict = backup.record(claimed.key, claimed.fingerprint, wall_milliseconds());
--- a/tests/claims/sockets_tests.cpp
+++ b/tests/claims/sockets_tests.cpp
@@ -135,6 +135,14 @@
         }
     }
 
+    /// Waits until this process, as a backup, has the outcome of a call.
+    void wait_for_outcome() const
+    {
+        while (metrics_.page().find("\nvg_entry_claims_settled_total ") == std::string::npos) {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+    }
+
     result<v1::CallReply> call(const std::string& key, const std::string& request_id = "r1",
                                const std::string& body = "charge 5")
     {
@@ -340,6 +348,8 @@
     const auto ran = key_of("-ran");
     const auto unseen = key_of("-unseen");
     ASSERT_TRUE(ok(all.primary->call(ran)));
+    // The primary answers before it tells its backup; lost in between, the key is truly in doubt.
+    all.backup->wait_for_outcome();
     all.primary = all.start("primary", later_incarnation);
     all.primary->wait_for_peers(all.keeper.entry_count());
     EXPECT_EQ(run_state_of(all.primary->call(unseen)), run_state::not_run);
