--- a/src/gateway/internal/batch_run.hpp
+++ b/src/gateway/internal/batch_run.hpp
@@ -10,6 +10,9 @@
 
 namespace vanillagauge::gateway {
 
+/// Between two tries of a call to the store.
+constexpr milliseconds store_retry_delay{300};
+
 /// One run of an item at an engine.
 struct batch_runner::item_run {
     std::shared_ptr<net::http_connection> connection;
