Lose another replica at each gateway in the test of the shared quarantine

The test sends one request to three gateways in turn until three of six replicas are lost. Each gateway draws its replica at random and holds the request after two losses of its own, so where all three draw the same two, nothing runs any more and the third replica is never lost: 120 of 27,000 draws, 0.44%, of even ones. The gateways did what they promise: two replicas were lost where three are allowed.

The test now leaves nothing to draw: the fleet has one replica, which is replaced after each loss, and no gateway is asked before its copy of the store has the new one alone. It asks for more than before: one run at each of three replicas, where any number of runs would do.

--- a/tests/gateway/deployment.hpp
+++ b/tests/gateway/deployment.hpp
@@ -11,6 +11,7 @@
 
 #include <future>
 #include <memory>
+#include <optional>
 #include <thread>
 
 namespace vanillagauge::gateway {
@@ -66,6 +67,22 @@
     std::string address_;
 };
 
+/// The value of a gauge for one kind; none if the page does not have it.
+inline std::optional<double> gauge_of(running_gateway& served, const std::string& name,
+                                      const std::string& kind)
+{
+    const auto page = served.query<std::string>([](gateway& asked) { return asked.metrics_page(); });
+    const auto series = name + "{kind=\"" + kind + "\"} ";
+    const auto at = page.find(series);
+    return at == std::string::npos ? std::nullopt : std::optional{std::stod(page.substr(at + series.size()))};
+}
+
+/// How many replicas the gateway's copy of the store has.
+inline std::size_t replicas_known(running_gateway& served)
+{
+    return static_cast<std::size_t>(gauge_of(served, "feed_objects", "servers").value_or(0));
+}
+
 /// Fake store, fake replicas and a blocking client on a separate loop, and gateways that use them.
 class deployment {
 public:
--- a/tests/gateway/feed_sync_tests.cpp
+++ b/tests/gateway/feed_sync_tests.cpp
@@ -74,20 +74,6 @@
     EXPECT_LT(all.time_until_all_serve_the_added_route(), max_apply_time);
 }
 
-/// The value of a gauge for one kind; none if the page does not have it.
-std::optional<double> gauge_of(running_gateway& served, const std::string& name, const std::string& kind)
-{
-    const auto page = served.query<std::string>([](gateway& asked) { return asked.metrics_page(); });
-    const auto series = name + "{kind=\"" + kind + "\"} ";
-    const auto at = page.find(series);
-    return at == std::string::npos ? std::nullopt : std::optional{std::stod(page.substr(at + series.size()))};
-}
-
-std::size_t replicas_known(running_gateway& served)
-{
-    return static_cast<std::size_t>(gauge_of(served, "feed_objects", "servers").value_or(0));
-}
-
 // Guards against a watcher that passes its copy on as current while the store is silent to it, so that the
 // gateways that poll it begin to count its age only once a call has failed.
 TEST(feed_sync, copies_age_from_the_last_answer_of_the_store)
--- a/tests/gateway/forwarding_tests.cpp
+++ b/tests/gateway/forwarding_tests.cpp
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <set>
@@ -240,60 +241,76 @@
     EXPECT_EQ(all.status_of(all.served.address(), make_request("/safe/1", "a1")), 404);
 }
 
-// Guards against a request that crashes replicas and is retried by its caller at one gateway after the other,
-// each of which would allow it two more.
-TEST(forwarding, quarantines_crashing_request_at_every_gateway)
-{
-    deployment all;
-    std::vector<standins::fake_replica*> replicas;
-    for (const auto* id : {"r1", "r2", "r3", "r4", "r5", "r6"}) {
-        replicas.push_back(&all.add_replica(id, "plain"));
+/// Four gateways and one replica, which is replaced by the next one where the test says so.
+struct replaced_replica : deployment {
+    std::vector<standins::fake_replica*> replicas{&add_replica("r1", "plain")};
+
+    replaced_replica()
+    {
+        for (const auto* vm : {"a", "b", "c", "d"}) {
+            add_gateway(vm);
+        }
+        for (auto& served : gateways) {
+            EXPECT_TRUE(eventually([&] { return served->ready(); }));
+        }
+        EXPECT_TRUE(eventually([&] {
+            return gateways.back()->query<std::size_t>(
+                       [](gateway& asked) { return asked.addresses().front_addresses.size(); }) == 4;
+        }));
     }
-    for (const auto* vm : {"a", "b", "c", "d"}) {
-        auto& served = all.add_gateway(vm);
-        EXPECT_TRUE(deployment::eventually([&] { return served.ready(); }));
+    /// Returns once no gateway knows another replica.
+    void replace_replica()
+    {
+        auto& leaving = *replicas.back();
+        replicas.push_back(&add_replica("r" + std::to_string(replicas.size() + 1), "plain"));
+        EXPECT_TRUE(eventually([this] { return all_know(2); }));
+        modify_store([&](standins::fake_store& store) { store.remove("servers", leaving.id()); });
+        EXPECT_TRUE(eventually([this] { return all_know(1); }));
     }
-    EXPECT_TRUE(deployment::eventually([&] {
-        return all.gateways.back()->query<std::size_t>(
-                   [](gateway& asked) { return asked.addresses().front_addresses.size(); }) == 4;
-    }));
-    all.modify_store([&](standins::fake_store&) {
-        for (auto* replica : replicas) {
-            replica->script.assign(20, replica_fault::reset);
-        }
-    });
-    struct losses {
-        std::size_t runs = 0;
-        std::size_t replicas = 0;
-    };
-    const auto seen = [&] {
-        return all.inspect_store<losses>([&](standins::fake_store&) {
-            losses counted;
+    void set_script(const std::vector<replica_fault>& faults)
+    {
+        modify_store([&](standins::fake_store&) { replicas.back()->script = faults; });
+    }
+    /// How many requests each replica has begun to run.
+    std::vector<std::size_t> runs()
+    {
+        return inspect_store<std::vector<std::size_t>>([this](standins::fake_store&) {
+            std::vector<std::size_t> counts;
             for (const auto* replica : replicas) {
-                counted.runs += replica->started_requests.size();
-                counted.replicas += replica->started_requests.empty() ? 0 : 1;
+                counts.push_back(replica->started_requests.size());
             }
-            return counted;
+            return counts;
         });
-    };
-    for (int turn = 0; turn < 50 && seen().replicas < 3; ++turn) {
-        const auto id = "p" + std::to_string(turn);
-        all.status_of(all.gateways[static_cast<std::size_t>(turn) % 3]->address(),
-                      make_request("/once/bad", id));
     }
-    ASSERT_EQ(seen().replicas, 3U);
-    const auto before = seen().runs;
+
+private:
+    bool all_know(std::size_t count)
+    {
+        return std::all_of(gateways.begin(), gateways.end(),
+                           [count](const auto& served) { return replicas_known(*served) == count; });
+    }
+};
+
+// Guards against a request that crashes replicas and is retried by its caller at one gateway after the other,
+// each of which would allow it two more.
+TEST(forwarding, quarantines_crashing_request_at_every_gateway)
+{
+    replaced_replica all;
+    for (std::size_t place = 0; place < 3; ++place) {
+        if (place > 0) {
+            all.replace_replica();
+        }
+        all.set_script({replica_fault::reset});
+        all.status_of(all.gateways[place]->address(), make_request("/once/bad", "p" + std::to_string(place)));
+    }
+    const std::vector<std::size_t> one_run_each{1, 1, 1};
+    ASSERT_EQ(all.runs(), one_run_each);
     std::this_thread::sleep_for(crash_sync_time);
     for (const auto& gateway : all.gateways) {
         EXPECT_EQ(all.status_of(gateway->address(), make_request("/once/bad", "q")), 429);
     }
-    EXPECT_EQ(seen().runs, before);
+    EXPECT_EQ(all.runs(), one_run_each);
     // Other requests are still served.
-    all.modify_store([&](standins::fake_store&) {
-        for (auto* replica : replicas) {
-            replica->script.clear();
-        }
-    });
     EXPECT_EQ(all.status_of(all.gateways.front()->address(), make_request("/once/good", "g")), 200);
 }
 
