Share the parts of a forwarder among the tests that need no gateway

hub_answer_tests and queued_request_tests each built the same six parts in the same order. They stand in tests/gateway/forwarder_parts.hpp now, with the wait for work on the loop.

--- a/tests/gateway/callers/hub_answer_tests.cpp
+++ b/tests/gateway/callers/hub_answer_tests.cpp
@@ -1,9 +1,8 @@
 // Answers of a hub, from a stand-in for it.
-#include "deployment.hpp"
+#include "forwarder_parts.hpp"
 
 #include "gateway/callers/relay_messages.hpp"
 #include "gateway/callers/request_relay.hpp"
-#include "platform/replica_protocol.hpp"
 
 #include <gtest/gtest.h>
 
@@ -11,15 +10,9 @@
 namespace {
 
 /// A relay without replicas, and a hub that answers every request as if it had the given id.
-struct relay_to_one_hub {
-    wire::event_loop events;
+struct relay_to_one_hub : forwarder_parts {
     config::settings settings = make_settings("a", "127.0.0.1:1", {});
     fleet_view fleet{events, settings};
-    target_registry targets{events.context()};
-    platform::replica_protocol protocol;
-    observe::metrics counts;
-    policy::quarantine crashes;
-    forwarder forwarding{events.context(), targets, protocol, counts, crashes, "z1"};
     configuration current;
     request_relay relay{events.context(),
                         forwarding,
@@ -41,7 +34,7 @@
               })
     {
     }
-    ~relay_to_one_hub() { events.stop(); }
+    ~relay_to_one_hub() { stop(); }
     relay_to_one_hub(const relay_to_one_hub&) = delete;
     relay_to_one_hub& operator=(const relay_to_one_hub&) = delete;
 
--- a/tests/gateway/queued_request_tests.cpp
+++ b/tests/gateway/queued_request_tests.cpp
@@ -1,7 +1,5 @@
 // What is asked again once a request has waited in the queue.
-#include "deployment.hpp"
-
-#include "platform/replica_protocol.hpp"
+#include "forwarder_parts.hpp"
 
 #include <gtest/gtest.h>
 
@@ -9,14 +7,8 @@
 namespace {
 
 /// A forwarder whose only replica has one slot and takes its time.
-struct one_slot {
-    wire::event_loop events;
+struct one_slot : forwarder_parts {
     standins::fake_replica only{events.context(), "r1"};
-    target_registry targets{events.context()};
-    platform::replica_protocol protocol;
-    observe::metrics counts;
-    policy::quarantine crashes;
-    forwarder forwarding{events.context(), targets, protocol, counts, crashes, "z1"};
     route plain;
 
     one_slot()
@@ -35,19 +27,10 @@
             targets.update(known);
         });
     }
-    ~one_slot() { events.stop(); }
+    ~one_slot() { stop(); }
     one_slot(const one_slot&) = delete;
     one_slot& operator=(const one_slot&) = delete;
 
-    void on_loop(const std::function<void()>& work)
-    {
-        std::promise<void> promise;
-        events.post([&] {
-            work();
-            promise.set_value();
-        });
-        promise.get_future().get();
-    }
     std::future<relayed_answer> send(const std::string& id, const std::string& body)
     {
         const auto promise = std::make_shared<std::promise<relayed_answer>>();
