Drop an update that follows a copy which is gone

A poll that it had sent before was answered at 29.871 s with the two replicas changed since the dropped copy; feed_sync applied them to the empty copy, which counted as complete. It served again, and all seven gateways with callers removed 13 of 15 replicas at 30.07 s, for good: objects that do not change are not sent again. A check before a wait: the poll names its revision before it, the answer was applied after it without a look at whether that content was still there.

Changes and updates now carry the revision that they follow, the receiver's own, and a feed whose content does not reach it drops them; it stays unsynced until it lists or asks for everything.

feed.drops_an_update_that_follows_a_dropped_content and feed.drops_changes_that_follow_a_dropped_content fail without the two checks, 3 of 3 runs each (synced with one object of two), and pass with them; the other feed and feed_sync tests pass. The line in poll_peer that sets the revision has no test of its own.

--- a/src/gateway/feed.cpp
+++ b/src/gateway/feed.cpp
@@ -108,6 +108,9 @@
 
 void feed::apply_changes(object_changes changes, time_point requested_at)
 {
+    if (!reaches(changes.since)) {
+        return;
+    }
     confirm(requested_at);
     for (auto& change : changes.events) {
         if (change.removed) {
@@ -124,6 +127,7 @@
 {
     feed_update update;
     update.as_of = as_of_;
+    update.since = since;
     if (!changed_since(since)) {
         return update;
     }
@@ -147,8 +151,13 @@
     return update;
 }
 
+// A reset while the update was on its way leaves nothing to add it to: the few objects that changed would be
+// taken for all.
 void feed::apply_update(feed_update update, time_point requested_at)
 {
+    if (!reaches(update.since)) {
+        return;
+    }
     confirm(requested_at);
     if (update.as_of < as_of_) {
         // The sender's watch started at an earlier revision and has seen no change since. Not to count that
--- a/src/gateway/feed.hpp
+++ b/src/gateway/feed.hpp
@@ -22,6 +22,8 @@
     std::vector<stored_object> changed;
     std::vector<stored_object> removed;         ///< name and last revision only
     std::optional<std::set<std::string>> names; ///< of all objects; if set, `removed` is empty
+    /// Revision that the update follows, set by the receiver from its own request; not sent.
+    std::uint64_t since = 0;
 };
 
 /// JSON exchanged between gateways; malformed input is `unavailable`.
@@ -41,10 +43,12 @@
     /// Applies a complete listing at revision `as_of`.
     void apply_listing(std::map<std::string, stored_object> listed, std::uint64_t as_of,
                        time_point requested_at);
+    /// Drops changes that follow a content which `reset` has dropped.
     void apply_changes(object_changes changes, time_point requested_at);
     /// Applies an object just written by this gateway, before the watch reports it.
     void apply_own_write(stored_object object) { apply({std::move(object), false}); }
-    /// Applies an update from a watching gateway; it was current at `requested_at`.
+    /// Applies an update from a watching gateway; it was current at `requested_at`. Drops one that follows a
+    /// content which `reset` has dropped.
     void apply_update(feed_update update, time_point requested_at);
     /// The store has just confirmed, to a call made at `requested_at`, that nothing has changed.
     void confirm(time_point requested_at);
@@ -84,6 +88,8 @@
     time_point confirmed_at_{};
     policy::expiry_grace grace_;
 
+    /// Whether the content has all changes up to this revision.
+    bool reaches(std::uint64_t since) const { return as_of_ >= since; }
     void apply(object_change change);
     void remove_absent(const std::function<bool(const std::string&)>& present, std::uint64_t as_of);
     void record_removal(const stored_object& object, std::uint64_t as_of);
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -260,7 +260,7 @@
         note_failure(policy::time_at_peer(requested_at, value(response).held, *failure_age));
     }
     bool changed = crashes_.merge(value(response).crashes, steady::now());
-    changed = apply_response(std::move(value(response)), requested_at) || changed;
+    changed = apply_response(std::move(value(response)), request.since, requested_at) || changed;
     if (served && !watches_store()) {
         set_source(address);
     }
@@ -270,14 +270,17 @@
     co_return served ? poll_result::current : poll_result::behind;
 }
 
-bool feed_sync::apply_response(internal::sync_response response, time_point requested_at)
+bool feed_sync::apply_response(internal::sync_response response,
+                               const std::map<std::string, std::uint64_t>& since, time_point requested_at)
 {
     bool changed = false;
     for (auto& entry : feeds_) {
         const auto found = response.feeds.find(entry.content->kind());
-        if (found != response.feeds.end()) {
+        const auto asked = since.find(entry.content->kind());
+        if (found != response.feeds.end() && asked != since.end()) {
             const auto before = entry.content->as_of();
             auto& served = found->second;
+            served.update.since = asked->second;
             entry.content->apply_update(std::move(served.update),
                                         policy::time_at_peer(requested_at, response.held, served.age));
             changed = changed || entry.content->changed_since(before);
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -93,8 +93,9 @@
     std::string source_address() const;
     /// Chooses another source, and substitutes if the source is out of reach and the copies are old.
     void change_source(poll_result last);
-    /// Returns whether anything changed.
-    bool apply_response(internal::sync_response response, time_point requested_at);
+    /// `since`: what this gateway asked for, by kind. Returns whether anything changed.
+    bool apply_response(internal::sync_response response, const std::map<std::string, std::uint64_t>& since,
+                        time_point requested_at);
     bool has_updates(const internal::sync_request& request) const;
     const synced_feed* find(const std::string& kind) const;
     policy::feed_plan plan() const;
--- a/src/gateway/object_store.hpp
+++ b/src/gateway/object_store.hpp
@@ -33,6 +33,7 @@
 struct object_changes {
     std::vector<object_change> events;
     std::uint64_t as_of = 0; ///< revision at which to continue the watch
+    std::uint64_t since = 0; ///< revision that the changes follow
 };
 
 /// JSON exchanged between gateways. `object_from_json` throws json::exception if malformed.
--- a/tests/gateway/feed_tests.cpp
+++ b/tests/gateway/feed_tests.cpp
@@ -163,6 +163,34 @@
     EXPECT_EQ(watched.content.as_of(), 12U);
 }
 
+// Guards against a gateway that takes the few replicas that changed for all of them, because it dropped its
+// copy while a peer's answer was on its way.
+TEST(feed, drops_an_update_that_follows_a_dropped_content)
+{
+    watched_feed watcher;
+    watched_feed other;
+    watcher.content.apply_listing({{"a", make_object("a", 5)}, {"b", make_object("b", 6)}}, 10, start);
+    other.content.apply_update(watcher.content.update_since(0), start);
+    watcher.content.apply_changes({{{make_object("b", 16), false}}, 16, 10}, start);
+    auto on_its_way = watcher.content.update_since(other.content.as_of());
+    other.content.reset();
+    other.content.apply_update(std::move(on_its_way), start);
+    EXPECT_FALSE(other.content.synced());
+    EXPECT_TRUE(other.content.objects().empty());
+    other.content.apply_update(watcher.content.update_since(0), start);
+    EXPECT_EQ(other.content.objects().size(), 2U);
+}
+
+TEST(feed, drops_changes_that_follow_a_dropped_content)
+{
+    watched_feed watched;
+    watched.content.apply_listing({{"a", make_object("a", 5)}, {"b", make_object("b", 6)}}, 10, start);
+    watched.content.reset();
+    watched.content.apply_changes({{{make_object("b", 16), false}}, 16, 10}, start);
+    EXPECT_FALSE(watched.content.synced());
+    EXPECT_TRUE(watched.content.objects().empty());
+}
+
 // Guards against a stale listing that makes later removals unavailable to polling gateways.
 TEST(feed, propagates_removals_after_stale_listing)
 {
