--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -14,7 +14,7 @@
 export out
 shared=(src/base/*.cpp src/net/*.cpp src/net/internal/*.cpp standins/users/fake_store.cpp standins/users/fake_replica.cpp
     review/outside_2.cpp)
-cases=(review/[56]/case.cpp)
+cases=(review/[56]/play.cpp) # not case.cpp, which review/build.sh takes for its own
 running=()
 for source in "${shared[@]}" "${cases[@]}"; do
     compile "$source" &
@@ -29,5 +29,5 @@
 for source in "${shared[@]}"; do objects+=("$out/objects/$(tr / _ <<< "${source%.cpp}").o"); done
 for source in "${cases[@]}"; do
     number=$(basename "$(dirname "$source")")
-    g++ -pthread "$out/objects/review_${number}_case.o" "${objects[@]}" -lxxhash -o "$out/case-$number"
+    g++ -pthread "$out/objects/review_${number}_play.o" "${objects[@]}" -lxxhash -o "$out/case-$number"
 done
