Log why a run of an item was interrupted

To tell apart who ended a connection under an item (the kernel, a deadline of the gateway, the end of the batch), the log had only the next run of the item. item_interrupted gives the replica, the kind of failure and how long it had been silent.

--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -115,6 +115,9 @@
     net::task<void> score_item(batch_run_ref batch, std::size_t index);
     void handle_failure(batch_run& batch, std::size_t index, target_ref engine, int status, bool not_run);
     void log_completed(const batch_progress& progress, std::size_t index, const item_run& run) const;
+    /// `silent_ms` counts from the run's start or its last event.
+    void log_interrupted(const batch_progress& progress, std::size_t index, const item_run& run,
+                         const net::http_failure& why) const;
     net::task<void> publish_results(batch_run_ref batch);
     batch_run_ref find_run(const std::string& id) const;
     net::task<bool> confirm_end(batch_run_ref batch);
--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -151,6 +151,19 @@
                   {"newest_version", static_cast<std::int64_t>(entry.current_version)}});
 }
 
+void batch_runner::log_interrupted(const batch_progress& progress, std::size_t index, const item_run& run,
+                                   const net::http_failure& why) const
+{
+    const auto silent_ms = std::chrono::duration_cast<milliseconds>(steady::now() - run.last_event);
+    observe::log(observe::log_level::warning, "item_interrupted",
+                 {{"request", progress.items()[index].item.id},
+                  {"batch", progress.header().id},
+                  {"replica", run.engine->info.instance_id()},
+                  {"events", static_cast<std::int64_t>(progress.items()[index].events)},
+                  {"silent_ms", std::int64_t{silent_ms.count()}},
+                  {"why", std::string(net::name(why.kind)) + ", " + why.detail}});
+}
+
 // Calls that complete a group get the higher priority, since a trainer consumes whole groups. A permanent
 // failure terminates the item, so that the trainer does not wait for its score.
 net::task<void> batch_runner::score_item(batch_run_ref batch, std::size_t index)
@@ -218,6 +231,8 @@
     }
     const auto* head = std::get_if<net::response_head>(&read);
     if (head == nullptr) {
+        const auto* unsent = std::get_if<net::http_failure>(&written);
+        log_interrupted(progress, index, *run, unsent ? *unsent : std::get<net::http_failure>(read));
         if (!connection.reused()) {
             engine->back_off_until = steady::now() + failure_backoff;
         }
@@ -281,6 +296,9 @@
         const auto timeout = run->received_event ? event_timeout : first_event_timeout;
         auto piece = co_await connection.read_piece(steady::now() + timeout);
         auto* bytes = std::get_if<net::body_piece>(&piece);
+        if (const auto* failed = std::get_if<net::http_failure>(&piece)) {
+            log_interrupted(progress, index, *run, *failed);
+        }
         if (bytes == nullptr || progress.items()[index].state != work_state::running) {
             break;
         }
