Reset connections that are given up, and let no kernel limit end them first

Cause: a request on a connection to a replica that is cut off stays in the sender's kernel. The connection was then ended without a reset, and the bytes arrived when the cut healed. A connection that the kernel has failed can no longer be reset, so a reset on close alone doesn't help.

Change, at one place, http_connection, so that it holds for items, callers' attempts, scores, orders, reports, relays and calls to the store alike: - From the sending of a request to the last byte of its response, every close resets the connection (SO_LINGER 0): by a deadline, by the end of a batch, by a foreign response, by the destructor, and by the end of the process. After a whole response it closes as before, so that nothing that the other side still reads is lost. - Keep-alive and TCP_USER_TIMEOUT are set on connections of store watches only. They last long and a late one changes nothing. Every other operation has its own deadline. - Without keep-alive, idle connections that went silent together would cost one request each. A connection that gets no byte of a response in its time now drops the idle connections of its pool that are older than that request.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -14,10 +14,14 @@
 
 } // namespace
 
+// Connections go silent together, as in a partition or at the loss of a middlebox's state: without this, each
+// one that is idle would cost a request its time.
 void connection_pool::drop_expired()
 {
     const auto now = steady::now();
-    std::erase_if(idle_, [now](const idle_connection& entry) { return now >= entry.expires; });
+    std::erase_if(idle_, [this, now](const idle_connection& entry) {
+        return now >= entry.expires || entry.released <= silence_->since;
+    });
 }
 
 // A peer may send a response once more, at any later time, where the next response is expected. Its id tells
@@ -44,12 +48,13 @@
 task<http_result<std::shared_ptr<http_connection>>> connection_pool::acquire_new(time_point deadline,
                                                                                  std::string exchange)
 {
-    auto connection = std::make_shared<http_connection>(*loop_);
+    auto connection = std::make_shared<http_connection>(*loop_, silence_limit_);
     auto connected = co_await connection->connect(address_, deadline);
     if (auto* failure = std::get_if<http_failure>(&connected)) {
         co_return std::move(*failure);
     }
     connection->history().add(exchange);
+    connection->report_silence_to(silence_);
     co_return connection;
 }
 
@@ -63,7 +68,8 @@
     if (idle_.size() >= max_idle) {
         idle_.erase(idle_.begin());
     }
-    idle_.push_back({std::move(connection), steady::now() + idle_time});
+    const auto now = steady::now();
+    idle_.push_back({std::move(connection), now, now + idle_time});
 }
 
 bool connection_pool::has_idle()
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -12,7 +12,10 @@
 
 class connection_pool {
 public:
-    connection_pool(loop& context, std::string address) : loop_(&context), address_(std::move(address)) {}
+    connection_pool(loop& context, std::string address, silence_limit limit = silence_limit::deadline)
+        : loop_(&context), address_(std::move(address)), silence_limit_(limit)
+    {
+    }
 
     /// The most recently used connection that is reusable and has carried no exchange with this id, or a new
     /// one. The id is the one that the peer repeats in its response; empty if it repeats none.
@@ -33,12 +36,16 @@
 private:
     struct idle_connection {
         std::shared_ptr<http_connection> connection;
+        time_point released;
         time_point expires;
     };
     loop* loop_;
     std::string address_;
+    silence_limit silence_limit_;
+    std::shared_ptr<peer_silence> silence_ = std::make_shared<peer_silence>();
     std::vector<idle_connection> idle_;
 
+    /// Drops connections that the peer is about to close, and those older than its last silence.
     void drop_expired();
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,7 +1,7 @@
 #include "net/http_client.hpp"
 
 #include "base/address.hpp"
-#include "net/internal/keep_alive.hpp"
+#include "net/internal/socket_options.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -13,6 +13,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <limits>
 
@@ -73,7 +74,9 @@
     return "cancelled";
 }
 
-http_connection::http_connection(loop& context) : stream_(context) {}
+http_connection::http_connection(loop& context, silence_limit limit) : stream_(context), silence_limit_(limit)
+{
+}
 
 http_connection::~http_connection() = default;
 
@@ -104,15 +107,23 @@
     if (unconnected) {
         co_return to_failure(unconnected);
     }
-    internal::configure_socket(stream_.socket());
+    internal::set_no_delay(stream_.socket());
+    if (silence_limit_ == silence_limit::keep_alive) {
+        internal::fail_when_silent(stream_.socket());
+    }
     co_return done{};
 }
 
+// Guards against a request that takes effect after its sender has given it up: bytes that a network partition
+// holds up arrive when it heals, unless their connection has been reset by then. The option also covers the
+// end of the process.
 task<http_result<done>> http_connection::send(const http_request& request, time_point deadline)
 {
     ++requests_;
     sent_ = true;
+    sent_at_ = steady::now();
     reader_.reset();
+    internal::reset_on_close(stream_.socket(), true);
     const auto text = serialized(request);
     stream_.expires_at(deadline);
     error_code failure;
@@ -133,6 +144,9 @@
     error_code failure;
     co_await http::async_read_header(stream_, buffer_, reader_->parser,
                                      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure == beast::error::timeout && buffer_.size() == 0 && silence_) {
+        silence_->since = std::max(silence_->since, sent_at_);
+    }
     if (failure) {
         co_return to_failure(failure);
     }
@@ -152,6 +166,7 @@
 {
     auto& parser = reader_->parser;
     if (parser.is_done()) {
+        internal::reset_on_close(stream_.socket(), false);
         co_return body_piece{{}, true};
     }
     auto& body = parser.get().body();
@@ -165,6 +180,9 @@
     if (failure && failure != http::error::need_buffer) {
         co_return to_failure(failure);
     }
+    if (parser.is_done()) {
+        internal::reset_on_close(stream_.socket(), false);
+    }
     co_return body_piece{std::string(reader_->piece.data(), filled), parser.is_done()};
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -38,6 +38,17 @@
     bool keep_alive = false; ///< the connection may be reused once the body has been read completely
 };
 
+/// What ends a connection whose peer is silent.
+enum class silence_limit {
+    deadline,   ///< the deadlines of the operations only
+    keep_alive, ///< keep-alive too, after about three seconds; for requests that may arrive late without harm
+};
+
+/// Shared by the connections to one peer.
+struct peer_silence {
+    time_point since{}; ///< when the last request was sent that got no byte of a response in its time
+};
+
 /// A part of the body; `last` marks the end of a complete body, where `bytes` may be empty.
 struct body_piece {
     std::string bytes;
@@ -50,9 +61,11 @@
 struct body_reader;
 
 /// Every operation has its own deadline, because a peer can stop responding without closing the connection.
+/// A connection that ends before its response is complete is reset: a request that is still on its way is
+/// lost.
 class http_connection {
 public:
-    explicit http_connection(loop& context);
+    explicit http_connection(loop& context, silence_limit limit = silence_limit::deadline);
     ~http_connection();
     http_connection(const http_connection&) = delete;
     http_connection& operator=(const http_connection&) = delete;
@@ -73,15 +86,19 @@
     bool reused() const { return requests_ > 1; }
     /// The exchanges for which the connection was acquired.
     exchange_history& history() { return history_; }
+    void report_silence_to(std::shared_ptr<peer_silence> silence) { silence_ = std::move(silence); }
 
 private:
     boost::beast::tcp_stream stream_;
+    silence_limit silence_limit_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<body_reader> reader_;
     bool sent_ = false;
     bool closed_ = false;
     int requests_ = 0;
     exchange_history history_;
+    std::shared_ptr<peer_silence> silence_;
+    time_point sent_at_{};
 
     http_failure to_failure(const boost::system::error_code& code) const;
 };
--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -1,6 +1,6 @@
 #include "net/internal/service_connection.hpp"
 
-#include "net/internal/keep_alive.hpp"
+#include "net/internal/socket_options.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -142,7 +142,8 @@
 
 task<void> service_connection::serve_requests()
 {
-    internal::configure_socket(stream_.socket());
+    internal::set_no_delay(stream_.socket());
+    internal::fail_when_silent(stream_.socket());
     error_code ignored;
     stream_.socket().set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
     while (keep_alive_ && !aborted_) {
--- a/tests/net/kept_connection_tests.cpp
+++ b/tests/net/kept_connection_tests.cpp
@@ -74,6 +74,39 @@
     EXPECT_FALSE(pool.has_idle());
 }
 
+/// Sends one request on an idle connection and waits for its response; false if there is none in that time.
+task<bool> answered_within(connection_pool& pool, duration wait)
+{
+    const auto connection = co_await take(pool);
+    http_request request;
+    request.fields.add("Host", "test");
+    const auto answer = co_await exchange(*connection, request, 1024, steady::now() + wait);
+    co_return std::holds_alternative<http_response>(answer);
+}
+
+// Guards against connections that went silent together and cost one request each.
+TEST(connection_pool, drops_idle_connections_of_a_peer_that_falls_silent)
+{
+    loop_thread thread;
+    bool silent = false;
+    http_service service(
+        thread.context(), [] { return service_limits{}; },
+        [&](const http_request&, responder& answer) -> task<void> {
+            if (silent) {
+                co_await sleep_for(thread.context(), patience);
+            }
+            http_response empty;
+            co_await answer.send(std::move(empty));
+        });
+    connection_pool pool(thread.context(), value(service.open("127.0.0.1:0")));
+    thread.run(fill(pool, 3));
+    EXPECT_TRUE(thread.run(answered_within(pool, patience)));
+    EXPECT_TRUE(pool.has_idle());
+    silent = true;
+    EXPECT_FALSE(thread.run(answered_within(pool, milliseconds(50))));
+    EXPECT_FALSE(pool.has_idle());
+}
+
 // Guards against a late second copy of a response that is taken for the one to a second request with the same
 // id, also if other requests went over the connection in between.
 TEST(connection_pool, never_carries_an_id_twice_on_one_connection)
