Take no bytes for text that are not UTF-8

Cause: JSON is written without an error handler wherever bytes are thought to be text (store, peers), the bytes had not been checked where they came in, and an exception that escapes a task ends the process.

--- a/src/base/base.hpp
+++ b/src/base/base.hpp
@@ -7,5 +7,6 @@
 #include "base/digest.hpp"
 #include "base/error.hpp"
 #include "base/result.hpp"
+#include "base/utf8.hpp"
 
 #endif
--- a/src/gateway/batch_progress.cpp
+++ b/src/gateway/batch_progress.cpp
@@ -4,6 +4,12 @@
 #include <numeric>
 
 namespace vanillagauge::gateway {
+namespace {
+
+/// The most that a page of results holds.
+constexpr std::size_t max_text_bytes = 1U << 20U;
+
+} // namespace
 
 batch_progress::batch_progress(batch_header header, std::vector<batch_item> items)
     : header_(std::move(header))
@@ -101,6 +107,14 @@
     if (event.id && entry.last_event && *event.id != *entry.last_event + 1) {
         return run_rejection::wrong_event;
     }
+    // Results and saved texts are written as JSON, which holds no other bytes; replaced ones would be another
+    // text than the replica's.
+    if (!is_utf8(event.data)) {
+        return run_rejection::not_text;
+    }
+    if (entry.text.size() + event.data.size() >= max_text_bytes) {
+        return run_rejection::too_long;
+    }
     if (new_version) {
         entry.current_version = *new_version;
     }
--- a/src/gateway/batch_progress.hpp
+++ b/src/gateway/batch_progress.hpp
@@ -53,7 +53,7 @@
 };
 
 /// Why a run's response cannot extend the text generated so far.
-enum class run_rejection { none, old_weights, mixed_weights, wrong_event, not_running };
+enum class run_rejection { none, old_weights, mixed_weights, wrong_event, not_running, not_text, too_long };
 
 class batch_progress {
 public:
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peer_relay.hpp"
 
+#include "gateway/untrusted_json.hpp"
 #include "observe/log.hpp"
 
 #include <algorithm>
@@ -79,6 +80,10 @@
 
 net::task_of<json> peer_relay::call_peer(std::string address, std::string path, json body, time_point until)
 {
+    auto text = encode(body);
+    if (!ok(text)) {
+        co_return failure(text);
+    }
     auto& pool = pools_[address];
     if (!pool) {
         pool = std::make_unique<net::connection_pool>(loop_, address);
@@ -92,7 +97,7 @@
     request.method = "POST";
     request.target = std::move(path);
     request.fields.add("Host", address);
-    request.body = body.dump();
+    request.body = std::move(value(text));
     auto answer = co_await net::exchange(*connection, request, max_response_bytes, until);
     if (const auto* failure = std::get_if<net::http_failure>(&answer)) {
         co_return unavailable(run_state::in_doubt, failure->detail);
--- a/src/gateway/untrusted_json.hpp
+++ b/src/gateway/untrusted_json.hpp
@@ -33,6 +33,13 @@
     }
 }
 
+/// The document as text; `invalid_argument` if a string in it is not UTF-8.
+inline result<std::string> encode(const nlohmann::json& document)
+{
+    return decode<std::string>(document, malformed("cannot encode a message"),
+                               [](const nlohmann::json& from) -> result<std::string> { return from.dump(); });
+}
+
 /// The string member; empty if absent or not a string.
 inline std::string string_or_empty(const nlohmann::json& object, const char* member)
 {
--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -55,7 +55,7 @@
         names_other_attempt(fault) ? std::string_view("another") : request.fields.find("Attempt-Id");
     fields.add("Attempt-Id", attempt);
     if (fault != replica_fault::no_stamp) {
-        fields.add("Server-Stamp", "stamp-" + id_);
+        fields.add("Server-Stamp", (fault == replica_fault::wrong_stamp ? "stamp-\xff" : "stamp-") + id_);
     }
     fields.add("Replica-Load", std::to_string(std::max(1, running_streams_)) + ",0,4");
     fields.add("Weight-Versions", std::to_string(version));
@@ -248,6 +248,9 @@
             answer.abort();
             co_return;
         }
+        if (fault == replica_fault::wrong_bytes && number == 2) {
+            text += "\xc3\x28\xed\xa0\x80\xff";
+        }
         text += "\n\n";
         whole.body += text;
         open = co_await answer.write(std::move(text));
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -86,6 +86,20 @@
     expect_complete(cluster.read_all({served.address()}, "b1"));
 }
 
+// Guards against an engine's event of other bytes than UTF-8 that ends the gateway as it lists the result,
+// and against a result with other bytes than the engine's.
+TEST(batches, run_items_again_whose_text_is_not_utf8)
+{
+    batch_deployment cluster;
+    auto& served = cluster.ready_gateway("a");
+    cluster.modify_store([&](standins::fake_store&) {
+        cluster.one.script = {replica_fault::wrong_bytes, replica_fault::wrong_stamp};
+        cluster.two.script = {replica_fault::wrong_bytes, replica_fault::wrong_stamp};
+    });
+    EXPECT_EQ(cluster.status_of(served.address(), make_batch("b1")), 202);
+    expect_complete(cluster.read_all({served.address()}, "b1"));
+}
+
 TEST(batches, publish_rejected_items_as_terminated)
 {
     batch_deployment cluster;
--- a/tests/gateway/scored_batch_tests.cpp
+++ b/tests/gateway/scored_batch_tests.cpp
@@ -52,8 +52,8 @@
     scored_deployment cluster;
     auto& served = cluster.ready_gateway("a");
     cluster.modify_store([&](standins::fake_store&) {
-        cluster.scorer.script = {replica_fault::reset, replica_fault::shed, replica_fault::other_attempt,
-                                 replica_fault::no_stamp, replica_fault::fail};
+        cluster.scorer.script = {replica_fault::reset,    replica_fault::shed, replica_fault::other_attempt,
+                                 replica_fault::no_stamp, replica_fault::fail, replica_fault::wrong_stamp};
     });
     EXPECT_EQ(cluster.status_of(served.address(), make_scored("b1")), 202);
     expect_scored(cluster.read_all({served.address()}, "b1"), "stamp-s1");
--- a/tests/gateway/untrusted_input_tests.cpp
+++ b/tests/gateway/untrusted_input_tests.cpp
@@ -1,4 +1,4 @@
-#include "deployment.hpp"
+#include "batch_deployment.hpp"
 
 #include "gateway/feed_sync.hpp"
 
@@ -75,5 +75,74 @@
     EXPECT_EQ(all.status_of(served.address(), make_request("/safe/1", "a1")), 200);
 }
 
+/// The two gateways do not own what the other accepts, so that calls go from one to the other.
+struct two_gateways : batch_deployment {
+    running_gateway& first = ready_gateway("a");
+    running_gateway& second = ready_gateway("b");
+};
+
+// Guards against a gateway that ends as it passes on or writes down bytes of a client that are not UTF-8.
+TEST(untrusted_input, gateways_refuse_bytes_that_are_not_text)
+{
+    two_gateways all;
+    EXPECT_EQ(all.status_of(all.first.address(), make_batch("b1")), 202);
+    std::vector<net::http_request> wrong;
+    for (const std::string bytes : {"\xff", "\xc3\x28", "\xed\xa0\x80", "\xf0\x80\x80\xaf"}) {
+        auto submission = make_batch("b2");
+        submission.fields.set("Attempt-Id", "b" + bytes);
+        wrong.push_back(submission);
+        wrong.push_back(make_end("b1" + bytes));
+        wrong.push_back(make_read("b1" + bytes, 0));
+        wrong.push_back(make_request("/safe/" + bytes, "r1"));
+        wrong.push_back(make_request("/safe/1", "r" + bytes));
+        auto of_host = make_request("/safe/1", "r2");
+        of_host.fields.set("Host", "h" + bytes);
+        wrong.push_back(of_host);
+    }
+    for (const auto* escaped : {"%FF", "%C3%28", "%ED%A0%80"}) {
+        auto body = make_read("b1", 0);
+        body.target = std::string("/api/items/b1?Id=") + escaped;
+        wrong.push_back(body);
+    }
+    for (const auto& request : wrong) {
+        EXPECT_EQ(all.status_of(all.first.address(), request), 400) << request.target;
+        EXPECT_EQ(all.status_of(all.second.address(), request), 400) << request.target;
+    }
+    expect_complete(all.read_all({all.second.address()}, "b1"));
+}
+
+// Guards against a refusal of what only passes through: the bytes of a field that no one here reads.
+TEST(untrusted_input, gateways_pass_on_fields_that_they_do_not_read)
+{
+    batch_deployment all;
+    all.add_replica("s1", "plain");
+    auto& served = all.ready_gateway("a");
+    auto request = make_request("/safe/1", "r1");
+    request.fields.add("Name", "caf\xe9");
+    EXPECT_TRUE(deployment::eventually([&] { return all.status_of(served.address(), request) == 200; }));
+}
+
+// Guards against numbers of a client that overflow a time or a position.
+TEST(untrusted_input, gateways_survive_numbers_out_of_range)
+{
+    batch_deployment all;
+    all.add_replica("s1", "plain");
+    auto& served = all.ready_gateway("a");
+    EXPECT_EQ(all.status_of(served.address(), make_batch("b1")), 202);
+    for (const auto* number :
+         {"", "-1", "0", "x", "9223372036854775807", "-9223372036854775808", "18446744073709551616", "1e9"}) {
+        for (const auto* name : {"Deadline-Ms", "Last-Event-Id", "Token-Counts"}) {
+            auto request = make_request("/safe/1", "r1");
+            request.fields.set(name, number);
+            EXPECT_NE(all.status_of(served.address(), request), 0) << name << number;
+        }
+        auto read = make_read("b1", 0);
+        read.target = std::string("/api/lots/b1?After=") + number;
+        read.fields.set("Wait-Ms", number);
+        EXPECT_NE(all.status_of(served.address(), read), 0) << number;
+    }
+    expect_complete(all.read_all({served.address()}, "b1"));
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
