Contain an exception that escapes a request

Now it ends its request: 500, or a reset once the response has begun; a log line request_failed_inside with the request's id, and requests_failed_inside_total. Memory that has run out, and what escapes the process's own tasks, still end it, since its own state may be broken.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -95,6 +95,7 @@
     net::task<void> run_housekeeping();
     net::task<void> mark_retired(std::string vm);
     void retire_absent();
+    void report_escape(const std::string& id, const net::http_request& request, std::string_view why);
     void on_replica(const object_change& change);
     void on_configuration(const object_change& change);
     void on_version(const object_change& change);
@@ -143,7 +144,8 @@
           loop, [] { return net::service_limits{}; },
           [this](const net::http_request& request, net::responder& answer) {
               return serve_peer(request, answer);
-          })
+          },
+          [this](const net::http_request& request, std::string_view why) { report_escape({}, request, why); })
 {
     targets.set_refresher([this](time_point until) { return feeds.refresh(schema.replicas, until); });
     forwarding.set_relay(&hubs);
@@ -487,6 +489,20 @@
     return state_->batches;
 }
 
+void gateway::state::report_escape(const std::string& id, const net::http_request& request,
+                                   std::string_view why)
+{
+    counts.add("requests_failed_inside_total");
+    observe::log(
+        observe::log_level::error, "request_failed_inside",
+        {{"request", id}, {"method", request.method}, {"target", request.target}, {"why", std::string(why)}});
+}
+
+void gateway::report_escape(const std::string& id, const net::http_request& request, std::string_view why)
+{
+    state_->report_escape(id, request, why);
+}
+
 std::string gateway::metrics_page() const
 {
     const auto& held = *state_;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -87,6 +87,8 @@
     std::string relay_address() const;
     batch_service& batches();
     std::string metrics_page() const;
+    /// Logs and counts a request whose handler has thrown; the id is empty where it has none.
+    void report_escape(const std::string& id, const net::http_request& request, std::string_view why);
 
 private:
     struct state;
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -79,8 +79,9 @@
     connection_.on_client_disconnect(std::move(callback));
 }
 
-http_service::http_service(loop& context, std::function<service_limits()> limits, http_handler handler)
-    : state_(std::make_shared<state>(context, std::move(limits), std::move(handler)))
+http_service::http_service(loop& context, std::function<service_limits()> limits, http_handler handler,
+                           escape_observer on_escape)
+    : state_(std::make_shared<state>(context, std::move(limits), std::move(handler), std::move(on_escape)))
 {
 }
 
--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -44,6 +44,7 @@
     /// request.
     void on_client_disconnect(std::function<void()> callback);
     bool answered() const { return answered_; }
+    bool begun() const { return begun_; }
     /// Numbers the service's connections from 1 in the order in which they were accepted.
     std::uint64_t connection_number() const;
 
@@ -55,11 +56,16 @@
 
 using http_handler = std::function<task<void>(const http_request&, responder&)>;
 
-/// Runs on one loop; the handler runs as one task per request.
+/// Called with a request whose handler has thrown, and the exception's message.
+using escape_observer = std::function<void(const http_request&, std::string_view)>;
+
+/// Runs on one loop; the handler runs as one task per request. An exception that escapes the handler ends its
+/// request with 500, or by a reset once the response has begun; std::bad_alloc ends the process.
 class http_service {
 public:
     /// `limits` is called for each request, so that the limits may change.
-    http_service(loop& context, std::function<service_limits()> limits, http_handler handler);
+    http_service(loop& context, std::function<service_limits()> limits, http_handler handler,
+                 escape_observer on_escape = nullptr);
     ~http_service();
     http_service(const http_service&) = delete;
     http_service& operator=(const http_service&) = delete;
--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -11,6 +11,10 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <exception>
+#include <new>
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace vanillagauge::net {
@@ -178,7 +182,7 @@
     }
     else {
         responder answer(*this);
-        co_await owner_->handler(request, answer);
+        co_await run_handler(request, answer);
         if (!answer.answered()) {
             abort();
         }
@@ -188,6 +192,35 @@
     --owner_->in_flight;
 }
 
+// Guards against a request that ends the process and all other requests with it. Memory that has run out is
+// no matter of one request: the process ends, and starts anew.
+task<void> service_connection::run_handler(const http_request& request, responder& answer)
+{
+    std::optional<std::string> escaped;
+    try {
+        co_await owner_->handler(request, answer);
+    }
+    catch (const std::bad_alloc&) {
+        throw;
+    }
+    catch (const std::exception& why) {
+        escaped = why.what();
+    }
+    if (!escaped) {
+        co_return;
+    }
+    if (owner_->on_escape) {
+        owner_->on_escape(request, *escaped);
+    }
+    if (answer.begun() || answer.answered()) {
+        abort();
+        co_return;
+    }
+    http_response failed;
+    failed.status = 500;
+    co_await answer.send(std::move(failed));
+}
+
 // Detects a disconnect while the handler runs, so that the target does not work on for nobody. Bytes that
 // arrive belong to the next request and end the watch.
 void service_connection::watch_client()
--- a/src/net/internal/service_connection.hpp
+++ b/src/net/internal/service_connection.hpp
@@ -16,9 +16,10 @@
 namespace vanillagauge::net {
 
 struct http_service::state : std::enable_shared_from_this<http_service::state> {
-    state(loop& shared_context, std::function<service_limits()> limits_source, http_handler request_handler)
+    state(loop& shared_context, std::function<service_limits()> limits_source, http_handler request_handler,
+          escape_observer observer)
         : context(shared_context), acceptor(shared_context), limits(std::move(limits_source)),
-          handler(std::move(request_handler))
+          handler(std::move(request_handler)), on_escape(std::move(observer))
     {
     }
 
@@ -26,6 +27,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::function<service_limits()> limits;
     http_handler handler;
+    escape_observer on_escape;
     bool draining = false;
     std::set<service_connection*> connections;
     std::size_t in_flight = 0;
@@ -96,6 +98,7 @@
     task<bool> wait_for_request(const service_limits& limits);
     task<void> reject(const boost::system::error_code& why, bool in_body);
     task<void> handle(const http_request& request);
+    task<void> run_handler(const http_request& request, responder& answer);
     task<void> linger();
     task<void> close_unread();
     bool in_request() const { return stage_ == stage::handling || stage_ == stage::responding; }
--- a/src/net/task.hpp
+++ b/src/net/task.hpp
@@ -20,7 +20,8 @@
 
 using loop = boost::asio::io_context;
 
-/// Starts the task on the loop; an exception that escapes it terminates the program.
+/// Starts the task on the loop; an exception that escapes it terminates the program, whose own state may be
+/// broken. Requests are contained by their service.
 void start(loop& context, task<void> work);
 
 /// Suspends the task for `pause` on the steady clock.
--- a/tests/net/connection_tests.cpp
+++ b/tests/net/connection_tests.cpp
@@ -103,6 +103,44 @@
     }
 };
 
+/// Throws before its response, or after its beginning.
+task<void> throw_late_or_early(loop& where, const http_request& request, responder& answer)
+{
+    co_await sleep_for(where, milliseconds(1));
+    if (request.target == "/late") {
+        http_fields no_fields;
+        co_await answer.begin(200, std::move(no_fields));
+    }
+    if (request.target != "/good") {
+        throw std::runtime_error("cannot serve this");
+    }
+    http_response good;
+    co_await answer.send(std::move(good));
+}
+
+// Guards against a request that ends the process, and all other requests with it.
+TEST(http_service, contains_an_exception_that_escapes_a_request)
+{
+    loop_thread thread;
+    std::vector<std::string> escaped;
+    http_service service(
+        thread.context(), [] { return service_limits{}; },
+        [&](const http_request& request, responder& answer) {
+            return throw_late_or_early(thread.context(), request, answer);
+        },
+        [&](const http_request& request, std::string_view why) {
+            escaped.push_back(request.target + ": " + std::string(why));
+        });
+    const auto address = value(service.open("127.0.0.1:0"));
+    const auto early = raw_exchange(address, "GET /early HTTP/1.1\r\nHost: a\r\n\r\n"
+                                             "GET /good HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(early.starts_with("HTTP/1.1 500 ")) << early;
+    EXPECT_NE(early.find("HTTP/1.1 200 "), std::string::npos) << early;
+    const auto late = raw_exchange(address, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(late.find("\r\n0\r\n"), std::string::npos) << late;
+    EXPECT_EQ(escaped, (std::vector<std::string>{"/early: cannot serve this", "/late: cannot serve this"}));
+}
+
 TEST(http_service, serves_several_requests_on_one_connection)
 {
     echo_service running;
