Bound what a peer can send without end

Read: heads and bodies of known purpose had limits, but not a chunk's header with its extensions, interim responses (the first 1xx was taken for the final response, and its bytes for the next one), an event without its end, comments and blank lines without end (each piece renewed the time of an item's run), and a stream to a caller beyond the caller's deadline.

Change: the client's buffer is limited to 128 KB; at most 16 interim responses are skipped; an event reader gives up after 1 MB without a complete event, comments and blank lines included; a run of an item ends after 5 s of bytes without an event; a stream ends at its caller's deadline.

--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -19,6 +19,9 @@
 /// The first event may wait in the engine's queue.
 constexpr milliseconds first_event_timeout{2000};
 
+/// Between two events, while other bytes arrive.
+constexpr milliseconds max_event_gap{5000};
+
 constexpr milliseconds connect_timeout{1000};
 
 constexpr milliseconds scoring_retry_delay{100};
@@ -316,6 +319,10 @@
             run->received_event = true;
             run->last_event = now;
         }
+        // A faulty engine may send bytes without end that complete no event.
+        if (reader.too_long() || steady::now() - run->last_event > max_event_gap) {
+            break;
+        }
         if (bytes->last && !reader.has_partial_event()) {
             engine->record_version(progress.header().model, progress.items()[index].current_version);
             log_completed(progress, index, *run);
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -3,6 +3,8 @@
 #include "gateway/internal/forwarded_call.hpp"
 #include "observe/log.hpp"
 
+#include <algorithm>
+
 namespace vanillagauge::gateway {
 namespace {
 
@@ -32,6 +34,9 @@
     /// Adds bytes and removes the text up to the end of the last complete event.
     std::string take(std::string_view bytes)
     {
+        if (too_long()) {
+            return {};
+        }
         pending_ += bytes;
         const auto end = pending_.rfind("\n\n");
         if (end == std::string::npos) {
@@ -42,6 +47,7 @@
         return complete;
     }
     bool has_partial_event() const { return !pending_.empty(); }
+    bool too_long() const { return pending_.size() > net::event_reader::max_event_bytes; }
 
 private:
     std::string pending_;
@@ -237,7 +243,8 @@
     net::event_reader reader;
     bool any_event = false; // once set, a lost replica is not counted as a crash by this request
     while (true) {
-        auto read = co_await connection.read_piece(steady::now() + stream_idle_timeout);
+        const auto idle_until = steady::now() + stream_idle_timeout;
+        auto read = co_await connection.read_piece(std::min(current.deadline, idle_until));
         if (const auto* failed = std::get_if<net::http_failure>(&read)) {
             if (failed->kind == net::failure_kind::closed && !any_event) {
                 record_crash(current, false);
@@ -247,6 +254,10 @@
         }
         auto& piece = std::get<net::body_piece>(read);
         auto text = current.chosen.resumable ? events.take(piece.bytes) : std::move(piece.bytes);
+        if (events.too_long()) {
+            outcome.result = error{error_code::incomplete, run_state::in_doubt, "an event exceeds the limit"};
+            co_return outcome;
+        }
         for (const auto& event : reader.feed(text)) {
             any_event = true;
             current.last_event = event.id ? event.id : current.last_event;
--- a/src/net/event_stream.cpp
+++ b/src/net/event_stream.cpp
@@ -7,9 +7,17 @@
 std::vector<stream_event> event_reader::feed(std::string_view bytes)
 {
     std::vector<stream_event> events;
-    while (!bytes.empty()) {
+    while (!bytes.empty() && !too_long_) {
         const auto end = bytes.find('\n');
-        line_ += bytes.substr(0, end);
+        const auto added = bytes.substr(0, end);
+        event_bytes_ += added.size() + 1;
+        if (event_bytes_ > max_event_bytes) {
+            too_long_ = true;
+            line_.clear();
+            current_ = {};
+            break;
+        }
+        line_ += added;
         if (end == std::string_view::npos) {
             break;
         }
@@ -28,6 +36,7 @@
     if (line_.empty()) {
         if (has_data_ || current_.id) {
             events.push_back(std::move(current_));
+            event_bytes_ = 0;
         }
         current_ = {};
         has_data_ = false;
--- a/src/net/event_stream.hpp
+++ b/src/net/event_stream.hpp
@@ -20,9 +20,14 @@
 
 class event_reader {
 public:
+    /// The most that may arrive before an event is complete, comments included.
+    static constexpr std::size_t max_event_bytes = 1U << 20U;
+
     /// Returns the events completed by these bytes. Comments, and events with neither data nor id, are
     /// dropped.
     std::vector<stream_event> feed(std::string_view bytes);
+    /// Whether an event exceeded the limit; further bytes are dropped.
+    bool too_long() const { return too_long_; }
     /// Whether an incomplete event is buffered.
     bool has_partial_event() const { return !line_.empty() || has_lines_; }
 
@@ -31,6 +36,8 @@
     stream_event current_;
     bool has_data_ = false;
     bool has_lines_ = false;
+    bool too_long_ = false;
+    std::size_t event_bytes_ = 0; ///< since the last complete event
 
     void parse_line(std::vector<stream_event>& events);
 };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -28,6 +28,10 @@
 
 constexpr std::size_t piece_bytes = 16U << 10U;
 constexpr std::uint32_t header_bytes = 64U << 10U;
+/// Holds a head, or a chunk's header with its extensions; a longer one is malformed.
+constexpr std::size_t buffer_bytes = 2U * header_bytes;
+/// Interim responses (1xx) before the final one.
+constexpr int max_interim_responses = 16;
 
 std::string serialized(const http_request& request)
 {
@@ -74,7 +78,8 @@
     return "cancelled";
 }
 
-http_connection::http_connection(loop& context, silence_limit limit) : stream_(context), silence_limit_(limit)
+http_connection::http_connection(loop& context, silence_limit limit)
+    : stream_(context), silence_limit_(limit), buffer_(buffer_bytes)
 {
 }
 
@@ -135,7 +140,7 @@
     co_return done{};
 }
 
-task<http_result<response_head>> http_connection::read_head(time_point deadline)
+task<boost::system::error_code> http_connection::read_one_head(time_point deadline)
 {
     reader_ = std::make_unique<body_reader>();
     reader_->parser.header_limit(header_bytes);
@@ -144,9 +149,23 @@
     error_code failure;
     co_await http::async_read_header(stream_, buffer_, reader_->parser,
                                      asio::redirect_error(asio::use_awaitable, failure));
+    co_return failure;
+}
+
+// An interim response says nothing about the request, and a faulty peer may send them without end.
+task<http_result<response_head>> http_connection::read_head(time_point deadline)
+{
+    auto failure = co_await read_one_head(deadline);
     if (failure == beast::error::timeout && buffer_.size() == 0 && silence_) {
         silence_->since = std::max(silence_->since, sent_at_);
     }
+    int interim = 0;
+    while (!failure && reader_->parser.get().result_int() < 200) {
+        if (++interim > max_interim_responses) {
+            co_return http_failure{failure_kind::malformed, true, "too many interim responses"};
+        }
+        failure = co_await read_one_head(deadline);
+    }
     if (failure) {
         co_return to_failure(failure);
     }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -100,6 +100,8 @@
     std::shared_ptr<peer_silence> silence_;
     time_point sent_at_{};
 
+    /// Reads into a new reader.
+    task<boost::system::error_code> read_one_head(time_point deadline);
     http_failure to_failure(const boost::system::error_code& code) const;
 };
 
--- a/standins/users/fake_replica.cpp
+++ b/standins/users/fake_replica.cpp
@@ -233,6 +233,17 @@
     whole.fields = response_fields(request, fault);
     whole.fields.add("Content-Type", "text/event-stream");
     bool open = co_await answer.begin(200, whole.fields);
+    if (fault == replica_fault::endless_event || fault == replica_fault::endless_lines) {
+        const std::string piece = fault == replica_fault::endless_event ? "data: x" : ": x\n\n";
+        while (open) {
+            co_await net::sleep_for(loop_, milliseconds(1));
+            std::string text;
+            while (text.size() < (64U << 10U)) {
+                text += piece;
+            }
+            open = co_await answer.write(std::move(text));
+        }
+    }
     auto sent_version = version;
     for (auto number = after.empty() ? 1 : std::stoi(after) + 1; open && number <= events; ++number) {
         co_await net::sleep_for(loop_, event_interval);
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -26,6 +26,8 @@
     unprocessable,  ///< answers 422
     other_attempt,  ///< answers with another attempt's id
     no_stamp,       ///< answers without its authentication code
+    endless_event,  ///< streams one event without end
+    endless_lines,  ///< streams comments without end, and no event
     wrong_bytes,    ///< streams an event whose data is not UTF-8
     wrong_stamp,    ///< answers with an authentication code that is not UTF-8
     cut_stream,     ///< closes the connection in the middle of an event
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -100,6 +100,20 @@
     expect_complete(cluster.read_all({served.address()}, "b1"));
 }
 
+// Guards against an engine that keeps an item for ever, and fills the gateway's memory, with bytes without
+// end.
+TEST(batches, run_items_again_after_bytes_without_end)
+{
+    batch_deployment cluster;
+    auto& served = cluster.ready_gateway("a");
+    cluster.modify_store([&](standins::fake_store&) {
+        cluster.one.script = {replica_fault::endless_event, replica_fault::endless_lines};
+        cluster.two.script = {replica_fault::endless_lines, replica_fault::endless_event};
+    });
+    EXPECT_EQ(cluster.status_of(served.address(), make_batch("b1")), 202);
+    expect_complete(cluster.read_all({served.address()}, "b1"));
+}
+
 TEST(batches, publish_rejected_items_as_terminated)
 {
     batch_deployment cluster;
