--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -114,6 +114,20 @@
     expect_complete(cluster.read_all({served.address()}, "b1"));
 }
 
+// Guards against an item that is never placed again, because several engines crashed under it.
+TEST(batches, run_an_item_again_under_which_engines_crashed)
+{
+    constexpr int crashes = 5;
+    batch_deployment cluster;
+    auto& served = cluster.ready_gateway("a");
+    cluster.modify_store([&](standins::fake_store&) {
+        cluster.one.resets_left = {{"b1-i1", crashes}, {"b1-i4", crashes}};
+        cluster.two.resets_left = cluster.one.resets_left;
+    });
+    EXPECT_EQ(cluster.status_of(served.address(), make_batch("b1")), 202);
+    expect_complete(cluster.read_all({served.address()}, "b1"));
+}
+
 TEST(batches, publish_rejected_items_as_terminated)
 {
     batch_deployment cluster;
