--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t piece_bytes = 16U << 10U;
 constexpr std::uint32_t header_bytes = 64U << 10U;
 /// Holds a head, or a chunk's header with its extensions; a longer one is malformed.
-constexpr std::size_t buffer_bytes = 2U * header_bytes;
+constexpr std::size_t buffer_bytes = std::size_t{2} * header_bytes;
 /// Interim responses (1xx) before the final one.
 constexpr int max_interim_responses = 16;
 
