Forget the disconnect callback of a handler that has thrown

Found by reading the change: the callback refers to the handler's frame, and a client that leaves while the 500 is being written would have called it.

--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -193,7 +193,7 @@
 }
 
 // Guards against a request that ends the process and all other requests with it. Memory that has run out is
-// no matter of one request: the process ends, and starts anew.
+// not one request's failure: the process ends and is started again.
 task<void> service_connection::run_handler(const http_request& request, responder& answer)
 {
     std::optional<std::string> escaped;
@@ -209,6 +209,7 @@
     if (!escaped) {
         co_return;
     }
+    on_disconnect_ = nullptr; // refers to the handler's frame, which is gone
     if (owner_->on_escape) {
         owner_->on_escape(request, *escaped);
     }
