Run no callback of a call once its loop has stopped

Cause: the threads of the HTTP client's library run on after event_loop::stop, while the program destroys what the callbacks of its calls use.

Change: callbacks of HTTP calls pass a gate of their loop; stop closes it and waits for those inside. Further work of a stopped loop was dropped already, so this is the same rule for completions.

--- a/src/wire/event_loop.cpp
+++ b/src/wire/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "wire/event_loop.hpp"
 
+#include "wire/internal/callback_gate.hpp"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -13,6 +15,7 @@
 struct event_loop::state {
     boost::asio::io_context context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
+    std::shared_ptr<internal::callback_gate> callbacks = std::make_shared<internal::callback_gate>();
     std::thread thread{[this] { context.run(); }};
 };
 
@@ -65,14 +68,26 @@
     };
 }
 
+// Once it returns, programs destroy what callbacks use, while the HTTP client's threads run on. The callbacks
+// end before the thread does, since one of them may wait for it.
 void event_loop::stop()
 {
+    const bool on_loop = state_->thread.get_id() == std::this_thread::get_id();
+    state_->callbacks->close();
+    if (!on_loop) {
+        state_->callbacks->wait_until_idle();
+    }
     state_->context.stop();
-    if (state_->thread.joinable() && state_->thread.get_id() != std::this_thread::get_id()) {
+    if (!on_loop && state_->thread.joinable()) {
         state_->thread.join();
     }
 }
 
+std::shared_ptr<internal::callback_gate> event_loop::callbacks() const
+{
+    return state_->callbacks;
+}
+
 boost::asio::io_context& event_loop::context()
 {
     return state_->context;
--- a/src/wire/event_loop.hpp
+++ b/src/wire/event_loop.hpp
@@ -13,6 +13,10 @@
 
 namespace vanillagauge::wire {
 
+namespace internal {
+class callback_gate;
+}
+
 /// Cancels the timer; no effect after it has fired.
 using timer_cancel = std::function<void()>;
 
@@ -29,8 +33,11 @@
     /// stopped. Must not run concurrently with `stop`.
     void run_and_wait(const std::function<void()>& work);
     timer_cancel after(milliseconds delay, std::function<void()> work);
-    /// Stops and joins the thread; further work is dropped.
+    /// Stops and joins the thread; further work is dropped, and so is the completion of every call that other
+    /// threads run for this loop.
     void stop();
+    /// What such a thread passes to run a callback; may outlive the loop.
+    std::shared_ptr<internal::callback_gate> callbacks() const;
 
     boost::asio::io_context& context();
 
--- a/src/wire/http_channel.cpp
+++ b/src/wire/http_channel.cpp
@@ -1,6 +1,7 @@
 #include "wire/http_channel.hpp"
 
 #include "vanillagauge.pb.h"
+#include "wire/internal/callback_gate.hpp"
 
 #include <cpprest/http_client.h>
 
@@ -76,8 +77,8 @@
 public:
     http_call(event_loop& loop, codec encoding, const call_options& options,
               std::shared_ptr<client_holder> clients, channel::on_chunk chunk, channel::on_done done)
-        : loop_(loop), encoding_(encoding), options_(options), clients_(std::move(clients)),
-          chunk_(std::move(chunk)), done_(std::move(done)), reader_(encoding),
+        : loop_(loop), callbacks_(loop.callbacks()), encoding_(encoding), options_(options),
+          clients_(std::move(clients)), chunk_(std::move(chunk)), done_(std::move(done)), reader_(encoding),
           read_buffer_(chunk_ ? read_block : 0)
     {
     }
@@ -104,7 +105,8 @@
     }
 
 private:
-    event_loop& loop_;
+    event_loop& loop_; ///< from the library's threads used within `callbacks_` only
+    std::shared_ptr<internal::callback_gate> callbacks_;
     codec encoding_;
     call_options options_;
     std::shared_ptr<client_holder> clients_;
@@ -126,6 +128,14 @@
         if (finished_.exchange(true)) {
             return;
         }
+        callbacks_->run([this, &outcome] {
+            cancel_deadline();
+            done_(std::move(outcome));
+        });
+    }
+
+    void cancel_deadline()
+    {
         timer_cancel deadline;
         {
             const std::lock_guard lock(mutex_);
@@ -134,7 +144,6 @@
         if (deadline) {
             deadline();
         }
-        done_(std::move(outcome));
     }
 
     /// Completes the call first, because the library may be slow to close an unresponsive connection.
@@ -291,7 +300,11 @@
         }
         record_progress();
         const std::string_view bytes(reinterpret_cast<const char*>(read_buffer_.data()), count);
-        const auto fed = reader_.feed(bytes, chunk_);
+        result<done> fed = done{};
+        const bool open = callbacks_->run([this, bytes, &fed] { fed = reader_.feed(bytes, chunk_); });
+        if (!open) {
+            return;
+        }
         if (!ok(fed)) {
             abort(failure(fed), false);
             return;
