--- a/src/gateway/admission_queue.hpp
+++ b/src/gateway/admission_queue.hpp
@@ -26,6 +26,11 @@
     net::task_of<std::string> admit(policy::work item);
     /// Another replica for a request that was already sent; none without capacity or retry budget.
     std::optional<std::string> retry(const policy::work& item);
+    /// Whether `retry` of a request that runs at this replica would find another one now.
+    bool may_retry(const policy::work& item, const std::string& instance_id)
+    {
+        return scheduler_.may_retry(item, instance_id, steady::now());
+    }
     /// Releases the capacity at a replica.
     void finish(const std::string& instance_id, const policy::attempt_report& report);
     void on_load(const std::string& instance_id, const policy::load_report& load);
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -141,9 +141,11 @@
                                            net::response_head& head);
     net::task<attempt_outcome> forward_events(call& current, net::http_connection& connection,
                                               net::response_head head);
-    /// Records that the replica closed the connection before responding.
+    /// Until when the replica of a stream may send nothing.
+    time_point silence_deadline(const call& current);
     /// Whether the request may reach replicas: an error if it is known to crash them.
     result<done> check_crashes(const call& current) const;
+    /// Records that the replica closed the connection before responding.
     void record_crash(const call& current, bool reused);
     bool may_retry(const call& current, const attempt_outcome& outcome, time_point now) const;
     time_point attempt_deadline(const call& current, const admission_queue& queue, time_point now) const;
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -2,6 +2,7 @@
 #include "gateway/internal/foreign_response.hpp"
 #include "gateway/internal/forwarded_call.hpp"
 #include "observe/log.hpp"
+#include "policy/stream_silence.hpp"
 
 #include <algorithm>
 
@@ -13,9 +14,6 @@
 /// For a replica that sends no Keep-Alive timeout.
 constexpr milliseconds default_idle_timeout{4000};
 
-/// A stream without data for this long is considered broken.
-constexpr milliseconds stream_idle_timeout{5000};
-
 net::http_fields end_to_end_fields(const net::http_fields& fields)
 {
     net::http_fields kept;
@@ -237,6 +235,17 @@
     co_return outcome;
 }
 
+time_point forwarder::silence_deadline(const call& current)
+{
+    auto* queue = queue_of(current);
+    policy::stream_options options;
+    options.may_move = current.repeatable() && current.attempts < current.max_attempts() &&
+                       queue != nullptr && queue->may_retry(current.work, current.replica);
+    options.target_latency = current.chosen.target_latency;
+    const auto silence = policy::max_stream_silence(options);
+    return silence ? std::min(current.deadline, steady::now() + *silence) : current.deadline;
+}
+
 net::task<forwarder::attempt_outcome>
 forwarder::forward_events(call& current, net::http_connection& connection, net::response_head head)
 {
@@ -253,8 +262,8 @@
     net::event_reader reader;
     bool any_event = false; // once set, a lost replica is not counted as a crash by this request
     while (true) {
-        const auto idle_until = steady::now() + stream_idle_timeout;
-        auto read = co_await connection.read_piece(std::min(current.deadline, idle_until));
+        const auto until = silence_deadline(current);
+        auto read = co_await connection.read_piece(until);
         if (const auto* failed = std::get_if<net::http_failure>(&read)) {
             if (failed->kind == net::failure_kind::closed && !any_event) {
                 record_crash(current, false);
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -20,12 +20,18 @@
     tokens_ = std::min(max_tokens, tokens_ + share);
 }
 
-bool retry_budget::take(time_point now)
+double retry_budget::tokens_at(time_point now) const
 {
-    if (refilled_ != time_point{}) {
-        const std::chrono::duration<double> passed = now - refilled_;
-        tokens_ = std::min(max_tokens, tokens_ + passed.count() * per_second);
+    if (refilled_ == time_point{}) {
+        return tokens_;
     }
+    const std::chrono::duration<double> passed = now - refilled_;
+    return std::min(max_tokens, tokens_ + passed.count() * per_second);
+}
+
+bool retry_budget::take(time_point now)
+{
+    tokens_ = tokens_at(now);
     refilled_ = now;
     if (tokens_ < 1) {
         return false;
--- a/src/policy/retry_budget.hpp
+++ b/src/policy/retry_budget.hpp
@@ -12,10 +12,13 @@
     void on_request();
     /// Consumes one retry; false if the budget is exhausted.
     bool take(time_point now);
+    bool exhausted(time_point now) const { return tokens_at(now) < 1; }
 
 private:
     double tokens_ = 10;
     time_point refilled_;
+
+    double tokens_at(time_point now) const;
 };
 
 /// Whether a failed request may be retried at all, whatever the budget.
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -55,6 +55,11 @@
     return acquire(item, now);
 }
 
+bool scheduler::may_retry(const work& item, const std::string& current, time_point now)
+{
+    return (unlimited_ || !budget_.exhausted(now)) && pool_.has_room_beside(current, item, now);
+}
+
 std::optional<placed> scheduler::acquire(const work& item, time_point now)
 {
     auto target = pool_.acquire(item, now);
--- a/src/policy/scheduler.hpp
+++ b/src/policy/scheduler.hpp
@@ -40,6 +40,8 @@
     /// Another target for a retry or a hedge; none if there is none now: retries are not queued. Consumes
     /// retry budget.
     std::optional<placed> retry(const work& item, time_point now);
+    /// Whether a retry of work that runs at `current` would find another target now.
+    bool may_retry(const work& item, const std::string& current, time_point now);
     /// Acquires a target without queueing, for work with its own queue.
     std::optional<placed> acquire(const work& item, time_point now);
     void finish(const std::string& target, const attempt_report& report, time_point now);
--- a/src/policy/target_pool.cpp
+++ b/src/policy/target_pool.cpp
@@ -172,6 +172,13 @@
     return room && !ejection_.is_ejected(entry.health, now) && !item.tried.contains(entry.target.id);
 }
 
+bool target_pool::has_room_beside(const std::string& current, const work& item, time_point now)
+{
+    return std::any_of(usable_.begin(), usable_.end(), [&](std::size_t index) {
+        return entries_[index].target.id != current && has_room_for(index, item, now);
+    });
+}
+
 double target_pool::cost(std::size_t index, time_point now) const
 {
     const auto& entry = entries_[index];
--- a/src/policy/target_pool.hpp
+++ b/src/policy/target_pool.hpp
@@ -54,6 +54,8 @@
     void update(const std::vector<pool_target>& targets, time_point now);
     /// Assigns a request to a target and returns its id; none if none with free capacity was found.
     std::optional<std::string> acquire(const work& item, time_point now);
+    /// Whether a target other than `current` has free capacity for the request.
+    bool has_room_beside(const std::string& current, const work& item, time_point now);
     /// Ends a request at a target. Ignores ids of removed targets.
     void release(const std::string& id, const attempt_report& report, time_point now);
     void on_report(const std::string& id, const load_report& report, time_point now);
--- a/standins/users/fake_replica.hpp
+++ b/standins/users/fake_replica.hpp
@@ -63,6 +63,7 @@
 
     int events = 4;                 ///< per stream
     milliseconds event_interval{5}; ///< between two events
+    milliseconds pause{0};          ///< in each run of a stream, after its first event
     milliseconds work_time{0};      ///< before a plain answer
     std::uint64_t version = 1;      ///< of its weights
     int max_streams = 0;            ///< refuses further ones as not executed; 0: no limit
--- a/tests/gateway/forwarding_tests.cpp
+++ b/tests/gateway/forwarding_tests.cpp
@@ -380,6 +380,49 @@
     EXPECT_FALSE(faults_left());
 }
 
+/// Two engines that pause within each run, for longer than some callers wait.
+struct pausing_engines : deployment {
+    running_gateway& served = add_gateway("a");
+
+    pausing_engines()
+    {
+        const auto engines = {&add_replica("e1", "lm"), &add_replica("e2", "lm")};
+        EXPECT_TRUE(eventually([this] { return events_of("warm", "/talk/warm").size() == 4; }));
+        modify_store([&](standins::fake_store&) {
+            for (auto* engine : engines) {
+                engine->pause = milliseconds(5500);
+            }
+        });
+    }
+    std::vector<std::string> events_of(const std::string& id, const std::string& path)
+    {
+        auto request = make_stream_request(id, path);
+        request.fields.set("Deadline-Ms", "20000");
+        const auto outcome = send(served.address(), request, seconds(20));
+        const auto* response = std::get_if<net::http_response>(&outcome);
+        std::vector<std::string> data;
+        net::event_reader reader;
+        for (const auto& event : reader.feed(response != nullptr ? response->body : std::string{})) {
+            data.push_back(event.data);
+        }
+        return data;
+    }
+};
+
+// Guards against the end of a stream whose replica pauses, sooner than its route and its caller ask for.
+TEST(forwarding, waits_for_a_silent_stream_that_only_its_replica_can_end)
+{
+    pausing_engines all;
+    EXPECT_EQ(all.events_of("s", "/talk/1"), (std::vector<std::string>{"s-1", "s-2", "s-3", "s-4"}));
+}
+
+// Guards against a resumable stream that is lost since each replica in turn pauses for longer than the limit.
+TEST(forwarding, waits_for_a_silent_stream_that_no_other_replica_can_continue)
+{
+    pausing_engines all;
+    EXPECT_EQ(all.events_of("r", "/tale/1"), (std::vector<std::string>{"r-1", "r-2", "r-3", "r-4"}));
+}
+
 // Guards against a refusal that says "not run" for a request that one replica ran before another refused it.
 TEST(forwarding, refuses_nothing_that_an_earlier_replica_ran)
 {
