Keep text from outside within the one request in which it is written

By test: a client's batch whose item has a line break in its path, id, header or scoring call is accepted, and its text reaches the replica as a second request of the client's making. A batch whose id has a space, a slash or a question mark is accepted, gets no results, and its end is answered 503.

Cause: strings of a JSON body went into the head of a request, and names into the store's paths, as they came.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -119,11 +119,16 @@
     co_return done{};
 }
 
+// Guards against text that came from outside and would be read as another request (request smuggling).
+//
 // Guards against a request that takes effect after its sender has given it up: bytes that a network partition
 // holds up arrive when it heals, unless their connection has been reset by then. The option also covers the
 // end of the process.
 task<http_result<done>> http_connection::send(const http_request& request, time_point deadline)
 {
+    if (!is_single_head(request)) {
+        co_return http_failure{failure_kind::malformed, false, "the request is not a single one"};
+    }
     ++requests_;
     sent_ = true;
     sent_at_ = steady::now();
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -12,22 +12,26 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
-std::string decoded(std::string_view text)
+bool is_alphanumeric(char letter)
 {
-    std::string plain;
-    for (std::size_t at = 0; at < text.size(); ++at) {
-        int value = 0;
-        if (text[at] == '%' && at + 2 < text.size() &&
-            std::from_chars(text.data() + at + 1, text.data() + at + 3, value, 16).ptr ==
-                text.data() + at + 3) {
-            plain += static_cast<char>(value);
-            at += 2;
-        }
-        else {
-            plain += text[at] == '+' ? ' ' : text[at];
-        }
-    }
-    return plain;
+    const char small = lower(letter);
+    return (small >= 'a' && small <= 'z') || (letter >= '0' && letter <= '9');
+}
+
+bool is_control(char letter)
+{
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char delete_character = 0x7f;
+    const auto code = static_cast<unsigned char>(letter);
+    return code < first_printable || code == delete_character;
+}
+
+/// In a query a plus stands for a space.
+std::string decoded_query(std::string_view text)
+{
+    std::string spaced(text);
+    std::replace(spaced.begin(), spaced.end(), '+', ' ');
+    return percent_decoded(spaced);
 }
 
 std::string_view trimmed(std::string_view text)
@@ -79,6 +83,69 @@
                        [name](const http_field& field) { return names_equal(field.name, name); });
 }
 
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [others](char letter) {
+        return is_alphanumeric(letter) || others.find(letter) != std::string_view::npos;
+    });
+}
+
+bool is_target(std::string_view text)
+{
+    return !text.empty() && std::none_of(text.begin(), text.end(),
+                                         [](char letter) { return letter == ' ' || is_control(letter); });
+}
+
+bool is_field_value(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(),
+                        [](char letter) { return letter != '\t' && is_control(letter); });
+}
+
+bool is_single_head(const http_request& request)
+{
+    const auto& fields = request.fields.all();
+    return is_token(request.method) && is_target(request.target) &&
+           std::all_of(fields.begin(), fields.end(), [](const http_field& field) {
+               return is_token(field.name) && is_field_value(field.value);
+           });
+}
+
+std::string percent_encoded(std::string_view text)
+{
+    constexpr std::string_view unreserved = "-._~";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char letter : text) {
+        if (is_alphanumeric(letter) || unreserved.find(letter) != std::string_view::npos) {
+            encoded += letter;
+            continue;
+        }
+        const auto code = static_cast<unsigned char>(letter);
+        encoded += {'%', digits[code / digits.size()], digits[code % digits.size()]};
+    }
+    return encoded;
+}
+
+std::string percent_decoded(std::string_view text)
+{
+    std::string plain;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        unsigned int value = 0;
+        if (text[at] == '%' && at + 2 < text.size() &&
+            std::from_chars(text.data() + at + 1, text.data() + at + 3, value, 16).ptr ==
+                text.data() + at + 3) {
+            plain += static_cast<char>(value);
+            at += 2;
+        }
+        else {
+            plain += text[at];
+        }
+    }
+    return plain;
+}
+
 bool is_hop_by_hop(std::string_view name, std::string_view connection_value)
 {
     constexpr std::array<std::string_view, 9> hop_by_hop{
@@ -116,8 +183,8 @@
         const auto end = rest.find('&');
         const auto pair = rest.substr(0, end);
         const auto equals = pair.find('=');
-        if (decoded(pair.substr(0, equals)) == name) {
-            return equals == std::string_view::npos ? std::string{} : decoded(pair.substr(equals + 1));
+        if (decoded_query(pair.substr(0, equals)) == name) {
+            return equals == std::string_view::npos ? std::string{} : decoded_query(pair.substr(equals + 1));
         }
         rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
     }
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -48,8 +48,20 @@
     std::string body{};
 };
 
+/// Whether the method, the target and the fields can be written as the head of one request: no byte of them
+/// ends a line, and none is left out.
+bool is_single_head(const http_request& request);
+/// A token, as the name of a header field has to be.
+bool is_token(std::string_view text);
+/// A target that can stand in a request line: not empty, no space and no control character.
+bool is_target(std::string_view text);
+/// A header field's value: no control character but the tab.
+bool is_field_value(std::string_view text);
+/// Percent-encodes all but unreserved characters, for a segment of a path or a value of a query.
+std::string percent_encoded(std::string_view text);
 /// The path of a request target, without its query.
 std::string_view path_of(std::string_view target);
+std::string percent_decoded(std::string_view text);
 /// The percent-decoded value of a query parameter; empty if it is absent.
 std::string query_value(std::string_view target, std::string_view name);
 
--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -29,7 +29,7 @@
     std::vector<std::string> parts;
     while (!path.empty()) {
         const auto slash = path.find('/');
-        parts.emplace_back(path.substr(0, slash));
+        parts.push_back(net::percent_decoded(path.substr(0, slash)));
         path = slash == std::string_view::npos ? std::string_view{} : path.substr(slash + 1);
     }
     parts.resize(3);
--- a/tests/gateway/untrusted_input_tests.cpp
+++ b/tests/gateway/untrusted_input_tests.cpp
@@ -111,6 +111,63 @@
     expect_complete(all.read_all({all.second.address()}, "b1"));
 }
 
+// Guards against an item whose text is read as another request by the replica that runs it.
+TEST(untrusted_input, gateways_refuse_items_that_hold_another_request)
+{
+    batch_deployment all;
+    auto& served = all.ready_gateway("a");
+    const std::string smuggled =
+        "1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+        "POST /smuggled HTTP/1.1\r\nAttempt-Id: smuggled\r\nToken-Counts: 5,9\r\nX: y";
+    const std::vector<std::pair<std::string, json>> changes{{"/Headers/X", smuggled},
+                                                            {"/Headers/" + std::string("X: y\r\nZ"), "1"},
+                                                            {"/Path", "/lots/" + smuggled},
+                                                            {"/Path", "/lots/a b"},
+                                                            {"/Path", ""},
+                                                            {"/Id", smuggled},
+                                                            {"/ScoringFunction/Path", "/score/" + smuggled},
+                                                            {"/ScoringFunction/Id", smuggled},
+                                                            {"/ScoringFunction/Host", smuggled}};
+    int number = 0;
+    for (const auto& [where, text] : changes) {
+        const auto id = "w" + std::to_string(++number);
+        auto submission = make_batch(id, 1, true);
+        auto body = json::parse(submission.body);
+        body["Items"][0][json::json_pointer(where)] = text;
+        submission.body = body.dump();
+        EXPECT_EQ(all.status_of(served.address(), submission), 400) << where;
+    }
+    EXPECT_EQ(all.status_of(served.address(), make_batch("b1")), 202);
+    expect_complete(all.read_all({served.address()}, "b1"));
+    const auto smuggled_runs = all.inspect_store<std::size_t>([&](standins::fake_store&) {
+        std::size_t runs = 0;
+        for (const auto* engine : {&all.one, &all.two}) {
+            for (const auto& seen : engine->started_requests) {
+                runs += seen.attempt_id == "smuggled" ? 1 : 0;
+            }
+        }
+        return runs;
+    });
+    EXPECT_EQ(smuggled_runs, 0U);
+}
+
+// Guards against a batch whose id ends or changes the paths of its objects in the store.
+TEST(untrusted_input, gateways_keep_batches_whose_ids_are_no_path)
+{
+    batch_deployment all;
+    auto& served = all.ready_gateway("a");
+    int number = 0;
+    for (const std::string id : {"a b", "a/b", "a%2Fb", "a#b", "a?b", "a&b=c", "caf\xc3\xa9"}) {
+        auto submission = make_batch("b" + std::to_string(++number));
+        submission.fields.set("Attempt-Id", id);
+        EXPECT_EQ(all.status_of(served.address(), submission), 202) << id;
+        EXPECT_EQ(all.status_of(served.address(), submission), 202) << id;
+        const auto encoded = net::percent_encoded(id);
+        expect_complete(all.read_all({served.address()}, encoded));
+        EXPECT_EQ(all.status_of(served.address(), make_end(encoded)), 200) << id;
+    }
+}
+
 // Guards against a refusal of what only passes through: the bytes of a field that no one here reads.
 TEST(untrusted_input, gateways_pass_on_fields_that_they_do_not_read)
 {
--- a/tests/net/message_tests.cpp
+++ b/tests/net/message_tests.cpp
@@ -32,6 +32,49 @@
     EXPECT_EQ(path_of("/p/q?x=1"), "/p/q");
 }
 
+// Guards against a name that ends or changes the path in which it stands.
+TEST(percent_encoded, keeps_every_byte_through_a_decoder)
+{
+    EXPECT_EQ(percent_encoded("a-b._~9"), "a-b._~9");
+    EXPECT_EQ(percent_encoded("a/b c?%\xff"), "a%2Fb%20c%3F%25%FF");
+    std::string all;
+    for (int code = 0; code < 256; ++code) {
+        all += static_cast<char>(code);
+    }
+    EXPECT_EQ(percent_decoded(percent_encoded(all)), all);
+    EXPECT_EQ(percent_decoded("%4"), "%4");
+    EXPECT_EQ(percent_decoded("%-1%zz"), "%-1%zz");
+}
+
+// Guards against text that a peer reads as the end of one request and the start of another.
+TEST(is_single_head, finds_what_ends_a_line_or_a_part_of_it)
+{
+    http_request request;
+    request.fields.add("X-Name", "some text\twith a tab, \xc3\xa9");
+    EXPECT_TRUE(is_single_head(request));
+    for (const auto& text : {std::string("a\r\nb"), std::string("a\nb"), std::string("a\rb"),
+                             std::string("a\0b", 3), std::string("a\x7f")}) {
+        auto changed = request;
+        changed.method = text;
+        EXPECT_FALSE(is_single_head(changed));
+        changed = request;
+        changed.target = "/" + text;
+        EXPECT_FALSE(is_single_head(changed));
+        changed = request;
+        changed.fields.add("X-Other", text);
+        EXPECT_FALSE(is_single_head(changed));
+        changed = request;
+        changed.fields.add(text + ":", "1");
+        EXPECT_FALSE(is_single_head(changed));
+    }
+    auto spaced = request;
+    spaced.target = "/a b";
+    EXPECT_FALSE(is_single_head(spaced));
+    auto nameless = request;
+    nameless.fields.add("", "1");
+    EXPECT_FALSE(is_single_head(nameless));
+}
+
 TEST(event_reader, parses_events_split_across_reads)
 {
     event_reader reader;
