--- a/tests/gateway/untrusted_input_tests.cpp
+++ b/tests/gateway/untrusted_input_tests.cpp
@@ -168,6 +168,22 @@
     }
 }
 
+// Guards against a caller's path without a batch that makes the store seem lost, so that all batches are
+// refused.
+TEST(untrusted_input, gateways_keep_the_store_after_a_path_without_a_batch)
+{
+    batch_deployment all;
+    auto& served = all.ready_gateway("a");
+    for (const auto* target : {"/api/lots/", "/api/items/?Id=i"}) {
+        auto nameless = make_read("", 0);
+        nameless.target = target;
+        EXPECT_EQ(all.status_of(served.address(), nameless), 404) << target;
+        EXPECT_EQ(all.status_of(served.address(), make_batch(std::string("b") + target[5])), 202);
+    }
+    EXPECT_EQ(all.status_of(served.address(), make_end("")), 404);
+    EXPECT_EQ(all.status_of(served.address(), make_batch("b3")), 202);
+}
+
 // Guards against a refusal of what only passes through: the bytes of a field that no one here reads.
 TEST(untrusted_input, gateways_pass_on_fields_that_they_do_not_read)
 {
