--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -26,6 +26,7 @@
 #include "policy/step_placement.hpp"
 #include "policy/store_breaker.hpp"
 #include "policy/straggler.hpp"
+#include "policy/stream_silence.hpp"
 #include "policy/target_pool.hpp"
 #include "policy/target_speed.hpp"
 #include "policy/wave_fence.hpp"
