Reset the connections of HTTP calls that are given up

Evidence: a server that reads the request and watches its TCP state sees a half-open connection (CLOSE_WAIT), never a reset. strace shows shutdown and close without SO_LINGER, and the hook of the library (set_nativehandle_options) called with descriptor -1, before the connect: an option set there alone changes nothing (tried, 3 of 3 runs still fail).

Change: the hook opens the socket, of the protocol of the channel's numeric address, and sets SO_LINGER 0; the library connects the open socket. Why it works: the library closes a connection in use only when it gives it up, so the close becomes a reset and the kernel drops what it holds.

Tests, before: given_up_call.resets_its_connection_at_its_deadline and resets_its_connection_when_cancelled failed, 3 of 3 runs each ("Value of: server.was_reset()"). After: 3 of 3 passed; all 44 tests of wire pass.

--- a/src/wire/http_channel.cpp
+++ b/src/wire/http_channel.cpp
@@ -3,15 +3,21 @@
 #include "vanillagauge.pb.h"
 #include "wire/internal/callback_gate.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <cpprest/http_client.h>
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace vanillagauge::wire {
 namespace {
 
+namespace asio = boost::asio;
+using asio::ip::tcp;
 using web::http::http_request;
 using web::http::http_response;
 using web::http::client::http_client;
@@ -23,10 +29,46 @@
 /// Calls cancelled before this time do not count as evidence of an unresponsive connection.
 constexpr milliseconds silence_threshold{100};
 
-http_client_config client_config()
+/// The protocol of an address with a numeric host; none for a host name.
+std::optional<tcp> protocol_of(const std::string& address)
+{
+    const web::uri uri("http://" + address);
+    auto host = uri.host();
+    if (host.starts_with('[') && host.ends_with(']')) {
+        host = host.substr(1, host.size() - 2);
+    }
+    boost::system::error_code unparsable;
+    const auto parsed = asio::ip::make_address(host, unparsable);
+    if (unparsable) {
+        return std::nullopt;
+    }
+    return parsed.is_v6() ? tcp::v6() : tcp::v4();
+}
+
+// Guards against a request that is delivered after its call was given up: behind a partition the kernel holds
+// what was sent, beyond a normal close too. The library closes a connection in use only when it gives it up.
+// It shows its socket before it opens it, so that the socket is opened here where the protocol is known.
+void reset_on_close(tcp::socket& socket, const std::optional<tcp>& protocol)
+{
+    boost::system::error_code ignored;
+    if (!socket.is_open() && protocol) {
+        socket.open(*protocol, ignored);
+    }
+    if (!socket.is_open()) {
+        return;
+    }
+    const linger at_once{1, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+http_client_config client_config(const std::string& address)
 {
     http_client_config config;
     config.set_timeout(library_timeout);
+    config.set_nativehandle_options(
+        [protocol = protocol_of(address)](web::http::client::native_handle shown) {
+            reset_on_close(*static_cast<tcp::socket*>(shown), protocol);
+        });
     return config;
 }
 
@@ -35,7 +77,9 @@
     http_client client;
     std::atomic<time_point> last_answer{};
 
-    explicit pooled_client(const std::string& address) : client("http://" + address, client_config()) {}
+    explicit pooled_client(const std::string& address) : client("http://" + address, client_config(address))
+    {
+    }
 };
 
 /// The current client of a channel; replaced when its pooled connections stop responding.
