Keep the doubt about a write between two peers that relay it

Cause: a gateway without the store passes a write to two peers in turn and kept the last outcome only. The first peer's write took effect without an answer (in doubt), the second was refused (not run), so the whole became a refusal.

Change: peer_relay::call_peers keeps the greatest doubt of its peers. create_with_retry then repeats the write, finds it stored and answers 202. Definite answers of a later peer stand as before, since every store call is safe to repeat.

Test: batches.are_not_refused_if_the_write_of_one_peer_may_have_taken_effect. The stand-in for the store has a script of faults for it.

--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -134,9 +134,11 @@
     co_return outcome;
 }
 
+// A peer whose answer is lost may have written: what a later peer says of its own attempt does not change
+// that.
 net::task_of<store_answer> peer_relay::call_peers(const store_call& wanted, time_point until)
 {
-    result<store_answer> last = unavailable(run_state::not_run, "no gateway reaches the store");
+    auto last = unavailable(run_state::not_run, "no gateway reaches the store");
     for (const auto& address : relay_candidates()) {
         const auto now = steady::now();
         if (now >= until) {
@@ -145,11 +147,15 @@
         auto body = to_json(wanted);
         const auto answer =
             co_await call_peer(address, "/relay", std::move(body), std::min(until, now + relay_timeout));
-        last = ok(answer) ? store_answer_from_json(wanted.operation, value(answer)) : failure(answer);
-        if (!store_unavailable(last)) {
+        auto outcome = ok(answer) ? store_answer_from_json(wanted.operation, value(answer))
+                                  : result<store_answer>(failure(answer));
+        if (!store_unavailable(outcome)) {
             last_good_ = address;
-            co_return last;
+            co_return outcome;
         }
+        const auto doubt = std::max(last.ran, failure(outcome).ran);
+        last = failure(outcome);
+        last.ran = doubt;
     }
     last_good_.clear();
     co_return last;
--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -229,6 +229,16 @@
     }
 }
 
+std::optional<write_fault> fake_store::next_fault(const std::string& kind)
+{
+    if (faults.script.empty() || kind != faults.scripted_kind) {
+        return std::nullopt;
+    }
+    const auto next = faults.script.front();
+    faults.script.pop_front();
+    return next;
+}
+
 net::task<void> fake_store::serve(endpoint used, const net::http_request& request, net::responder& answer)
 {
     co_await wait_while_silent(used, answer);
@@ -252,7 +262,17 @@
             answer.abort();
             co_return;
         }
+        const auto fault = next_fault(parts[0]);
+        if (fault == write_fault::refuse) {
+            auto refused = respond(503, json::object());
+            co_await answer.send(std::move(refused));
+            co_return;
+        }
         auto response = write(request);
+        if (fault == write_fault::lose_answer) {
+            answer.abort();
+            co_return;
+        }
         if (faults.lose_answers > 0) {
             --faults.lose_answers;
             answer.abort();
--- a/standins/users/fake_store.hpp
+++ b/standins/users/fake_store.hpp
@@ -9,13 +9,21 @@
 
 #include <nlohmann/json.hpp>
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace vanillagauge::standins {
 
+/// What happens to one write.
+enum class write_fault {
+    refuse,      ///< answered 503 without being applied
+    lose_answer, ///< applied, but the connection is closed without a response
+};
+
 /// Faults injected into the store's calls; in force until changed.
 struct store_faults {
     bool refuse = false;  ///< answers 503 without executing the call
@@ -25,6 +33,8 @@
     bool second_silent = false;  ///< requests at the second address, pending ones too, get no response
     bool lose_watches = false;   ///< watches that are due get no response, also later
     std::string held_kind{};     ///< reads and lists of this kind wait
+    std::string scripted_kind{}; ///< the kind whose next writes `script` is for
+    std::deque<write_fault> script{};
 };
 
 class fake_store {
@@ -81,6 +91,8 @@
     net::task<void> wait_while_silent(endpoint used, net::responder& answer);
     net::task<void> write_later(net::http_request request);
     net::http_response list(const std::string& kind, const std::string& after) const;
+    /// Takes the next fault of the script, if it is for this kind.
+    std::optional<write_fault> next_fault(const std::string& kind);
     net::http_response write(const net::http_request& request);
     /// Applies a POST or PUT; throws json::exception if the body lacks a required field.
     net::http_response write_object(const net::http_request& request);
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -60,6 +60,27 @@
     expect_complete(cluster.read_all({served.address()}, "b1"));
 }
 
+// The gateway's own write is refused, the first peer's takes effect without a response, the second peer's is
+// refused. The batch will run, so it must not be refused.
+TEST(batches, are_not_refused_if_the_write_of_one_peer_may_have_taken_effect)
+{
+    batch_deployment cluster;
+    auto& served = cluster.ready_gateway("a");
+    cluster.ready_gateway("b");
+    cluster.ready_gateway("c");
+    EXPECT_TRUE(deployment::eventually([&] {
+        return served.query<std::size_t>(
+                   [](gateway& one) { return one.addresses().front_addresses.size(); }) == 3;
+    }));
+    cluster.modify_store([](standins::fake_store& store) {
+        store.faults.scripted_kind = batch_kind;
+        store.faults.script = {standins::write_fault::refuse, standins::write_fault::lose_answer,
+                               standins::write_fault::refuse};
+    });
+    EXPECT_EQ(cluster.status_of(served.address(), make_batch("b1")), 202);
+    expect_complete(cluster.read_all({served.address()}, "b1"));
+}
+
 // Writes of results take effect late, after others under the same name. No position may change.
 TEST(batches, publish_every_item_once_with_delayed_writes)
 {
