Count refused calls to the store after all feeds have noticed its loss

Cause, by a trace of the refused calls (60 plain runs, 20 at a time, 5 failed): the reads made one call, GET results-b1. The rest were feeds: versions?Watch=107&WaitMs=1400, versions, retirements?Watch=107&WaitMs=1400, retirements Watches of 1.4 s that were pending when the store went away ended within the measured time, as the test waited for 1 s only; each feed then asks twice, a watch and a listing, before it knows. That is once an outage and does not grow with readers, which is what the test guards against.

--- a/tests/gateway/batch_read_tests.cpp
+++ b/tests/gateway/batch_read_tests.cpp
@@ -1,5 +1,6 @@
 // Reads of results through the gateway that runs the batch.
 #include "batch_deployment.hpp"
+#include "policy/copy_age.hpp"
 
 namespace vanillagauge::gateway {
 namespace {
@@ -9,6 +10,9 @@
 /// A position that has been read must be there for every reader after this time.
 constexpr milliseconds settle_time{1000};
 
+/// By then the watches that were pending when the store went away have ended, and each feed has noticed it.
+constexpr milliseconds feeds_notice_time = policy::frequent_watch_time + settle_time;
+
 std::uint64_t result_reads(batch_deployment& cluster, const std::string& batch)
 {
     return cluster.inspect_store<std::uint64_t>(
@@ -119,7 +123,7 @@
     EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1", 9)), 202);
     EXPECT_EQ(cluster.status_of(owner.address(), make_read("b1", 0)), 200);
     cluster.modify_store([](standins::fake_store& store) { store.faults.refuse = true; });
-    std::this_thread::sleep_for(settle_time);
+    std::this_thread::sleep_for(feeds_notice_time);
     const auto refused = [&] {
         return cluster.inspect_store<std::uint64_t>(
             [](standins::fake_store& store) { return store.refused_calls(); });
