Let one caller at a time try a store that is away

Seen, while the refused landing was traced: calls to a store that is away grow with the readers that wait at once, though a breaker is to hold them back. A check before a wait: the breaker looked at its pause when a call began and renewed it when the call had failed, so that all callers in between passed, each directly and through two peers.

A watch goes directly only and can't find that a peer reaches the store again: it is refused while the store is away and leaves the trial to the listing that follows.

--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -194,7 +194,7 @@
 
 net::task_of<store_answer> peer_relay::call(store_call wanted)
 {
-    if (!breaker_.allows(steady::now())) {
+    if (!breaker_.admits(steady::now())) {
         co_return known_unavailable();
     }
     auto outcome = co_await call_all_ways(std::move(wanted));
@@ -236,9 +236,11 @@
     return direct_.ping(std::move(kind), within);
 }
 
+// A watch goes directly only, so it cannot tell whether a peer reaches the store again: it must not take the
+// trial of a call that can.
 net::task_of<object_changes> peer_relay::watch(std::string kind, std::uint64_t since, milliseconds wait)
 {
-    if (!breaker_.allows(steady::now())) {
+    if (breaker_.away()) {
         co_return known_unavailable();
     }
     auto outcome = co_await direct_.watch(std::move(kind), since, wait);
--- a/src/policy/store_breaker.hpp
+++ b/src/policy/store_breaker.hpp
@@ -11,12 +11,16 @@
     /// A call failed directly and through peers.
     void on_unreachable(time_point now);
     /// Any way to the store works.
-    void on_answered() { closed_until_ = time_point{}; }
-    /// Whether to make a call now; otherwise it has failed without having run.
-    bool allows(time_point now) const { return now >= closed_until_; }
+    void on_answered() { away_ = false; }
+    /// Whether the last call failed on all ways.
+    bool away() const { return away_; }
+    /// Whether to make a call now; otherwise it has failed without having run. While the store is away one
+    /// caller in each pause may try it.
+    bool admits(time_point now);
 
 private:
-    time_point closed_until_{};
+    bool away_ = false;
+    time_point next_trial_{};
 };
 
 } // namespace vanillagauge::policy
--- a/tests/gateway/batch_read_tests.cpp
+++ b/tests/gateway/batch_read_tests.cpp
@@ -143,6 +143,40 @@
     EXPECT_LE(static_cast<double>(refused() - before), 4 + calls_a_second * took);
 }
 
+// Guards against calls that pass together each time the store may be tried again.
+TEST(batch_reads, of_many_waiting_readers_share_a_trial_of_the_store)
+{
+    batch_deployment cluster;
+    auto& owner = cluster.ready_gateway("a");
+    EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1", 9)), 202);
+    EXPECT_EQ(cluster.status_of(owner.address(), make_read("b1", 0)), 200);
+    cluster.modify_store([](standins::fake_store& store) { store.faults.refuse = true; });
+    std::this_thread::sleep_for(feeds_notice_time);
+    const auto refused = [&] {
+        return cluster.inspect_store<std::uint64_t>(
+            [](standins::fake_store& store) { return store.refused_calls(); });
+    };
+    const auto before = refused();
+    const auto began = steady::now();
+    constexpr int readers = 16;
+    constexpr int reads = 10;
+    std::vector<std::future<void>> all;
+    all.reserve(readers);
+    for (int reader = 0; reader < readers; ++reader) {
+        all.push_back(std::async(std::launch::async, [&] {
+            auto read = make_read("b1", 0);
+            read.fields.set("Wait-Ms", "100");
+            for (int turn = 0; turn < reads; ++turn) {
+                EXPECT_EQ(cluster.status_of(owner.address(), read), 503);
+            }
+        }));
+    }
+    all.clear();
+    const auto took = std::chrono::duration<double>(steady::now() - began).count();
+    constexpr double calls_a_second = 12;
+    EXPECT_LE(static_cast<double>(refused() - before), 4 + calls_a_second * took);
+}
+
 // Guards against an exception on malformed calls of other programs, which would end the gateway.
 TEST(batch_reads, of_peers_are_refused_if_malformed)
 {
