--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -103,13 +103,16 @@
                         [](char letter) { return letter != '\t' && is_control(letter); });
 }
 
+bool is_field(const http_field& field)
+{
+    return is_token(field.name) && is_field_value(field.value);
+}
+
 bool is_single_head(const http_request& request)
 {
     const auto& fields = request.fields.all();
     return is_token(request.method) && is_target(request.target) &&
-           std::all_of(fields.begin(), fields.end(), [](const http_field& field) {
-               return is_token(field.name) && is_field_value(field.value);
-           });
+           std::all_of(fields.begin(), fields.end(), is_field);
 }
 
 std::string percent_encoded(std::string_view text)
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -57,6 +57,8 @@
 bool is_target(std::string_view text);
 /// A header field's value: no control character but the tab.
 bool is_field_value(std::string_view text);
+/// Whether name and value can stand in one header field's line.
+bool is_field(const http_field& field);
 /// Percent-encodes all but unreserved characters, for a segment of a path or a value of a query.
 std::string percent_encoded(std::string_view text);
 /// The path of a request target, without its query.
