Keep what earlier ways to the store may have done by one function

call_peers and call_all_ways each took the greater doubt of two failures, by variables beside the outcome. `after` says it once, and call_all_ways ends where its last way has failed. The paths and what they return are as before: the direct failure where peers were asked first, else that of the peers, each with the greatest doubt. All 171 tests of gateway pass.

--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -38,6 +38,13 @@
     return !ok(outcome) && failure(outcome).code == error_code::unavailable;
 }
 
+/// The failure of one way to the store, which does not undo what an earlier way may have done.
+error after(run_state earlier, error failed)
+{
+    failed.ran = std::max(earlier, failed.ran);
+    return failed;
+}
+
 } // namespace
 
 peer_relay::peer_relay(net::loop& loop, object_store& direct, const fleet_view& fleet)
@@ -153,9 +160,7 @@
             last_good_ = address;
             co_return outcome;
         }
-        const auto doubt = std::max(last.ran, failure(outcome).ran);
-        last = failure(outcome);
-        last.ran = doubt;
+        last = after(last.ran, failure(outcome));
     }
     last_good_.clear();
     co_return last;
@@ -167,29 +172,27 @@
 {
     const auto until = steady::now() + call_timeout;
     const bool peers_first = direct_failed_ && steady::now() < direct_retry_;
-    auto doubt = run_state::not_run;
+    auto tried = run_state::not_run;
     if (peers_first) {
         auto outcome = co_await call_peers(wanted, until);
         if (!store_unavailable(outcome)) {
             co_return outcome;
         }
-        doubt = failure(outcome).ran;
+        tried = failure(outcome).ran;
     }
     auto outcome = co_await call_directly(wanted);
     if (!store_unavailable(outcome)) {
         co_return outcome;
     }
-    doubt = std::max(doubt, failure(outcome).ran);
-    if (!peers_first) {
-        outcome = co_await call_peers(wanted, until);
-        if (!store_unavailable(outcome)) {
-            co_return outcome;
-        }
-        doubt = std::max(doubt, failure(outcome).ran);
+    const auto direct = after(tried, failure(outcome));
+    if (peers_first) {
+        co_return direct;
+    }
+    outcome = co_await call_peers(wanted, until);
+    if (!store_unavailable(outcome)) {
+        co_return outcome;
     }
-    auto reason = failure(outcome);
-    reason.ran = doubt;
-    co_return reason;
+    co_return after(direct.ran, failure(outcome));
 }
 
 net::task_of<store_answer> peer_relay::call(store_call wanted)
