--- a/tests/gateway/forwarding_tests.cpp
+++ b/tests/gateway/forwarding_tests.cpp
@@ -351,6 +351,17 @@
     EXPECT_EQ(all.trace_of("traced"), "00-" + trace + "-" + attempt["spanId"].get<std::string>() + "-01");
 }
 
+/// The data of each event of a stream's body.
+std::vector<std::string> event_data(const std::string& body)
+{
+    std::vector<std::string> data;
+    net::event_reader reader;
+    for (const auto& event : reader.feed(body)) {
+        data.push_back(event.data);
+    }
+    return data;
+}
+
 // Guards against a lost or repeated event when a replica fails within an event and another one resumes the
 // stream.
 TEST(forwarding, resumes_a_stream_at_another_replica)
@@ -370,12 +381,8 @@
         const auto id = "a" + std::to_string(turn);
         const auto outcome = all.send(served.address(), make_stream_request(id));
         const auto& response = std::get<net::http_response>(outcome);
-        net::event_reader reader;
-        std::vector<std::string> data;
-        for (const auto& event : reader.feed(response.body)) {
-            data.push_back(event.data);
-        }
-        EXPECT_EQ(data, (std::vector<std::string>{id + "-1", id + "-2", id + "-3", id + "-4"}));
+        EXPECT_EQ(event_data(response.body),
+                  (std::vector<std::string>{id + "-1", id + "-2", id + "-3", id + "-4"}));
     }
     EXPECT_FALSE(faults_left());
 }
@@ -400,12 +407,7 @@
         request.fields.set("Deadline-Ms", "20000");
         const auto outcome = send(served.address(), request, seconds(20));
         const auto* response = std::get_if<net::http_response>(&outcome);
-        std::vector<std::string> data;
-        net::event_reader reader;
-        for (const auto& event : reader.feed(response != nullptr ? response->body : std::string{})) {
-            data.push_back(event.data);
-        }
-        return data;
+        return response != nullptr ? event_data(response->body) : std::vector<std::string>{};
     }
 };
 
