Set up the lost store of two tests of batch reads once

Both tests ran a batch, took the store away, waited for the feeds and compared refused calls with the same bound. One fixture does that; bound, wait and assertions are the same.

--- a/tests/gateway/batch_read_tests.cpp
+++ b/tests/gateway/batch_read_tests.cpp
@@ -114,49 +114,53 @@
     EXPECT_EQ(cluster.status_of(owner.address(), make_read("b1", 0)), 503);
 }
 
+/// A gateway runs a batch, and the store has been away for so long that each feed has noticed it.
+struct lost_store : batch_deployment {
+    running_gateway& owner = ready_gateway("a");
+
+    lost_store()
+    {
+        EXPECT_EQ(status_of(owner.address(), make_batch("b1", 9)), 202);
+        EXPECT_EQ(status_of(owner.address(), make_read("b1", 0)), 200);
+        modify_store([](standins::fake_store& store) { store.faults.refuse = true; });
+        std::this_thread::sleep_for(feeds_notice_time);
+    }
+    std::uint64_t refused()
+    {
+        return inspect_store<std::uint64_t>(
+            [](standins::fake_store& store) { return store.refused_calls(); });
+    }
+    /// Of all refused since `before`, the watcher's own attempts among them.
+    void expect_few_calls(std::uint64_t before, double took_seconds)
+    {
+        constexpr double calls_a_second = 12;
+        EXPECT_LE(static_cast<double>(refused() - before), 4 + calls_a_second * took_seconds);
+    }
+};
+
 // Guards against calls that grow with the readers while the store is away, and against readers who wait for
 // it.
 TEST(batch_reads, are_refused_at_once_while_the_store_is_away)
 {
-    batch_deployment cluster;
-    auto& owner = cluster.ready_gateway("a");
-    EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1", 9)), 202);
-    EXPECT_EQ(cluster.status_of(owner.address(), make_read("b1", 0)), 200);
-    cluster.modify_store([](standins::fake_store& store) { store.faults.refuse = true; });
-    std::this_thread::sleep_for(feeds_notice_time);
-    const auto refused = [&] {
-        return cluster.inspect_store<std::uint64_t>(
-            [](standins::fake_store& store) { return store.refused_calls(); });
-    };
+    lost_store cluster;
     auto read = make_read("b1", 0);
     read.fields.set("Wait-Ms", "0");
-    const auto before = refused();
+    const auto before = cluster.refused();
     const auto began = steady::now();
     constexpr int reads = 100;
     for (int turn = 0; turn < reads; ++turn) {
-        EXPECT_EQ(cluster.status_of(owner.address(), read), 503);
+        EXPECT_EQ(cluster.status_of(cluster.owner.address(), read), 503);
     }
     const auto took = std::chrono::duration<double>(steady::now() - began).count();
     EXPECT_LE(took, 3);
-    // The watcher's own attempts are among them.
-    constexpr double calls_a_second = 12;
-    EXPECT_LE(static_cast<double>(refused() - before), 4 + calls_a_second * took);
+    cluster.expect_few_calls(before, took);
 }
 
 // Guards against calls that pass together each time the store may be tried again.
 TEST(batch_reads, of_many_waiting_readers_share_a_trial_of_the_store)
 {
-    batch_deployment cluster;
-    auto& owner = cluster.ready_gateway("a");
-    EXPECT_EQ(cluster.status_of(owner.address(), make_batch("b1", 9)), 202);
-    EXPECT_EQ(cluster.status_of(owner.address(), make_read("b1", 0)), 200);
-    cluster.modify_store([](standins::fake_store& store) { store.faults.refuse = true; });
-    std::this_thread::sleep_for(feeds_notice_time);
-    const auto refused = [&] {
-        return cluster.inspect_store<std::uint64_t>(
-            [](standins::fake_store& store) { return store.refused_calls(); });
-    };
-    const auto before = refused();
+    lost_store cluster;
+    const auto before = cluster.refused();
     const auto began = steady::now();
     constexpr int readers = 16;
     constexpr int reads = 10;
@@ -167,14 +171,13 @@
             auto read = make_read("b1", 0);
             read.fields.set("Wait-Ms", "100");
             for (int turn = 0; turn < reads; ++turn) {
-                EXPECT_EQ(cluster.status_of(owner.address(), read), 503);
+                EXPECT_EQ(cluster.status_of(cluster.owner.address(), read), 503);
             }
         }));
     }
     all.clear();
     const auto took = std::chrono::duration<double>(steady::now() - began).count();
-    constexpr double calls_a_second = 12;
-    EXPECT_LE(static_cast<double>(refused() - before), 4 + calls_a_second * took);
+    cluster.expect_few_calls(before, took);
 }
 
 // Guards against an exception on malformed calls of other programs, which would end the gateway.
