Draw changes of bytes for three tests by the same functions

The gateway's raw bytes, its replicas' changed answers and the raw bytes of the product's own interface each had their own copy of the seed, the changes and the raw send; input_limits had another of the address. Seeds, counts of changes and the order of draws are as before.

--- a/tests/gateway/changed_answers_tests.cpp
+++ b/tests/gateway/changed_answers_tests.cpp
@@ -1,9 +1,6 @@
+#include "../drawn_bytes.hpp"
 #include "batch_deployment.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-
 #include <gtest/gtest.h>
 
 #include <array>
@@ -19,7 +16,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr std::uint64_t first_seed = 20261204;
 constexpr int plain_requests = 150;
 constexpr int streams = 40;
 constexpr int callers = 8;
@@ -29,7 +25,7 @@
 class changing_proxy {
 public:
     changing_proxy(const std::string& replica, std::uint64_t seed)
-        : replica_(endpoint_of(replica)), acceptor_(context_, {asio::ip::address_v4::loopback(), 0}),
+        : replica_(tcp_endpoint(replica)), acceptor_(context_, {asio::ip::address_v4::loopback(), 0}),
           random_(seed)
     {
         thread_ = std::thread([this] { accept(); });
@@ -71,13 +67,6 @@
     std::list<passed_connection> passed_; ///< of `thread_`, then of the destructor
     std::thread thread_;
 
-    static tcp::endpoint endpoint_of(const std::string& address)
-    {
-        const auto colon = address.rfind(':');
-        return {asio::ip::make_address(address.substr(0, colon)),
-                static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
-    }
-
     void accept()
     {
         while (true) {
@@ -124,21 +113,7 @@
     {
         const std::lock_guard lock(mutex_);
         const auto changes = random_() % (max_changes + 1);
-        for (std::uint64_t change = 0; change < changes && !text.empty(); ++change) {
-            const auto at = random_() % text.size();
-            const auto byte = static_cast<char>(random_() % 256);
-            switch (random_() % 3) {
-            case 0:
-                text[at] = byte;
-                break;
-            case 1:
-                text.insert(at, 1, byte);
-                break;
-            default:
-                text.erase(at, 1);
-            }
-        }
-        return text;
+        return with_changes(std::move(text), changes, random_);
     }
 
     static void shut_down(tcp::socket& socket) { ::shutdown(socket.native_handle(), SHUT_RDWR); }
@@ -152,11 +127,6 @@
     }
 };
 
-std::uint64_t drawn_seed()
-{
-    return first_seed + static_cast<std::uint64_t>(testing::UnitTest::GetInstance()->random_seed());
-}
-
 /// Registers the replica at another address.
 void move_replica(deployment& all, standins::fake_replica& replica, const std::string& service,
                   const std::string& address)
--- a/tests/wire/input_limits_tests.cpp
+++ b/tests/wire/input_limits_tests.cpp
@@ -1,5 +1,6 @@
 #include "wire/wire.hpp"
 
+#include "../drawn_bytes.hpp"
 #include "target.pb.h"
 
 #include <boost/asio/connect.hpp>
@@ -92,18 +93,11 @@
     return limits;
 }
 
-tcp::endpoint endpoint_of(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
-    return {boost::asio::ip::make_address(address.substr(0, colon)), port};
-}
-
 class raw_client {
 public:
     explicit raw_client(const std::string& address) : socket_(context_)
     {
-        socket_.connect(endpoint_of(address));
+        socket_.connect(tcp_endpoint(address));
     }
 
     /// Ignores errors: the server may close early, and its response can still be read.
@@ -359,7 +353,7 @@
     boost::asio::io_context context;
     tcp::socket socket(context);
     boost::system::error_code failed;
-    socket.connect(endpoint_of(address), failed);
+    socket.connect(tcp_endpoint(address), failed);
     return bool(failed);
 }
 
--- a/tests/wire/raw_bytes_tests.cpp
+++ b/tests/wire/raw_bytes_tests.cpp
@@ -1,17 +1,14 @@
 #include "wire/wire.hpp"
 
+#include "../drawn_bytes.hpp"
 #include "target.pb.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
-#include <sys/socket.h>
-
-#include <array>
 #include <atomic>
 #include <future>
 #include <random>
@@ -25,10 +22,8 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr std::uint64_t first_seed = 20261204;
 constexpr int server_rounds = 1500;
 constexpr int client_rounds = 400;
-constexpr int max_changes = 6;
 constexpr milliseconds call_timeout{300};
 
 class echo_service final : public target::v1::PlainService {
@@ -54,56 +49,6 @@
     }
 };
 
-std::mt19937_64 drawn_numbers()
-{
-    const auto chosen = static_cast<std::uint64_t>(testing::UnitTest::GetInstance()->random_seed());
-    return std::mt19937_64(first_seed + chosen);
-}
-
-/// Replaces, inserts and removes a few bytes at drawn places.
-std::string changed(std::string text, std::mt19937_64& random)
-{
-    const int changes = 1 + static_cast<int>(random() % max_changes);
-    for (int change = 0; change < changes; ++change) {
-        const auto at = random() % text.size();
-        const auto byte = static_cast<char>(random() % 256);
-        switch (random() % 3) {
-        case 0:
-            text[at] = byte;
-            break;
-        case 1:
-            text.insert(at, 1, byte);
-            break;
-        default:
-            text.erase(at, 1);
-        }
-    }
-    return text;
-}
-
-tcp::endpoint endpoint_of(const std::string& address)
-{
-    const auto colon = address.rfind(':');
-    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
-    return {asio::ip::make_address(address.substr(0, colon)), port};
-}
-
-/// Sends the bytes and reads once; ignores what is answered.
-void send_raw(const std::string& address, const std::string& bytes)
-{
-    asio::io_context context;
-    tcp::socket socket(context);
-    boost::system::error_code failed;
-    socket.connect(endpoint_of(address), failed);
-    ASSERT_FALSE(failed) << "the server is gone";
-    asio::write(socket, asio::buffer(bytes), failed);
-    socket.shutdown(tcp::socket::shutdown_send, failed);
-    std::array<char, 4096> answer{};
-    const timeval patience{0, 50000};
-    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-    ::recv(socket.native_handle(), answer.data(), answer.size(), 0);
-}
-
 std::string request_to(const std::string& path, const std::string& type, const std::string& body)
 {
     return "POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Timeout-Ms: 300\r\n" +
@@ -167,10 +112,10 @@
     limits.body_time = milliseconds{100};
     http_server server(services.calls, limits, {{"/metrics", [] { return std::string("m 1\n"); }}});
     const auto address = value(server.open("127.0.0.1:0"));
-    auto random = drawn_numbers();
+    std::mt19937_64 random(drawn_seed());
     const auto sound = sound_requests();
     for (int round = 0; round < server_rounds; ++round) {
-        send_raw(address, changed(sound[random() % sound.size()], random));
+        send_raw(address, with_few_changes(sound[random() % sound.size()], random));
     }
     event_loop loop;
     http_channel link(loop, address);
@@ -194,9 +139,9 @@
     event_loop loop;
     peer_server server(loop, services.calls);
     const auto address = value(server.open("127.0.0.1:0"));
-    auto random = drawn_numbers();
+    std::mt19937_64 random(drawn_seed());
     for (int round = 0; round < server_rounds; ++round) {
-        send_raw(address, changed(sound_http2(), random));
+        send_raw(address, with_few_changes(sound_http2(), random));
     }
     peer_channel link(loop, address);
     const auto reply = start_call(link, "r2").get();
@@ -239,7 +184,7 @@
         const std::string chunked =
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
             "2\r\n{}\r\n0\r\n\r\n";
-        auto random = drawn_numbers();
+        std::mt19937_64 random(drawn_seed());
         while (true) {
             auto socket = acceptor_.accept();
             if (stopping_) {
@@ -248,7 +193,8 @@
             boost::system::error_code failed;
             asio::streambuf bytes;
             asio::read_until(socket, bytes, '}', failed);
-            asio::write(socket, asio::buffer(changed(random() % 2 == 0 ? sound : chunked, random)), failed);
+            asio::write(socket, asio::buffer(with_few_changes(random() % 2 == 0 ? sound : chunked, random)),
+                        failed);
         }
     }
 };
