--- /dev/null
+++ b/src/json/json.hpp
@@ -0,0 +1,7 @@
+/// Reading of JSON that other programs wrote.
+#ifndef VANILLAGAUGE_JSON_JSON_HPP
+#define VANILLAGAUGE_JSON_JSON_HPP
+
+#include "json/parse.hpp"
+
+#endif
