Say on a process's last line what ended it and what it had read last

Cause: a process that a fault ended left nothing (SIGSEGV) or one message without its source (an exception), so logs could not tell an odd entry of the store from an odd request or response.

Change: a fault's signal writes one JSON line to standard error before it ends the process: the signal, and the last eight inputs of the thread that failed (stored objects by kind and name, responses by address, requests by method and target). Event loops have a stack of their own for it, since an exhausted stack is one of the faults. The line is built without allocation.

--- a/src/gateway/feed.cpp
+++ b/src/gateway/feed.cpp
@@ -1,6 +1,7 @@
 #include "gateway/feed.hpp"
 
 #include "gateway/untrusted_json.hpp"
+#include "observe/last_inputs.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -20,6 +21,7 @@
 // removed, since all objects up to `as_of_` are known.
 void feed::apply(object_change change)
 {
+    observe::note_input(kind_, change.object.name);
     const auto found = objects_.find(change.object.name);
     if (found != objects_.end() && change.object.revision < found->second.revision) {
         return;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/address.hpp"
 #include "net/internal/socket_options.hpp"
+#include "observe/last_inputs.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -105,6 +106,7 @@
     if (!ok(parsed)) {
         co_return http_failure{failure_kind::refused, false, failure(parsed).detail};
     }
+    address_ = std::move(address);
     const asio::ip::tcp::endpoint to(asio::ip::make_address(value(parsed).host), value(parsed).port);
     stream_.expires_at(deadline);
     error_code unconnected;
@@ -174,6 +176,7 @@
     if (failure) {
         co_return to_failure(failure);
     }
+    observe::note_input("response of", address_);
     response_head head;
     const auto& message = reader_->parser.get();
     head.status = static_cast<int>(message.result_int());
@@ -265,6 +268,7 @@
     if (auto* failure = std::get_if<http_failure>(&body)) {
         co_return std::move(*failure);
     }
+    observe::note_input("body of", request.target);
     auto& found = std::get<response_head>(head);
     co_return http_response{found.status, std::move(found.fields), std::move(std::get<std::string>(body))};
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -99,6 +99,7 @@
     exchange_history history_;
     std::shared_ptr<peer_silence> silence_;
     time_point sent_at_{};
+    std::string address_; ///< of the peer, once connected
 
     /// Reads into a new reader.
     task<boost::system::error_code> read_one_head(time_point deadline);
--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/internal/service_connection.hpp"
 
 #include "net/internal/socket_options.hpp"
+#include "observe/last_inputs.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -59,6 +60,7 @@
     http_request request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
+    observe::note_input(request.method, request.target);
     for (const auto& field : message) {
         const auto field_name = field.name_string();
         const auto value = field.value();
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -1,5 +1,6 @@
 #include "node/program.hpp"
 
+#include "observe/crash_report.hpp"
 #include "observe/json_text.hpp"
 #include "observe/log.hpp"
 #include "observe/trace.hpp"
@@ -58,6 +59,7 @@
 {
     // Before anything else: SIGHUP while the settings are read would terminate the program.
     block_stop_signals();
+    observe::report_crashes(program);
     auto parsed = parse_arguments(program, argc, argv);
     if (const auto* end = std::get_if<exit_now>(&parsed)) {
         return *end;
--- a/src/wire/event_loop.cpp
+++ b/src/wire/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "wire/event_loop.hpp"
 
+#include "observe/crash_report.hpp"
 #include "wire/internal/callback_gate.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -16,7 +17,10 @@
     boost::asio::io_context context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
     std::shared_ptr<internal::callback_gate> callbacks = std::make_shared<internal::callback_gate>();
-    std::thread thread{[this] { context.run(); }};
+    std::thread thread{[this] {
+        const observe::crash_stack stack;
+        context.run();
+    }};
 };
 
 event_loop::event_loop() : state_(std::make_unique<state>()) {}
