Let the stand-in for the store hold entries as raw text

Another writer can leave an entry that no JSON library writes: nested without bound, with numbers out of range, with bytes that are not UTF-8, without metadata. The stand-in hands such an object out as it stands, in lists, watches and single reads. It keeps the history as text and joins texts, so that it never copies or writes such a tree itself.

--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -22,6 +22,18 @@
     return response;
 }
 
+/// A successful answer whose `list` holds the objects of these texts.
+net::http_response respond_list(std::string_view list, const std::vector<std::string>& texts, json rest)
+{
+    auto response = respond(200, rest);
+    std::string items = "{\"" + std::string(list) + "\":[";
+    for (const auto& text : texts) {
+        items += (&text == &texts.front() ? "" : ",") + text;
+    }
+    response.body.replace(0, 1, items + "],");
+    return response;
+}
+
 /// Kind, name and subresource (`status` or empty); the name is empty in a list request.
 std::vector<std::string> split(std::string_view path)
 {
@@ -72,7 +84,8 @@
     ++revision_;
     object["Metadata"] = {{"Name", at.second}, {"Revision", revision_}, {"Created", 0}, {"Deleting", false}};
     objects_[at] = object;
-    history_.push_back({revision_, at.first, object, false});
+    texts_.erase(at);
+    history_.push_back({revision_, at.first, object.dump(), false});
     changed_.notify();
     return object;
 }
@@ -84,14 +97,22 @@
     store({kind, name}, std::move(object));
 }
 
+void fake_store::put_text(const std::string& kind, const std::string& name, std::string object)
+{
+    objects_.erase({kind, name});
+    history_.push_back({++revision_, kind, object, false});
+    texts_[{kind, name}] = std::move(object);
+    changed_.notify();
+}
+
 void fake_store::remove(const std::string& kind, const std::string& name)
 {
-    const auto found = objects_.find({kind, name});
-    if (found == objects_.end()) {
+    auto object = objects_.extract({kind, name});
+    auto text = texts_.extract({kind, name});
+    if (!object && !text) {
         return;
     }
-    history_.push_back({++revision_, kind, found->second, true});
-    objects_.erase(found);
+    history_.push_back({++revision_, kind, text ? std::move(text.mapped()) : object.mapped().dump(), true});
     changed_.notify();
 }
 
@@ -128,13 +149,22 @@
 
 net::http_response fake_store::list(const std::string& kind, const std::string& after) const
 {
-    json items = json::array();
+    std::map<std::string, std::string> items;
     for (const auto& [at, object] : objects_) {
         if (at.first == kind && at.second > after) {
-            items.push_back(object);
+            items[at.second] = object.dump();
+        }
+    }
+    for (const auto& [at, text] : texts_) {
+        if (at.first == kind && at.second > after) {
+            items[at.second] = text;
         }
     }
-    return respond(200, {{"Items", std::move(items)}, {"HasMore", false}, {"AsOf", revision_}});
+    std::vector<std::string> sorted;
+    for (auto& [name, text] : items) {
+        sorted.push_back(std::move(text));
+    }
+    return respond_list("Items", sorted, {{"HasMore", false}, {"AsOf", revision_}});
 }
 
 net::http_response fake_store::write(const net::http_request& request)
@@ -202,13 +232,11 @@
             co_await answer.send(std::move(expired));
             co_return;
         }
-        json events = json::array();
+        std::vector<std::string> events;
         for (const auto& change : history_) {
             if (change.kind == kind && change.revision > since) {
-                json entry;
-                entry["Object"] = change.object;
-                entry["Removed"] = change.removed;
-                events.push_back(std::move(entry));
+                events.push_back("{\"Object\":" + change.object +
+                                 ",\"Removed\":" + (change.removed ? "true}" : "false}"));
             }
         }
         const bool is_due = !events.empty() || steady::now() >= until;
@@ -218,10 +246,7 @@
             }
         }
         if (is_due || answer.client_disconnected()) {
-            json body;
-            body["events"] = std::move(events);
-            body["AsOf"] = revision_;
-            auto response = respond(200, body);
+            auto response = respond_list("events", events, {{"AsOf", revision_}});
             co_await answer.send(std::move(response));
             co_return;
         }
@@ -298,6 +323,12 @@
         co_await answer.send(std::move(listed));
         co_return;
     }
+    if (const auto text = texts_.find({parts[0], parts[1]}); text != texts_.end()) {
+        net::http_response as_it_stands;
+        as_it_stands.body = text->second;
+        co_await answer.send(std::move(as_it_stands));
+        co_return;
+    }
     const auto object = find(parts[0], parts[1]);
     const int status = object.is_null() ? 404 : 200;
     auto response = respond(status, object);
--- a/standins/users/fake_store.hpp
+++ b/standins/users/fake_store.hpp
@@ -46,6 +46,9 @@
     result<std::string> open_second() { return second_service_.open("127.0.0.1:0"); }
     /// Writes unconditionally, on behalf of the operator or a replica.
     void put(const std::string& kind, const std::string& name, nlohmann::json specification);
+    /// Puts an entry that another writer left: `object` is handed out as it stands, whatever it holds, in
+    /// place of the object of that name. It is to bear the next revision, `revision() + 1`.
+    void put_text(const std::string& kind, const std::string& name, std::string object);
     void remove(const std::string& kind, const std::string& name);
     /// Discards the history; watches from an earlier revision get 410.
     void compact_history();
@@ -54,6 +57,8 @@
 
     /// Null if the object does not exist.
     nlohmann::json find(const std::string& kind, const std::string& name) const;
+    /// Of the last change.
+    std::uint64_t revision() const { return revision_; }
     std::size_t count(const std::string& kind) const;
     /// Write requests, rejected ones included, but none answered under `faults.refuse`.
     std::uint64_t write_calls() const { return write_calls_; }
@@ -68,12 +73,13 @@
     struct event {
         std::uint64_t revision = 0;
         std::string kind;
-        nlohmann::json object;
+        std::string object;
         bool removed = false;
     };
     net::loop& loop_;
     net::async_condition changed_;
     std::map<key, nlohmann::json> objects_;
+    std::map<key, std::string> texts_; ///< of `put_text`
     std::vector<event> history_;
     std::uint64_t revision_ = 100;
     std::uint64_t compacted_revision_ = 0;
