Test that one odd entry among the replicas' ends no gateway and costs no other entry

Real gateways, two fronts and a storage machine for each kind of entry, beside a store that holds one odd entry from the start and hands it out again as a change. Each front has to serve by a sound entry that was there before, and by one that comes after the odd one; a gateway that ends by itself is started again and counts.

--- /dev/null
+++ b/tests/odd_entries/odd_entry.hpp
@@ -0,0 +1,28 @@
+/// Entries that another writer left among those of the replicas.
+#ifndef VANILLAGAUGE_TESTS_ODD_ENTRIES_ODD_ENTRY_HPP
+#define VANILLAGAUGE_TESTS_ODD_ENTRIES_ODD_ENTRY_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace vanillagauge::odd_entries {
+
+/// The fields of a sound entry, from which an odd one differs in one place.
+struct sound_entry {
+    std::string address;
+    std::string service;
+    std::string other_name;      ///< of another entry in the list
+    std::string gateway_address; ///< where a gateway serves callers
+};
+
+/// The object's text at this revision.
+using entry_text = std::function<std::string(const sound_entry&, std::uint64_t revision)>;
+
+/// By name, as in the tests' names; `none` is sound.
+const std::map<std::string, entry_text>& all_kinds();
+
+} // namespace vanillagauge::odd_entries
+
+#endif
