Read each object of the store by itself, so that an odd one costs no other

Cause: an answer of the store was parsed and decoded as a whole. A member nested 200,000 levels deep ended the process as the JSON was copied; a number beyond a double, or bytes that are no text, made the whole answer "not JSON"; one object without Metadata.Revision, or with a field of another type, dropped the whole list or watch. A revision of -1 or 1e300 was converted without an error.

Change: the store's client reads answers with the repairing parser, 32 levels deep, so that an object still fits into a message between gateways. An object's replaced parts are told with it (`unread`) and are sent on to the gateways that poll. An object without a revision is unread as a whole: in a list at the page's revision, in a watch at the least revision that the change can have. No revision is later than its answer, since it would hide each later change. An object without a name is left out and counted. A page goes on after the last name that can be read; without any, the call fails. The answer's own AsOf, HasMore and lists stay strict, and so does a single object that is read or written. Updates and pages from other gateways are read object by object in the same way; without the name of a changed object the update is refused, as no gateway sends that.

--- a/src/gateway/feed.cpp
+++ b/src/gateway/feed.cpp
@@ -215,12 +215,12 @@
     error malformed{error_code::unavailable, run_state::in_doubt, "malformed feed update from a gateway"};
     return decode<feed_update>(document, std::move(malformed), [](const json& from) {
         feed_update update;
-        update.as_of = from.at("as_of").get<std::uint64_t>();
+        update.as_of = unsigned_at(from, "as_of");
         for (const auto& object : member_or_null(from, "changed")) {
-            update.changed.push_back(object_from_json(object));
+            update.changed.push_back(listed_object_from_json(object, update.as_of));
         }
         for (const auto& object : member_or_null(from, "removed")) {
-            update.removed.push_back(object_from_json(object));
+            update.removed.push_back(listed_object_from_json(object, update.as_of));
         }
         if (const auto names = from.find("names"); names != from.end()) {
             update.names = names->get<std::set<std::string>>();
--- a/src/gateway/object_store.hpp
+++ b/src/gateway/object_store.hpp
@@ -17,12 +17,16 @@
     std::uint64_t revision = 0; ///< of its last change; the store counts revisions across all objects
     nlohmann::json value;
     nlohmann::json status;
+    /// JSON pointers (RFC 6901) into the store's copy of parts that could not be read and are null here; an
+    /// empty one stands for an unknown part.
+    std::vector<std::string> unread{};
 };
 
 struct object_listing {
     std::vector<stored_object> objects; ///< ordered by name
     bool more = false;                  ///< another page follows the last name
     std::uint64_t as_of = 0;            ///< store revision of the page
+    std::size_t left_out = 0;           ///< objects whose names could not be read
 };
 
 struct object_change {
@@ -32,13 +36,17 @@
 
 struct object_changes {
     std::vector<object_change> events;
-    std::uint64_t as_of = 0; ///< revision at which to continue the watch
-    std::uint64_t since = 0; ///< revision that the changes follow
+    std::uint64_t as_of = 0;  ///< revision at which to continue the watch
+    std::uint64_t since = 0;  ///< revision that the changes follow
+    std::size_t left_out = 0; ///< changes of which the object, or the kind of change, could not be read
 };
 
-/// JSON exchanged between gateways. `object_from_json` throws json::exception if malformed.
+/// JSON exchanged between gateways. Both readers throw json::exception if it is malformed;
+/// `listed_object_from_json` only if the name is: other parts are noted as unread, and `revision` stands in
+/// for that of the object.
 nlohmann::json to_json(const stored_object& object);
 stored_object object_from_json(const nlohmann::json& document);
+stored_object listed_object_from_json(const nlohmann::json& document, std::uint64_t revision);
 
 /// Errors of all calls: `unavailable` with `not_run` means that nothing was done, `unavailable` with
 /// `in_doubt` that a write may have been or may still be applied; `stale_cursor` that the requested history
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/untrusted_json.hpp"
 #include "observe/log.hpp"
+#include "json/json.hpp"
 
 #include <algorithm>
 #include <random>
@@ -111,7 +112,7 @@
     }
     pool->release(connection, idle_time);
     const auto& response = std::get<net::http_response>(answer);
-    auto parsed = json::parse(response.body, nullptr, false);
+    auto parsed = parse_json(response.body);
     if (response.status != 200 || parsed.is_discarded()) {
         co_return unavailable(run_state::in_doubt,
                               "the peer answered with status " + std::to_string(response.status));
@@ -122,7 +123,7 @@
 net::task<net::http_response> peer_relay::serve(const net::http_request& request)
 {
     net::http_response response;
-    auto wanted = store_call_from_json(json::parse(request.body, nullptr, false));
+    auto wanted = store_call_from_json(parse_json(request.body));
     if (!ok(wanted)) {
         observe::log(observe::log_level::warning, "relay_call_refused", {{"why", describe(failure(wanted))}});
         response.status = 400;
@@ -130,7 +131,7 @@
         co_return response;
     }
     const auto outcome = co_await call_directly(std::move(value(wanted)));
-    response.body = to_json(outcome).dump();
+    response.body = encode_any(to_json(outcome));
     co_return response;
 }
 
--- a/src/gateway/store_call.cpp
+++ b/src/gateway/store_call.cpp
@@ -71,11 +71,11 @@
 object_listing listing_from_json(const json& document)
 {
     object_listing listing;
+    listing.more = document.at("more").get<bool>();
+    listing.as_of = unsigned_at(document, "as_of");
     for (const auto& object : document.at("objects")) {
-        listing.objects.push_back(object_from_json(object));
+        listing.objects.push_back(listed_object_from_json(object, listing.as_of));
     }
-    listing.more = document.at("more").get<bool>();
-    listing.as_of = document.at("as_of").get<std::uint64_t>();
     return listing;
 }
 
--- a/src/gateway/untrusted_json.hpp
+++ b/src/gateway/untrusted_json.hpp
@@ -40,6 +40,13 @@
                                [](const nlohmann::json& from) -> result<std::string> { return from.dump(); });
 }
 
+/// The document as text; bytes of a string that are not UTF-8 are replaced.
+inline std::string encode_any(const nlohmann::json& document)
+{
+    constexpr int one_line = -1;
+    return document.dump(one_line, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 /// The string member; empty if absent or not a string.
 inline std::string string_or_empty(const nlohmann::json& object, const char* member)
 {
@@ -54,6 +61,17 @@
     return found != object.end() && found->is_number_integer() ? found->get<std::int64_t>() : fallback;
 }
 
+/// The member; throws json::exception unless it is an integer that is not negative.
+inline std::uint64_t unsigned_at(const nlohmann::json& object, const char* member)
+{
+    const auto& found = object.at(member);
+    if (!found.is_number_integer() || found < 0) {
+        const auto what = std::string(member) + ": expected an integer that is not negative";
+        throw nlohmann::json::type_error::create(302, what, &found);
+    }
+    return found.get<std::uint64_t>();
+}
+
 /// The member, or null, which has no elements, if absent.
 inline const nlohmann::json& member_or_null(const nlohmann::json& object, const char* member)
 {
--- a/tests/gateway/feed_tests.cpp
+++ b/tests/gateway/feed_tests.cpp
@@ -204,6 +204,34 @@
     EXPECT_TRUE(other.content.objects().empty());
 }
 
+// Guards against a polling gateway that keeps an object's old content after the store's turned unreadable, or
+// does not take it up again.
+TEST(feed, propagates_an_object_that_turns_odd_and_is_sound_again)
+{
+    const stored_object odd{"a", 12, nullptr, nullptr, {"/Metadata/Revision"}};
+    watched_feed watcher;
+    watched_feed other;
+    const auto pass_on = [&] {
+        other.content.apply_update(watcher.content.update_since(other.content.as_of()), start);
+    };
+    watcher.content.apply_listing({{"a", make_object("a", 5)}}, 10, start);
+    pass_on();
+    watcher.content.apply_changes({{{odd, false}}, 13, 10}, start);
+    pass_on();
+    EXPECT_TRUE(other.content.objects().at("a").value.is_null());
+    EXPECT_EQ(other.content.objects().at("a").unread, odd.unread);
+    watcher.content.apply_changes({{{make_object("a", 14), false}}, 14, 13}, start);
+    pass_on();
+    EXPECT_EQ(other.content.objects().at("a").value, make_object("a", 14).value);
+    watcher.content.apply_listing({{"a", {"a", 20, nullptr, nullptr, {"/Metadata/Revision"}}}}, 20, start);
+    pass_on();
+    EXPECT_TRUE(other.content.objects().at("a").value.is_null());
+    watcher.content.apply_changes({{{{"a", 21, nullptr, nullptr, {"/Metadata/Revision"}}, true}}, 21, 20},
+                                  start);
+    pass_on();
+    EXPECT_TRUE(other.content.objects().empty());
+}
+
 TEST(feed, sends_all_names_after_removal_overflow)
 {
     watched_feed watcher;
--- a/tests/gateway/store_call_tests.cpp
+++ b/tests/gateway/store_call_tests.cpp
@@ -1,5 +1,7 @@
 #include "gateway/feed.hpp"
+#include "gateway/internal/sync_messages.hpp"
 #include "gateway/store_call.hpp"
+#include "json/json.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -87,6 +89,77 @@
     }
 }
 
+// Guards against a whole update, or a whole page, that is lost for one object in it.
+TEST(gateways_messages, one_malformed_object_costs_no_other)
+{
+    const std::vector<json> odd{
+        {{"name", "odd"}},
+        {{"name", "odd"}, {"revision", -1}, {"value", 1}, {"status", 1}},
+        {{"name", "odd"}, {"revision", 1e300}, {"value", 1}, {"status", 1}},
+        {{"name", "odd"}, {"revision", 3}, {"value", 1}, {"status", 1}, {"unread", 7}}};
+    for (const auto& object : odd) {
+        auto update = to_json(feed_update{9, {make_object()}, {make_object()}, {}});
+        update["changed"].push_back(object);
+        update["removed"].push_back(object);
+        const auto read = feed_update_from_json(update);
+        ASSERT_TRUE(ok(read)) << object;
+        ASSERT_EQ(value(read).changed.size(), 2U) << object;
+        EXPECT_EQ(value(read).changed[0].value, make_object().value) << object;
+        EXPECT_EQ(value(read).changed[1].revision, 9U) << object;
+        EXPECT_TRUE(value(read).changed[1].value.is_null()) << object;
+        EXPECT_EQ(value(read).removed[1].name, "odd") << object;
+        const result<store_answer> listed{object_listing{{make_object()}, true, 9}};
+        auto page = to_json(listed);
+        page["done"]["objects"].push_back(object);
+        const auto relayed = store_answer_from_json(store_operation::list, page);
+        ASSERT_TRUE(ok(relayed)) << object;
+        const auto& objects = std::get<object_listing>(value(relayed)).objects;
+        ASSERT_EQ(objects.size(), 2U) << object;
+        EXPECT_EQ(objects[1].unread, std::vector<std::string>{""}) << object;
+        EXPECT_FALSE(ok(store_answer_from_json(store_operation::read, json{{"done", object}}))) << object;
+    }
+}
+
+// Guards against an update that leaves out a change of which the object is not known.
+TEST(gateways_messages, update_with_a_nameless_object_is_refused)
+{
+    for (const json& odd : {json(7), json::object(), json{{"name", 7}, {"revision", 3}}}) {
+        auto update = to_json(feed_update{9, {make_object()}, {}, {}});
+        update["changed"].push_back(odd);
+        EXPECT_FALSE(ok(feed_update_from_json(update))) << odd;
+    }
+}
+
+// Guards against an unread object that a polling gateway takes for a whole one.
+TEST(gateways_messages, unread_parts_reach_the_polling_gateway)
+{
+    auto partly = make_object();
+    partly.unread = {"/Specification/x"};
+    const feed_update sent{9, {partly, {"r2", 8, nullptr, nullptr, {"/Metadata/Revision"}}}, {}, {}};
+    const auto read = feed_update_from_json(to_json(sent));
+    ASSERT_TRUE(ok(read));
+    EXPECT_EQ(value(read).changed[0].unread, sent.changed[0].unread);
+    EXPECT_EQ(value(read).changed[1].unread, sent.changed[1].unread);
+    EXPECT_TRUE(value(read).changed[1].value.is_null());
+}
+
+// Guards against an object that is so deep that the message in which it is sent on can't be read.
+TEST(gateways_messages, deepest_object_of_the_store_fits_into_a_message)
+{
+    json deep = 1;
+    for (std::size_t level = 0; level < max_json_depth / 2; ++level) {
+        deep = json::array({std::move(deep)});
+    }
+    auto object = make_object();
+    object.value = deep;
+    object.status = deep;
+    internal::sync_response response;
+    response.feeds["servers"] = {feed_update{9, {object}, {}, {}}, milliseconds{1}};
+    EXPECT_FALSE(parse_json(internal::to_json(response).dump()).is_discarded());
+    const result<store_answer> listed{object_listing{{object}, false, 9}};
+    EXPECT_FALSE(parse_json(to_json(listed).dump()).is_discarded());
+}
+
 // Guards against an exception on malformed messages, which would end the gateway.
 RC_GTEST_PROP(gateways_messages, malformed_never_throw, ())
 {
