List again after a change whose object cannot be read, at most every two seconds

Cause: a change without a readable name may be that of any object, also of a replica that now drains. Watching on would miss it; listing after each would cost a call for each change that another writer goes on to make.

Change: such a change has the objects listed at once if no listing for this reason was made in the last two seconds, else when they are over; a pending watch is given up for it. Left-out objects and changes are counted by the feed and logged, those of a listing when their number changes.

--- a/src/gateway/feed.hpp
+++ b/src/gateway/feed.hpp
@@ -56,6 +56,8 @@
     void note_failure(time_point failed_at) { grace_.on_failure(failed_at); }
     /// Returns to the initial empty state; reports each object as removed.
     void reset();
+    /// Counts objects and changes that are left out, since it is not known whose they are.
+    void note_left_out(std::size_t count) { left_out_ += count; }
 
     const std::string& kind() const { return kind_; }
     const std::map<std::string, stored_object>& objects() const { return objects_; }
@@ -67,6 +69,7 @@
     time_point confirmed_at() const { return confirmed_at_; }
     /// Until when objects that vanish may have expired because the store was away; the epoch if it was not.
     time_point expiry_grace_ends_at() const { return grace_.ends_at(); }
+    std::uint64_t left_out() const { return left_out_; }
     /// Whether there are changes after the revision `since`.
     bool changed_since(std::uint64_t since) const { return synced_ && changed_as_of_ > since; }
     /// The changes after the revision `since`.
@@ -86,6 +89,7 @@
     std::uint64_t removals_since_ = 0; ///< `removals_` is complete after this revision
     bool synced_ = false;
     time_point confirmed_at_{};
+    std::uint64_t left_out_ = 0;
     policy::expiry_grace grace_;
 
     /// Whether the content has all changes up to this revision.
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -1,15 +1,15 @@
 #include "gateway/feed_sync.hpp"
 
 #include "gateway/internal/sync_messages.hpp"
+#include "gateway/untrusted_json.hpp"
 #include "observe/log.hpp"
 #include "policy/copy_age.hpp"
+#include "json/json.hpp"
 
 #include <algorithm>
 
 namespace vanillagauge::gateway {
 
-using nlohmann::json;
-
 namespace {
 
 /// A gateway that has just started reads the store once no further peer has appeared for the calm time, or
@@ -309,7 +309,7 @@
 net::task<net::http_response> feed_sync::serve(const net::http_request& request)
 {
     net::http_response response;
-    const auto read = internal::sync_request_from_json(json::parse(request.body, nullptr, false));
+    const auto read = internal::sync_request_from_json(parse_json(request.body));
     if (!ok(read)) {
         observe::log(observe::log_level::warning, "news_call_refused", {{"why", describe(failure(read))}});
         response.status = 400;
@@ -338,7 +338,7 @@
                                   std::chrono::ceil<milliseconds>(age_of(*known))};
         }
     }
-    response.body = internal::to_json(answer).dump();
+    response.body = encode_any(internal::to_json(answer));
     co_return response;
 }
 
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -59,6 +59,9 @@
         bool listed = false;                     ///< a watch may start from its revision
         bool store_reachable = false;            ///< its last call to the store succeeded
         std::optional<time_point> asked_since{}; ///< when it was first listed in vain; none: it was not
+        std::optional<time_point> relist_at{};   ///< when to list for changes that could not be read
+        time_point relisted_at{};                ///< the last such listing
+        std::size_t left_out = 0;                ///< objects of the last listing
     };
     net::loop& loop_;
     object_store& direct_;
@@ -80,10 +83,15 @@
     std::uint64_t watch_generation_ = 0; ///< incremented to abandon pending watches
 
     net::task<void> sync_from_store(std::size_t index);
+    bool needs_listing(const synced_feed& entry) const;
     net::task<bool> list(synced_feed& entry);
     net::task<bool> watch(synced_feed& entry);
     net::task<void> run_watch(std::string kind, std::uint64_t since, milliseconds wait,
                               std::shared_ptr<watch_call> call);
+    /// Notes objects of a listing of which not even the name is known.
+    static void note_left_out(synced_feed& entry, std::size_t objects);
+    /// Has the objects listed after changes of objects that are not known.
+    static void list_for_left_out(synced_feed& entry, std::size_t changes);
     /// Lists the objects in place of a watch that has no answer.
     net::task<bool> replace_watch(synced_feed& entry, time_point requested_at, milliseconds wait);
     net::task<void> poll_peers();
--- a/src/gateway/feed_sync_store.cpp
+++ b/src/gateway/feed_sync_store.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace vanillagauge::gateway {
 namespace {
@@ -19,6 +20,10 @@
 /// A call to the store has ended after this time even if the store is silent.
 constexpr milliseconds max_call_time{2000};
 
+/// Between two listings for changes that could not be read: each costs a call, and another writer may go on
+/// making such changes.
+constexpr milliseconds relist_interval{2000};
+
 /// A timer that is later than this was held up with its process.
 constexpr milliseconds timer_delay{250};
 
@@ -73,13 +78,11 @@
         }
         const auto as_of = entry.content->as_of();
         bool served = false;
-        // After a pause of this process a watch would confirm the copy by its end only, too late for the
-        // callers that wait.
-        if (entry.listed && age_of(entry) <= max_age_while_pending(entry.pace)) {
-            served = co_await watch(entry);
+        if (needs_listing(entry)) {
+            served = co_await list(entry);
         }
         else {
-            served = co_await list(entry);
+            served = co_await watch(entry);
         }
         entry.store_reachable = served;
         fleet_.set_watch_failing(!served);
@@ -92,11 +95,41 @@
     }
 }
 
+// After a pause of this process a watch would confirm the copy by its end only, too late for the callers that
+// wait.
+bool feed_sync::needs_listing(const synced_feed& entry) const
+{
+    const bool relist = entry.relist_at && feed::now() >= *entry.relist_at;
+    return !entry.listed || relist || age_of(entry) > max_age_while_pending(entry.pace);
+}
+
+void feed_sync::note_left_out(synced_feed& entry, std::size_t objects)
+{
+    if (std::exchange(entry.left_out, objects) == objects || objects == 0) {
+        return;
+    }
+    entry.content->note_left_out(objects);
+    observe::log(observe::log_level::warning, "entries_left_out",
+                 {{"kind", entry.content->kind()}, {"entries", static_cast<std::int64_t>(objects)}});
+}
+
+void feed_sync::list_for_left_out(synced_feed& entry, std::size_t changes)
+{
+    if (changes == 0) {
+        return;
+    }
+    entry.relist_at = std::max(feed::now(), entry.relisted_at + relist_interval);
+    entry.content->note_left_out(changes);
+    observe::log(observe::log_level::warning, "changes_left_out",
+                 {{"kind", entry.content->kind()}, {"changes", static_cast<std::int64_t>(changes)}});
+}
+
 net::task<bool> feed_sync::list(synced_feed& entry)
 {
     std::map<std::string, stored_object> listed;
     std::uint64_t as_of = 0;
     std::string after;
+    std::size_t left_out = 0;
     const auto requested_at = feed::now();
     entry.asked_since = entry.asked_since.value_or(requested_at);
     while (true) {
@@ -114,6 +147,7 @@
             after = object.name;
             listed[object.name] = object;
         }
+        left_out += value(page).left_out;
         // Changes made while the pages are read are returned by the watch, which starts at the first page's
         // revision.
         as_of = as_of == 0 ? value(page).as_of : as_of;
@@ -122,6 +156,10 @@
         }
     }
     entry.content->apply_listing(std::move(listed), as_of, requested_at);
+    note_left_out(entry, left_out);
+    if (std::exchange(entry.relist_at, std::nullopt)) {
+        entry.relisted_at = requested_at;
+    }
     entry.listed = true;
     entry.asked_since.reset();
     store_down_ = false;
@@ -152,7 +190,7 @@
     while (!call->answer && generation == watch_generation_) {
         const auto now = feed::now();
         const auto fresh_until = std::max(entry.content->confirmed_at(), requested_at) + max_age;
-        const auto next = std::min(until, fresh_until);
+        const auto next = std::min({until, fresh_until, entry.relist_at.value_or(until)});
         if (now >= next) {
             break;
         }
@@ -162,6 +200,9 @@
         entry.listed = false;
         co_return false;
     }
+    if (!call->answer && entry.relist_at && feed::now() >= *entry.relist_at) {
+        co_return co_await list(entry);
+    }
     if (!call->answer) {
         co_return co_await replace_watch(entry, requested_at, wait);
     }
@@ -169,7 +210,9 @@
     if (ok(seen)) {
         // The store holds a watch for its whole wait unless there is a change, so an answer without one that
         // took as long says that there was none until then.
-        const bool held = value(seen).events.empty() && feed::now() - requested_at >= wait;
+        const bool changed = !value(seen).events.empty() || value(seen).left_out > 0;
+        const bool held = !changed && feed::now() - requested_at >= wait;
+        list_for_left_out(entry, value(seen).left_out);
         entry.content->apply_changes(std::move(value(seen)), held ? requested_at + wait : requested_at);
         store_down_ = false;
         changed_.notify();
