Count and log each stored entry that cannot be read, once a revision

Change: the gateway's feeds note an object with unread parts (entry_partly_unreadable) and one that cannot be decoded (entry_unreadable) by kind, name, revision and reason, and count both by kind on the metrics page, as they count objects left out. A feed hands out each revision once, so a further list logs nothing.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,10 +46,12 @@
     return {window, chosen.usage_due, chosen.usage_due / closing_share};
 }
 
-void log_unreadable(const std::string& kind, const std::string& name, const error& why)
+/// Of a name in the log.
+constexpr std::size_t max_logged_bytes = 64;
+
+std::string series_of(const char* metric, const std::string& kind)
 {
-    observe::log(observe::log_level::warning, "entry_unreadable",
-                 {{"kind", kind}, {"name", name}, {"why", why.detail}});
+    return std::string(metric) + "{kind=\"" + kind + "\"}";
 }
 
 } // namespace
@@ -96,6 +98,10 @@
     net::task<void> mark_retired(std::string vm);
     void retire_absent();
     void report_escape(const std::string& id, const net::http_request& request, std::string_view why);
+    /// Passes a change on, and notes where the object could not be read whole.
+    feed::handler handler_of(const std::string& kind, void (state::*on_change)(const object_change&));
+    void note_unread(const std::string& kind, const stored_object& object);
+    void note_unreadable(const std::string& kind, const stored_object& object, const error& why);
     void on_replica(const object_change& change);
     void on_configuration(const object_change& change);
     void on_version(const object_change& change);
@@ -118,12 +124,11 @@
           settings.gateway.max_direct_pairs),
       scorer(forwarding, protocol, [this]() -> const configuration& { return current; }),
       runner(loop, relay, fleet, targets, engines, protocol, scorer, counts, trainers),
-      replicas(schema.replicas, [this](const object_change& change) { on_replica(change); }),
-      configurations(schema.configurations,
-                     [this](const object_change& change) { on_configuration(change); }),
-      versions(schema.versions, [this](const object_change& change) { on_version(change); }),
-      batch_headers(batch_kind, [this](const object_change& change) { on_batch(change); }),
-      retirements(schema.retirements, [this](const object_change& change) { on_retirement(change); }),
+      replicas(schema.replicas, handler_of(schema.replicas, &state::on_replica)),
+      configurations(schema.configurations, handler_of(schema.configurations, &state::on_configuration)),
+      versions(schema.versions, handler_of(schema.versions, &state::on_version)),
+      batch_headers(batch_kind, handler_of(batch_kind, &state::on_batch)),
+      retirements(schema.retirements, handler_of(schema.retirements, &state::on_retirement)),
       // A VM that serves no callers does not use replicas, versions or batches; their updates would be most
       // of its traffic.
       feeds(loop, store, relay, fleet, crashes,
@@ -160,6 +165,43 @@
     runner.notify();
 }
 
+feed::handler gateway::state::handler_of(const std::string& kind,
+                                         void (state::*on_change)(const object_change&))
+{
+    return [this, kind, on_change](const object_change& change) {
+        if (!change.removed) {
+            note_unread(kind, change.object);
+        }
+        (this->*on_change)(change);
+    };
+}
+
+// A part that is not told apart from others may be another object's.
+void gateway::state::note_unread(const std::string& kind, const stored_object& object)
+{
+    const auto part = std::find_if(object.unread.begin(), object.unread.end(),
+                                   [](const std::string& at) { return !at.empty(); });
+    if (part == object.unread.end()) {
+        return;
+    }
+    counts.add(series_of("store_entries_partly_unreadable_total", kind));
+    observe::log(observe::log_level::warning, "entry_partly_unreadable",
+                 {{"kind", kind},
+                  {"name", object.name.substr(0, max_logged_bytes)},
+                  {"revision", static_cast<std::int64_t>(object.revision)},
+                  {"part", *part}});
+}
+
+void gateway::state::note_unreadable(const std::string& kind, const stored_object& object, const error& why)
+{
+    counts.add(series_of("store_entries_unreadable_total", kind));
+    observe::log(observe::log_level::warning, "entry_unreadable",
+                 {{"kind", kind},
+                  {"name", object.name.substr(0, max_logged_bytes)},
+                  {"revision", static_cast<std::int64_t>(object.revision)},
+                  {"why", why.detail}});
+}
+
 void gateway::state::on_replica(const object_change& change)
 {
     const auto& object = change.object;
@@ -176,7 +218,7 @@
     const auto decoded = schema.decode_replica(object);
     if (!ok(decoded)) {
         // Drop only the replica of the unreadable entry.
-        log_unreadable(schema.replicas, object.name, failure(decoded));
+        note_unreadable(schema.replicas, object, failure(decoded));
         targets.remove(object.name, steady::now());
         replicas_changed();
         return;
@@ -192,7 +234,7 @@
     }
     auto decoded = schema.decode_configuration(change.object);
     if (!ok(decoded)) {
-        log_unreadable(schema.configurations, change.object.name, failure(decoded));
+        note_unreadable(schema.configurations, change.object, failure(decoded));
         return;
     }
     if (value(decoded).version <= current.version) {
@@ -231,7 +273,7 @@
     }
     const auto decoded = schema.decode_version(change.object);
     if (!ok(decoded)) {
-        log_unreadable(schema.versions, change.object.name, failure(decoded));
+        note_unreadable(schema.versions, change.object, failure(decoded));
         return;
     }
     weights.require_version(value(decoded).model, value(decoded).version);
@@ -244,7 +286,7 @@
     }
     const auto header = header_from_json(change.object.name, change.object.value, change.object.status);
     if (!ok(header)) {
-        log_unreadable(batch_kind, change.object.name, failure(header));
+        note_unreadable(batch_kind, change.object, failure(header));
         return;
     }
     if (runner.find(value(header).id) == nullptr) {
@@ -511,6 +553,8 @@
          {&held.configurations, &held.replicas, &held.versions, &held.batch_headers, &held.retirements}) {
         state_->counts.set("feed_objects{kind=\"" + content->kind() + "\"}",
                            static_cast<double>(content->objects().size()));
+        state_->counts.set(series_of("store_entries_left_out_total", content->kind()),
+                           static_cast<double>(content->left_out()));
         if (content->synced()) {
             const auto age = milliseconds_between(content->confirmed_at(), now);
             state_->counts.set("feed_age_ms{kind=\"" + content->kind() + "\"}",
