Refuse a settings file that nests too deep instead of ending

Seen: a settings file, or a stored job or deployment, with a value nested 200,000 levels deep ended the process that read it, by SIGSEGV.

Cause: the description of what is wrong in a value writes that value by `dump`, which recurses, on a document of any depth.

Evidence, on the code before (arm64): config_tests ended with signal 11 in settings.rejects_deeply_nested_values and in rejects_numbers_out_of_range (its last value is the nested one; the other numbers were refused already).

The document is now built by `parse_json`, to 64 levels, so that nothing deeper exists to be written. The error names the file as before, and the place of the fault or the bound.

--- a/src/config/internal/schema_check.cpp
+++ b/src/config/internal/schema_check.cpp
@@ -1,6 +1,7 @@
 #include "config/internal/schema_check.hpp"
 
 #include "config/internal/mismatch.hpp"
+#include "json/json.hpp"
 
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -45,17 +46,25 @@
     return "at " + path + ": " + describe_mismatch(schema, schema_at(schema, pointer), document.at(pointer));
 }
 
-} // namespace
-
-result<json> parse_checked(const std::string& text, const char* schema, const std::string& origin)
+std::string describe_malformed(const std::string& text)
 {
-    json document;
     try {
-        document = json::parse(text);
+        [[maybe_unused]] const auto deep = json::parse(text);
+        return "values nested deeper than " + std::to_string(max_json_depth) + " levels";
     }
     catch (const json::exception& malformed) {
+        return malformed.what();
+    }
+}
+
+} // namespace
+
+result<json> parse_checked(const std::string& text, const char* schema, const std::string& origin)
+{
+    json document = parse_json(text);
+    if (document.is_discarded()) {
         return error{error_code::invalid_argument, run_state::not_run,
-                     origin + ": expected JSON, found: " + malformed.what()};
+                     origin + ": expected JSON, found: " + describe_malformed(text)};
     }
     const json schema_document = json::parse(schema);
     valijson::Schema parsed_schema;
--- a/tests/config/settings_tests.cpp
+++ b/tests/config/settings_tests.cpp
@@ -1,3 +1,4 @@
+#include "../odd_json.hpp"
 #include "config/config.hpp"
 #include "config/internal/schema_check.hpp"
 
@@ -12,11 +13,6 @@
   "keeper": {"address": "127.0.0.1:7101"}
 })";
 
-std::string replaced(std::string text, const std::string& from, const std::string& to)
-{
-    return text.replace(text.find(from), from.size(), to);
-}
-
 TEST(settings, missing_keys_take_defaults)
 {
     const auto parsed = parse_settings(valid, "vm.json");
@@ -134,6 +130,28 @@
     EXPECT_FALSE(ok(parse_settings("", "vm.json")));
 }
 
+// Guards against a settings file or a stored object that ends the process that describes what is wrong in it.
+TEST(settings, rejects_deeply_nested_values)
+{
+    for (const std::string part : {"\"vm-1\"", "\"12345678\"", "{\"address\": \"127.0.0.1:7101\"}"}) {
+        const auto parsed = parse_settings(replaced(valid, part, nested_arrays()), "vm.json");
+        ASSERT_FALSE(ok(parsed));
+        EXPECT_EQ(failure(parsed).code, error_code::invalid_argument);
+        EXPECT_TRUE(failure(parsed).detail.starts_with("vm.json: expected")) << failure(parsed).detail;
+    }
+    EXPECT_FALSE(ok(check_object("job", "j", nested_arrays())));
+}
+
+TEST(settings, rejects_numbers_out_of_range)
+{
+    for (const auto& odd : odd_counts()) {
+        const auto text = replaced(valid, "\"platform\":", "\"drain_time_ms\": " + odd + ", \"platform\":");
+        const auto parsed = parse_settings(text, "vm.json");
+        ASSERT_FALSE(ok(parsed)) << odd.substr(0, 40);
+        EXPECT_TRUE(failure(parsed).detail.starts_with("vm.json: ")) << failure(parsed).detail;
+    }
+}
+
 TEST(deployment, rejects_duplicate_target_ids)
 {
     const std::string target = R"({"id": "a", "address": "127.0.0.1:1", "failure_domain": "x"})";
