Show a conflict with a deeply nested object without ending

Seen: a write that conflicts with an object whose value another writer nested 200,000 levels deep ended the process by SIGSEGV, and again at each such write.

Cause: the error's `current` copies the stored document and writes it.

Evidence, on the code before: objects_tests ended with signal 11 in object_client.reports_a_conflict_with_a_deeply_nested_value.

A value beyond the bound is now shown as its text, as one that is no JSON.

--- a/src/objects/object_client.cpp
+++ b/src/objects/object_client.cpp
@@ -1,5 +1,7 @@
 #include "objects/object_client.hpp"
 
+#include "json/json.hpp"
+
 #include "platform.pb.h"
 #include "wire/call.hpp"
 
@@ -76,7 +78,7 @@
     if (item.version == 0 || item.deleted) {
         return "";
     }
-    const nlohmann::json spec = nlohmann::json::parse(item.value, nullptr, false);
+    const nlohmann::json spec = parse_json(item.value);
     const nlohmann::json object{{"kind", item.kind},
                                 {"name", item.name},
                                 {"version", std::to_string(item.version)},
--- a/tests/objects/object_client_tests.cpp
+++ b/tests/objects/object_client_tests.cpp
@@ -1,3 +1,4 @@
+#include "../odd_json.hpp"
 #include "objects/object_client.hpp"
 
 #include "platform.pb.h"
@@ -113,5 +114,18 @@
     EXPECT_EQ(failure(to_result(outcome, 5)).ran, run_state::not_run);
 }
 
+// Guards against a stored value of another writer that ends the process that shows it in a conflict.
+TEST(object_client, reports_a_conflict_with_a_deeply_nested_value)
+{
+    stored_object current;
+    current.kind = "job";
+    current.name = "a";
+    current.version = 9;
+    current.value = nested_arrays();
+    const auto refused = failure(to_result(write_conflict{current}, 5));
+    EXPECT_EQ(refused.code, error_code::conflict);
+    EXPECT_NE(refused.current.find("\"version\":\"9\""), std::string::npos);
+}
+
 } // namespace
 } // namespace vanillagauge::objects
