Refuse vgctl's input files that nest too deep

Seen: vgctl ended by SIGSEGV on a file of objects with a deeply nested value, and on a file of spans with one such line among sound ones.

Cause: both readers copy the document.

Evidence, on the code before: ctl_tests ended with signal 11 in object_file.rejects_deeply_nested_values and in span_file.skips_a_deeply_nested_line.

A time before 1970 skips its line too, since the difference of two such times may overflow.

--- a/src/ctl/object_file.cpp
+++ b/src/ctl/object_file.cpp
@@ -2,6 +2,7 @@
 
 #include "config/specs.hpp"
 #include "wire/codec.hpp"
+#include "json/json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -37,9 +38,10 @@
 
 result<std::vector<declared_object>> parse_objects(const std::string& text, const std::string& origin)
 {
-    const auto parsed = json::parse(text, nullptr, false);
+    const auto parsed = parse_json(text);
     if (parsed.is_discarded() || !(parsed.is_array() || parsed.is_object())) {
-        return invalid(origin, "expected a JSON object or an array of objects");
+        return invalid(origin, "expected a JSON object or an array of objects, of at most " +
+                                   std::to_string(max_json_depth) + " levels");
     }
     const auto items = parsed.is_array() ? parsed : json::array({parsed});
     std::vector<declared_object> objects;
--- a/src/ctl/span_tree.cpp
+++ b/src/ctl/span_tree.cpp
@@ -1,6 +1,7 @@
 #include "ctl/span_tree.hpp"
 
 #include "ctl/format.hpp"
+#include "json/json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -12,6 +13,7 @@
 #include <map>
 #include <set>
 #include <sstream>
+#include <stdexcept>
 
 namespace vanillagauge::ctl {
 namespace {
@@ -45,7 +47,11 @@
 
 nanoseconds time_of(const json& span, const char* key)
 {
-    return nanoseconds{std::stoll(span.at(key).get<std::string>())};
+    const nanoseconds time{std::stoll(span.at(key).get<std::string>())};
+    if (time < nanoseconds{0}) {
+        throw std::out_of_range("a time before 1970");
+    }
+    return time;
 }
 
 void append_spans(const json& resource, std::vector<span_record>& into)
@@ -70,7 +76,7 @@
 void append_line(const std::string& line, std::vector<span_record>& into)
 {
     try {
-        const auto document = json::parse(line);
+        const auto document = parse_json(line);
         for (const auto& resource : document.at("resourceSpans")) {
             append_spans(resource, into);
         }
@@ -239,7 +245,9 @@
     for (const auto& root : hops) {
         roots.push_back(to_json(root));
     }
-    return json{{"trace_id", trace_id}, {"hops", roots}}.dump(json_indent) + "\n";
+    return json{{"trace_id", trace_id}, {"hops", roots}}.dump(json_indent, ' ', false,
+                                                              json::error_handler_t::replace) +
+           "\n";
 }
 
 } // namespace vanillagauge::ctl
--- a/tests/ctl/object_file_tests.cpp
+++ b/tests/ctl/object_file_tests.cpp
@@ -1,3 +1,4 @@
+#include "../odd_json.hpp"
 #include "ctl/object_file.hpp"
 
 #include <gtest/gtest.h>
@@ -32,6 +33,17 @@
     EXPECT_FALSE(ok(parse_objects("", "f")));
 }
 
+// Guards against a file that ends vgctl as its objects are copied.
+TEST(object_file, rejects_deeply_nested_values)
+{
+    const auto object = R"({"kind": "drain", "name": "a", "spec": {"x": )" + nested_arrays() + "}}";
+    for (const auto& text : {object, "[" + object + "]", nested_arrays()}) {
+        const auto parsed = parse_objects(text, "f.json");
+        ASSERT_FALSE(ok(parsed));
+        EXPECT_TRUE(failure(parsed).detail.starts_with("f.json: expected")) << failure(parsed).detail;
+    }
+}
+
 TEST(object_check, validates_without_a_keeper)
 {
     const auto wrong =
--- a/tests/ctl/span_tree_tests.cpp
+++ b/tests/ctl/span_tree_tests.cpp
@@ -1,3 +1,4 @@
+#include "../odd_json.hpp"
 #include "ctl/span_tree.hpp"
 
 #include <gtest/gtest.h>
@@ -53,6 +54,14 @@
     EXPECT_EQ(parse_spans(whole.substr(0, whole.size() / 2) + "\n" + whole).size(), 1U);
 }
 
+// Guards against a line that ends vgctl as its attributes are copied.
+TEST(span_file, skips_a_deeply_nested_line)
+{
+    const auto sound = line("a", "", "entry.call", 1, 2);
+    const auto odd = replaced(sound, "{\"key\":\"vm\"", nested_arrays() + ",{\"key\":\"vm\"");
+    EXPECT_EQ(parse_spans(odd + sound).size(), 1U);
+}
+
 TEST(trace_search, accepts_a_trace_id_a_traceparent_or_a_request_id)
 {
     const auto spans = parse_spans(line("x", "", "other", 1, 2, "r-0", std::string(32, 'f')) +
