Skip log lines with members of another type

Seen: `vgctl` showed nothing of a request if one line of the logs had a `vm` or a `level` that is no text, a time out of range or a deeply nested field.

Cause: `value` throws on another type, and the fields are copied and written.

Evidence, on the code before: request_timeline.skips_lines_with_odd_members failed by "[json.exception.type_error.302] type must be string, but is number", shows_bytes_that_are_not_text_as_replaced by "[json.exception.type_error.316] invalid UTF-8 byte at index 1: 0xFF".

Such a line costs itself: it is skipped as one that is no event. The id, which comes from the command line, is written with its other bytes replaced.

--- a/src/ctl/request_timeline.cpp
+++ b/src/ctl/request_timeline.cpp
@@ -1,5 +1,7 @@
 #include "ctl/request_timeline.hpp"
 
+#include "json/json.hpp"
+
 #include <algorithm>
 #include <array>
 #include <fstream>
@@ -122,6 +124,38 @@
     return text;
 }
 
+/// Later times are none of a log; their differences still fit.
+constexpr std::int64_t max_time_ms = 1'000'000'000'000'000;
+
+bool is_text_or_absent(const json& fields, const char* member)
+{
+    return !fields.contains(member) || fields[member].is_string();
+}
+
+/// None if the text is not an event of a log.
+std::optional<log_line> to_line(const std::string& text)
+{
+    auto fields = parse_json(text);
+    const bool named = fields.is_object() && fields.contains("event") && fields["event"].is_string();
+    if (!named || !is_text_or_absent(fields, "level") || !is_text_or_absent(fields, "vm")) {
+        return std::nullopt;
+    }
+    const auto time = fields.contains("time_ms") ? checked_integer<std::int64_t>(fields["time_ms"]) : 0;
+    if (!time || *time < 0 || *time > max_time_ms) {
+        return std::nullopt;
+    }
+    log_line line;
+    line.time = milliseconds{*time};
+    line.level = fields.value("level", std::string{});
+    line.vm = fields.value("vm", std::string{});
+    line.event = fields["event"].get<std::string>();
+    for (const auto* key : {"time_ms", "level", "program", "vm", "event"}) {
+        fields.erase(key);
+    }
+    line.fields = std::move(fields);
+    return line;
+}
+
 } // namespace
 
 std::vector<log_line> parse_log(const std::string& text)
@@ -130,20 +164,10 @@
     std::istringstream from(text);
     for (std::string raw; std::getline(from, raw);) {
         const auto begin = raw.find('{');
-        auto fields = begin == std::string::npos ? json() : json::parse(raw.substr(begin), nullptr, false);
-        if (!fields.is_object() || !fields.contains("event") || !fields["event"].is_string()) {
-            continue;
-        }
-        log_line line;
-        line.time = milliseconds{fields.value("time_ms", std::int64_t{0})};
-        line.level = fields.value("level", std::string{});
-        line.vm = fields.value("vm", std::string{});
-        line.event = fields["event"].get<std::string>();
-        for (const auto* key : {"time_ms", "level", "program", "vm", "event"}) {
-            fields.erase(key);
+        auto line = begin == std::string::npos ? std::nullopt : to_line(raw.substr(begin));
+        if (line) {
+            lines.push_back(std::move(*line));
         }
-        line.fields = std::move(fields);
-        lines.push_back(std::move(line));
     }
     return lines;
 }
@@ -219,7 +243,9 @@
                          {"event", line.event},
                          {"fields", line.fields}});
     }
-    return json{{"id", id}, {"left_out", timeline.left_out}, {"lines", std::move(lines)}}.dump(2) + "\n";
+    return json{{"id", id}, {"left_out", timeline.left_out}, {"lines", std::move(lines)}}.dump(
+               2, ' ', false, json::error_handler_t::replace) +
+           "\n";
 }
 
 } // namespace vanillagauge::ctl
--- a/tests/ctl/request_timeline_tests.cpp
+++ b/tests/ctl/request_timeline_tests.cpp
@@ -1,3 +1,4 @@
+#include "../odd_json.hpp"
 #include "ctl/request_timeline.hpp"
 
 #include <gtest/gtest.h>
@@ -83,5 +84,31 @@
     EXPECT_EQ(timeline.lines.size(), 41U);
 }
 
+// Guards against a log line that ends vgctl, so that the sound lines are not shown either.
+TEST(request_timeline, skips_lines_with_odd_members)
+{
+    const std::string sound = event(1, "a", "request_ended", R"("request":"x1")");
+    std::string text = sound;
+    text += replaced(sound, "\"a\"", "7");
+    text += replaced(sound, "\"info\"", "{}");
+    for (const auto& odd : odd_counts()) {
+        if (odd != "-1" && odd != "-9223372036854775808") {
+            text += replaced(sound, ":1,", ":" + odd + ",");
+        }
+    }
+    text += replaced(sound, "\"x1\"", R"("x1","more":)" + nested_arrays());
+    const auto timeline = build_timeline(parse_log(text), "x1");
+    EXPECT_EQ(events_of(timeline), (std::vector<std::string>{"a request_ended"}));
+    EXPECT_FALSE(timeline_text("x1", timeline).empty());
+    EXPECT_FALSE(timeline_json("x1", timeline).empty());
+}
+
+TEST(request_timeline, shows_bytes_that_are_not_text_as_replaced)
+{
+    const auto lines = parse_log(event(1, "a", "request_ended", R"("request":"x1")"));
+    const auto timeline = build_timeline(lines, "x1");
+    EXPECT_FALSE(timeline_json("x\xff", timeline).empty());
+}
+
 } // namespace
 } // namespace vanillagauge::ctl
