End a usage window of an immense number within the clock

Seen by reading: windows come from peers and from the store; the end of one with a number near 2^64 overflowed and lay in 1970, so that it counted as long over.

Evidence: windows.with_immense_numbers_end_late, built with the file before, fails for all four numbers, the first of which ended at 0.

The number is limited so that the end stays within two centuries.

--- a/src/usage/window.cpp
+++ b/src/usage/window.cpp
@@ -1,6 +1,14 @@
 #include "usage/window.hpp"
 
+#include <algorithm>
+
 namespace vanillagauge::usage {
+namespace {
+
+/// Windows come from peers and from the store; a later end would be beyond what a clock can represent.
+constexpr milliseconds max_unix_time = std::chrono::hours{24 * 365 * 200};
+
+} // namespace
 
 std::uint64_t window_at(wall_time at, milliseconds length)
 {
@@ -10,7 +18,8 @@
 
 wall_time end_of_window(std::uint64_t window, milliseconds length)
 {
-    return wall_time{length * static_cast<milliseconds::rep>(window + 1)};
+    const auto last = static_cast<std::uint64_t>(max_unix_time / std::max(length, milliseconds{1}));
+    return wall_time{length * static_cast<milliseconds::rep>(std::min(window, last) + 1)};
 }
 
 } // namespace vanillagauge::usage
