--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -161,6 +161,7 @@
         }
     }
     std::vector<std::string> sorted;
+    sorted.reserve(items.size());
     for (auto& [name, text] : items) {
         sorted.push_back(std::move(text));
     }
