Test that a deeply nested object of any kind that gateways list ends none of them

The bound that ends the class belongs where the store's answers are read, not where the replicas' entries are.

--- a/tests/odd_entries/main.cpp
+++ b/tests/odd_entries/main.cpp
@@ -213,7 +213,8 @@
     void put_odd_entry()
     {
         const sound_entry sound{odd_.address(), "first", first_.id(), gateways_.places().front().front};
-        store_.put_text("servers", "i-odd", all_kinds().at(kind_)(sound, store_.revision() + 1));
+        const auto& odd = all_kinds().at(kind_);
+        store_.put_text(odd.place, "i-odd", odd.text(sound, store_.revision() + 1));
     }
 
     bool all_serve(const std::map<std::size_t, front_record>& records) const
--- a/tests/odd_entries/odd_entry.cpp
+++ b/tests/odd_entries/odd_entry.cpp
@@ -101,6 +101,11 @@
     return whole(sound_metadata(name, revision), specification);
 }
 
+std::string null_object(const sound_entry& /*sound*/, std::uint64_t /*revision*/)
+{
+    return "null";
+}
+
 std::string nested(std::size_t depth)
 {
     return std::string(depth, '[') + std::string(depth, ']');
@@ -108,44 +113,48 @@
 
 } // namespace
 
-const std::map<std::string, entry_text>& all_kinds()
+const std::map<std::string, odd_entry>& all_kinds()
 {
-    static const std::map<std::string, entry_text> kinds{
-        {"none", with_field("Other", "1")},
-        {"nested", with_field("Other", nested(deep))},
-        {"nested_metadata", with_metadata("Other", nested(deep))},
-        {"large_number", with_field("Other", "1e999")},
-        {"large_slots", with_field("Slots", "1e999")},
-        {"large_cold_time", with_field("ColdRemainingMs", "1e300")},
-        {"port_70000", with_port("70000")},
-        {"port_0", with_port("0")},
-        {"address_empty", with_field("Address", quoted(""))},
-        {"address_without_host", with_field("Address", quoted(":8080"))},
-        {"address_ipv6", with_field("Address", quoted("[::1]:8080"))},
-        {"address_number", with_field("Address", "7")},
-        {"address_megabyte", with_field("Address", quoted(std::string(megabyte, '1') + ":80"))},
-        {"slots_1e300", with_field("Slots", "1e300")},
-        {"slots_negative", with_field("Slots", "-1")},
-        {"slots_null", with_field("Slots", "null")},
-        {"slots_text", with_field("Slots", quoted("many"))},
-        {"slots_huge", with_field("Slots", "2147483647")},
-        {"slots_too_wide", with_field("Slots", "18446744073709551615")},
-        {"cold_time_negative", with_field("ColdRemainingMs", "-9223372036854775808")},
-        {"sequence_1e300", with_field("Sequence", "1e300")},
-        {"models_object", with_field("Models", "{\"a\":{}}")},
-        {"models_numbers", with_field("Models", "[1,null,\"a\"]")},
-        {"model_version_1e300", with_field("Models", "[{\"Name\":\"m\",\"Version\":1e300}]")},
-        {"not_utf8", with_field("Zone", "\"z\xff\xfe\"")},
-        {"name_megabyte", with_metadata("Name", quoted(std::string(megabyte, 'n')))},
-        {"name_with_slash", with_metadata("Name", quoted("i-a/b/../c"))},
-        {"name_empty", with_metadata("Name", quoted(""))},
-        {"name_number", with_metadata("Name", "5")},
-        {"revision_text", with_metadata("Revision", quoted("new"))},
-        {"revision_1e300", with_metadata("Revision", "1e300")},
-        {"without_revision", without_revision},
-        {"name_twice", of_other_name},
-        {"of_gateway", of_gateway},
-        {"null_object", [](const sound_entry&, std::uint64_t) { return std::string("null"); }},
+    static const std::map<std::string, odd_entry> kinds{
+        {"none", {with_field("Other", "1")}},
+        {"nested", {with_field("Other", nested(deep))}},
+        {"nested_metadata", {with_metadata("Other", nested(deep))}},
+        {"large_number", {with_field("Other", "1e999")}},
+        {"large_slots", {with_field("Slots", "1e999")}},
+        {"large_cold_time", {with_field("ColdRemainingMs", "1e300")}},
+        {"port_70000", {with_port("70000")}},
+        {"port_0", {with_port("0")}},
+        {"address_empty", {with_field("Address", quoted(""))}},
+        {"address_without_host", {with_field("Address", quoted(":8080"))}},
+        {"address_ipv6", {with_field("Address", quoted("[::1]:8080"))}},
+        {"address_number", {with_field("Address", "7")}},
+        {"address_megabyte", {with_field("Address", quoted(std::string(megabyte, '1') + ":80"))}},
+        {"slots_1e300", {with_field("Slots", "1e300")}},
+        {"slots_negative", {with_field("Slots", "-1")}},
+        {"slots_null", {with_field("Slots", "null")}},
+        {"slots_text", {with_field("Slots", quoted("many"))}},
+        {"slots_huge", {with_field("Slots", "2147483647")}},
+        {"slots_too_wide", {with_field("Slots", "18446744073709551615")}},
+        {"cold_time_negative", {with_field("ColdRemainingMs", "-9223372036854775808")}},
+        {"sequence_1e300", {with_field("Sequence", "1e300")}},
+        {"models_object", {with_field("Models", "{\"a\":{}}")}},
+        {"models_numbers", {with_field("Models", "[1,null,\"a\"]")}},
+        {"model_version_1e300", {with_field("Models", "[{\"Name\":\"m\",\"Version\":1e300}]")}},
+        {"not_utf8", {with_field("Zone", "\"z\xff\xfe\"")}},
+        {"name_megabyte", {with_metadata("Name", quoted(std::string(megabyte, 'n')))}},
+        {"name_with_slash", {with_metadata("Name", quoted("i-a/b/../c"))}},
+        {"name_empty", {with_metadata("Name", quoted(""))}},
+        {"name_number", {with_metadata("Name", "5")}},
+        {"revision_text", {with_metadata("Revision", quoted("new"))}},
+        {"revision_1e300", {with_metadata("Revision", "1e300")}},
+        {"without_revision", {without_revision}},
+        {"name_twice", {of_other_name}},
+        {"of_gateway", {of_gateway}},
+        {"null_object", {null_object}},
+        {"nested_in_batches", {with_field("Other", nested(deep)), "batches"}},
+        {"nested_in_gateways", {with_field("Other", nested(deep)), "gateways"}},
+        {"nested_in_retirements", {with_field("Other", nested(deep)), "retirements"}},
+        {"nested_in_versions", {with_field("Other", nested(deep)), "versions"}},
     };
     return kinds;
 }
--- a/tests/odd_entries/odd_entry.hpp
+++ b/tests/odd_entries/odd_entry.hpp
@@ -1,4 +1,4 @@
-/// Entries that another writer left among those of the replicas.
+/// Entries that another writer left in the store, most of them among those of the replicas.
 #ifndef VANILLAGAUGE_TESTS_ODD_ENTRIES_ODD_ENTRY_HPP
 #define VANILLAGAUGE_TESTS_ODD_ENTRIES_ODD_ENTRY_HPP
 
@@ -20,8 +20,13 @@
 /// The object's text at this revision.
 using entry_text = std::function<std::string(const sound_entry&, std::uint64_t revision)>;
 
-/// By name, as in the tests' names; `none` is sound.
-const std::map<std::string, entry_text>& all_kinds();
+struct odd_entry {
+    entry_text text;
+    std::string place = "servers"; ///< the store's kind of objects
+};
+
+/// By name; `none` is sound.
+const std::map<std::string, odd_entry>& all_kinds();
 
 } // namespace vanillagauge::odd_entries
 
