--- a/tests/gateway/untrusted_input_tests.cpp
+++ b/tests/gateway/untrusted_input_tests.cpp
@@ -1,5 +1,7 @@
+#include "../odd_json.hpp"
 #include "batch_deployment.hpp"
 
+#include "gateway/engines/engine_exchange.hpp"
 #include "gateway/feed_sync.hpp"
 
 #include <gtest/gtest.h>
@@ -217,5 +219,25 @@
     expect_complete(all.read_all({served.address()}, "b1"));
 }
 
+// Guards against an accepted batch that never runs, as a number of a client could not be read back.
+TEST(untrusted_input, gateways_run_batches_with_odd_length_hints)
+{
+    batch_deployment all;
+    auto& served = all.ready_gateway("a");
+    int number = 0;
+    for (const auto* odd : {"nan", "inf", "1e308", "-1"}) {
+        const auto id = "b" + std::to_string(++number);
+        auto submission = make_batch(id);
+        auto body = json::parse(submission.body);
+        for (auto& item : body["Items"]) {
+            item["Headers"]["Length-Hint"] = odd;
+        }
+        submission.body = body.dump();
+        EXPECT_EQ(all.status_of(served.address(), submission), 202) << odd;
+        SCOPED_TRACE(odd);
+        expect_complete(all.read_all({served.address()}, id));
+    }
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
