Refuse a batch whose numbers don't fit

Seen: `Step`, `MinVersion`, `DesiredCount` or `Tokens` of -1 were taken for 2^64-1, so that a batch was accepted that waits for weights or groups that never come; the value for 1e300 or 2^64 differs between processors. A batch with a deeply nested member was accepted too, harmlessly, as it was never copied.

Evidence, on the code before: untrusted_json. batches_with_numbers_out_of_range_are_refused failed at `"Step":-1`, batches_with_deeply_nested_members_are_refused for an unknown member.

Such a batch is refused by 400 at once: it has run nowhere. `integer_or` no longer wraps a number over 63 bits.

--- a/src/gateway/untrusted_json.hpp
+++ b/src/gateway/untrusted_json.hpp
@@ -3,8 +3,7 @@
 #define VANILLAGAUGE_GATEWAY_UNTRUSTED_JSON_HPP
 
 #include "base/base.hpp"
-
-#include <nlohmann/json.hpp>
+#include "json/json.hpp"
 
 #include <cstdint>
 #include <string>
@@ -47,11 +46,12 @@
     return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
 }
 
-/// The integer member; the fallback if absent or not an integer.
+/// The integer member; the fallback if absent, not an integer or of more than 64 bits.
 inline std::int64_t integer_or(const nlohmann::json& object, const char* member, std::int64_t fallback)
 {
     const auto found = object.is_object() ? object.find(member) : object.end();
-    return found != object.end() && found->is_number_integer() ? found->get<std::int64_t>() : fallback;
+    const bool is_integer = found != object.end() && found->is_number_integer();
+    return is_integer ? checked_integer<std::int64_t>(*found).value_or(fallback) : fallback;
 }
 
 /// The member, or null, which has no elements, if absent.
--- a/tests/adapter/untrusted_json_tests.cpp
+++ b/tests/adapter/untrusted_json_tests.cpp
@@ -21,6 +21,33 @@
     return to_submission(chosen, "b1", "o1", body);
 }
 
+// Guards against a batch that waits for 2^64 groups, or needs such weights, since a number was negative.
+TEST(untrusted_json, batches_with_numbers_out_of_range_are_refused)
+{
+    ASSERT_TRUE(ok(submission_of(sound_batch)));
+    for (const std::string member :
+         {"\"Step\":7", "\"MinVersion\":6", "\"DesiredCount\":1", "\"Tokens\":14"}) {
+        const auto name = member.substr(0, member.find(':') + 1);
+        for (const auto& odd : odd_counts()) {
+            const auto refused = submission_of(replaced(sound_batch, member, name + odd));
+            ASSERT_FALSE(ok(refused)) << name << odd.substr(0, 40);
+            EXPECT_EQ(failure(refused).code, error_code::invalid_argument);
+            EXPECT_EQ(failure(refused).ran, run_state::not_run);
+        }
+    }
+}
+
+TEST(untrusted_json, batches_with_deeply_nested_members_are_refused)
+{
+    for (const std::string value : {"\"m\"", "\"i1\"", "\"/p/1\"", "\"5,9\"", "\"aGk=\"", "\"g\""}) {
+        const auto refused = submission_of(replaced(sound_batch, value, nested_arrays()));
+        ASSERT_FALSE(ok(refused)) << value;
+        EXPECT_EQ(failure(refused).code, error_code::invalid_argument);
+    }
+    EXPECT_FALSE(ok(submission_of(replaced(sound_batch, "{", "{\"Unknown\":" + nested_arrays() + ","))));
+    EXPECT_FALSE(ok(submission_of(nested_arrays())));
+}
+
 // Guards against an accepted batch that no gateway can read back: JSON holds no number that is not finite.
 TEST(untrusted_json, batches_with_odd_length_hints_can_be_read_back)
 {
