--- a/tests/adapter/untrusted_json_tests.cpp
+++ b/tests/adapter/untrusted_json_tests.cpp
@@ -13,6 +13,9 @@
     {"Id":"i1","Path":"/p/1","Headers":{"Token-Counts":"5,9","Length-Hint":"120"},"Body":"aGk=","Tokens":14,
      "Group":"g"}]})";
 
+const std::string sound_report =
+    R"({"born":11,"Busy":false,"Sequence":12,"Models":[{"Name":"m","Version":13}]})";
+
 result<gateway::batch_submission> submission_of(const std::string& body)
 {
     gateway::route chosen;
@@ -21,6 +24,14 @@
     return to_submission(chosen, "b1", "o1", body);
 }
 
+result<gateway::engine_report> report_of(const std::string& body)
+{
+    net::http_response response;
+    response.status = 200;
+    response.body = body;
+    return replica_protocol().parse_report(response);
+}
+
 // Guards against a batch that waits for 2^64 groups, or needs such weights, since a number was negative.
 TEST(untrusted_json, batches_with_numbers_out_of_range_are_refused)
 {
@@ -68,5 +79,35 @@
     }
 }
 
+// Guards against an engine that seems to have the weights of a version near 2^64, so that none are loaded.
+TEST(untrusted_json, reports_with_numbers_out_of_range_are_refused)
+{
+    ASSERT_TRUE(ok(report_of(sound_report)));
+    for (const std::string number : {"11", "12", "13"}) {
+        for (const auto& odd : odd_counts()) {
+            const auto refused = report_of(replaced(sound_report, number, odd));
+            ASSERT_FALSE(ok(refused)) << number << " " << odd.substr(0, 40);
+            EXPECT_EQ(failure(refused).code, error_code::unavailable);
+        }
+    }
+}
+
+TEST(untrusted_json, reports_with_deeply_nested_members_are_refused)
+{
+    for (const std::string value : {"false", "\"m\"", "[{\"Name\":\"m\",\"Version\":13}]"}) {
+        EXPECT_FALSE(ok(report_of(replaced(sound_report, value, nested_arrays())))) << value;
+    }
+    EXPECT_FALSE(ok(report_of(nested_arrays())));
+}
+
+// Guards against an engine that is lost for one member of its report that no one reads.
+TEST(untrusted_json, reports_with_odd_members_beside_the_read_ones_are_read)
+{
+    for (const auto& odd : odd_counts()) {
+        EXPECT_TRUE(ok(report_of(replaced(sound_report, "{", "{\"Unknown\":" + odd + ","))))
+            << odd.substr(0, 40);
+    }
+}
+
 } // namespace
 } // namespace vanillagauge::platform
