Refuse a peer's message that nests too deep instead of ending

Seen: one message to a gateway's relay port, a batch that a peer has accepted with a value nested 200,000 levels deep, ended the gateway by SIGSEGV with all requests in flight.

Cause: the object of the message is copied out of the document, and copies recurse.

All messages of peers, and the bodies of the store's conflicts, are parsed to 64 levels: such a message is answered by 400 and logged, as other malformed ones.

--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -4,6 +4,7 @@
 #include "gateway/internal/batch_run.hpp"
 #include "observe/log.hpp"
 #include "policy/publish_plan.hpp"
+#include "json/json.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -344,7 +345,7 @@
         }
         else if (failure(written).code == error_code::conflict) {
             // Another owner, or an earlier write of this one that timed out, has filled the position.
-            const auto existing = nlohmann::json::parse(failure(written).current, nullptr, false);
+            const auto existing = parse_json(failure(written).current);
             const auto parsed = segment_from_json(name, existing);
             if (ok(parsed)) {
                 progress.apply_segment(value(parsed));
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -167,8 +167,7 @@
         co_return done{};
     }
     if (failure(created).code == error_code::conflict) {
-        const auto existing =
-            header_from_json(header.id, json::parse(failure(created).current, nullptr, false), {});
+        const auto existing = header_from_json(header.id, parse_json(failure(created).current), {});
         co_return ok(existing) ? check_same_submitter(value(existing), header) : result<done>(done{});
     }
     auto reason = failure(created);
@@ -193,7 +192,7 @@
 {
     net::http_response response;
     response.body = "{}";
-    auto read = accepted_batch_from_json(json::parse(request.body, nullptr, false));
+    auto read = accepted_batch_from_json(parse_json(request.body));
     if (!ok(read)) {
         observe::log(observe::log_level::warning, "accepted_call_refused",
                      {{"why", describe(failure(read))}});
@@ -285,7 +284,7 @@
 net::http_response batch_service::serve_body(const net::http_request& request) const
 {
     net::http_response response;
-    const auto wanted = json::parse(request.body, nullptr, false);
+    const auto wanted = parse_json(request.body);
     const auto body = runner_.find_body(string_or_empty(wanted, "batch"), string_or_empty(wanted, "item"));
     response.body = body ? json{{"body", *body}}.dump() : "{}";
     return response;
--- a/src/gateway/callers/relay_messages.cpp
+++ b/src/gateway/callers/relay_messages.cpp
@@ -115,8 +115,8 @@
 
 result<relayed_request> relayed_request_from_text(std::string_view text)
 {
-    return decode<relayed_request>(json::parse(text, nullptr, false),
-                                   malformed("cannot decode a relayed request"), request_from_json);
+    return decode<relayed_request>(parse_json(text), malformed("cannot decode a relayed request"),
+                                   request_from_json);
 }
 
 result<std::string> to_text(const relayed_request& request)
@@ -137,8 +137,8 @@
 
 result<relayed_answer> relayed_answer_from_text(std::string_view text)
 {
-    return decode<relayed_answer>(json::parse(text, nullptr, false),
-                                  malformed("cannot decode a hub's answer"), answer_from_json);
+    return decode<relayed_answer>(parse_json(text), malformed("cannot decode a hub's answer"),
+                                  answer_from_json);
 }
 
 std::string to_text(const relayed_answer& answer)
--- a/src/gateway/member_registry.cpp
+++ b/src/gateway/member_registry.cpp
@@ -42,7 +42,7 @@
     }
     // A restarted VM is registered already; a fleet that restarts as a whole would spend two calls more for
     // each.
-    const auto existing = json::parse(failure(created).current, nullptr, false);
+    const auto existing = parse_json(failure(created).current);
     if (string_or_empty(existing, "peer") == fleet_.peer_address()) {
         co_return true;
     }
--- a/tests/gateway/untrusted_input_tests.cpp
+++ b/tests/gateway/untrusted_input_tests.cpp
@@ -239,5 +239,40 @@
     }
 }
 
+/// The status of the answer to a message of a peer.
+int status_of_peer_message(batch_deployment& all, running_gateway& served, const std::string& path,
+                           const std::string& body)
+{
+    net::http_request request;
+    request.method = "POST";
+    request.target = path;
+    request.fields.add("Host", "h");
+    request.body = body;
+    return all.status_of(served.query<std::string>([](gateway& asked) { return asked.relay_address(); }),
+                         request);
+}
+
+// Guards against a document of a peer that ends the gateway as it is copied.
+TEST(untrusted_input, gateways_refuse_deeply_nested_messages_of_peers)
+{
+    batch_deployment all;
+    auto& served = all.ready_gateway("a");
+    const auto deep = nested_arrays();
+    const std::vector<std::pair<std::string, std::string>> messages{
+        {accepted_path,
+         R"({"parts":[],"object":{"name":"b","revision":1,"status":null,"value":)" + deep + "}}"},
+        {accepted_path,
+         R"({"parts":[],"object":{"name":"b","revision":1,"value":{},"status":)" + deep + "}}"},
+        {accepted_path, R"({"object":{},"parts":)" + deep + "}"},
+        {speculative_path, R"({"id":"b","header":)" + deep + R"(,"parts":[]})"},
+        {results_path, R"({"batch":)" + deep + "}"},
+        {engine_report_path, R"({"uses":)" + nested_arrays(30'000) + "}"}};
+    for (const auto& [path, body] : messages) {
+        EXPECT_EQ(status_of_peer_message(all, served, path, body), 400) << path;
+    }
+    EXPECT_EQ(all.status_of(served.address(), make_batch("b1")), 202);
+    expect_complete(all.read_all({served.address()}, "b1"));
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
