Check the numbers of stored batches and of peers

Seen by test: a negative count of a peer was taken for one near 2^64. Among counts of usage the larger stands, so one such message would have spoilt the reports; a position to read from wrapped round likewise. Times of a stored batch beyond the clock's range wrapped round to the past, so that its items count as expired.

A number that doesn't fit is a typed error of its message. Times are limited, since the batch was accepted and must be kept. Estimates that are no number are none.

--- a/src/gateway/batch.cpp
+++ b/src/gateway/batch.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+/// Keeps the sums of a batch's times within what a clock can represent.
+constexpr milliseconds max_batch_time = std::chrono::hours{24 * 365};
+constexpr milliseconds max_unix_time = std::chrono::hours{24 * 365 * 200};
+
 std::int64_t unix_ms(wall_time at)
 {
     return std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count();
@@ -60,9 +64,9 @@
     }
     item.body_base64 = text.at("body").get<std::string>();
     item.group = text.at("group").get<std::string>();
-    item.tokens = text.at("tokens").get<std::uint64_t>();
-    item.max_output = text.value("max_output", 0.0);
-    item.length_hint = text.at("hint").get<double>();
+    item.tokens = integer_at<std::uint64_t>(text, "tokens");
+    item.max_output = number_or(text, "max_output", 0);
+    item.length_hint = number_or(text, "hint", 0);
     if (const auto scoring = text.find("scoring"); scoring != text.end()) {
         item.scoring = scoring_from_json(*scoring);
     }
@@ -142,19 +146,20 @@
             header.service = from.at("service").get<std::string>();
             header.model = from.at("model").get<std::string>();
             header.owner_vm = from.at("owner").get<std::string>();
-            header.owner_incarnation = from.at("incarnation").get<std::uint64_t>();
-            header.min_version = from.at("least_version").get<std::uint64_t>();
-            header.step = from.at("step").get<std::uint64_t>();
-            header.total = from.at("total").get<std::size_t>();
-            header.wanted_groups = from.at("wanted_groups").get<std::size_t>();
-            header.tokens_per_event = from.value("tokens_per_event", 0.0);
-            header.work = from.value("work", 0.0);
-            header.parts = from.at("parts").get<std::size_t>();
+            header.owner_incarnation = integer_at<std::uint64_t>(from, "incarnation");
+            header.min_version = integer_at<std::uint64_t>(from, "least_version");
+            header.step = integer_at<std::uint64_t>(from, "step");
+            header.total = integer_at<std::size_t>(from, "total");
+            header.wanted_groups = integer_at<std::size_t>(from, "wanted_groups");
+            header.tokens_per_event = number_or(from, "tokens_per_event", 0);
+            header.work = number_or(from, "work", 0);
+            header.parts = integer_at<std::size_t>(from, "parts");
             header.single_version = from.at("single_version").get<bool>();
-            header.attempts = from.at("attempts").get<int>();
-            header.max_age = milliseconds{from.at("max_age_ms").get<std::int64_t>()};
-            header.result_time = milliseconds{from.at("result_time_ms").get<std::int64_t>()};
-            header.accepted = wall_time{milliseconds{from.at("accepted_unix_ms").get<std::int64_t>()}};
+            header.attempts = integer_at<int>(from, "attempts");
+            header.max_age = milliseconds_at(from, "max_age_ms", milliseconds{0}, max_batch_time);
+            header.result_time = milliseconds_at(from, "result_time_ms", milliseconds{0}, max_batch_time);
+            header.accepted =
+                wall_time{milliseconds_at(from, "accepted_unix_ms", milliseconds{0}, max_unix_time)};
             header.ended = status.is_object() && status.value("ended", false);
             return header;
         });
@@ -194,7 +199,7 @@
                 result.state =
                     entry.at("completed").get<bool>() ? item_state::completed : item_state::terminated;
                 result.text = entry.at("text").get<std::string>();
-                result.versions = entry.at("versions").get<std::vector<std::uint64_t>>();
+                result.versions = integers_at<std::uint64_t>(entry, "versions");
                 result.score = entry.value("score", std::string{});
                 segment.results.push_back(std::move(result));
             }
--- a/src/gateway/batch_texts.cpp
+++ b/src/gateway/batch_texts.cpp
@@ -21,11 +21,12 @@
     saved_text text;
     text.id = from.at("id").get<std::string>();
     text.text = from.at("text").get<std::string>();
-    text.events = from.at("events").get<std::size_t>();
+    text.events = integer_at<std::size_t>(from, "events");
     if (const auto last = from.find("last"); last != from.end()) {
-        text.last_event = last->get<std::uint64_t>();
+        text.last_event = to_integer<std::uint64_t>(*last);
     }
-    text.versions = from.at("versions").get<std::set<std::uint64_t>>();
+    const auto versions = integers_at<std::uint64_t>(from, "versions");
+    text.versions = {versions.begin(), versions.end()};
     text.complete = from.at("whole").get<bool>();
     return text;
 }
--- a/src/gateway/internal/usage_messages.cpp
+++ b/src/gateway/internal/usage_messages.cpp
@@ -19,6 +19,16 @@
     return text;
 }
 
+/// Throws json::exception where a count is not a number of 64 bits.
+usage::counts counts_from_json(const json& text)
+{
+    usage::counts runs;
+    for (const auto& [organisation, number] : text.get_ref<const json::object_t&>()) {
+        runs[organisation] = to_integer<std::uint64_t>(number);
+    }
+    return runs;
+}
+
 /// Throws json::exception, or returns an error where a name is not a number.
 result<usage::window_counts> windows_from_json(const json& text)
 {
@@ -29,7 +39,7 @@
         if (parsed.ec != std::errc{} || parsed.ptr != name.data() + name.size()) {
             return malformed("expected the number of a window, found " + name);
         }
-        windows[window] = runs.get<usage::counts>();
+        windows[window] = counts_from_json(runs);
     }
     return windows;
 }
@@ -67,7 +77,12 @@
 {
     return decode<usage::source_counts>(document, malformed("cannot decode the counts of a window"),
                                         [](const json& from) -> result<usage::source_counts> {
-                                            return from.at("sources").get<usage::source_counts>();
+                                            usage::source_counts known;
+                                            for (const auto& [source, runs] :
+                                                 from.at("sources").get_ref<const json::object_t&>()) {
+                                                known[source] = counts_from_json(runs);
+                                            }
+                                            return known;
                                         });
 }
 
@@ -83,8 +98,9 @@
                                          for (auto& [window, runs] : value(windows)) {
                                              log.append(window, std::move(runs));
                                          }
-                                         for (const auto& window : from.at("accepted")) {
-                                             log.acknowledge(window.get<std::uint64_t>());
+                                         for (const auto window :
+                                              integers_at<std::uint64_t>(from, "accepted")) {
+                                             log.acknowledge(window);
                                          }
                                          return log;
                                      });
--- a/src/gateway/result_reader.cpp
+++ b/src/gateway/result_reader.cpp
@@ -42,8 +42,8 @@
     const error unreadable{error_code::invalid_argument, run_state::not_run,
                            "cannot decode a read of results"};
     return decode<owner_read>(text, unreadable, [](const json& from) {
-        return owner_read{from.at("batch").get<std::string>(), from.at("first").get<std::size_t>(),
-                          milliseconds{from.at("wait_ms").get<std::int64_t>()}};
+        return owner_read{from.at("batch").get<std::string>(), integer_at<std::size_t>(from, "first"),
+                          milliseconds_at(from, "wait_ms", milliseconds{0}, max_owner_wait)};
     });
 }
 
@@ -185,7 +185,7 @@
         co_return response;
     }
     const auto& read = value(wanted);
-    const auto until = steady::now() + std::min(read.wait, max_owner_wait);
+    const auto until = steady::now() + read.wait;
     const auto results = co_await runner_.read_results(read.batch, read.first, until);
     if (!ok(results)) {
         response.status = 503;
--- a/tests/gateway/untrusted_input_tests.cpp
+++ b/tests/gateway/untrusted_input_tests.cpp
@@ -274,5 +274,22 @@
     expect_complete(all.read_all({served.address()}, "b1"));
 }
 
+// Guards against positions and waits of a peer that wrap round.
+TEST(untrusted_input, gateways_refuse_reads_of_peers_with_numbers_out_of_range)
+{
+    batch_deployment all;
+    auto& served = all.ready_gateway("a");
+    const std::string sound = R"({"batch":"b","first":0,"wait_ms":10})";
+    EXPECT_EQ(status_of_peer_message(all, served, results_path, sound), 503);
+    for (const auto& odd : odd_counts()) {
+        EXPECT_EQ(status_of_peer_message(all, served, results_path, replaced(sound, ":0", ":" + odd)), 400)
+            << odd.substr(0, 40);
+        const bool waits_less = odd == "-1" || odd == "-9223372036854775808";
+        EXPECT_EQ(status_of_peer_message(all, served, results_path, replaced(sound, ":10", ":" + odd)),
+                  waits_less ? 503 : 400)
+            << odd.substr(0, 40);
+    }
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
