Send no engine report that peers refuse for its lengths

Seen: if the items at an engine are said to be long enough, by their clients, the events that are left there exceed what a peer's ledger takes, and the peer refuses the whole report: it then counts this gateway as silent. Above 2^63 the rounded number is unspecified besides.

Evidence, on the code before: untrusted_messages. engine_reports_with_immense_lengths_are_accepted failed, the ledger refused it.

The sender limits the number to what the ledger takes.

--- a/src/gateway/engines/engine_exchange.cpp
+++ b/src/gateway/engines/engine_exchange.cpp
@@ -29,6 +29,9 @@
 /// HTTP fields of a message, beside its body.
 constexpr std::size_t head_bytes = 120;
 
+/// The most that a ledger accepts; lengths come from clients, and a report with more would be refused whole.
+constexpr double max_events_left = 1e9;
+
 /// -1, which the ledger refuses, if the number is absent or does not fit.
 int count_of(const json& object, const char* member)
 {
@@ -50,7 +53,7 @@
     for (const auto& use : report.uses) {
         uses.push_back({{"engine", use.engine},
                         {"streams", use.streams},
-                        {"left", static_cast<std::int64_t>(std::llround(use.events_left))}});
+                        {"left", std::llround(std::min(use.events_left, max_events_left))}});
     }
     auto loads = json::array();
     for (const auto& load : report.loads) {
--- a/tests/gateway/untrusted_messages_tests.cpp
+++ b/tests/gateway/untrusted_messages_tests.cpp
@@ -131,5 +131,17 @@
     EXPECT_FALSE(ok(relayed_answer_from_text(deep)));
 }
 
+// Guards against peers that refuse every report of a gateway since one length of a client is immense.
+TEST(untrusted_messages, engine_reports_with_immense_lengths_are_accepted)
+{
+    policy::engine_report report;
+    report.vm = "b";
+    report.uses.push_back({"e", 1, 1e300});
+    const auto read = engine_report_from_json(to_json(report));
+    ASSERT_TRUE(ok(read));
+    policy::engine_ledger ledger("a");
+    EXPECT_TRUE(ok(ledger.apply(value(read), steady::now())));
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
