Limit three times that numbers of others enter into

By reading: a distance between steps, which clients number, a length of an item times its engine's gap, and the delay in the lease on duties, which any writer of the store may set, were multiplied or added without a limit. The overflow is undefined, and a lease with a delay of centuries would keep the duties from all gateways.

Evidence: untrusted_messages. a_steps_number_does_not_overflow_the_trainers_schedule passes on the code before without a sanitizer, as the wrapped time happened to be unused; it is a guard. The other two have no test.

Each is limited well beyond what is sensible and within what a clock can represent.

--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -23,6 +23,9 @@
 /// Ended batches whose results are kept for readers, a hundred kilobytes each.
 constexpr std::size_t max_recent = 12;
 
+/// Lengths come from clients: a longer time says no more.
+constexpr double max_left_ms = 1e9;
+
 /// Bounds the work lost when an owner fails, apart from the duration of the write.
 constexpr milliseconds text_save_interval{1500};
 
@@ -65,7 +68,7 @@
     if (!std::isfinite(*last)) {
         return std::nullopt;
     }
-    return now + milliseconds{static_cast<std::int64_t>(*last)};
+    return now + milliseconds{static_cast<std::int64_t>(std::min(*last, max_left_ms))};
 }
 
 batch_runner::batch_runner(net::loop& loop, object_store& store, const fleet_view& fleet,
--- a/src/gateway/duty_lease.cpp
+++ b/src/gateway/duty_lease.cpp
@@ -3,6 +3,8 @@
 #include "gateway/untrusted_json.hpp"
 #include "observe/log.hpp"
 
+#include <algorithm>
+
 namespace vanillagauge::gateway {
 namespace {
 
@@ -18,13 +20,17 @@
 /// For a lease that does not specify how long its holder waits.
 constexpr milliseconds default_order_delay{10000};
 
+/// Longer than the settings allow; a longer one would keep the duties from all gateways.
+constexpr milliseconds max_takeover_wait{20 * 60 * 1000};
+
 policy::stored_lease lease_from(const stored_object& stored)
 {
     policy::stored_lease lease;
     lease.holder = string_or_empty(stored.value, "holder");
     lease.previous_holder = string_or_empty(stored.value, "former");
     lease.version = stored.revision;
-    lease.takeover_wait = milliseconds{integer_or(stored.value, "acts_in_ms", default_order_delay.count())};
+    const milliseconds wait{integer_or(stored.value, "acts_in_ms", default_order_delay.count())};
+    lease.takeover_wait = std::clamp(wait, milliseconds{0}, max_takeover_wait);
     return lease;
 }
 
--- a/src/policy/trainer_slack.cpp
+++ b/src/policy/trainer_slack.cpp
@@ -13,9 +13,12 @@
 /// A trainer has few steps open; older ones say nothing about its present schedule.
 constexpr std::size_t max_steps = 64;
 
+/// Steps are numbered by clients; intervals of so many still fit into a duration.
+constexpr std::uint64_t max_distance = 1'000'000;
+
 duration scaled(duration interval, std::uint64_t steps)
 {
-    return interval * static_cast<duration::rep>(steps);
+    return interval * static_cast<duration::rep>(std::min(steps, max_distance));
 }
 
 } // namespace
--- a/tests/gateway/untrusted_messages_tests.cpp
+++ b/tests/gateway/untrusted_messages_tests.cpp
@@ -131,6 +131,20 @@
     EXPECT_FALSE(ok(relayed_answer_from_text(deep)));
 }
 
+// Guards against a step near 2^64 of one client whose distance to the others overflows a time.
+TEST(untrusted_messages, a_steps_number_does_not_overflow_the_trainers_schedule)
+{
+    policy::trainer_slack trainers;
+    const auto now = std::chrono::system_clock::now();
+    for (const std::uint64_t step :
+         {std::uint64_t{0}, std::uint64_t{1}, std::uint64_t{2}, ~std::uint64_t{0}, std::uint64_t{1} << 62U}) {
+        trainers.observe(
+            {"m", step, now + seconds(2 * static_cast<int>(step % 5)), now + seconds(20), false});
+    }
+    EXPECT_GE(trainers.behind("m"), duration{0});
+    EXPECT_LE(trainers.behind("m"), seconds(60));
+}
+
 // Guards against peers that refuse every report of a gateway since one length of a client is immense.
 TEST(untrusted_messages, engine_reports_with_immense_lengths_are_accepted)
 {
