Read a stored lease or checkpoint of another writer without throwing

Seen: the lease of a deployment whose `holder` is not a text throws json::exception ("type must be string, but is number") out of the callback of the call that read it. A checkpoint's version of -1 was taken for 2^64-1 and its step 2^63 for -2^63, from which a trainer that lost its cursor would be served.

Both readers are functions of rollout/core now, so that a test can reach them. A holder that can't be read is none; a checkpoint with a number that doesn't fit is the error that one without the number is.

What becomes of the process was not run.

--- a/src/rollout/checkpoint_store.cpp
+++ b/src/rollout/checkpoint_store.cpp
@@ -1,11 +1,10 @@
 #include "rollout/checkpoint_store.hpp"
 
+#include "rollout/core/stored_records.hpp"
 #include "wire/call.hpp"
 
 #include "vanillagauge.pb.h"
 
-#include <nlohmann/json.hpp>
-
 namespace vanillagauge::rollout {
 namespace {
 
@@ -20,22 +19,6 @@
     return options;
 }
 
-std::string to_text(const samples::checkpoint& record)
-{
-    return nlohmann::json{{"step", record.step}, {"trainer_version", record.trainer_version}}.dump();
-}
-
-std::optional<samples::checkpoint> parse(const std::string& text)
-{
-    const auto all = nlohmann::json::parse(text, nullptr, false);
-    const bool sound = all.is_object() && all.contains("step") && all["step"].is_number_integer() &&
-                       all.contains("trainer_version") && all["trainer_version"].is_number_integer();
-    if (!sound) {
-        return std::nullopt;
-    }
-    return samples::checkpoint{all["step"].get<std::int64_t>(), all["trainer_version"].get<std::uint64_t>()};
-}
-
 } // namespace
 
 void checkpoint_store::advance(const samples::checkpoint& record)
@@ -98,7 +81,7 @@
                                   const auto& entry = value(reply).entry();
                                   stored found{std::nullopt, entry.version()};
                                   if (entry.version() > 0 && !entry.deleted()) {
-                                      found.record = parse(entry.spec_json());
+                                      found.record = checkpoint_from_text(entry.spec_json());
                                       if (!found.record) {
                                           on_done(error{error_code::internal, run_state::not_run,
                                                         "the stored checkpoint cannot be parsed"});
--- a/src/rollout/core/core.hpp
+++ b/src/rollout/core/core.hpp
@@ -4,5 +4,6 @@
 
 #include "rollout/core/job_shape.hpp"
 #include "rollout/core/step_view.hpp"
+#include "rollout/core/stored_records.hpp"
 
 #endif
--- a/src/rollout/order_fence.cpp
+++ b/src/rollout/order_fence.cpp
@@ -1,5 +1,6 @@
 #include "rollout/order_fence.hpp"
 
+#include "rollout/core/stored_records.hpp"
 #include "wire/call.hpp"
 
 #include "vanillagauge.pb.h"
@@ -34,12 +35,6 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count();
 }
 
-std::string holder_in(const std::string& text)
-{
-    const auto all = nlohmann::json::parse(text, nullptr, false);
-    return all.is_object() ? all.value("holder", std::string{}) : std::string{};
-}
-
 } // namespace
 
 order_fence::order_fence(const context& shared, const config::deployment_spec& deployment)
