Limit the delay before a retry that a peer's error names

By reading: a delay of 2^63-1 ms in an error of the wire overflows the time of the next try, or puts off a keeper's configuration feed for ever. It is limited to one hour.

The bound on the depth of JSON is that of src/json, with one constant for both parsers, and more closing than opening brackets no longer lend it depth.

--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,6 +1,7 @@
 #include "wire/codec.hpp"
 
 #include "observe/json_text.hpp"
+#include "json/json.hpp"
 
 #include "vanillagauge.pb.h"
 
@@ -8,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace vanillagauge::wire {
@@ -18,7 +20,8 @@
 constexpr char error_flag = 1;
 constexpr std::string_view error_line_start = R"({"error":)";
 constexpr std::size_t max_frame_bytes = 64U << 20U;
-constexpr int max_json_depth = 64;
+/// Longer than any sender means; more could be beyond what a clock can represent.
+constexpr std::int64_t max_retry_after_ms = 3600000;
 
 std::string binary_frame(char flag, std::string_view encoded)
 {
@@ -42,7 +45,7 @@
 /// check before it keeps a sender from exhausting the stack.
 bool too_deep(std::string_view text)
 {
-    int level = 0;
+    std::size_t level = 0;
     bool quoted = false;
     for (std::size_t index = 0; index < text.size(); ++index) {
         const char symbol = text[index];
@@ -57,7 +60,7 @@
             ++level;
         }
         else if (symbol == '}' || symbol == ']') {
-            --level;
+            level -= level > 0 ? 1 : 0;
         }
         if (level > max_json_depth) {
             return true;
@@ -70,7 +73,7 @@
 /// valid UTF-8, so a client could flood the log.
 std::string valid_utf8(const std::string& text)
 {
-    return nlohmann::json::parse(observe::json_text(text)).get<std::string>();
+    return parse_json(observe::json_text(text)).get<std::string>();
 }
 
 error stream_error(std::string_view what)
@@ -180,7 +183,8 @@
         failure.ran = run_state::ran;
     }
     failure.detail = message.detail();
-    failure.retry_after = milliseconds{message.retry_after_ms()};
+    failure.retry_after =
+        milliseconds{std::clamp(std::int64_t{message.retry_after_ms()}, std::int64_t{0}, max_retry_after_ms)};
     failure.redirect = message.redirect();
     failure.current = message.current();
     return failure;
