--- a/tests/gateway/untrusted_input_tests.cpp
+++ b/tests/gateway/untrusted_input_tests.cpp
@@ -1,5 +1,7 @@
+#include "../odd_json.hpp"
 #include "batch_deployment.hpp"
 
+#include "gateway/engines/engine_exchange.hpp"
 #include "gateway/feed_sync.hpp"
 
 #include <gtest/gtest.h>
@@ -217,5 +219,77 @@
     expect_complete(all.read_all({served.address()}, "b1"));
 }
 
+// Guards against an accepted batch that never runs, as a number of a client could not be read back.
+TEST(untrusted_input, gateways_run_batches_with_odd_length_hints)
+{
+    batch_deployment all;
+    auto& served = all.ready_gateway("a");
+    int number = 0;
+    for (const auto* odd : {"nan", "inf", "1e308", "-1"}) {
+        const auto id = "b" + std::to_string(++number);
+        auto submission = make_batch(id);
+        auto body = json::parse(submission.body);
+        for (auto& item : body["Items"]) {
+            item["Headers"]["Length-Hint"] = odd;
+        }
+        submission.body = body.dump();
+        EXPECT_EQ(all.status_of(served.address(), submission), 202) << odd;
+        SCOPED_TRACE(odd);
+        expect_complete(all.read_all({served.address()}, id));
+    }
+}
+
+/// The status of the answer to a message of a peer.
+int status_of_peer_message(batch_deployment& all, running_gateway& served, const std::string& path,
+                           const std::string& body)
+{
+    net::http_request request;
+    request.method = "POST";
+    request.target = path;
+    request.fields.add("Host", "h");
+    request.body = body;
+    return all.status_of(served.query<std::string>([](gateway& asked) { return asked.relay_address(); }),
+                         request);
+}
+
+// Guards against a document of a peer that ends the gateway as it is copied.
+TEST(untrusted_input, gateways_refuse_deeply_nested_messages_of_peers)
+{
+    batch_deployment all;
+    auto& served = all.ready_gateway("a");
+    const auto deep = nested_arrays();
+    const std::vector<std::pair<std::string, std::string>> messages{
+        {accepted_path,
+         R"({"parts":[],"object":{"name":"b","revision":1,"status":null,"value":)" + deep + "}}"},
+        {accepted_path,
+         R"({"parts":[],"object":{"name":"b","revision":1,"value":{},"status":)" + deep + "}}"},
+        {accepted_path, R"({"object":{},"parts":)" + deep + "}"},
+        {speculative_path, R"({"id":"b","header":)" + deep + R"(,"parts":[]})"},
+        {results_path, R"({"batch":)" + deep + "}"},
+        {engine_report_path, R"({"uses":)" + nested_arrays(30'000) + "}"}};
+    for (const auto& [path, body] : messages) {
+        EXPECT_EQ(status_of_peer_message(all, served, path, body), 400) << path;
+    }
+    EXPECT_EQ(all.status_of(served.address(), make_batch("b1")), 202);
+    expect_complete(all.read_all({served.address()}, "b1"));
+}
+
+// Guards against positions and waits of a peer that wrap round.
+TEST(untrusted_input, gateways_refuse_reads_of_peers_with_numbers_out_of_range)
+{
+    batch_deployment all;
+    auto& served = all.ready_gateway("a");
+    const std::string sound = R"({"batch":"b","first":0,"wait_ms":10})";
+    EXPECT_EQ(status_of_peer_message(all, served, results_path, sound), 503);
+    for (const auto& odd : odd_counts()) {
+        EXPECT_EQ(status_of_peer_message(all, served, results_path, replaced(sound, ":0", ":" + odd)), 400)
+            << odd.substr(0, 40);
+        const bool waits_less = odd == "-1" || odd == "-9223372036854775808";
+        EXPECT_EQ(status_of_peer_message(all, served, results_path, replaced(sound, ":10", ":" + odd)),
+                  waits_less ? 503 : 400)
+            << odd.substr(0, 40);
+    }
+}
+
 } // namespace
 } // namespace vanillagauge::gateway
