--- a/tests/adapter/untrusted_json_tests.cpp
+++ b/tests/adapter/untrusted_json_tests.cpp
@@ -109,5 +109,16 @@
     }
 }
 
+// Guards against figures of a replica whose sum overflows, so that the busiest replica seems idle.
+TEST(untrusted_json, load_figures_out_of_range_are_none)
+{
+    for (const std::string odd :
+         {"2147483647,2147483647,8", "-1,2,8", "1,2,99999999999", "1,-2147483648,8"}) {
+        net::http_fields fields;
+        fields.add("Replica-Load", odd);
+        EXPECT_FALSE(replica_protocol().parse_metadata(200, fields, "a").load) << odd;
+    }
+}
+
 } // namespace
 } // namespace vanillagauge::platform
