Hold a lease whose stored time overflows a clock

Seen by test: keepers read the times of each other's leases from the store. One beyond the range of a clock overflowed, the lease seemed to have expired at once, and this VM owned all keys of its holder beside it.

Evidence, on the code before: lease.of_an_immense_time_holds failed, 50 keys had the single owner "a" where b and c hold leases of 2^63-1 ms and of a thousandth.

--- a/src/fleet/lease.cpp
+++ b/src/fleet/lease.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds retry_after{1000};
 constexpr int max_doublings = 5;
 constexpr std::chrono::minutes abandoned_after{10};
+/// Longer than that of any fleet; a record is written by another program, and its time could overflow.
+constexpr milliseconds max_ttl = std::chrono::hours{24};
 
 } // namespace
 
@@ -55,7 +57,8 @@
         }
         const auto before = others_.find(record.vm);
         const bool same = before != others_.end() && before->second.version == record.version;
-        seen[record.vm] = {record.version, record.ttl, same ? before->second.first_seen : now};
+        const auto ttl = std::clamp(record.ttl, milliseconds{0}, max_ttl);
+        seen[record.vm] = {record.version, ttl, same ? before->second.first_seen : now};
         if (!expired(seen[record.vm], now)) {
             pending_holders_.push_back(record.vm);
         }
--- a/tests/fleet/lease_tests.cpp
+++ b/tests/fleet/lease_tests.cpp
@@ -189,5 +189,24 @@
     EXPECT_EQ(lease_timing_for(8).renew_interval, milliseconds{5000});
 }
 
+// Guards against two owners of a key: a lease whose stored time overflows a clock seemed to have expired.
+TEST(lease, of_an_immense_time_holds)
+{
+    lease_store store;
+    lease_cycle a("a", timing);
+    store.renew("b", milliseconds::max());
+    store.renew("c", milliseconds{std::numeric_limits<std::int64_t>::max() / 1000});
+    time_point now{};
+    for (; now - time_point{} < takeover + seconds{1}; now += seconds{1}) {
+        store.cycle(a, "a", now);
+    }
+    ASSERT_NE(a.held(now).fencing_token, 0U);
+    std::set<std::string> owners;
+    for (int key = 0; key < 50; ++key) {
+        owners.insert(a.owner_of("key" + std::to_string(key), now));
+    }
+    EXPECT_TRUE(owners.contains("b") && owners.contains("c")) << testing::PrintToString(owners);
+}
+
 } // namespace
 } // namespace vanillagauge::fleet
