--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -553,7 +553,7 @@
          {&held.configurations, &held.replicas, &held.versions, &held.batch_headers, &held.retirements}) {
         state_->counts.set("feed_objects{kind=\"" + content->kind() + "\"}",
                            static_cast<double>(content->objects().size()));
-        state_->counts.set(series_of("store_entries_left_out_total", content->kind()),
+        state_->counts.set(series_of("store_entries_left_out", content->kind()),
                            static_cast<double>(content->left_out()));
         if (content->synced()) {
             const auto age = milliseconds_between(content->confirmed_at(), now);
--- a/tests/adapter/odd_entries_tests.cpp
+++ b/tests/adapter/odd_entries_tests.cpp
@@ -85,8 +85,9 @@
 {
     std::vector<std::string> texts;
     int sound = 0;
-    const auto count = *rc::gen::inRange(1, 6);
-    for (int drawn = 0; drawn < count; ++drawn) {
+    const auto count = *rc::gen::inRange<std::size_t>(1, 6);
+    texts.reserve(count);
+    for (std::size_t drawn = 0; drawn < count; ++drawn) {
         texts.push_back(*rc::gen::arbitrary<bool>() ? sound_object(sound++) : drawn_object());
     }
     return {texts, sound};
--- a/tests/adapter/platform_store_tests.cpp
+++ b/tests/adapter/platform_store_tests.cpp
@@ -68,6 +68,7 @@
 std::vector<std::string> names_of(const std::vector<stored_object>& objects)
 {
     std::vector<std::string> names;
+    names.reserve(objects.size());
     for (const auto& object : objects) {
         names.push_back(object.name);
     }
