Show an immense chain of spans without ending vgctl

Seen: vgctl ended by SIGSEGV on a file of spans of which each is the parent of the next.

Cause: the tree is built, shown and written by recursion over its levels.

Evidence: span_tree.shows_all_spans_of_an_immense_chain, with a chain of 30,000, ended ctl_tests with signal 11 on the code before.

A tree has 64 levels at most; the spans below start another one, so that all are shown.

--- a/src/ctl/span_tree.cpp
+++ b/src/ctl/span_tree.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t trace_id_start = 3;
 constexpr std::size_t trace_id_digits = 32;
 constexpr int json_indent = 2;
+/// More than a request has; what is below starts another tree.
+constexpr std::size_t max_levels = 64;
 
 std::vector<std::pair<std::string, std::string>> attributes_of(const json& holder)
 {
@@ -105,15 +107,19 @@
 
 using children_index = std::multimap<std::string, const span_record*>;
 
-/// `visited` prevents endless recursion on a cycle of parents.
+/// `visited` prevents endless recursion on a cycle of parents. Spans below the last of the levels are left
+/// out.
 span_node build_subtree(const span_record& span, const children_index& children,
-                        std::set<std::string>& visited)
+                        std::set<std::string>& visited, std::size_t levels)
 {
     span_node subtree{span, {}};
+    if (levels <= 1) {
+        return subtree;
+    }
     const auto [first, last] = children.equal_range(span.span_id);
     for (auto place = first; place != last; ++place) {
         if (visited.insert(place->second->span_id).second) {
-            subtree.children.push_back(build_subtree(*place->second, children, visited));
+            subtree.children.push_back(build_subtree(*place->second, children, visited, levels - 1));
         }
     }
     std::sort(
@@ -218,12 +224,12 @@
     std::vector<span_node> roots;
     for (const auto* span : members) {
         if (!span_ids.contains(span->parent_id) && visited.insert(span->span_id).second) {
-            roots.push_back(build_subtree(*span, children, visited));
+            roots.push_back(build_subtree(*span, children, visited, max_levels));
         }
     }
     for (const auto* span : members) {
         if (visited.insert(span->span_id).second) {
-            roots.push_back(build_subtree(*span, children, visited));
+            roots.push_back(build_subtree(*span, children, visited, max_levels));
         }
     }
     return roots;
--- a/tests/ctl/span_tree_tests.cpp
+++ b/tests/ctl/span_tree_tests.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace vanillagauge::ctl {
 namespace {
 
@@ -48,6 +50,20 @@
     EXPECT_EQ(hops.front().children.size(), 1U);
 }
 
+// Guards against a file that ends vgctl by a chain of calls that no request makes.
+TEST(span_tree, shows_all_spans_of_an_immense_chain)
+{
+    constexpr int length = 30'000;
+    std::string text;
+    for (int index = 0; index < length; ++index) {
+        text += line("s" + std::to_string(index), "s" + std::to_string(index - 1), "hop", index, index + 1);
+    }
+    const auto hops = build_tree(parse_spans(text), trace_id);
+    const auto rows = tree_text(trace_id, hops);
+    EXPECT_EQ(std::count(rows.begin(), rows.end(), '\n'), length + 2);
+    EXPECT_FALSE(tree_json(trace_id, hops).empty());
+}
+
 TEST(span_file, skips_a_truncated_line)
 {
     const auto whole = line("a", "", "entry.call", 1, 2);
