Guard items of batches and their scores against cut responses

An engine ends its response to an item after each of its bytes, in three framings, by FIN and by reset, on kept connections (1122 cuts), and after some of them on new ones (30 cuts; an engine whose new connection closes gets no items for half a second). The next run resumes: each text is whole, and each item runs twice. A response without length and chunks that ends by FIN between two events is complete, as the pages say, and its text is as long as it is.

The response to a scoring call is cut likewise (820 cuts); each item gets the whole score.

No fault was seen: the tests pass on the code before.

--- /dev/null
+++ b/tests/gateway/cut_replicas.hpp
@@ -0,0 +1,121 @@
+/// Replicas that cut responses at planned places.
+#ifndef VANILLAGAUGE_TESTS_GATEWAY_CUT_REPLICAS_HPP
+#define VANILLAGAUGE_TESTS_GATEWAY_CUT_REPLICAS_HPP
+
+#include "../scripted_peer.hpp"
+#include "deployment.hpp"
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace vanillagauge::gateway {
+
+constexpr int events_of_stream = 3;
+
+struct planned_cut {
+    framing how = framing::length;
+    connection_end end = connection_end::fin;
+    std::size_t bytes = 0;
+    bool kept = false; ///< only on a connection that has carried another request
+};
+
+inline std::string plain_body(const std::string& id)
+{
+    return "response to " + id;
+}
+
+/// The events after the one with the number `after`.
+inline std::string events_after(const std::string& id, int after)
+{
+    std::string text;
+    for (int number = after + 1; number <= events_of_stream; ++number) {
+        const auto digits = std::to_string(number);
+        text.append("id: ").append(digits).append("\ndata: ").append(id).append("-").append(digits);
+        text += "\n\n";
+    }
+    return text;
+}
+
+inline std::string replica_fields(const std::string& id)
+{
+    return "Attempt-Id: " + id + "\r\nWeight-Versions: 1\r\nServer-Stamp: stamp-of-" + id + "\r\n";
+}
+
+/// Two replicas of one service, whose requests with token counts are streams.
+class cut_replicas {
+public:
+    cut_replicas(deployment& all, const std::string& service)
+    {
+        for (const auto* id : {"c1", "c2"}) {
+            auto& added = *peers_.emplace_back(std::make_unique<scripted_peer>(
+                [this](const scripted_request& request) { return respond(request); }));
+            nlohmann::json models = nlohmann::json::array();
+            if (service == "lm") {
+                models.push_back({{"Name", "m"}, {"Version", 1}, {"Adapters", nlohmann::json::array()}});
+            }
+            const nlohmann::json entry{
+                {"Service", service}, {"Address", added.address()}, {"Zone", "z1"},     {"Version", "v1"},
+                {"Slots", 16},        {"State", "ready"},           {"Models", models}, {"Sequence", 1}};
+            const auto name = service + "-" + id;
+            all.modify_store([&](standins::fake_store& store) { store.put("servers", name, entry); });
+        }
+    }
+
+    /// Cuts the first response to the request with this id.
+    void plan(const std::string& id, planned_cut cut)
+    {
+        const std::lock_guard lock(mutex_);
+        cuts_[id] = cut;
+    }
+    /// Whether the response to this id was cut.
+    bool played(const std::string& id)
+    {
+        const std::lock_guard lock(mutex_);
+        return !cuts_.contains(id);
+    }
+    int runs(const std::string& id)
+    {
+        const std::lock_guard lock(mutex_);
+        return runs_[id];
+    }
+    /// Whether replicas keep connections after whole responses.
+    void set_keeping(bool keeping)
+    {
+        const std::lock_guard lock(mutex_);
+        keeping_ = keeping;
+    }
+
+private:
+    std::mutex mutex_;
+    std::map<std::string, planned_cut> cuts_;
+    std::map<std::string, int> runs_;
+    bool keeping_ = true;
+    std::vector<std::unique_ptr<scripted_peer>> peers_{}; ///< last: their threads call `respond`
+
+    scripted_response respond(const scripted_request& request)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto id = request.field("Attempt-Id");
+        ++runs_[id];
+        const bool streams = !request.field("Token-Counts").empty();
+        const auto after = request.field("Last-Event-Id");
+        const auto body = streams ? events_after(id, after.empty() ? 0 : std::stoi(after)) : plain_body(id);
+        const auto cut = cuts_.find(id);
+        if (cut != cuts_.end() && cut->second.kept == request.kept) {
+            const auto played = cut->second;
+            cuts_.erase(cut);
+            const auto whole = response_text(played.how, replica_fields(id), body);
+            return {whole.substr(0, played.bytes), played.end};
+        }
+        const auto how = streams ? framing::chunked : framing::length;
+        if (keeping_) {
+            return {response_text(how, replica_fields(id), body)};
+        }
+        return {response_text(how, replica_fields(id) + "Connection: close\r\n", body), connection_end::fin};
+    }
+};
+
+} // namespace vanillagauge::gateway
+
+#endif
