--- a/tests/gateway/callers/hub_answer_tests.cpp
+++ b/tests/gateway/callers/hub_answer_tests.cpp
@@ -1,28 +1,17 @@
 // Answers of a hub, from a stand-in for it.
-#include "forwarder_parts.hpp"
+#include "relay_parts.hpp"
 
 #include "gateway/callers/relay_messages.hpp"
-#include "gateway/callers/request_relay.hpp"
 
 #include <gtest/gtest.h>
 
 namespace vanillagauge::gateway {
 namespace {
 
-/// A relay without replicas, and a hub that answers every request as if it had the given id.
-struct relay_to_one_hub : forwarder_parts {
-    config::settings settings = make_settings("a", "127.0.0.1:1", {});
-    fleet_view fleet{events, settings};
-    configuration current;
-    request_relay relay{events.context(),
-                        forwarding,
-                        fleet,
-                        targets,
-                        counts,
-                        [this]() -> const configuration& { return current; },
-                        []() -> net::task<void> { co_return; },
-                        0};
+/// A relay, and a hub that answers every request as if it had the given id.
+struct relay_to_one_hub : relay_parts {
     net::http_service hub;
+    std::string address;
 
     explicit relay_to_one_hub(std::string answered_id)
         : hub(
@@ -33,28 +22,13 @@
                   co_await answer.send(std::move(response));
               })
     {
+        on_loop([this] { address = value(hub.open("127.0.0.1:0")); });
     }
     ~relay_to_one_hub() { stop(); }
     relay_to_one_hub(const relay_to_one_hub&) = delete;
     relay_to_one_hub& operator=(const relay_to_one_hub&) = delete;
 
-    relay_outcome send(const std::string& id)
-    {
-        std::promise<relay_outcome> promise;
-        events.post([&] { net::start(events.context(), run(id, promise)); });
-        return promise.get_future().get();
-    }
-
-private:
-    net::task<void> run(std::string id, std::promise<relay_outcome>& promise)
-    {
-        relayed_request request;
-        request.attempt_id = std::move(id);
-        relay_hub chosen{"hub", value(hub.open("127.0.0.1:0"))};
-        auto outcome = co_await relay.send(std::move(chosen), std::move(request), steady::now() + seconds(2),
-                                           [](auto) { return true; });
-        promise.set_value(std::move(outcome));
-    }
+    relay_outcome send(const std::string& id) { return relay_parts::send(address, id); }
 };
 
 TEST(hub_answers, are_taken_for_the_request_that_they_name)
