Break off a stream that its replica ended within an event

Callers saw: on a streaming route that may not be resumed, a replica whose response has neither Content-Length nor chunks was cut in the middle of an event and closed (FIN).

Cause: HTTP can't tell such a body's end from a cut, but events can. The check for an unfinished event asked the buffer that splits resumable streams at event boundaries, which gets no bytes on other routes, so it never found one there. Resumable streams and items of batches were checked and are not affected.

Fix: the reader of events, which gets the bytes of every stream, decides as well. The caller's connection is then reset without the last chunk.

--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -289,14 +289,15 @@
             outcome.result = error{error_code::cancelled, run_state::in_doubt, "the client has left"};
             co_return outcome;
         }
-        if (piece.last && !events.has_partial_event()) {
-            co_await current.answer->finish();
-            outcome.finished_stream = true;
+        // A body without length and chunks ends with its connection, also where the replica was cut off.
+        if (piece.last && (events.has_partial_event() || reader.has_partial_event())) {
+            outcome.result =
+                error{error_code::incomplete, run_state::in_doubt, "the stream ended within an event"};
             co_return outcome;
         }
         if (piece.last) {
-            outcome.result =
-                error{error_code::incomplete, run_state::in_doubt, "the stream ended within an event"};
+            co_await current.answer->finish();
+            outcome.finished_stream = true;
             co_return outcome;
         }
     }
--- a/src/net/event_stream.cpp
+++ b/src/net/event_stream.cpp
@@ -15,6 +15,7 @@
             too_long_ = true;
             line_.clear();
             current_ = {};
+            has_lines_ = false;
             break;
         }
         line_ += added;
--- a/tests/net/endless_response_tests.cpp
+++ b/tests/net/endless_response_tests.cpp
@@ -129,6 +129,7 @@
             fed += piece.size();
         }
         EXPECT_TRUE(reader.too_long()) << piece;
+        EXPECT_FALSE(reader.has_partial_event()) << piece;
     }
 }
 
