Give the crash report a guarded stack, and end by the signal itself

Cause (review): the stack of a signal handler was 16 KB of the heap without a guard, and every handler that asks for an alternate stack runs on it; a signal that another process sent did not end the process at once, since only a fault repeats itself.

Change: 256 KB of own pages, the lowest without access; the handler raises the signal again.

Measured: crash_report_death_test passes.

--- a/src/observe/crash_report.cpp
+++ b/src/observe/crash_report.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/last_inputs.hpp"
 
+#include <sys/mman.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -13,7 +14,7 @@
 namespace vanillagauge::observe {
 namespace {
 
-constexpr std::size_t min_stack_bytes = 16U << 10U;
+constexpr std::size_t stack_bytes = 256U << 10U;
 constexpr std::array fault_signals{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
 
 std::string& program_name()
@@ -64,7 +65,7 @@
     }
 }
 
-// The signal's default action, which SA_RESETHAND restores, ends the process once this returns.
+// SA_RESETHAND has restored the signal's default action, which ends the process once this returns.
 void report(int signal)
 {
     crash_line line;
@@ -76,6 +77,7 @@
     add_last_inputs(line);
     line.add("]}\n");
     line.write();
+    std::raise(signal);
 }
 
 } // namespace
@@ -92,19 +94,33 @@
     }
 }
 
-crash_stack::crash_stack() : memory_(std::max<std::size_t>(min_stack_bytes, SIGSTKSZ))
+// The lowest page stays without access: what needs more than the stack must not write beyond it.
+crash_stack::crash_stack()
 {
+    const auto page = static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    auto* const memory = mmap(nullptr, page + stack_bytes, PROT_NONE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+    if (memory == MAP_FAILED) {
+        return;
+    }
+    memory_ = memory;
+    bytes_ = page + stack_bytes;
     stack_t stack = {};
-    stack.ss_sp = memory_.data();
-    stack.ss_size = memory_.size();
-    sigaltstack(&stack, nullptr);
+    stack.ss_sp = static_cast<std::byte*>(memory) + page;
+    stack.ss_size = stack_bytes;
+    if (mprotect(stack.ss_sp, stack_bytes, PROT_READ | PROT_WRITE) == 0) {
+        sigaltstack(&stack, nullptr);
+    }
 }
 
 crash_stack::~crash_stack()
 {
+    if (memory_ == nullptr) {
+        return;
+    }
     stack_t stack = {};
     stack.ss_flags = SS_DISABLE;
     sigaltstack(&stack, nullptr);
+    munmap(memory_, bytes_);
 }
 
 } // namespace vanillagauge::observe
--- a/src/observe/crash_report.hpp
+++ b/src/observe/crash_report.hpp
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <string_view>
-#include <vector>
 
 namespace vanillagauge::observe {
 
@@ -22,7 +21,8 @@
     crash_stack& operator=(const crash_stack&) = delete;
 
 private:
-    std::vector<std::byte> memory_;
+    void* memory_ = nullptr;
+    std::size_t bytes_ = 0;
 };
 
 } // namespace vanillagauge::observe
