Accept peers again after descriptors have run out, and wait for a peer address that is taken

Cause: the peer server took any failure of accept for the end. Once out of file descriptors, it accepted no peer for the rest of its life, while the HTTP server tries again after 50 ms. An address that another socket held at the start ended the program at once.

Change: accept is tried again after 50 ms while the acceptor is open; listening on an address in use is tried for five seconds.

--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -1,10 +1,12 @@
 #include "wire/peer_server.hpp"
 
 #include "base/address.hpp"
+#include "base/attempts.hpp"
 #include "vanillagauge.pb.h"
 #include "wire/internal/http2_session.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <set>
 
@@ -14,6 +16,8 @@
 using boost::asio::ip::tcp;
 using internal::http2_session;
 
+constexpr milliseconds accept_retry_delay{50};
+
 milliseconds timeout_header(const std::map<std::string, std::string>& headers)
 {
     const auto found = headers.find("x-timeout-ms");
@@ -29,16 +33,39 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
+/// Leaves the acceptor closed if it fails.
+boost::system::error_code listen(tcp::acceptor& acceptor, const tcp::endpoint& local)
+{
+    boost::system::error_code failed;
+    acceptor.open(local.protocol(), failed);
+    if (!failed) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+    }
+    if (!failed) {
+        acceptor.bind(local, failed);
+    }
+    if (!failed) {
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+    }
+    return failed;
+}
+
 } // namespace
 
 struct peer_server::state : std::enable_shared_from_this<peer_server::state> {
     event_loop& loop;
     const dispatcher& calls;
     tcp::acceptor acceptor;
+    boost::asio::steady_timer accept_retry_timer;
     std::set<std::shared_ptr<http2_session>> sessions;
 
     state(event_loop& shared_loop, const dispatcher& served)
-        : loop(shared_loop), calls(served), acceptor(shared_loop.context())
+        : loop(shared_loop), calls(served), acceptor(shared_loop.context()),
+          accept_retry_timer(shared_loop.context())
     {
     }
 
@@ -46,11 +73,25 @@
     {
         auto self = shared_from_this();
         acceptor.async_accept([self](const boost::system::error_code& failed, tcp::socket socket) {
-            if (failed) {
-                return;
+            if (!failed) {
+                self->start_session(std::move(socket));
+                self->accept();
+            }
+            else if (self->acceptor.is_open()) {
+                self->accept_later();
+            }
+        });
+    }
+
+    // Usually out of file descriptors; the delay keeps accept from failing in a tight loop.
+    void accept_later()
+    {
+        auto self = shared_from_this();
+        accept_retry_timer.expires_after(accept_retry_delay);
+        accept_retry_timer.async_wait([self](const boost::system::error_code& cancelled) {
+            if (!cancelled && self->acceptor.is_open()) {
+                self->accept();
             }
-            self->start_session(std::move(socket));
-            self->accept();
         });
     }
 
@@ -141,12 +182,10 @@
     const auto& [host, port] = value(parsed);
     const tcp::endpoint local(boost::asio::ip::make_address(host), port);
     boost::system::error_code failed;
-    state_->acceptor.open(local.protocol(), failed);
-    state_->acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
-    state_->acceptor.bind(local, failed);
-    if (!failed) {
-        state_->acceptor.listen(boost::asio::socket_base::max_listen_connections, failed);
-    }
+    attempt_for(address_wait, [&] {
+        failed = listen(state_->acceptor, local);
+        return failed != boost::asio::error::address_in_use;
+    });
     if (failed) {
         return error{error_code::unavailable, run_state::not_run,
                      "cannot listen on " + address + ": " + failed.message()};
@@ -161,6 +200,7 @@
     state_->loop.run_and_wait([this] {
         boost::system::error_code ignored;
         state_->acceptor.close(ignored);
+        state_->accept_retry_timer.cancel();
         const auto open_sessions = state_->sessions;
         for (const auto& session : open_sessions) {
             session->close();
