--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 
+#include "base/attempts.hpp"
 #include "gateway/callers/request_relay.hpp"
 #include "gateway/engines/engine_exchange.hpp"
 #include "gateway/untrusted_json.hpp"
@@ -416,7 +417,7 @@
 result<done> gateway::open(const std::string& front_address)
 {
     auto& held = *state_;
-    const auto relay_address = held.peers.open(held.settings.gateway.relay_listen);
+    const auto relay_address = held.peers.open(held.settings.gateway.relay_listen, address_wait);
     if (!ok(relay_address)) {
         return failure(relay_address);
     }
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -1,5 +1,7 @@
 #include "net/http_service.hpp"
 
+#include "base/address.hpp"
+#include "base/attempts.hpp"
 #include "net/internal/service_connection.hpp"
 
 #include <boost/asio/post.hpp>
@@ -94,35 +96,25 @@
     });
 }
 
-result<std::string> http_service::open(const std::string& address)
+result<std::string> http_service::open(const std::string& address, duration patience)
 {
-    const auto colon = address.rfind(':');
-    error_code failed;
-    const auto host = asio::ip::make_address(address.substr(0, colon), failed);
-    unsigned short port = 0;
-    if (colon != std::string::npos) {
-        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    }
-    auto& acceptor = state_->acceptor;
-    const asio::ip::tcp::endpoint endpoint(host, port);
-    if (!failed) {
-        acceptor.open(endpoint.protocol(), failed);
-    }
-    if (!failed) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), failed);
-    }
-    if (!failed) {
-        acceptor.bind(endpoint, failed);
-    }
-    if (!failed) {
-        acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    const auto parsed = parse_endpoint(address);
+    if (!ok(parsed)) {
+        return failure(parsed);
     }
+    const auto& [host, port] = value(parsed);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(host), port);
+    error_code failed;
+    attempt_for(patience, [&] {
+        failed = state_->listen(endpoint);
+        return failed != asio::error::address_in_use;
+    });
     if (failed) {
         return error{vanillagauge::error_code::unavailable, run_state::not_run,
                      "cannot listen on " + address + ": " + failed.message()};
     }
     start(state_->context, state::accept_loop(state_));
-    return host.to_string() + ":" + std::to_string(acceptor.local_endpoint().port());
+    return host + ":" + std::to_string(state_->acceptor.local_endpoint().port());
 }
 
 void http_service::drain()
@@ -156,6 +148,26 @@
     return state_->in_flight;
 }
 
+error_code http_service::state::listen(const asio::ip::tcp::endpoint& endpoint)
+{
+    error_code failed;
+    acceptor.open(endpoint.protocol(), failed);
+    if (!failed) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+    }
+    if (!failed) {
+        acceptor.bind(endpoint, failed);
+    }
+    if (!failed) {
+        acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        error_code ignored;
+        acceptor.close(ignored);
+    }
+    return failed;
+}
+
 void http_service::state::start_connection(asio::ip::tcp::socket socket)
 {
     const auto connection = std::make_shared<service_connection>(std::move(socket), shared_from_this());
--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -70,8 +70,10 @@
     http_service(const http_service&) = delete;
     http_service& operator=(const http_service&) = delete;
 
-    /// Listens on IP:PORT; port 0 picks a free port. Returns the bound address, or `unavailable`.
-    result<std::string> open(const std::string& address);
+    /// Listens on IP:PORT; port 0 picks a free port. Tries again for `patience` while the address is in use,
+    /// and blocks meanwhile. Returns the bound address; `invalid_argument` or `unavailable`, after which it
+    /// may be called again.
+    result<std::string> open(const std::string& address, duration patience = duration{0});
     /// From now on each connection closes after its current response.
     void drain();
     /// Drains, accepts the pending connections, stops listening, and closes idle connections.
