Outlive a log that has reached the limit on file sizes

Callers saw: a machine that went as its log reached the process's limit, and again after each start.

Cause: SIGXFSZ ends a process by default; SIGPIPE was ignored, SIGXFSZ was not.

Change: it is ignored, so the write fails and the line is lost.

--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -113,6 +113,7 @@
     const auto set = stop_signals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN); // a log that has reached the limit on file sizes
 }
 
 void print_ready(const std::string& program,
--- a/src/node/program.hpp
+++ b/src/node/program.hpp
@@ -43,7 +43,7 @@
 /// Parses the program's command line. Prints help, version or the error; returns empty to continue.
 std::optional<exit_now> parse_command_line(TCLAP::CmdLine& line, int argc, char** argv);
 
-/// Blocks SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE, for programs that do not call `start`.
+/// Blocks SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE and SIGXFSZ, for programs that do not call `start`.
 void block_stop_signals();
 
 /// Prints the line that announces readiness, as JSON with the given fields.
