Block the signals of a stop and a reload before the libraries' constructors

Cause: the signals were blocked at the begin of main, after the loader's work and the constructors of some twenty libraries.

Not in sanitized builds, whose own initializers have to come first.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -57,3 +57,10 @@
   set_property(TEST ${of} APPEND PROPERTY ENVIRONMENT "GTEST_FILTER=-${filter}")
   add_test(NAME ${name} COMMAND ${of}_tests --gtest_filter=${filter})
 endfunction()
+
+# vg_server(NAME): a program that is stopped and reloaded by signals, also while it starts.
+function(vg_server name)
+  if(NOT VG_SANITIZE)
+    target_link_libraries(${name} PRIVATE vg_early_signals)
+  endif()
+endfunction()
