--- a/src/gateway/object_store.cpp
+++ b/src/gateway/object_store.cpp
@@ -6,22 +6,29 @@
 
 using nlohmann::json;
 
+// A gateway of an earlier version does not know `unread` and would take null for a member's value, so the
+// parts that could be read go by another name.
 json to_json(const stored_object& object)
 {
-    json document{{"name", object.name},
-                  {"revision", object.revision},
-                  {"value", object.value},
-                  {"status", object.status}};
-    if (!object.unread.empty()) {
-        document["unread"] = object.unread;
+    json document{{"name", object.name}, {"revision", object.revision}};
+    if (object.unread.empty()) {
+        document["value"] = object.value;
+        document["status"] = object.status;
+        return document;
     }
+    document["value"] = nullptr;
+    document["status"] = nullptr;
+    document["unread"] = object.unread;
+    document["read"] = {{"value", object.value}, {"status", object.status}};
     return document;
 }
 
 stored_object object_from_json(const json& document)
 {
-    return {document.at("name").get<std::string>(), unsigned_at(document, "revision"), document.at("value"),
-            document.at("status"), document.value("unread", std::vector<std::string>{})};
+    const auto unread = document.find("unread");
+    const auto& content = unread == document.end() ? document : document.at("read");
+    return {document.at("name").get<std::string>(), unsigned_at(document, "revision"), content.at("value"),
+            content.at("status"), document.value("unread", std::vector<std::string>{})};
 }
 
 stored_object listed_object_from_json(const json& document, std::uint64_t revision)
--- a/tests/adapter/platform_store_tests.cpp
+++ b/tests/adapter/platform_store_tests.cpp
@@ -174,6 +174,9 @@
         ASSERT_TRUE(ok(seen)) << revision << ": " << describe(failure(seen));
         EXPECT_EQ(value(seen).events[1].object.revision, 12U) << revision;
         EXPECT_EQ(value(seen).events[2].object.revision, 13U) << revision;
+        store.body = changes({event(sound("a", 11)), event(odd), event(sound("c", 13))});
+        EXPECT_EQ(value(store.watch(5)).events[1].object.revision, 20U)
+            << "told to those who know revision 12";
         store.body = odd;
         const auto read = store.read();
         ASSERT_FALSE(ok(read)) << revision;
--- a/tests/gateway/store_call_tests.cpp
+++ b/tests/gateway/store_call_tests.cpp
@@ -143,6 +143,17 @@
     EXPECT_TRUE(value(read).changed[1].value.is_null());
 }
 
+// Guards against a gateway of an earlier version that takes organisations which were not read for none.
+TEST(gateways_messages, earlier_versions_read_nothing_of_an_unread_object)
+{
+    auto partly = make_object();
+    partly.unread = {"/Specification/x"};
+    const auto sent = to_json(partly);
+    EXPECT_TRUE(sent.at("value").is_null());
+    EXPECT_TRUE(sent.at("status").is_null());
+    EXPECT_EQ(object_from_json(sent).value, partly.value);
+}
+
 // Guards against an object that is so deep that the message in which it is sent on can't be read.
 TEST(gateways_messages, deepest_object_of_the_store_fits_into_a_message)
 {
