Keep the ports and sockets of the tests of odd entries to themselves

Two of these tests beside each other could choose the same ports: in one of three runs of ctest, with -j 3, the gateways of large_cold_time ended with 1 (address in use) and the test failed for that. The ports now stay bound by the test, with reuse of addresses, until it ends; and the gateways get none of the sockets of the stand-ins.

--- a/tests/odd_entries/gateways.cpp
+++ b/tests/odd_entries/gateways.cpp
@@ -27,28 +27,33 @@
 constexpr std::size_t last_lines = 3;
 constexpr std::size_t shown_bytes = 300;
 
-/// Ports below those that the kernel gives to clients, so that a gateway gets its own again.
-class free_ports {
+/// Ports below those that the kernel gives to clients, so that a gateway gets its own again. They stay bound
+/// here until the program ends: another test takes none of them, and a gateway, which reuses addresses, can.
+class reserved_ports {
 public:
     std::string take()
     {
         while (true) {
             next_ = next_ + 1 < first + count ? next_ + 1 : first;
-            boost::asio::ip::tcp::acceptor probe(context_);
+            acceptor held(context_);
             boost::system::error_code taken;
-            probe.open(boost::asio::ip::tcp::v4());
-            probe.bind({boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(next_)},
-                       taken);
+            held.open(boost::asio::ip::tcp::v4());
+            held.bind({boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(next_)},
+                      taken);
             if (!taken) {
+                held.set_option(acceptor::reuse_address(true));
+                held_.push_back(std::move(held));
                 return "127.0.0.1:" + std::to_string(next_);
             }
         }
     }
 
 private:
+    using acceptor = boost::asio::ip::tcp::acceptor;
     static constexpr unsigned first = 20000;
     static constexpr unsigned count = 12000;
     boost::asio::io_context context_;
+    std::vector<acceptor> held_;
     unsigned next_ = first + static_cast<unsigned>(getpid()) * 61U % count;
 };
 
@@ -81,7 +86,7 @@
                    std::size_t storages, const std::string& store, end_observer on_end)
     : program_(std::move(program)), folder_(std::move(folder)), on_end_(std::move(on_end))
 {
-    static free_ports ports; // no two fleets of this program choose the same
+    static reserved_ports ports;
     for (std::size_t number = 0; number < fronts; ++number) {
         places_.push_back({"front-" + std::to_string(number), ports.take(), ports.take(), ports.take(),
                            ports.take(), ports.take()});
@@ -157,6 +162,7 @@
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1); // the sockets of the stand-ins
     const int failed =
         posix_spawn(&place.process, program.c_str(), &files, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&files);
