--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -54,7 +54,12 @@
 
 # vg_separate_test(NAME OF FILTER): takes tests out of the entry OF into one of their own, which KNOWN-RED.txt can list.
 function(vg_separate_test name of filter)
-  set_property(TEST ${of} APPEND PROPERTY ENVIRONMENT "GTEST_FILTER=-${filter}")
+  set_property(GLOBAL APPEND PROPERTY vg_separated_${of} ${filter})
+  get_property(separated GLOBAL PROPERTY vg_separated_${of})
+  list(JOIN separated ":" filters)
+  get_property(environment TEST ${of} PROPERTY ENVIRONMENT)
+  list(FILTER environment EXCLUDE REGEX "^GTEST_FILTER=")
+  set_property(TEST ${of} PROPERTY ENVIRONMENT ${environment} "GTEST_FILTER=-${filters}")
   add_test(NAME ${name} COMMAND ${of}_tests --gtest_filter=${filter})
 endfunction()
 
