--- a/tests/adapter/platform_store_tests.cpp
+++ b/tests/adapter/platform_store_tests.cpp
@@ -206,6 +206,20 @@
     }
 }
 
+// Guards against a listing that never ends, since no store takes a request line with its last name.
+TEST(platform_store, next_page_does_not_follow_a_name_that_is_too_long)
+{
+    raw_store store;
+    store.body =
+        page({sound("a"), sound("b" + std::string(1023, 'b')), sound(std::string(999'000, 'c'))}, true);
+    const auto listed = store.list();
+    ASSERT_TRUE(ok(listed));
+    EXPECT_EQ(value(listed).objects.back().name.size(), 1024U);
+    EXPECT_EQ(value(listed).left_out, 1U);
+    store.body = changes({event(sound("a")), event(sound(std::string(1025, 'c')))});
+    EXPECT_EQ(value(store.watch(5)).left_out, 1U);
+}
+
 // Guards against a listing that goes on after the same name for ever, or that drops the rest of its pages.
 TEST(platform_store, next_page_follows_the_last_name_that_can_be_read)
 {
