--- a/tests/adapter/platform_store_tests.cpp
+++ b/tests/adapter/platform_store_tests.cpp
@@ -184,6 +184,18 @@
     }
 }
 
+// Guards against a sound change without content, such as a removal, that is taken for one without a revision.
+TEST(platform_store, change_without_content_keeps_its_revision)
+{
+    raw_store store;
+    const std::string removed = R"({"Metadata":{"Name":"b","Revision":12}})";
+    store.body = changes({event(removed, "true"), event(sound("b", 13))});
+    const auto seen = store.watch(5);
+    ASSERT_TRUE(ok(seen));
+    EXPECT_EQ(value(seen).events[0].object.revision, 12U);
+    EXPECT_EQ(value(seen).events[1].object.revision, 13U);
+}
+
 // Guards against one odd revision that hides all later changes of the object.
 TEST(platform_store, no_revision_is_later_than_its_answer)
 {
