Open listening sockets by one function

The same steps stood in the services of both HTTP servers and of peers, and the attempts at an address that is in use twice.

Measured: net_tests 72, wire_tests 48, stop_tests 20, base_tests 4 and end_to_end_metrics_port_taken pass; lint of the changed sources finds nothing. gateway_tests, the other scripts and the sanitizers were not run again.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,6 @@
 #include "gateway/gateway.hpp"
 
-#include "base/attempts.hpp"
+#include "base/listening.hpp"
 #include "gateway/callers/request_relay.hpp"
 #include "gateway/engines/engine_exchange.hpp"
 #include "gateway/untrusted_json.hpp"
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -1,7 +1,7 @@
 #include "net/http_service.hpp"
 
 #include "base/address.hpp"
-#include "base/attempts.hpp"
+#include "base/listening.hpp"
 #include "net/internal/service_connection.hpp"
 
 #include <boost/asio/post.hpp>
@@ -104,11 +104,7 @@
     }
     const auto& [host, port] = value(parsed);
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(host), port);
-    error_code failed;
-    attempt_for(patience, [&] {
-        failed = state_->listen(endpoint);
-        return failed != asio::error::address_in_use;
-    });
+    const auto failed = listen(state_->acceptor, endpoint, patience);
     if (failed) {
         return error{vanillagauge::error_code::unavailable, run_state::not_run,
                      "cannot listen on " + address + ": " + failed.message()};
@@ -148,26 +144,6 @@
     return state_->in_flight;
 }
 
-error_code http_service::state::listen(const asio::ip::tcp::endpoint& endpoint)
-{
-    error_code failed;
-    acceptor.open(endpoint.protocol(), failed);
-    if (!failed) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), failed);
-    }
-    if (!failed) {
-        acceptor.bind(endpoint, failed);
-    }
-    if (!failed) {
-        acceptor.listen(asio::socket_base::max_listen_connections, failed);
-    }
-    if (failed) {
-        error_code ignored;
-        acceptor.close(ignored);
-    }
-    return failed;
-}
-
 void http_service::state::start_connection(asio::ip::tcp::socket socket)
 {
     const auto connection = std::make_shared<service_connection>(std::move(socket), shared_from_this());
--- a/src/net/internal/service_connection.hpp
+++ b/src/net/internal/service_connection.hpp
@@ -34,8 +34,6 @@
     std::uint64_t accepted = 0;                    ///< connections so far
     std::optional<http_response> failure_response; ///< sent to each further request after abort_requests
 
-    /// Leaves the acceptor closed if it fails.
-    boost::system::error_code listen(const boost::asio::ip::tcp::endpoint& endpoint);
     void start_connection(boost::asio::ip::tcp::socket socket);
     static task<void> accept_loop(std::shared_ptr<state> owner);
     void close_acceptor();
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -1,6 +1,7 @@
 #include "wire/http_server.hpp"
 
 #include "base/address.hpp"
+#include "base/listening.hpp"
 #include "wire/internal/http_connection.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -207,13 +208,7 @@
     const auto& [host, port] = value(parsed);
     const tcp::endpoint local(boost::asio::ip::make_address(host), port);
     auto& acceptor = state_->acceptor;
-    boost::system::error_code failed;
-    acceptor.open(local.protocol(), failed);
-    acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
-    acceptor.bind(local, failed);
-    if (!failed) {
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, failed);
-    }
+    const auto failed = listen(acceptor, local, duration{0});
     if (failed) {
         return error{error_code::unavailable, run_state::not_run,
                      "cannot listen on " + address + ": " + failed.message()};
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -1,7 +1,7 @@
 #include "wire/peer_server.hpp"
 
 #include "base/address.hpp"
-#include "base/attempts.hpp"
+#include "base/listening.hpp"
 #include "vanillagauge.pb.h"
 #include "wire/internal/http2_session.hpp"
 
@@ -33,27 +33,6 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
-/// Leaves the acceptor closed if it fails.
-boost::system::error_code listen(tcp::acceptor& acceptor, const tcp::endpoint& local)
-{
-    boost::system::error_code failed;
-    acceptor.open(local.protocol(), failed);
-    if (!failed) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
-    }
-    if (!failed) {
-        acceptor.bind(local, failed);
-    }
-    if (!failed) {
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, failed);
-    }
-    if (failed) {
-        boost::system::error_code ignored;
-        acceptor.close(ignored);
-    }
-    return failed;
-}
-
 } // namespace
 
 struct peer_server::state : std::enable_shared_from_this<peer_server::state> {
@@ -181,11 +160,7 @@
     }
     const auto& [host, port] = value(parsed);
     const tcp::endpoint local(boost::asio::ip::make_address(host), port);
-    boost::system::error_code failed;
-    attempt_for(address_wait, [&] {
-        failed = listen(state_->acceptor, local);
-        return failed != boost::asio::error::address_in_use;
-    });
+    const auto failed = listen(state_->acceptor, local, address_wait);
     if (failed) {
         return error{error_code::unavailable, run_state::not_run,
                      "cannot listen on " + address + ": " + failed.message()};
