End the plan of weight loads whatever work the models ask for

Callers would see: a gateway that answers nothing more, and its successor as well: the holder of the duty of loads counts the same batches of the store again and never hands back its processor.

Cause: the plan goes on until each engine is followed by a model, and told engines without one by their load being 0. A model whose share of all work is below the least double adds a load of 0, so its engine was counted off twice, the count passed 0 and wrapped. Work sums beyond a double gave shares that are no number, whose conversion to a count of engines is undefined as well.

Engines in use are marked instead, so each turn of the loop takes an engine without a model; work is bounded by 1e15 tokens.

--- a/src/policy/weight_load_plan.cpp
+++ b/src/policy/weight_load_plan.cpp
@@ -22,6 +22,9 @@
 /// A model that needs less of an engine may share one that another model follows.
 constexpr double max_small_load = 0.5;
 
+/// Work comes from other programs; sums and shares of more are beyond a double.
+constexpr double max_demand = 1e15;
+
 std::uint64_t version_at(const model_engine& engine, const std::string& model)
 {
     const auto found = engine.versions.find(model);
@@ -81,15 +84,23 @@
     double load() const { return engines / static_cast<double>(replicas); }
 };
 
+/// None if it is not known.
+std::optional<double> demand_of(const std::string& model, const std::map<std::string, double>& demand)
+{
+    const auto found = demand.find(model);
+    const bool known = found != demand.end() && found->second > 0;
+    return known ? std::optional(std::min(found->second, max_demand)) : std::nullopt;
+}
+
 std::vector<model_share> shares_of(const std::vector<model_engine>& engines,
                                    const std::map<std::string, std::uint64_t>& newest,
                                    const std::map<std::string, double>& demand)
 {
     double known = 0;
     std::size_t count = 0;
-    for (const auto& [model, wanted] : demand) {
-        if (newest.contains(model) && wanted > 0) {
-            known += wanted;
+    for (const auto& [model, version] : newest) {
+        if (const auto wanted = demand_of(model, demand)) {
+            known += *wanted;
             ++count;
         }
     }
@@ -98,8 +109,7 @@
     const double total = known + mean * static_cast<double>(newest.size() - count);
     std::vector<model_share> shares;
     for (const auto& [model, version] : newest) {
-        const auto found = demand.find(model);
-        const double wanted = found != demand.end() && found->second > 0 ? found->second : mean;
+        const double wanted = demand_of(model, demand).value_or(mean);
         model_share share;
         share.model = model;
         share.engines = wanted / total * static_cast<double>(engines.size());
@@ -116,7 +126,9 @@
 /// The models' choices of engines, which they make in turn.
 class engine_choice {
 public:
-    explicit engine_choice(std::size_t engines) : loads_(engines, 0), empty_(engines) {}
+    explicit engine_choice(std::size_t engines) : loads_(engines, 0), used_(engines, false), empty_(engines)
+    {
+    }
 
     std::size_t empty() const { return empty_; }
 
@@ -131,7 +143,7 @@
             if (std::find(share.chosen.begin(), share.chosen.end(), index) != share.chosen.end()) {
                 continue;
             }
-            const bool used = loads_[index] > 0;
+            const bool used = used_[index];
             if (!fitting && used && loads_[index] + load <= 1) {
                 fitting = index;
             }
@@ -147,13 +159,15 @@
         if (!chosen) {
             return;
         }
-        empty_ -= loads_[*chosen] > 0 ? 0 : 1;
+        empty_ -= used_[*chosen] ? 0 : 1;
+        used_[*chosen] = true;
         loads_[*chosen] += load;
         share.chosen.push_back(*chosen);
     }
 
 private:
     std::vector<double> loads_;
+    std::vector<bool> used_; ///< a share may be too small to count in a load
     std::size_t empty_;
 };
 
--- a/tests/policy/weight_load_plan_tests.cpp
+++ b/tests/policy/weight_load_plan_tests.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace vanillagauge::policy {
@@ -272,5 +273,26 @@
     EXPECT_TRUE(plan_weight_loads(engines, {{"m", 5}}, {}, soon).loads.empty());
 }
 
+// Guards against a plan that is never made, and stops all other work, where work of others is out of range.
+TEST(plan_weight_loads, ends_whatever_work_the_models_ask_for)
+{
+    std::map<std::string, std::uint64_t> newest;
+    for (char name = 'a'; name < 'g'; ++name) {
+        newest[std::string(1, name)] = 2;
+    }
+    using limits = std::numeric_limits<double>;
+    const std::vector<double> works{limits::infinity(), limits::max(), 1e12, 1, limits::denorm_min()};
+    for (const double large : works) {
+        for (const double small : works) {
+            const std::map<std::string, double> demand{
+                {"a", large}, {"b", large}, {"c", small}, {"d", small}};
+            for (std::size_t count = 1; count < 9; ++count) {
+                const auto plan = plan_weight_loads(make_engines(count, 0), newest, demand);
+                EXPECT_EQ(plan.loads.size(), std::min(count, max_concurrent_loads(count)));
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace vanillagauge::policy
