Close no usage window after the last possible one

Callers would see: the gateway that reports usage ends by itself, and each one that takes over its duty after it.

Cause: a stored log of reports whose newest window is 2^64 - 1, as another writer may leave it. The next number wraps to 0, an old window is closed, which the log does not take, and sending its report looks it up with `at`, whose exception escapes the task.

Evidence: next_report_action.closes_no_window_after_the_last_possible_one failed before (it closed a window) and passes now, with the 5 others of the file. The end of the process itself is by reading; it was not played.

--- a/src/usage/report_plan.cpp
+++ b/src/usage/report_plan.cpp
@@ -1,6 +1,7 @@
 #include "usage/report_plan.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace vanillagauge::usage {
 namespace {
@@ -25,6 +26,9 @@
         return send_report{*unsent};
     }
     const auto newest = state.log.newest();
+    if (newest == std::numeric_limits<std::uint64_t>::max()) {
+        return wait_for_window{}; // another writer's: none can be appended
+    }
     const auto next = std::max(newest ? *newest + 1 : state.first_window, oldest_useful_window(times, now));
     if (now >= end_of_window(next, times.window) + times.close) {
         return close_window{next};
--- a/tests/usage/report_plan_tests.cpp
+++ b/tests/usage/report_plan_tests.cpp
@@ -4,6 +4,8 @@
 
 #include <rapidcheck.h>
 
+#include <limits>
+
 namespace vanillagauge::usage {
 namespace {
 
@@ -56,6 +58,17 @@
     EXPECT_EQ(closes(next_report_action(state, times, at(200, milliseconds(0)))), 188U);
 }
 
+// Guards against a gateway that ends itself: it would send the report of a window that the log did not take.
+TEST(next_report_action, closes_no_window_after_the_last_possible_one)
+{
+    constexpr auto last = std::numeric_limits<std::uint64_t>::max();
+    report_state state;
+    state.log.append(last, {});
+    state.log.acknowledge(last);
+    EXPECT_TRUE(std::holds_alternative<wait_for_window>(
+        next_report_action(state, times, at(101, milliseconds(3000)))));
+}
+
 // Guards against windows that are never billed because they are short: a platform that is silent for seconds
 // outlasts a dozen of them.
 TEST(next_report_action, works_off_a_backlog_of_short_windows)
