Decide alike on all processors for runs that end beyond the clock

Seen by test: a run of 1e18 events, or of a number beyond a double, was taken for one that ends in time on arm64: its time overflows a duration, whose conversion is undefined and differs between processors.

Evidence: may_miss_due_time.holds_for_lengths_beyond_the_clock failed before (false in both cases) and passes now.

The time that a run needs is bounded by a year before it becomes a duration.

--- a/src/policy/run_move.cpp
+++ b/src/policy/run_move.cpp
@@ -1,11 +1,16 @@
 #include "policy/run_move.hpp"
 
+#include <algorithm>
+
 namespace vanillagauge::policy {
 namespace {
 
 /// For publishing and reading the results, and for a move later on.
 constexpr milliseconds reserve{1000};
 
+/// Lengths come from other programs; a longer run is late as well, and its end may be beyond the clock's.
+constexpr std::chrono::duration<double, std::milli> max_needed = std::chrono::hours{24 * 365};
+
 } // namespace
 
 // Load pattern: many short items and a few as long as the step may take, on engines of two speeds. A move
@@ -17,7 +22,7 @@
     if (!left) {
         return true;
     }
-    const std::chrono::duration<double, std::milli> needed{*left * run.gap_ms};
+    const auto needed = std::min(std::chrono::duration<double, std::milli>{*left * run.gap_ms}, max_needed);
     return now + std::chrono::duration_cast<duration>(needed) + reserve > run.due;
 }
 
--- a/tests/policy/run_move_tests.cpp
+++ b/tests/policy/run_move_tests.cpp
@@ -36,5 +36,13 @@
     EXPECT_TRUE(may_miss_due_time({{10, 0, 0}, slow_gap_ms, due}, began + milliseconds{650}));
 }
 
+// Guards against a run that stays where it is, on one kind of processor only, as its end is beyond the
+// clock's.
+TEST(may_miss_due_time, holds_for_lengths_beyond_the_clock)
+{
+    EXPECT_TRUE(may_miss_due_time({{0, 1e18, 0}, slow_gap_ms, due}, began));
+    EXPECT_TRUE(may_miss_due_time({{0, 1e308, 0}, slow_gap_ms, due}, began));
+}
+
 } // namespace
 } // namespace vanillagauge::policy
