Wait a second for settings that are being written at the start

Callers would see: a machine that ends by itself at its start, since the platform wrote its settings anew at that moment. The platform restarts processes and changes settings independently of each other, and no page says that it replaces the file at once.

Cause: the settings were read once; an empty or cut-off file ended the program with 3.

The file is read again each 50 ms for up to a second, in which a platform has written it.

--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -10,10 +10,15 @@
 
 #include <csignal>
 #include <iostream>
+#include <thread>
 
 namespace vanillagauge::node {
 namespace {
 
+/// How long a program waits at its start for settings that cannot be read.
+constexpr milliseconds settings_wait{1000};
+constexpr milliseconds settings_retry_interval{50};
+
 struct arguments {
     std::string settings_file;
     bool check = false;
@@ -31,6 +36,18 @@
     return arguments{file.getValue(), check.getValue()};
 }
 
+// The platform may be writing the file anew, so that it is empty or cut off for a moment.
+result<config::settings> wait_for_settings(const std::string& file)
+{
+    const auto until = steady::now() + settings_wait;
+    auto loaded = config::load_settings(file);
+    while (!ok(loaded) && steady::now() < until) {
+        std::this_thread::sleep_for(settings_retry_interval);
+        loaded = config::load_settings(file);
+    }
+    return loaded;
+}
+
 observe::log_level to_level(const std::string& text)
 {
     if (text == "debug") {
@@ -65,7 +82,8 @@
         return *end;
     }
     const auto& chosen = std::get<arguments>(parsed);
-    auto loaded = config::load_settings(chosen.settings_file);
+    auto loaded =
+        chosen.check ? config::load_settings(chosen.settings_file) : wait_for_settings(chosen.settings_file);
     if (!ok(loaded)) {
         std::cerr << program << ": " << failure(loaded).detail << "\n";
         return exit_now{exit_settings};
--- a/src/node/program.hpp
+++ b/src/node/program.hpp
@@ -29,8 +29,9 @@
     int code = exit_success;
 };
 
-/// Reads the command line and the settings, then starts logging and tracing. Blocks SIGTERM, SIGINT and
-/// SIGHUP for this thread and those it creates, so call it before any thread starts.
+/// Reads the command line and the settings, then starts logging and tracing. Settings that cannot be read are
+/// tried again for a second. Blocks SIGTERM, SIGINT and SIGHUP for this thread and those it creates, so call
+/// it before any thread starts.
 std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv,
                                                observe::log_sink sink = observe::log_sink::standard_error);
 
