Join the threads of a scripted peer's connections as they end

What the report on record shows is not a race, but the sanitizer's own check (tsan_rtl.cpp, MapThreadTrace): its region for threads was full. A scripted peer joined the threads of its connections only in its destructor, and the sanitizer keeps what a thread that has ended takes until it is joined.

--- a/tests/scripted_peer.hpp
+++ b/tests/scripted_peer.hpp
@@ -11,6 +11,7 @@
 
 #include <sys/socket.h>
 
+#include <atomic>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -102,7 +103,10 @@
     using tcp = boost::asio::ip::tcp;
 
     struct accepted_connection {
+        explicit accepted_connection(tcp::socket accepted) : socket(std::move(accepted)) {}
+
         tcp::socket socket;
+        std::atomic<bool> served = false; ///< set last by `thread`
         std::thread thread{};
     };
 
@@ -122,11 +126,27 @@
             if (failed) {
                 return;
             }
-            auto& accepted = accepted_.emplace_back(accepted_connection{std::move(socket)});
-            accepted.thread = std::thread([this, &accepted] { serve(accepted.socket); });
+            join_served();
+            auto& accepted = accepted_.emplace_back(std::move(socket));
+            accepted.thread = std::thread([this, &accepted] {
+                serve(accepted.socket);
+                accepted.served = true;
+            });
         }
     }
 
+    /// Thread sanitizers hold some thousand threads that have ended and were not joined.
+    void join_served()
+    {
+        accepted_.remove_if([](accepted_connection& accepted) {
+            if (!accepted.served) {
+                return false;
+            }
+            accepted.thread.join();
+            return true;
+        });
+    }
+
     void serve(tcp::socket& socket)
     {
         boost::beast::flat_buffer buffer;
