--- a/tests/adapter/platform_store_tests.cpp
+++ b/tests/adapter/platform_store_tests.cpp
@@ -184,6 +184,23 @@
     }
 }
 
+// Guards against a gateway that serves nobody for minutes while it reads one answer.
+TEST(platform_store, many_changes_without_a_revision_are_read_in_time)
+{
+    constexpr std::size_t count = 20'000;
+    std::vector<std::string> events;
+    for (std::size_t number = 0; number < count; ++number) {
+        events.push_back(event(R"({"Metadata":{"Name":"r)" + std::to_string(number) + R"("}})", "true"));
+    }
+    raw_store store;
+    store.body = changes(events);
+    const auto began = steady::now();
+    const auto seen = store.watch(5);
+    ASSERT_TRUE(ok(seen)) << describe(failure(seen));
+    EXPECT_EQ(value(seen).events.size(), count);
+    EXPECT_LT(steady::now() - began, seconds{4});
+}
+
 // Guards against a sound change without content, such as a removal, that is taken for one without a revision.
 TEST(platform_store, change_without_content_keeps_its_revision)
 {
