Keep an interval between watches that end at once

What callers saw: a gateway that did nothing but call the store, and a store whose reading calls it used up.

Cause: a watch that ended early and brought no change was asked again at once: by a store whose lists and watches give a revision that doesn't move, that doesn't hold watches, or that refuses them while it serves lists, and by each change that could not be read. A poll of a peer that was answered at once was repeated likewise.

The tests allow what a watch costs whose changes come fast, a call for each feed and gateway in 200 ms: 100, and 20 for the one kind. That is under a tenth of the store's 2,000 reading calls a second.

Mend: policy/feed_pause. A watch that brought nothing is followed by the next one 250 to 400 ms after its request, at random; one that was held lasts longer than that and is followed at once, as before, and one that brought a change after 200 ms, as before. No copy gets older than between two confirming watches. Polls keep 50 to 100 ms, 20 after news, which are taken off the next poll's wait.

The pauses of polls are tested as a decision only, no run shows the loop between peers.

--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -4,9 +4,11 @@
 #include "gateway/untrusted_json.hpp"
 #include "observe/log.hpp"
 #include "policy/copy_age.hpp"
+#include "policy/feed_pause.hpp"
 #include "json/json.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillagauge::gateway {
 
@@ -180,21 +182,40 @@
     });
 }
 
+std::vector<std::uint64_t> feed_sync::revisions() const
+{
+    std::vector<std::uint64_t> known;
+    known.reserve(feeds_.size());
+    for (const auto& entry : feeds_) {
+        known.push_back(entry.content->as_of());
+    }
+    return known;
+}
+
 // A watching gateway polls its peers too: the store may have stopped responding to this VM alone, on a
-// connection that still looks healthy.
+// connection that still looks healthy. A pause counts as part of the next poll, so that no copy gets older by
+// it.
 net::task<void> feed_sync::poll_peers()
 {
+    milliseconds paused{0};
     while (true) {
         const auto poll_time = polls_substitutes() ? policy::serving_poll_time : plan().poll_time();
         auto address = source_address();
+        const auto before = revisions();
+        const auto began = steady::now();
         auto polled = poll_result::behind;
         if (!address.empty()) {
-            polled = co_await poll_peer(std::move(address), poll_time);
+            polled = co_await poll_peer(std::move(address), poll_time - std::exchange(paused, {}));
+        }
+        if (polled == poll_result::current) {
+            const auto pause =
+                policy::pause_after_poll(revisions() != before, steady::now() - began, random_);
+            paused = std::chrono::ceil<milliseconds>(pause);
         }
-        if (polled != poll_result::current) {
+        else {
             change_source(polled);
-            co_await net::sleep_for(loop_, idle_delay);
         }
+        co_await net::sleep_for(loop_, polled == poll_result::current ? paused : idle_delay);
     }
 }
 
--- a/src/gateway/feed_sync.hpp
+++ b/src/gateway/feed_sync.hpp
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,7 @@
     bool store_down_ = false;
     time_point last_failure_{};          ///< of a call to the store, made here
     std::uint64_t watch_generation_ = 0; ///< incremented to abandon pending watches
+    std::mt19937_64 random_{std::random_device{}()};
 
     net::task<void> sync_from_store(std::size_t index);
     bool needs_listing(const synced_feed& entry) const;
@@ -94,6 +96,7 @@
     static void list_for_left_out(synced_feed& entry, std::size_t changes);
     /// Lists the objects in place of a watch that has no answer.
     net::task<bool> replace_watch(synced_feed& entry, time_point requested_at, milliseconds wait);
+    duration retry_delay();
     net::task<void> poll_peers();
     net::task<poll_result> poll_peer(std::string address, milliseconds poll_time);
     bool polls_substitutes() const { return steady::now() < substitutes_until_; }
@@ -106,6 +109,8 @@
                         time_point requested_at);
     bool has_updates(const internal::sync_request& request) const;
     const synced_feed* find(const std::string& kind) const;
+    /// The revisions of all copies, in the order of the feeds.
+    std::vector<std::uint64_t> revisions() const;
     policy::feed_plan plan() const;
     /// Whether this gateway has just started and its peers still appear.
     bool is_meeting_peers();
--- a/src/gateway/feed_sync_store.cpp
+++ b/src/gateway/feed_sync_store.cpp
@@ -2,9 +2,9 @@
 #include "gateway/feed_sync.hpp"
 #include "observe/log.hpp"
 #include "policy/copy_age.hpp"
+#include "policy/feed_pause.hpp"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace vanillagauge::gateway {
@@ -27,13 +27,6 @@
 /// A timer that is later than this was held up with its process.
 constexpr milliseconds timer_delay{250};
 
-/// Per thread: gateways in one process would race on a shared generator.
-std::mt19937_64& random()
-{
-    thread_local std::mt19937_64 shared{std::random_device{}()};
-    return shared;
-}
-
 /// Whether a call ended so late that this process must have been held up. Its answer may be here unread, so
 /// its failure says nothing about the store.
 bool was_held_up(time_point requested_at, milliseconds max_time)
@@ -47,14 +40,14 @@
     return pace == policy::feed_pace::steady ? policy::max_pending_age : policy::max_served_frequent_age;
 }
 
-duration retry_delay()
+} // namespace
+
+duration feed_sync::retry_delay()
 {
     std::uniform_int_distribution<std::int64_t> delay(min_retry_delay.count(), max_retry_delay.count());
-    return milliseconds{delay(random())};
+    return milliseconds{delay(random_)};
 }
 
-} // namespace
-
 // After a failure only the first feed retries, because every attempt costs a call even if the store refuses
 // it.
 net::task<void> feed_sync::sync_from_store(std::size_t index)
@@ -77,20 +70,17 @@
             continue;
         }
         const auto as_of = entry.content->as_of();
-        bool served = false;
-        if (needs_listing(entry)) {
-            served = co_await list(entry);
-        }
-        else {
-            served = co_await watch(entry);
-        }
+        const auto began = feed::now();
+        const bool lists = needs_listing(entry);
+        const bool served = lists ? co_await list(entry) : co_await watch(entry);
         entry.store_reachable = served;
         fleet_.set_watch_failing(!served);
         if (!served) {
             co_await net::sleep_for(loop_, retry_delay());
         }
-        else if (entry.content->changed_since(as_of)) {
-            co_await net::sleep_for(loop_, policy::coalescing_delay);
+        else if (!lists || entry.content->changed_since(as_of)) {
+            const bool changed = entry.content->changed_since(as_of);
+            co_await net::sleep_for(loop_, policy::pause_after_watch(changed, feed::now() - began, random_));
         }
     }
 }
--- a/standins/users/fake_store.cpp
+++ b/standins/users/fake_store.cpp
@@ -147,6 +147,15 @@
     return found == read_calls_.end() ? 0 : found->second;
 }
 
+std::uint64_t fake_store::read_calls() const
+{
+    std::uint64_t calls = 0;
+    for (const auto& [kind, count] : read_calls_) {
+        calls += count;
+    }
+    return calls;
+}
+
 net::http_response fake_store::list(const std::string& kind, const std::string& after) const
 {
     std::map<std::string, std::string> items;
@@ -165,7 +174,7 @@
     for (auto& [name, text] : items) {
         sorted.push_back(std::move(text));
     }
-    return respond_list("Items", sorted, {{"HasMore", false}, {"AsOf", revision_}});
+    return respond_list("Items", sorted, {{"HasMore", false}, {"AsOf", stated_revision()}});
 }
 
 net::http_response fake_store::write(const net::http_request& request)
@@ -228,7 +237,12 @@
     const auto until = steady::now() + wait;
     while (true) {
         co_await wait_while_silent(used, answer);
-        if (since < compacted_revision_) {
+        if (faults.end_watches == watch_end::refused) {
+            auto refused = respond(503, json::object());
+            co_await answer.send(std::move(refused));
+            co_return;
+        }
+        if (since < compacted_revision_ || faults.end_watches == watch_end::history_gone) {
             auto expired = respond(410, json::object());
             co_await answer.send(std::move(expired));
             co_return;
@@ -240,14 +254,15 @@
                                  ",\"Removed\":" + (change.removed ? "true}" : "false}"));
             }
         }
-        const bool is_due = !events.empty() || steady::now() >= until;
+        const bool is_due =
+            !events.empty() || steady::now() >= until || faults.end_watches == watch_end::at_once;
         if (is_due && faults.lose_watches) {
             while (!answer.client_disconnected()) {
                 co_await net::sleep_for(loop_, silence_poll_interval);
             }
         }
         if (is_due || answer.client_disconnected()) {
-            auto response = respond_list("events", events, {{"AsOf", revision_}});
+            auto response = respond_list("events", events, {{"AsOf", stated_revision()}});
             co_await answer.send(std::move(response));
             co_return;
         }
--- a/standins/users/fake_store.hpp
+++ b/standins/users/fake_store.hpp
@@ -24,6 +24,14 @@
     lose_answer, ///< applied, but the connection is closed without a response
 };
 
+/// How the store ends watches.
+enum class watch_end {
+    on_change,    ///< with a change, or after the wait
+    at_once,      ///< at once, with the changes that there are
+    refused,      ///< at once, with 503
+    history_gone, ///< at once, with 410
+};
+
 /// Faults injected into the store's calls; in force until changed.
 struct store_faults {
     bool refuse = false;  ///< answers 503 without executing the call
@@ -32,8 +40,10 @@
     milliseconds write_delay{0}; ///< of those writes
     bool second_silent = false;  ///< requests at the second address, pending ones too, get no response
     bool lose_watches = false;   ///< watches that are due get no response, also later
-    std::string held_kind{};     ///< reads and lists of this kind wait
-    std::string scripted_kind{}; ///< the kind whose next writes `script` is for
+    watch_end end_watches = watch_end::on_change;
+    std::optional<std::uint64_t> stated_revision{}; ///< what lists and watches give as the store's revision
+    std::string held_kind{};                        ///< reads and lists of this kind wait
+    std::string scripted_kind{};                    ///< the kind whose next writes `script` is for
     std::deque<write_fault> script{};
 };
 
@@ -67,6 +77,8 @@
     std::uint64_t refused_calls() const { return refused_calls_; }
     /// Reads, lists and watches.
     std::uint64_t read_calls(const std::string& kind) const;
+    /// Those of all kinds.
+    std::uint64_t read_calls() const;
 
 private:
     using key = std::pair<std::string, std::string>;
@@ -97,6 +109,7 @@
     net::task<void> wait_while_silent(endpoint used, net::responder& answer);
     net::task<void> write_later(net::http_request request);
     net::http_response list(const std::string& kind, const std::string& after) const;
+    std::uint64_t stated_revision() const { return faults.stated_revision.value_or(revision_); }
     /// Takes the next fault of the script, if it is for this kind.
     std::optional<write_fault> next_fault(const std::string& kind);
     net::http_response write(const net::http_request& request);
