Take an answer that can't be read for a sign of the store

What callers saw: after a read of one object whose body is no JSON, or no object, the gateway answered other calls to the store itself with "the store has just failed on all ways to it" for up to 250 ms, and called the store lost.

Cause: such an answer failed as `unavailable` and `in_doubt`, as one that never came, so it was asked for through two peers too and opened the breaker.

Evidence, on the code before: unreadable_object.costs_no_other_call_to_the_store fails for all eight texts; the read of a sound object right after the odd one is refused without a call.

Mend: the failure's code stays, but it says that the store `ran` the call, which is what a successful status says. Only calls that got no answer count for the breaker, for the other ways and for the loss of the store. Callers retry as before: they ask whether a call did not run.

--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -34,9 +34,16 @@
     return unavailable(run_state::not_run, "the store has just failed on all ways to it");
 }
 
-bool store_unavailable(const result<store_answer>& outcome)
+/// Whether the store did not answer. An answer that cannot be read shows that it is there, and another way
+/// brings the same one.
+bool is_unanswered(const error& failed)
 {
-    return !ok(outcome) && failure(outcome).code == error_code::unavailable;
+    return failed.code == error_code::unavailable && failed.ran != run_state::ran;
+}
+
+bool is_unanswered(const result<store_answer>& outcome)
+{
+    return !ok(outcome) && is_unanswered(failure(outcome));
 }
 
 /// The failure of one way to the store, which does not undo what an earlier way may have done.
@@ -55,7 +62,7 @@
 
 void peer_relay::record_direct_result(const error* failed)
 {
-    const bool works = failed == nullptr || failed->code != error_code::unavailable;
+    const bool works = failed == nullptr || !is_unanswered(*failed);
     if (works && direct_failed_) {
         observe::log(observe::log_level::info, "store_reached_again", {});
     }
@@ -157,7 +164,7 @@
             co_await call_peer(address, "/relay", std::move(body), std::min(until, now + relay_timeout));
         auto outcome = ok(answer) ? store_answer_from_json(wanted.operation, value(answer))
                                   : result<store_answer>(failure(answer));
-        if (!store_unavailable(outcome)) {
+        if (!is_unanswered(outcome)) {
             last_good_ = address;
             co_return outcome;
         }
@@ -176,13 +183,13 @@
     auto tried = run_state::not_run;
     if (peers_first) {
         auto outcome = co_await call_peers(wanted, until);
-        if (!store_unavailable(outcome)) {
+        if (!is_unanswered(outcome)) {
             co_return outcome;
         }
         tried = failure(outcome).ran;
     }
     auto outcome = co_await call_directly(wanted);
-    if (!store_unavailable(outcome)) {
+    if (!is_unanswered(outcome)) {
         co_return outcome;
     }
     const auto direct = after(tried, failure(outcome));
@@ -190,7 +197,7 @@
         co_return direct;
     }
     outcome = co_await call_peers(wanted, until);
-    if (!store_unavailable(outcome)) {
+    if (!is_unanswered(outcome)) {
         co_return outcome;
     }
     co_return after(direct.ran, failure(outcome));
@@ -202,7 +209,7 @@
         co_return known_unavailable();
     }
     auto outcome = co_await call_all_ways(std::move(wanted));
-    if (store_unavailable(outcome)) {
+    if (is_unanswered(outcome)) {
         breaker_.on_unreachable(steady::now());
     }
     else {
