End at once when told to stop while an address is awaited

What operators saw: a gateway that is told to stop at its start, while another socket holds one of its listening addresses, ended only after its wait of up to five seconds for the address, and with 1.

Cause: programs block the signals of a stop until they are ready, and the wait for an address looked at none.

Programs then end with 0 and log stopped_at_start.

--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -9,7 +9,6 @@
 #include "observe/observe.hpp"
 #include "wire/wire.hpp"
 
-#include <iostream>
 #include <thread>
 
 namespace {
@@ -49,8 +48,7 @@
     const auto peer_address = peers.open(settings.entry.peer_listen);
     for (const auto* address : {&http_address, &peer_address}) {
         if (!ok(*address)) {
-            std::cerr << describe(failure(*address)) << "\n";
-            return node::exit_failure;
+            return node::report_unopened(failure(*address));
         }
     }
     keeper.follow({"entry", incarnation, value(http_address), value(peer_address), false, 0});
--- a/src/keeper/main.cpp
+++ b/src/keeper/main.cpp
@@ -9,7 +9,6 @@
 #include "wire/wire.hpp"
 
 #include <future>
-#include <iostream>
 
 namespace {
 
@@ -85,8 +84,7 @@
     const auto datagram_address = gossip.open(host_of(settings.keeper.peer_listen));
     for (const auto* address : {&peer_address, &operator_address, &datagram_address}) {
         if (!ok(*address)) {
-            std::cerr << describe(failure(*address)) << "\n";
-            return node::exit_failure;
+            return node::report_unopened(failure(*address));
         }
     }
     state.set_addresses({value(peer_address), value(operator_address), value(datagram_address)});
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -106,8 +106,7 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(host), port);
     const auto failed = listen(state_->acceptor, endpoint, patience);
     if (failed) {
-        return error{vanillagauge::error_code::unavailable, run_state::not_run,
-                     "cannot listen on " + address + ": " + failed.message()};
+        return listening_error(address, failed);
     }
     start(state_->context, state::accept_loop(state_));
     return host + ":" + std::to_string(state_->acceptor.local_endpoint().port());
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -81,6 +81,16 @@
     return std::move(settings);
 }
 
+int report_unopened(const error& why)
+{
+    if (why.code == error_code::cancelled) {
+        observe::log(observe::log_level::info, "stopped_at_start", {{"why", why.detail}});
+        return exit_success;
+    }
+    std::cerr << describe(why) << "\n";
+    return exit_failure;
+}
+
 const char* version()
 {
     return VANILLAGAUGE_VERSION;
--- a/src/node/program.hpp
+++ b/src/node/program.hpp
@@ -34,6 +34,10 @@
 std::variant<config::settings, exit_now> start(const std::string& program, int argc, char** argv,
                                                observe::log_sink sink = observe::log_sink::standard_error);
 
+/// The exit code of a program that could not be opened, after it has printed why: a failure unless the
+/// program was told to stop meanwhile.
+int report_unopened(const error& why);
+
 /// The project's version, from the build.
 const char* version();
 
--- a/src/rollout/main.cpp
+++ b/src/rollout/main.cpp
@@ -5,8 +5,6 @@
 #include "rollout/rollout_service.hpp"
 #include "wire/wire.hpp"
 
-#include <iostream>
-
 namespace {
 
 using namespace vanillagauge;
@@ -39,8 +37,7 @@
     wire::http_server http(calls, {}, {{"/metrics", [&metrics] { return metrics.page(); }}});
     const auto http_address = http.open(settings.rollout.http_listen);
     if (!ok(http_address)) {
-        std::cerr << describe(failure(http_address)) << "\n";
-        return node::exit_failure;
+        return node::report_unopened(failure(http_address));
     }
     keeper.follow({"rollout", node::new_incarnation(), value(http_address), "", false, 0});
     tick_forever(loop, service);
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -210,8 +210,7 @@
     auto& acceptor = state_->acceptor;
     const auto failed = listen(acceptor, local, duration{0});
     if (failed) {
-        return error{error_code::unavailable, run_state::not_run,
-                     "cannot listen on " + address + ": " + failed.message()};
+        return listening_error(address, failed);
     }
     const auto bound = host + ":" + std::to_string(acceptor.local_endpoint().port());
     state_->accept();
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -162,8 +162,7 @@
     const tcp::endpoint local(boost::asio::ip::make_address(host), port);
     const auto failed = listen(state_->acceptor, local, address_wait);
     if (failed) {
-        return error{error_code::unavailable, run_state::not_run,
-                     "cannot listen on " + address + ": " + failed.message()};
+        return listening_error(address, failed);
     }
     const auto bound = host + ":" + std::to_string(state_->acceptor.local_endpoint().port());
     state_->loop.post([shared = state_] { shared->accept(); });
