Limit the delay before a retry that the weight store names

What happened: a weight store that refuses a fetch with a delay of 2^63-1 ms was asked again at once, since the delay in nanoseconds wraps round, and again after each refusal.

Evidence, on the code before: event_loop.longest_delay_is_not_over_at_once fails, the work ran within 200 ms. That a fetch gets there is by reading; no test plays a weight store.

Mend: named_retry_delay limits the delays of other programs' messages to an hour, for a peer's error as before and for the weight store now. A timer of the event loop takes at most a year, so that no other delay can wrap.

Measured: error_message.limits_the_delay_before_a_retry (unchanged), named_retry_delay.is_limited and event_loop.longest_delay_is_not_over_at_once pass. The whole of wire_tests and rollout_tests was not run.

--- a/src/rollout/weight_rollout.cpp
+++ b/src/rollout/weight_rollout.cpp
@@ -1,5 +1,6 @@
 #include "rollout/weight_rollout.hpp"
 
+#include "base/retry_delay.hpp"
 #include "observe/log.hpp"
 #include "rollout/ownership.hpp"
 #include "wire/call.hpp"
@@ -160,7 +161,7 @@
                 self->tick();
                 return;
             }
-            const auto delay = std::max(min_fetch_delay, milliseconds{value(reply).retry_after_ms()});
+            const auto delay = std::max(min_fetch_delay, named_retry_delay(value(reply).retry_after_ms()));
             self->context_.loop.after(delay, [self, engines, engine] {
                 engines->set_fetch(engine, false, 0);
                 self->tick();
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,5 +1,6 @@
 #include "wire/codec.hpp"
 
+#include "base/retry_delay.hpp"
 #include "observe/json_text.hpp"
 #include "json/json.hpp"
 
@@ -9,7 +10,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <array>
 
 namespace vanillagauge::wire {
@@ -20,8 +20,6 @@
 constexpr char error_flag = 1;
 constexpr std::string_view error_line_start = R"({"error":)";
 constexpr std::size_t max_frame_bytes = 64U << 20U;
-/// Longer than any sender means; more could be beyond what a clock can represent.
-constexpr std::int64_t max_retry_after_ms = 3600000;
 
 std::string binary_frame(char flag, std::string_view encoded)
 {
@@ -183,8 +181,7 @@
         failure.ran = run_state::ran;
     }
     failure.detail = message.detail();
-    failure.retry_after =
-        milliseconds{std::clamp(std::int64_t{message.retry_after_ms()}, std::int64_t{0}, max_retry_after_ms)};
+    failure.retry_after = named_retry_delay(message.retry_after_ms());
     failure.redirect = message.redirect();
     failure.current = message.current();
     return failure;
--- a/src/wire/event_loop.cpp
+++ b/src/wire/event_loop.cpp
@@ -8,10 +8,17 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <future>
 #include <thread>
 
 namespace vanillagauge::wire {
+namespace {
+
+/// The end of a longer delay could be beyond what the clock can represent.
+constexpr milliseconds max_delay{std::chrono::hours{24 * 365}};
+
+} // namespace
 
 struct event_loop::state {
     boost::asio::io_context context{1};
@@ -55,7 +62,7 @@
 timer_cancel event_loop::after(milliseconds delay, std::function<void()> work)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(state_->context);
-    timer->expires_after(delay);
+    timer->expires_after(std::min(delay, max_delay));
     timer->async_wait([timer, work = std::move(work)](const boost::system::error_code& failure) {
         if (!failure) {
             work();
