Keep the log's levels in statics of our own

gateway_tests under ThreadSanitizer, run with cut_* and *cut_* alone, ended once in 5 runs: a data race on the library's level object between its first use by one gateway's loop and its use by another's. The library guards that first use, but is not instrumented, so the sanitizer doesn't see it; which test meets it depends on which two loops write the process's first lines. The levels are kept in a static whose guard is seen.

--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -12,6 +12,7 @@
 
 #include <unistd.h>
 
+#include <array>
 #include <chrono>
 
 namespace vanillagauge::observe {
@@ -56,19 +57,13 @@
     }
 };
 
-log4cxx::LevelPtr to_level(log_level level)
+// Initialised by code that a thread sanitizer sees; it doesn't see that the library's own first use is
+// guarded.
+const log4cxx::LevelPtr& to_level(log_level level)
 {
-    switch (level) {
-    case log_level::debug:
-        return log4cxx::Level::getDebug();
-    case log_level::info:
-        return log4cxx::Level::getInfo();
-    case log_level::warning:
-        return log4cxx::Level::getWarn();
-    case log_level::error:
-        break;
-    }
-    return log4cxx::Level::getError();
+    static const std::array levels{log4cxx::Level::getDebug(), log4cxx::Level::getInfo(),
+                                   log4cxx::Level::getWarn(), log4cxx::Level::getError()};
+    return levels.at(static_cast<std::size_t>(level));
 }
 
 std::string_view level_name(log_level level)
@@ -114,7 +109,7 @@
 
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    const auto log4cxx_level = to_level(level);
+    const auto& log4cxx_level = to_level(level);
     // Without an appender, log4cxx prints a warning on standard error that is not a JSON line.
     if (fixed_fields().empty() || !logger()->isEnabledFor(log4cxx_level)) {
         return;
