Bound the memory that request bodies take

Callers saw gateways end under large uploads: a body was held four times (parser and request, the copy for the forwarder, the copy for the replica, the text to send), 131 MB for one of 32 MB, and nothing bounded how many were taken in. A process beyond its machine's memory is killed with all requests that it has, and starts again.

The body is now held once: the service hands the request to its handler to move the body out, and heads and bodies are sent as two buffers of one write. A body with a length takes its room before it is read, one in chunks as it doubles. Without room the request gets 503, Connection: close and a Retry-After from how long large bodies took their room; its handler is not called, so that the promise of the status holds. The connection is then read on, and the bytes dropped, so that a client that sends its whole body first sees the answer and no reset. Refusals are logged (body_refused) and counted (bodies_refused_total).

A client that announces a large body and sends it slowly holds its room for up to 30 s.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -87,6 +87,7 @@
         "order_lease_ms": {"type": "number", "minimum": 100, "maximum": 600000},
         "advice_time_ms": {"type": "number", "minimum": 100, "maximum": 600000},
         "cpu_share": {"type": "number", "minimum": 0, "maximum": 1024},
+        "memory_mb": {"type": "number", "minimum": 0, "maximum": 16777216},
         "duties_address": {"$ref": "#/definitions/optional_address"},
         "usage_window_s": {"type": "number", "minimum": 0, "maximum": 86400},
         "usage_due_s": {"type": "number", "minimum": 0.1, "maximum": 86400},
@@ -96,6 +97,8 @@
   }
 })json";
 
+constexpr double bytes_per_mb = 1U << 20U;
+
 template <class Value>
 void read(const json& from, const char* key, Value& into)
 {
@@ -139,6 +142,7 @@
     read(*found, "relay_listen", parsed.relay_listen);
     read(*found, "model_order_holder", parsed.model_order_holder);
     read(*found, "cpu_share", parsed.cpu_share);
+    parsed.memory_bytes = static_cast<std::size_t>(found->value("memory_mb", 0.0) * bytes_per_mb);
     read(*found, "max_direct_pairs", parsed.max_direct_pairs);
     parsed.stop_grace = read_duration(*found, "stop_grace_s", seconds{1}, parsed.stop_grace);
     parsed.order_lease = read_duration(*found, "order_lease_ms", milliseconds{1}, parsed.order_lease);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -4,6 +4,7 @@
 
 #include "base/base.hpp"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,7 @@
     milliseconds order_lease{3000}; ///< minimum time between orders of two holders
     milliseconds advice_time{2000}; ///< how long callers may cache an address
     double cpu_share = 0;           ///< processor of this VM in cores; 0: unknown
+    std::size_t memory_bytes = 0;   ///< at which the process is killed; 0: unknown
     std::string duties_address;     ///< of the platform's calls for one gateway at a time; empty: none
     milliseconds usage_window{0};   ///< usage is reported by windows of this length; 0: not at all
     milliseconds usage_due{10000};  ///< from a window's end until its report is due
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -124,14 +124,14 @@
     sent.organisation = current.request.acts_for ? current.request.acts_for->name : std::string{};
     sent.time_left = milliseconds_between(steady::now(), current.deadline);
     sent.resume_after = current.last_event;
-    auto request = protocol_.replica_request(current.request.http, sent);
+    auto request = protocol_.replica_request(net::head_of(current.request.http), sent);
     if (request.fields.contains(observe::traceparent_header)) {
         request.fields.set(observe::traceparent_header, observe::traceparent(current.attempt_context));
     }
     current.sent = true;
     current.sent_at = steady::now();
     current.sent_wall = std::chrono::system_clock::now();
-    const auto written = co_await connection->send(request, until);
+    const auto written = co_await connection->send(request, current.request.http.body, until);
     outcome.reused_connection = connection->reused(); // counts the request just sent
     if (!outcome.reused_connection) {
         counts_.add("replica_connections_total");
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -546,6 +546,15 @@
     state_->report_escape(id, request, why);
 }
 
+void gateway::report_refused_body(const std::string& id, std::size_t bytes, milliseconds retry_after)
+{
+    state_->counts.add("bodies_refused_total");
+    observe::log(observe::log_level::info, "body_refused",
+                 {{"request", id},
+                  {"bytes", static_cast<std::int64_t>(bytes)},
+                  {"retry_after_ms", std::int64_t{retry_after.count()}}});
+}
+
 std::string gateway::metrics_page() const
 {
     const auto& held = *state_;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -89,6 +89,8 @@
     std::string metrics_page() const;
     /// Logs and counts a request whose handler has thrown; the id is empty where it has none.
     void report_escape(const std::string& id, const net::http_request& request, std::string_view why);
+    /// Logs and counts a request that was refused because its body has no room.
+    void report_refused_body(const std::string& id, std::size_t bytes, milliseconds retry_after);
 
 private:
     struct state;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -34,17 +34,16 @@
 /// Interim responses (1xx) before the final one.
 constexpr int max_interim_responses = 16;
 
-std::string serialized(const http_request& request)
+std::string head_text(const http_request& request, std::size_t body_bytes)
 {
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const auto& field : request.fields.all()) {
         text += field.name + ": " + field.value + "\r\n";
     }
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    if (body_bytes > 0 || request.method == "POST" || request.method == "PUT") {
+        text += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
     }
     text += "\r\n";
-    text += request.body;
     return text;
 }
 
@@ -121,14 +120,20 @@
     co_return done{};
 }
 
+task<http_result<done>> http_connection::send(const http_request& request, time_point deadline)
+{
+    return send(request, request.body, deadline);
+}
+
 // Guards against text that came from outside and would be read as another request (request smuggling).
 //
 // Guards against a request that takes effect after its sender has given it up: bytes that a network partition
 // holds up arrive when it heals, unless their connection has been reset by then. The option also covers the
 // end of the process.
-task<http_result<done>> http_connection::send(const http_request& request, time_point deadline)
+task<http_result<done>> http_connection::send(const http_request& head, std::string_view body,
+                                              time_point deadline)
 {
-    if (!is_single_head(request)) {
+    if (!is_single_head(head)) {
         co_return http_failure{failure_kind::malformed, false, "the request is not a single one"};
     }
     ++requests_;
@@ -136,11 +141,11 @@
     sent_at_ = steady::now();
     reader_.reset();
     internal::reset_on_close(stream_.socket(), true);
-    const auto text = serialized(request);
+    const auto text = head_text(head, body.size());
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(text), asio::buffer(body)};
     stream_.expires_at(deadline);
     error_code failure;
-    co_await asio::async_write(stream_, asio::buffer(text),
-                               asio::redirect_error(asio::use_awaitable, failure));
+    co_await asio::async_write(stream_, parts, asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
         co_return to_failure(failure);
     }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -73,6 +73,8 @@
     /// `address` is IP:PORT.
     task<http_result<done>> connect(std::string address, time_point deadline);
     task<http_result<done>> send(const http_request& request, time_point deadline);
+    /// As `send`, with another body than the request's, which is not copied.
+    task<http_result<done>> send(const http_request& head, std::string_view body, time_point deadline);
     task<http_result<response_head>> read_head(time_point deadline);
     task<http_result<body_piece>> read_piece(time_point deadline);
     /// Reads the complete body; `malformed` if it exceeds `max_bytes`.
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -108,6 +108,11 @@
     return is_token(field.name) && is_field_value(field.value);
 }
 
+http_request head_of(const http_request& request)
+{
+    return {request.method, request.target, request.fields, {}};
+}
+
 bool is_single_head(const http_request& request)
 {
     const auto& fields = request.fields.all();
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -42,6 +42,9 @@
     std::string body{};
 };
 
+/// The request without its body.
+http_request head_of(const http_request& request);
+
 struct http_response {
     int status = 200;
     http_fields fields{};
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -30,7 +30,7 @@
     if (!connection_.begin_response()) {
         co_return false;
     }
-    co_return co_await connection_.write_text(connection_.serialize(response));
+    co_return co_await connection_.write_response(std::move(response));
 }
 
 task<bool> responder::begin(int status, http_fields fields)
@@ -82,8 +82,9 @@
 }
 
 http_service::http_service(loop& context, std::function<service_limits()> limits, http_handler handler,
-                           escape_observer on_escape)
-    : state_(std::make_shared<state>(context, std::move(limits), std::move(handler), std::move(on_escape)))
+                           escape_observer on_escape, body_admission bodies)
+    : state_(std::make_shared<state>(context, std::move(limits), std::move(handler), std::move(on_escape),
+                                     std::move(bodies)))
 {
 }
 
--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -2,6 +2,7 @@
 #ifndef VANILLAGAUGE_NET_HTTP_SERVICE_HPP
 #define VANILLAGAUGE_NET_HTTP_SERVICE_HPP
 
+#include "net/byte_budget.hpp"
 #include "net/http_message.hpp"
 #include "net/task.hpp"
 
@@ -54,18 +55,29 @@
     bool begun_ = false;
 };
 
-using http_handler = std::function<task<void>(const http_request&, responder&)>;
+/// The handler may move the body out of the request.
+using http_handler = std::function<task<void>(http_request&, responder&)>;
 
 /// Called with a request whose handler has thrown, and the exception's message.
 using escape_observer = std::function<void(const http_request&, std::string_view)>;
 
+/// What decides whether a request's body is taken in. A body without room is not read, and its request, whose
+/// handler is not called, gets the refusal.
+struct body_admission {
+    /// The refusal of a request, which has no body, and when room for so many bytes is expected.
+    using refusal = std::function<http_response(const http_request&, std::size_t bytes, duration wait)>;
+
+    std::shared_ptr<byte_budget> budget{}; ///< null: there is room for all
+    refusal refuse{};                      ///< set where there is a budget
+};
+
 /// Runs on one loop; the handler runs as one task per request. An exception that escapes the handler ends its
 /// request with 500, or by a reset once the response has begun; std::bad_alloc ends the process.
 class http_service {
 public:
     /// `limits` is called for each request, so that the limits may change.
     http_service(loop& context, std::function<service_limits()> limits, http_handler handler,
-                 escape_observer on_escape = nullptr);
+                 escape_observer on_escape = nullptr, body_admission bodies = {});
     ~http_service();
     http_service(const http_service&) = delete;
     http_service& operator=(const http_service&) = delete;
--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -11,6 +11,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <new>
@@ -31,6 +32,9 @@
 /// which can destroy the response before the client has read it.
 constexpr milliseconds linger_time{1000};
 
+/// The most that one read adds to a body.
+constexpr std::size_t read_bytes = 64U << 10U;
+
 /// Bounds what the system holds for a reader that stalls; unbounded, it grows to some megabytes a connection.
 /// The system doubles the value for its own overhead.
 constexpr int send_buffer_bytes = 128 << 10;
@@ -54,9 +58,10 @@
 
 namespace {
 
-http_request to_request(http::request_parser<http::string_body>& parser)
+/// The request without its body.
+http_request to_head(const http::request_parser<http::string_body>& parser)
 {
-    auto& message = parser.get();
+    const auto& message = parser.get();
     http_request request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
@@ -66,10 +71,19 @@
         const auto value = field.value();
         request.fields.add({field_name.data(), field_name.size()}, {value.data(), value.size()});
     }
-    request.body = std::move(message.body());
     return request;
 }
 
+/// The room that a body in chunks needs to be read on: twice that of before, once the body has outgrown it by
+/// some of the last read.
+std::size_t next_room(std::size_t body_bytes, std::size_t room, std::size_t max_bytes)
+{
+    if (room > 0 && body_bytes <= room) {
+        return room;
+    }
+    return std::min(std::max(small_body_bytes, 2 * room), max_bytes);
+}
+
 int error_status(const error_code& why, bool in_body)
 {
     if (why == http::error::header_limit) {
@@ -114,10 +128,23 @@
         co_return;
     }
     co_await write_text(status_line(status) + "Content-Length: 0\r\n" + connection_fields());
-    co_await linger();
+    co_await linger(linger_time);
 }
 
-task<bool> service_connection::read_request(parser& message, const service_limits& limits)
+// The client may be sending the body still: reading on, and dropping what comes, lets it see the refusal.
+task<void> service_connection::refuse_body(parser& message, std::size_t bytes, duration body_time,
+                                           byte_reservation& room)
+{
+    keep_alive_ = false;
+    std::string().swap(message.get().body());
+    room.release();
+    const auto wait = owner_->bodies.budget->expected_wait(bytes);
+    co_await write_response(owner_->bodies.refuse(to_head(message), bytes, wait));
+    co_await linger(body_time);
+}
+
+task<bool> service_connection::read_request(parser& message, const service_limits& limits,
+                                            byte_reservation& room)
 {
     message.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     message.body_limit(limits.body_bytes);
@@ -129,11 +156,41 @@
         co_await reject(failure, false);
         co_return false;
     }
+    const auto length = static_cast<std::size_t>(message.content_length().value_or(0));
+    if (!room.grow_to(length)) {
+        co_await refuse_body(message, length, limits.body_time, room);
+        co_return false;
+    }
     if (message.get()[http::field::expect] == "100-continue") {
         co_await write_text("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    co_return co_await read_body(message, limits, room);
+}
+
+// A string that grows holds its old bytes beside their copies; with the capacity that is reserved here, both
+// fit into the room that was taken.
+task<bool> service_connection::read_body(parser& message, const service_limits& limits,
+                                         byte_reservation& room)
+{
     stream_.expires_after(limits.body_time);
-    co_await http::async_read(stream_, buffer_, message, asio::redirect_error(asio::use_awaitable, failure));
+    error_code failure;
+    while (message.chunked() && !message.is_done() && !failure) {
+        auto& body = message.get().body();
+        const auto next = next_room(body.size(), room.bytes(), limits.body_bytes);
+        if (!room.grow_to(next)) {
+            co_await refuse_body(message, next, limits.body_time, room);
+            co_return false;
+        }
+        if (next > small_body_bytes) {
+            body.reserve(next + read_bytes);
+        }
+        co_await http::async_read_some(stream_, buffer_, message,
+                                       asio::redirect_error(asio::use_awaitable, failure));
+    }
+    if (!message.chunked()) {
+        co_await http::async_read(stream_, buffer_, message,
+                                  asio::redirect_error(asio::use_awaitable, failure));
+    }
     if (failure) {
         co_await reject(failure, true);
         co_return false;
@@ -157,30 +214,32 @@
         if (!co_await wait_for_request(limits)) {
             break;
         }
+        byte_reservation room(owner_->bodies.budget);
         parser message;
-        if (!co_await read_request(message, limits)) {
+        if (!co_await read_request(message, limits, room)) {
             break;
         }
         keep_alive_ = message.keep_alive();
-        const auto request = to_request(message);
+        auto request = to_head(message);
+        request.body = std::move(message.get().body());
         co_await handle(request);
     }
     if (closed_idle_) {
         co_await close_unread();
     }
     else if (!aborted_) {
-        co_await linger();
+        co_await linger(linger_time);
     }
 }
 
-task<void> service_connection::handle(const http_request& request)
+task<void> service_connection::handle(http_request& request)
 {
     ++owner_->in_flight;
     stage_ = stage::handling;
     ++watched_request_;
     watch_client();
     if (owner_->failure_response) {
-        co_await write_text(serialize(*owner_->failure_response));
+        co_await write_response(*owner_->failure_response);
     }
     else {
         responder answer(*this);
@@ -196,7 +255,7 @@
 
 // Guards against a request that ends the process and all other requests with it. Memory that has run out is
 // not one request's failure: the process ends and is started again.
-task<void> service_connection::run_handler(const http_request& request, responder& answer)
+task<void> service_connection::run_handler(http_request& request, responder& answer)
 {
     std::optional<std::string> escaped;
     try {
@@ -265,14 +324,26 @@
 }
 
 task<bool> service_connection::write_text(std::string text)
+{
+    co_return co_await write_all(text, {});
+}
+
+task<bool> service_connection::write_response(http_response response)
+{
+    const auto head = response_head(response);
+    co_return co_await write_all(head, response.body);
+}
+
+// Two buffers in one call: a body that was joined to its head would be held twice.
+task<bool> service_connection::write_all(std::string_view head, std::string_view body)
 {
     if (aborted_ || client_disconnected_) {
         co_return false;
     }
     stream_.expires_after(owner_->limits().write_time);
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
     error_code failure;
-    co_await asio::async_write(stream_, asio::buffer(text),
-                               asio::redirect_error(asio::use_awaitable, failure));
+    co_await asio::async_write(stream_, parts, asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
         abort();
     }
@@ -314,12 +385,11 @@
     return head_text(status, fields) + "Transfer-Encoding: chunked\r\n" + connection_fields();
 }
 
-std::string service_connection::serialize(const http_response& response)
+std::string service_connection::response_head(const http_response& response)
 {
     auto text = head_text(response.status, response.fields);
     text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
     text += connection_fields();
-    text += response.body;
     return text;
 }
 
@@ -343,7 +413,7 @@
         return;
     }
     keep_alive_ = false;
-    const auto text = serialize(answer);
+    const auto text = response_head(answer) + answer.body;
     error_code failure;
     stream_.socket().non_blocking(true, failure);
     const auto written = stream_.socket().write_some(asio::buffer(text), failure);
@@ -372,12 +442,12 @@
     stream_.close();
 }
 
-task<void> service_connection::linger()
+task<void> service_connection::linger(duration longest)
 {
     error_code failure;
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
-    stream_.expires_after(linger_time);
-    std::array<char, 1024> waste{};
+    stream_.expires_after(longest);
+    std::array<char, 4096> waste{};
     while (!failure) {
         co_await stream_.async_read_some(asio::buffer(waste),
                                          asio::redirect_error(asio::use_awaitable, failure));
--- a/src/net/internal/service_connection.hpp
+++ b/src/net/internal/service_connection.hpp
@@ -17,9 +17,9 @@
 
 struct http_service::state : std::enable_shared_from_this<http_service::state> {
     state(loop& shared_context, std::function<service_limits()> limits_source, http_handler request_handler,
-          escape_observer observer)
+          escape_observer observer, body_admission admission)
         : context(shared_context), acceptor(shared_context), limits(std::move(limits_source)),
-          handler(std::move(request_handler)), on_escape(std::move(observer))
+          handler(std::move(request_handler)), on_escape(std::move(observer)), bodies(std::move(admission))
     {
     }
 
@@ -28,6 +28,7 @@
     std::function<service_limits()> limits;
     http_handler handler;
     escape_observer on_escape;
+    body_admission bodies;
     bool draining = false;
     std::set<service_connection*> connections;
     std::size_t in_flight = 0;
@@ -54,6 +55,7 @@
     /// The task shares ownership: it may start after the caller has released the connection.
     static task<void> serve(std::shared_ptr<service_connection> connection);
     task<bool> write_text(std::string text);
+    task<bool> write_response(http_response response);
     void abort();
     /// Closes the connection if no byte of a request has been received.
     void close_if_idle();
@@ -63,7 +65,6 @@
     bool begin_response();
     /// The head of a response with a chunked body.
     std::string chunked_head(int status, const http_fields& fields);
-    std::string serialize(const http_response& response);
     /// The Connection field, if needed, and the empty line that ends the head.
     std::string connection_fields();
 
@@ -94,12 +95,19 @@
 
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     task<void> serve_requests();
-    task<bool> read_request(parser& message, const service_limits& limits);
+    task<bool> read_request(parser& message, const service_limits& limits, byte_reservation& room);
+    /// Reads the rest of the message, where there is room for it.
+    task<bool> read_body(parser& message, const service_limits& limits, byte_reservation& room);
+    task<void> refuse_body(parser& message, std::size_t bytes, duration body_time, byte_reservation& room);
     task<bool> wait_for_request(const service_limits& limits);
     task<void> reject(const boost::system::error_code& why, bool in_body);
-    task<void> handle(const http_request& request);
-    task<void> run_handler(const http_request& request, responder& answer);
-    task<void> linger();
+    task<void> handle(http_request& request);
+    task<void> run_handler(http_request& request, responder& answer);
+    task<bool> write_all(std::string_view head, std::string_view body);
+    /// The head of a complete response.
+    std::string response_head(const http_response& response);
+    /// Reads on until the client closes or the time is over.
+    task<void> linger(duration longest);
     task<void> close_unread();
     bool in_request() const { return stage_ == stage::handling || stage_ == stage::responding; }
     void notify_disconnect();
--- a/tests/config/settings_tests.cpp
+++ b/tests/config/settings_tests.cpp
@@ -35,6 +35,15 @@
     EXPECT_FALSE(ok(parse_settings(replaced(valid, "\"vm\":", "\"vmm\": 1, \"vm\":"), "vm.json")));
 }
 
+TEST(settings, reads_the_memory_in_megabytes)
+{
+    const auto text = replaced(
+        valid, "\"vm\":", R"("gateway": {"relay_listen": "127.0.0.1:7300", "memory_mb": 260}, "vm":)");
+    const auto parsed = parse_settings(text, "vm.json");
+    ASSERT_TRUE(ok(parsed)) << failure(parsed).detail;
+    EXPECT_EQ(value(parsed).gateway.memory_bytes, std::size_t{260} << 20U);
+}
+
 TEST(settings, reads_how_usage_is_reported)
 {
     const auto text =
--- a/tests/odd_entries/gateways.cpp
+++ b/tests/odd_entries/gateways.cpp
@@ -83,8 +83,9 @@
 } // namespace
 
 gateways::gateways(std::filesystem::path program, std::filesystem::path folder, std::size_t fronts,
-                   std::size_t storages, const std::string& store, end_observer on_end)
-    : program_(std::move(program)), folder_(std::move(folder)), on_end_(std::move(on_end))
+                   std::size_t storages, const std::string& store, end_observer on_end, std::size_t memory_mb)
+    : program_(std::move(program)), folder_(std::move(folder)), on_end_(std::move(on_end)),
+      memory_mb_(memory_mb)
 {
     static reserved_ports ports;
     for (std::size_t number = 0; number < fronts; ++number) {
@@ -147,6 +148,9 @@
                            {"usage_window_s", 0},
                            {"usage_due_s", 10},
                            {"cpu_share", place.front.empty() ? 0.5 : 0.25}};
+    if (memory_mb_ > 0) {
+        settings["gateway"]["memory_mb"] = memory_mb_;
+    }
     std::ofstream(file_of(place, ".json")) << settings.dump(2);
 }
 
--- a/tests/odd_entries/gateways.hpp
+++ b/tests/odd_entries/gateways.hpp
@@ -32,7 +32,7 @@
     using end_observer = std::function<void(const gateway_place&, const std::string&)>;
 
     gateways(std::filesystem::path program, std::filesystem::path folder, std::size_t fronts,
-             std::size_t storages, const std::string& store, end_observer on_end);
+             std::size_t storages, const std::string& store, end_observer on_end, std::size_t memory_mb = 0);
     ~gateways();
     gateways(const gateways&) = delete;
     gateways& operator=(const gateways&) = delete;
@@ -46,6 +46,7 @@
     std::filesystem::path folder_;
     std::vector<gateway_place> places_;
     end_observer on_end_;
+    std::size_t memory_mb_; ///< in the settings of each; 0: none is named
 
     std::filesystem::path file_of(const gateway_place& place, const char* suffix) const;
     void write_settings(const gateway_place& place, const std::string& store) const;
