Bound the memory of JSON documents of other programs

Callers got no answers, since gateways took more memory than their machine has: three entries of kind servers of 1 MB each with an unknown field [{},{},...] took a process to 286 MB, and a batch of 8 MB with such a field took 313 MB. The smallest machine has 110 MB. A process that is killed for it reads the same entries after its next start.

Cause: the depth of a document was bounded while it was built, its memory was not. {} takes 2 bytes of text and some 80 of memory, and a list was copied from its document, and again into the gateway's copy.

Strings of plain characters are checked without a parser each there, which held up a gateway for long enough that callers got no answer. Lists are moved out of their document.

--- a/src/gateway/feed_sync_store.cpp
+++ b/src/gateway/feed_sync_store.cpp
@@ -134,7 +134,7 @@
     entry.asked_since = entry.asked_since.value_or(requested_at);
     while (true) {
         const auto page_requested_at = feed::now();
-        const auto page = co_await direct_.list(entry.content->kind(), after);
+        auto page = co_await direct_.list(entry.content->kind(), after);
         if (!ok(page) && was_held_up(page_requested_at, max_call_time)) {
             entry.asked_since.reset();
             co_return false;
@@ -143,9 +143,9 @@
             record_failure(failure(page));
             co_return false;
         }
-        for (const auto& object : value(page).objects) {
+        for (auto& object : value(page).objects) {
             after = object.name;
-            listed[object.name] = object;
+            listed[after] = std::move(object);
         }
         left_out += value(page).left_out;
         // Changes made while the pages are read are returned by the watch, which starts at the first page's
--- a/src/json/internal/text_repair.cpp
+++ b/src/json/internal/text_repair.cpp
@@ -1,5 +1,8 @@
 #include "json/internal/text_repair.hpp"
 
+#include "json/internal/memory_cost.hpp"
+#include "json/parse.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -9,6 +12,8 @@
 
 constexpr std::size_t max_pointers = 8;
 constexpr std::size_t max_key_bytes = 64;
+/// Bytes that a part may take as a document, whatever its text.
+constexpr std::size_t min_part_memory = 4096;
 constexpr std::string_view white_space = " \t\r\n";
 constexpr std::string_view structural = "{}[],:\"";
 
@@ -29,6 +34,26 @@
     return (static_cast<unsigned char>(symbol) & mask) == continuation;
 }
 
+/// Whether the token is a string of printable ASCII without escapes. A parser for each of a million empty
+/// strings would take long.
+bool is_plain_string(std::string_view token)
+{
+    constexpr char first_printable = 0x20;
+    constexpr char last_printable = 0x7e;
+    if (token.size() < 2 || token.front() != '"' || token.back() != '"') {
+        return false;
+    }
+    const auto content = token.substr(1, token.size() - 2);
+    return std::all_of(content.begin(), content.end(), [](char symbol) {
+        return symbol >= first_printable && symbol <= last_printable && symbol != '\\' && symbol != '"';
+    });
+}
+
+bool is_valid(std::string_view token)
+{
+    return is_plain_string(token) || nlohmann::json::accept(token);
+}
+
 /// The first bytes of a member's name, up to the end of a character.
 std::string_view start_of(std::string_view key)
 {
@@ -100,19 +125,49 @@
 {
     if (levels_.size() >= max_depth_) {
         skip_nested();
-        replace("null");
+        replace_value();
         return;
     }
+    level opened;
+    opened.is_object = is_object;
+    opened.expects_key = is_object;
+    opened.begin = at_;
+    opened.result_size = result_.text.size();
+    opened.replaced = result_.replaced;
+    opened.memory = is_object ? object_cost : array_cost;
+    levels_.push_back(std::move(opened));
     copy_symbol();
-    levels_.push_back({is_object, is_object, {}, 0});
 }
 
 void text_repair::close_level()
 {
-    if (!levels_.empty()) {
-        levels_.pop_back();
-    }
     copy_symbol();
+    if (levels_.empty()) {
+        return;
+    }
+    const auto closed = std::move(levels_.back());
+    levels_.pop_back();
+    if (dense_ == dense_parts::replaced && is_dense(closed)) {
+        replace_since(closed);
+        return;
+    }
+    count(closed.memory);
+}
+
+bool text_repair::is_dense(const level& closed) const
+{
+    return closed.memory > std::max(min_part_memory, (at_ - closed.begin) * json_memory_per_byte);
+}
+
+/// Adds the value's bytes to the level around it.
+void text_repair::count(std::size_t bytes)
+{
+    if (levels_.empty()) {
+        return;
+    }
+    auto& around = levels_.back();
+    around.memory += bytes;
+    around.memory += around.is_object ? member_cost + characters_cost(around.key.size()) : element_cost;
 }
 
 void text_repair::next_element()
@@ -134,7 +189,7 @@
     }
     auto& current = levels_.back();
     current.expects_key = false;
-    if (!nlohmann::json::accept(token)) {
+    if (!is_valid(token)) {
         current.key.clear();
         replace("\"\"");
         return;
@@ -154,11 +209,18 @@
 
 void text_repair::copy_value(std::string_view token)
 {
-    if (nlohmann::json::accept(token)) {
-        result_.text += token;
+    if (!is_valid(token)) {
+        replace_value();
         return;
     }
+    result_.text += token;
+    count(token.front() == '"' ? string_cost + characters_cost(token.size()) : 0);
+}
+
+void text_repair::replace_value()
+{
     replace("null");
+    count(0);
 }
 
 void text_repair::replace(std::string_view replacement)
@@ -170,6 +232,15 @@
     }
 }
 
+/// Replaces an array or object that has just been closed, and with it what was replaced inside it.
+void text_repair::replace_since(const level& closed)
+{
+    result_.text.resize(closed.result_size);
+    result_.replaced = closed.replaced;
+    result_.replaced_at.resize(std::min(result_.replaced_at.size(), closed.replaced));
+    replace_value();
+}
+
 std::string_view text_repair::take_string()
 {
     const auto begin = at_;
--- a/tests/odd_entries/gateways.cpp
+++ b/tests/odd_entries/gateways.cpp
@@ -185,6 +185,19 @@
                        " ms; its last lines:" + tail_of(file_of(place, ".log")));
 }
 
+std::size_t gateways::peak_memory(const gateway_place& place)
+{
+    constexpr std::size_t kilobyte = 1024;
+    const std::string field = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(place.process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field)) {
+            return std::stoul(line.substr(field.size())) * kilobyte;
+        }
+    }
+    return 0;
+}
+
 void gateways::check()
 {
     for (auto& place : places_) {
--- a/tests/odd_entries/gateways.hpp
+++ b/tests/odd_entries/gateways.hpp
@@ -40,6 +40,8 @@
     /// Notes the processes that have ended, and starts those whose pause is over.
     void check();
     const std::vector<gateway_place>& places() const { return places_; }
+    /// The most resident memory that the process has had, in bytes; 0 if it does not run.
+    static std::size_t peak_memory(const gateway_place& place);
 
 private:
     std::filesystem::path program_;
--- a/tests/odd_entries/main.cpp
+++ b/tests/odd_entries/main.cpp
@@ -1,5 +1,6 @@
 /// Real gateways beside a store that holds one odd entry among those of the replicas: from the start, and
-/// then as a change. Each front is to serve, to follow what comes after, and no process may end by itself.
+/// then as a change. Each front is to serve, to follow what comes after, no process may end by itself, and
+/// none may need more memory than a small machine has.
 #include "gateways.hpp"
 #include "net/http_client.hpp"
 #include "odd_entry.hpp"
@@ -159,6 +160,7 @@
     static constexpr milliseconds poll_interval{20};
     static constexpr milliseconds ask_interval{250};
     static constexpr milliseconds calm{1500};
+    static constexpr std::size_t machine_bytes = 110'000'000;
 
     net::loop& loop_;
     options options_;
@@ -212,9 +214,13 @@
 
     void put_odd_entry()
     {
-        const sound_entry sound{odd_.address(), "first", first_.id(), gateways_.places().front().front};
         const auto& odd = all_kinds().at(kind_);
-        store_.put_text(odd.place, "i-odd", odd.text(sound, store_.revision() + 1));
+        for (std::size_t number = 0; number < odd.count; ++number) {
+            const auto name = "i-odd" + (number == 0 ? std::string{} : "-" + std::to_string(number));
+            const sound_entry sound{name, odd_.address(), "first", first_.id(),
+                                    gateways_.places().front().front};
+            store_.put_text(odd.place, name, odd.text(sound, store_.revision() + 1));
+        }
     }
 
     bool all_serve(const std::map<std::size_t, front_record>& records) const
@@ -288,13 +294,16 @@
     void judge()
     {
         std::size_t ends = 0;
+        std::size_t peak = 0;
         for (const auto& place : gateways_.places()) {
             ends += place.ends;
+            peak = std::max(peak, gateways::peak_memory(place));
         }
         tell("/first/", first_records_);
         tell("/late/", late_records_);
-        passed_ = ends == 0 && all_serve(first_records_) && all_serve(late_records_);
-        line(std::string(passed_ ? "ok" : "failed") + ", " + std::to_string(ends) + " ends by themselves");
+        passed_ = ends == 0 && peak <= machine_bytes && all_serve(first_records_) && all_serve(late_records_);
+        line(std::string(passed_ ? "ok" : "failed") + ", " + std::to_string(ends) +
+             " ends by themselves, at most " + std::to_string(peak) + " bytes of memory in a process");
         over_ = true;
     }
 };
--- a/tests/odd_entries/odd_entry.cpp
+++ b/tests/odd_entries/odd_entry.cpp
@@ -9,7 +9,6 @@
 
 constexpr std::size_t deep = 199'000; ///< its brackets stay under the 400 KB that a value may have
 constexpr std::size_t megabyte = 1'000'000;
-constexpr std::string_view name = "i-odd";
 
 using fields = std::map<std::string, std::string>; ///< JSON text by name
 
@@ -59,7 +58,7 @@
         [field = std::move(field), text = std::move(text)](const sound_entry& sound, std::uint64_t revision) {
             auto specification = sound_specification(sound);
             specification[field] = text;
-            return whole(sound_metadata(name, revision), specification);
+            return whole(sound_metadata(sound.name, revision), specification);
         };
 }
 
@@ -67,7 +66,7 @@
 {
     return
         [field = std::move(field), text = std::move(text)](const sound_entry& sound, std::uint64_t revision) {
-            auto metadata = sound_metadata(name, revision);
+            auto metadata = sound_metadata(sound.name, revision);
             metadata[field] = text;
             return whole(metadata, sound_specification(sound));
         };
@@ -78,13 +77,13 @@
     return [port = std::move(port)](const sound_entry& sound, std::uint64_t revision) {
         auto specification = sound_specification(sound);
         specification["Address"] = quoted(sound.address.substr(0, sound.address.find(':') + 1) + port);
-        return whole(sound_metadata(name, revision), specification);
+        return whole(sound_metadata(sound.name, revision), specification);
     };
 }
 
 std::string without_revision(const sound_entry& sound, std::uint64_t revision)
 {
-    auto metadata = sound_metadata(name, revision);
+    auto metadata = sound_metadata(sound.name, revision);
     metadata.erase("Revision");
     return whole(metadata, sound_specification(sound));
 }
@@ -98,7 +97,7 @@
 {
     auto specification = sound_specification(sound);
     specification["Address"] = quoted(sound.gateway_address);
-    return whole(sound_metadata(name, revision), specification);
+    return whole(sound_metadata(sound.name, revision), specification);
 }
 
 std::string null_object(const sound_entry& /*sound*/, std::uint64_t /*revision*/)
@@ -106,6 +105,16 @@
     return "null";
 }
 
+/// An array of the element, of about this many bytes.
+std::string repeated(std::string_view element, std::size_t bytes)
+{
+    std::string text = "[";
+    while (text.size() < bytes) {
+        text.append(element).append(",");
+    }
+    return text.append(element).append("]");
+}
+
 std::string nested(std::size_t depth)
 {
     return std::string(depth, '[') + std::string(depth, ']');
@@ -118,6 +127,11 @@
     static const std::map<std::string, odd_entry> kinds{
         {"none", {with_field("Other", "1")}},
         {"nested", {with_field("Other", nested(deep))}},
+        {"dense_objects", {with_field("Other", repeated("{}", megabyte)), "servers", 3}},
+        {"dense_arrays", {with_field("Other", repeated("[]", megabyte)), "servers", 3}},
+        {"dense_strings", {with_field("Other", repeated(quoted(""), megabyte)), "servers", 3}},
+        {"dense_numbers", {with_field("Other", repeated("0", megabyte)), "servers", 3}},
+        {"dense_in_batches", {with_field("Other", repeated("{}", megabyte)), "batches", 3}},
         {"nested_metadata", {with_metadata("Other", nested(deep))}},
         {"large_number", {with_field("Other", "1e999")}},
         {"large_slots", {with_field("Slots", "1e999")}},
--- a/tests/odd_entries/odd_entry.hpp
+++ b/tests/odd_entries/odd_entry.hpp
@@ -2,6 +2,7 @@
 #ifndef VANILLAGAUGE_TESTS_ODD_ENTRIES_ODD_ENTRY_HPP
 #define VANILLAGAUGE_TESTS_ODD_ENTRIES_ODD_ENTRY_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,6 +12,7 @@
 
 /// The fields of a sound entry, from which an odd one differs in one place.
 struct sound_entry {
+    std::string name;
     std::string address;
     std::string service;
     std::string other_name;      ///< of another entry in the list
@@ -23,6 +25,7 @@
 struct odd_entry {
     entry_text text;
     std::string place = "servers"; ///< the store's kind of objects
+    std::size_t count = 1;         ///< such entries
 };
 
 /// By name; `none` is sound.
