Start whatever bounds a deployment has

Nor does one where a LeaseMs is under 100 or over 600000, a UsageLateS under 0.1, or a GraceS over 600.

Figures out of range are limited where they are read; negative ones are still refused. An order lease stays within ten minutes, since a stored lease may ask a successor for 20 minutes of waiting at most.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "config/internal/schema_check.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -83,13 +84,13 @@
         "metrics_listen": {"$ref": "#/definitions/optional_address"},
         "relay_listen": {"$ref": "#/definitions/address"},
         "model_order_holder": {"type": "string"},
-        "stop_grace_s": {"type": "number", "minimum": 0, "maximum": 600},
-        "order_lease_ms": {"type": "number", "minimum": 100, "maximum": 600000},
+        "stop_grace_s": {"type": "number", "minimum": 0},
+        "order_lease_ms": {"type": "number", "minimum": 0},
         "advice_time_ms": {"type": "number", "minimum": 100, "maximum": 600000},
-        "cpu_share": {"type": "number", "minimum": 0, "maximum": 1024},
+        "cpu_share": {"type": "number", "minimum": 0},
         "duties_address": {"$ref": "#/definitions/optional_address"},
-        "usage_window_s": {"type": "number", "minimum": 0, "maximum": 86400},
-        "usage_due_s": {"type": "number", "minimum": 0.1, "maximum": 86400},
+        "usage_window_s": {"type": "number", "minimum": 0},
+        "usage_due_s": {"type": "number", "minimum": 0},
         "max_direct_pairs": {"type": "integer", "minimum": 0, "maximum": 1000000}
       }
     }
@@ -116,13 +117,34 @@
     return parsed;
 }
 
-milliseconds read_duration(const json& from, const char* key, milliseconds unit, milliseconds fallback)
+/// A platform fills these settings in with figures of a deployment. One out of range must not keep the
+/// program from starting, so it is limited where it is read.
+struct duration_range {
+    milliseconds shortest{0};
+    milliseconds longest = std::chrono::hours(24) * 366; ///< sums of such durations fit a clock's range
+};
+
+/// A shorter lease would end before its renewal; keeping orders further apart is safe. With a longer one a
+/// successor would have to wait beyond the longest wait that a stored lease may ask for.
+constexpr duration_range order_lease_range{.shortest = milliseconds{100},
+                                           .longest = std::chrono::minutes(10)};
+/// Counts of other gateways must arrive within a third of it.
+constexpr duration_range usage_due_range{.shortest = milliseconds{100}};
+
+/// In cores; more would overflow a count of thousandths.
+constexpr double max_cpu_share = 1024;
+
+milliseconds read_duration(const json& from, const char* key, milliseconds unit, milliseconds fallback,
+                           duration_range range = {})
 {
     const auto found = from.find(key);
     if (found == from.end()) {
         return fallback;
     }
-    return milliseconds{static_cast<std::int64_t>(found->get<double>() * static_cast<double>(unit.count()))};
+    const auto read = found->get<double>() * static_cast<double>(unit.count());
+    const auto shortest = static_cast<double>(range.shortest.count());
+    const auto longest = static_cast<double>(range.longest.count());
+    return milliseconds{static_cast<std::int64_t>(std::clamp(read, shortest, longest))};
 }
 
 gateway_settings parse_gateway(const json& all)
@@ -139,12 +161,14 @@
     read(*found, "relay_listen", parsed.relay_listen);
     read(*found, "model_order_holder", parsed.model_order_holder);
     read(*found, "cpu_share", parsed.cpu_share);
+    parsed.cpu_share = std::min(parsed.cpu_share, max_cpu_share);
     read(*found, "max_direct_pairs", parsed.max_direct_pairs);
     parsed.stop_grace = read_duration(*found, "stop_grace_s", seconds{1}, parsed.stop_grace);
-    parsed.order_lease = read_duration(*found, "order_lease_ms", milliseconds{1}, parsed.order_lease);
+    parsed.order_lease =
+        read_duration(*found, "order_lease_ms", milliseconds{1}, parsed.order_lease, order_lease_range);
     read(*found, "duties_address", parsed.duties_address);
     parsed.usage_window = read_duration(*found, "usage_window_s", seconds{1}, parsed.usage_window);
-    parsed.usage_due = read_duration(*found, "usage_due_s", seconds{1}, parsed.usage_due);
+    parsed.usage_due = read_duration(*found, "usage_due_s", seconds{1}, parsed.usage_due, usage_due_range);
     parsed.advice_time = read_duration(*found, "advice_time_ms", milliseconds{1}, parsed.advice_time);
     return parsed;
 }
