Bound the limit on request headers to what the parser can count

Callers would see: 431 for every request where the operator sets MaxHeaderBytes to 2^32, and a far lower limit than the set one above it.

Cause: the limit was cut to the 32 bits of the parser.

Evidence: header_limit.may_be_as_large_as_its_type_allows (net_tests) failed before with 431 in place of 200 at 2^32 and 2^32 + 1, and passes now, as do all 74 tests of net_tests. The other cast of this kind, in wire's connections, takes a limit that only code sets.

A limit beyond 32 bits counts as the largest number of 32 bits.

--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -11,8 +11,11 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <exception>
+#include <limits>
 #include <new>
 #include <optional>
 #include <string>
@@ -70,6 +73,13 @@
     return request;
 }
 
+/// The parser counts in 32 bits.
+std::uint32_t header_limit_of(const service_limits& limits)
+{
+    constexpr std::size_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::min(limits.header_bytes, most));
+}
+
 int error_status(const error_code& why, bool in_body)
 {
     if (why == http::error::header_limit) {
@@ -119,7 +129,7 @@
 
 task<bool> service_connection::read_request(parser& message, const service_limits& limits)
 {
-    message.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    message.header_limit(header_limit_of(limits));
     message.body_limit(limits.body_bytes);
     stream_.expires_after(limits.header_time);
     error_code failure;
