--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -13,7 +13,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <exception>
+#include <limits>
 #include <new>
 #include <optional>
 #include <string>
@@ -84,6 +86,13 @@
     return std::min(std::max(small_body_bytes, 2 * room), max_bytes);
 }
 
+/// The parser counts in 32 bits.
+std::uint32_t header_limit_of(const service_limits& limits)
+{
+    constexpr std::size_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::min(limits.header_bytes, most));
+}
+
 int error_status(const error_code& why, bool in_body)
 {
     if (why == http::error::header_limit) {
@@ -146,7 +155,7 @@
 task<bool> service_connection::read_request(parser& message, const service_limits& limits,
                                             byte_reservation& room)
 {
-    message.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    message.header_limit(header_limit_of(limits));
     message.body_limit(limits.body_bytes);
     stream_.expires_after(limits.header_time);
     error_code failure;
