Queue each caller by itself

organisations.small_one_is_served_while_a_large_one_floods failed once: 33 of 60 requests of the small organisation were served, the rest refused.

Cause: the queue kept 256 buckets and chose a caller's by a hash with a seed that each process draws. Where two organisations share a bucket, in one process of 256, the small one waits behind all requests of the large one and is refused with them for as long as the process lives. The load beside the run had no part in it.

Now each caller has a queue of its own, found by a 64-bit hash. Memory stays bounded: the callers that wait are at most as many as the 2,048 requests, and of the idle ones, kept for their recent service, the half with the least is forgotten at 512 per class. A new test holds 10,000 names against the bound and checks that the caller with most of the service is still known.

--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -10,6 +10,8 @@
 
 /// About 300 bytes each: a full queue stays under a megabyte.
 constexpr std::size_t max_waiting = 2048;
+/// Callers remembered for their recent service while they have no request here, in each class.
+constexpr std::size_t max_idle_callers = 512;
 /// A request may wait for half of its remaining time; the other half is for its execution.
 constexpr int deadline_share = 2;
 /// Maximum wait whatever the deadline: after this, a retry at another node is served sooner.
@@ -40,9 +42,10 @@
 //   has not been empty for a second, new requests may wait a tenth of a second only (controlled delay,
 //   decided on arrival so that no request is held only to be refused);
 // - classes have strict priority: a gate terminal blocks a driver, members can wait, batches are retried;
-// - within a class, start-time fair queueing over hashed buckets: a caller with a hundred queued requests
-//   gets the same share as one with a single request. Buckets bound the memory for any number of callers;
-//   with 256, two given callers collide in one process out of 256, and not in the next, whose seed differs;
+// - within a class, start-time fair queueing over callers: one with a hundred queued requests gets the same
+//   share as one with a single request. Each caller has a queue to itself: callers that share one would be
+//   refused for each other's requests for as long as the process lives. The callers that wait are as many as
+//   requests at most, and of the idle ones those with the least recent service are forgotten;
 // - within a caller, first in, first out. Last in, first out would hold the older requests until they expire,
 //   and a refusal must come early; refusing on arrival already keeps the queue short.
 result<done> fair_queue::push(work item, time_point now)
@@ -83,8 +86,8 @@
 {
     for (const auto& queue : classes_) {
         if (!queue.active.empty()) {
-            const auto index = queue.active.begin()->second;
-            return &entries_.at(queue.buckets[index].ids.front()).item;
+            const auto caller = queue.active.begin()->second;
+            return &entries_.at(queue.callers.at(caller).ids.front()).item;
         }
     }
     return nullptr;
@@ -95,14 +98,14 @@
     const auto found = std::find_if(classes_.begin(), classes_.end(),
                                     [](const class_queue& queue) { return !queue.active.empty(); });
     auto& queue = *found;
-    const auto [tag, index] = *queue.active.begin();
-    auto& chosen = queue.buckets[index];
+    const auto [tag, caller] = *queue.active.begin();
+    auto& chosen = queue.callers.at(caller);
     work item = remove(chosen.ids.front());
     queue.virtual_time = tag;
     chosen.start_tag = tag + item.cost;
     if (!chosen.ids.empty()) {
-        queue.active.erase({tag, index});
-        queue.active.insert({chosen.start_tag, index});
+        queue.active.erase({tag, caller});
+        queue.active.insert({chosen.start_tag, caller});
     }
     return item;
 }
@@ -125,7 +128,7 @@
 {
     auto& queue = classes_[static_cast<std::size_t>(item.urgency)];
     queue.received.add(item.cost, now);
-    queue.buckets[bucket_of(item)].received.add(item.cost, now);
+    known_caller(queue, key_of(item), now).received.add(item.cost, now);
 }
 
 std::vector<refusal> fair_queue::collect_refused(time_point now)
@@ -162,6 +165,15 @@
     rate_at_ = now;
 }
 
+std::size_t fair_queue::known_callers() const
+{
+    std::size_t known = 0;
+    for (const auto& queue : classes_) {
+        known += queue.callers.size();
+    }
+    return known;
+}
+
 std::optional<time_point> fair_queue::next_expiry() const
 {
     if (expiries_.empty()) {
@@ -176,9 +188,44 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
-std::size_t fair_queue::bucket_of(const work& item) const
+fair_queue::caller_key fair_queue::key_of(const work& item) const
+{
+    return hash64(item.caller, seed_);
+}
+
+fair_queue::caller_queue& fair_queue::known_caller(class_queue& queue, caller_key caller, time_point now)
+{
+    const auto found = queue.callers.find(caller);
+    if (found != queue.callers.end()) {
+        return found->second;
+    }
+    if (queue.callers.size() - queue.active.size() >= max_idle_callers) {
+        forget_idle_callers(queue, now);
+    }
+    return queue.callers[caller];
+}
+
+/// Forgets the half of the idle callers that received the least.
+void fair_queue::forget_idle_callers(class_queue& queue, time_point now)
+{
+    std::vector<double> received;
+    for (const auto& [caller, known] : queue.callers) {
+        if (known.ids.empty()) {
+            received.push_back(known.received.at_time(now));
+        }
+    }
+    const auto middle = received.begin() + static_cast<std::ptrdiff_t>(received.size() / 2);
+    std::nth_element(received.begin(), middle, received.end());
+    const double most = *middle;
+    std::erase_if(queue.callers, [&](const auto& entry) {
+        return entry.second.ids.empty() && entry.second.received.at_time(now) <= most;
+    });
+}
+
+std::size_t fair_queue::waiting_of(const class_queue& queue, caller_key caller)
 {
-    return hash64(item.caller, seed_) % bucket_count;
+    const auto found = queue.callers.find(caller);
+    return found == queue.callers.end() ? 0 : found->second.ids.size();
 }
 
 /// Requests that are served before this one: those of higher classes, and for each caller of its own class as
@@ -191,12 +238,12 @@
         ahead += classes_[index].size;
     }
     const auto& queue = classes_[own];
-    const std::size_t own_waiting = queue.buckets[bucket_of(item)].ids.size();
+    const std::size_t own_waiting = waiting_of(queue, key_of(item));
     return ahead + std::min(queue.size, (own_waiting + 1) * queue.active.size());
 }
 
-/// Evicts the newest request of the longest bucket in the lowest class if that class is lower than the new
-/// request's or that bucket is longer than its own.
+/// Evicts the newest request of the caller with the most waiting in the lowest class, if that class is lower
+/// than the new request's or that caller has more waiting than its own.
 bool fair_queue::evict_for(const work& item, time_point now)
 {
     for (std::size_t lowest = priority_count; lowest-- > 0;) {
@@ -205,16 +252,17 @@
             continue;
         }
         const auto own = static_cast<std::size_t>(item.urgency);
-        const auto longest = std::max_element(
-            queue.buckets.begin(), queue.buckets.end(),
-            [](const bucket& left, const bucket& right) { return left.ids.size() < right.ids.size(); });
+        const auto heaviest = std::max_element(queue.callers.begin(), queue.callers.end(),
+                                               [](const auto& left, const auto& right) {
+                                                   return left.second.ids.size() < right.second.ids.size();
+                                               });
+        const auto& longest = heaviest->second.ids;
         const bool yields =
-            own < lowest ||
-            (own == lowest && longest->ids.size() > queue.buckets[bucket_of(item)].ids.size() + 1);
+            own < lowest || (own == lowest && longest.size() > waiting_of(queue, key_of(item)) + 1);
         if (!yields) {
             return false;
         }
-        const auto id = longest->ids.back();
+        const auto id = longest.back();
         const auto evicted = remove(id);
         refused_.push_back({id, refused("evicted for a request of another caller or class", evicted, now)});
         return true;
@@ -224,10 +272,10 @@
 
 void fair_queue::insert(work item, time_point expires_at, time_point now)
 {
-    const auto bucket_index = bucket_of(item);
+    const auto caller = key_of(item);
     const auto id = item.id;
     auto& queue = classes_[static_cast<std::size_t>(item.urgency)];
-    auto& chosen = queue.buckets[bucket_index];
+    auto& chosen = known_caller(queue, caller, now);
     if (empty()) {
         nonempty_since_ = now;
     }
@@ -236,12 +284,12 @@
         const double all = queue.received.at_time(now);
         const double share = all > 0 ? std::min(1.0, chosen.received.at_time(now) / all) : 0;
         chosen.start_tag = std::max(chosen.start_tag, queue.virtual_time + max_yield * share);
-        queue.active.insert({chosen.start_tag, bucket_index});
+        queue.active.insert({chosen.start_tag, caller});
     }
-    const auto in_bucket = chosen.ids.insert(chosen.ids.end(), id);
+    const auto in_queue = chosen.ids.insert(chosen.ids.end(), id);
     ++queue.size;
     expiries_.insert({expires_at, id});
-    entries_.emplace(id, waiting{std::move(item), expires_at, bucket_index, in_bucket});
+    entries_.emplace(id, waiting{std::move(item), expires_at, caller, in_queue});
 }
 
 work fair_queue::remove(std::uint64_t id)
@@ -249,11 +297,11 @@
     const auto found = entries_.find(id);
     auto& queued = found->second;
     auto& queue = classes_[static_cast<std::size_t>(queued.item.urgency)];
-    auto& chosen = queue.buckets[queued.bucket];
-    chosen.ids.erase(queued.in_bucket);
+    auto& chosen = queue.callers.at(queued.caller);
+    chosen.ids.erase(queued.in_queue);
     --queue.size;
     if (chosen.ids.empty()) {
-        queue.active.erase({chosen.start_tag, queued.bucket});
+        queue.active.erase({chosen.start_tag, queued.caller});
     }
     expiries_.erase({queued.expires_at, id});
     work item = std::move(queued.item);
--- a/src/policy/fair_queue.hpp
+++ b/src/policy/fair_queue.hpp
@@ -28,7 +28,7 @@
 
 class fair_queue {
 public:
-    /// `seed` of the bucket hash; use a different one in each process.
+    /// `seed` of the hash of callers' names; use a different one in each process.
     explicit fair_queue(std::uint64_t seed, wait_policy policy = wait_policy::shed_early)
         : seed_(seed), wait_policy_(policy), random_(seed)
     {
@@ -51,6 +51,8 @@
     const work* front() const;
     std::size_t size() const { return entries_.size(); }
     bool empty() const { return entries_.empty(); }
+    /// Callers that wait or are remembered for their recent service; bounded.
+    std::size_t known_callers() const;
     /// When the next request reaches its maximum wait; none if the queue is empty.
     std::optional<time_point> next_expiry() const;
     /// Requests that would be served before this one.
@@ -59,9 +61,9 @@
     duration expected_wait(const work& item) const;
 
 private:
-    static constexpr std::size_t bucket_count = 256;
-
     using id_position = std::list<std::uint64_t>::iterator;
+    /// Hash of a caller's name: 64 bits, so that no two callers share one.
+    using caller_key = std::uint64_t;
     /// Cost of the requests started recently; it decays.
     struct recent_service {
         double cost = 0;
@@ -70,23 +72,23 @@
         double at_time(time_point now) const;
         void add(double more, time_point now);
     };
-    struct bucket {
+    struct caller_queue {
         std::list<std::uint64_t> ids;
         double start_tag = 0; ///< virtual start time of its next request
         recent_service received{};
     };
     struct class_queue {
-        std::array<bucket, bucket_count> buckets;
-        std::set<std::pair<double, std::size_t>> active; ///< non-empty buckets, by tag
+        std::unordered_map<caller_key, caller_queue> callers; ///< those that wait, and some idle ones
+        std::set<std::pair<double, caller_key>> active;       ///< callers that wait, by tag
         double virtual_time = 0;
         std::size_t size = 0;
-        recent_service received{}; ///< by all buckets
+        recent_service received{}; ///< by all callers
     };
     struct waiting {
         work item;
         time_point expires_at;
-        std::size_t bucket = 0;
-        id_position in_bucket;
+        caller_key caller = 0;
+        id_position in_queue;
     };
 
     std::uint64_t seed_;
@@ -102,7 +104,10 @@
     time_point rate_at_;
     time_point nonempty_since_;
 
-    std::size_t bucket_of(const work& item) const;
+    caller_key key_of(const work& item) const;
+    static caller_queue& known_caller(class_queue& queue, caller_key caller, time_point now);
+    static void forget_idle_callers(class_queue& queue, time_point now);
+    static std::size_t waiting_of(const class_queue& queue, caller_key caller);
     bool evict_for(const work& item, time_point now);
     void insert(work item, time_point expires_at, time_point now);
     duration max_wait_of(const work& item, time_point now) const;
--- a/tests/policy/decision_tests.cpp
+++ b/tests/policy/decision_tests.cpp
@@ -269,6 +269,46 @@
     EXPECT_GE(std::count(order.begin(), order.end(), 'l'), 5) << order;
 }
 
+// Guards against a caller that waits, and is refused, for the requests of another with which it shares a
+// queue.
+TEST(fair_queue, keeps_any_two_callers_apart)
+{
+    for (std::uint64_t seed = 0; seed < 2000; ++seed) {
+        fair_queue queue(seed);
+        work item;
+        item.deadline = start + seconds{2};
+        for (item.id = 1; item.id <= 20; ++item.id) {
+            item.caller = item.id < 20 ? "large" : "small";
+            ASSERT_TRUE(ok(queue.push(item, start)));
+        }
+        const auto first = queue.pop().caller;
+        const auto second = queue.pop().caller;
+        EXPECT_TRUE(first == "small" || second == "small") << "seed " << seed;
+    }
+}
+
+// Guards against memory that grows with the callers' names, and against forgetting who received the most.
+TEST(fair_queue, remembers_few_idle_callers_and_those_with_the_most_service)
+{
+    fair_queue queue(1);
+    work item;
+    item.deadline = start + seconds{2};
+    for (int turn = 0; turn < 10'000; ++turn) {
+        item.caller = turn % 2 == 0 ? "large" : "name-" + std::to_string(turn);
+        queue.on_started(item, start);
+    }
+    EXPECT_LE(queue.known_callers(), 600U);
+    for (item.id = 1; item.id <= 20; ++item.id) {
+        item.caller = item.id % 2 == 1 ? "large" : "small";
+        ASSERT_TRUE(ok(queue.push(item, start)));
+    }
+    std::string order;
+    for (int index = 0; index < 10; ++index) {
+        order += queue.pop().caller[0];
+    }
+    EXPECT_GE(order.find('l'), 3U) << "half of the service yields to some requests of another: " << order;
+}
+
 // Guards against callers that return at the same moment, before more urgent ones, or too late to be served.
 TEST(retry_after, orders_callers_by_urgency_and_spreads_them)
 {
