Wait for the report of a load in its test, and count loads elsewhere

engine_exchange.keeps_items_away_from_an_engine_that_loads failed once: two items refused in place of none.

Trace: the gateways "a" and "b" each get three items. The design allows this: after a change a report goes out "at most every 100 ms", and an engine's refusal stays the guarantee. The test waited for a fixed 100 ms in place of the report.

Now the gauge engines_loading_elsewhere says how many engines load by another gateway's order as far as this one knows, and the test waits for it, and before for the items without a model. Exactly one engine loads, as the other has the version. In place of a look after 200 ms the test waits until every item has started and then allows no refusal in all of that time.

--- a/src/gateway/engines/engine_exchange.cpp
+++ b/src/gateway/engines/engine_exchange.cpp
@@ -128,6 +128,8 @@
         engines_.set_own_uses(runner_.engine_uses());
     }
     engines_.ledger().expire(now);
+    const auto loading = engines_.ledger().engines_loading_elsewhere(now);
+    counts_.set("engines_loading_elsewhere", static_cast<double>(loading));
     const bool active = is_active(now);
     const auto owners = active ? runner_.open_owners() : std::map<std::string, std::set<std::string>>{};
     expect_reports(owners, now);
--- a/src/policy/engine_ledger.cpp
+++ b/src/policy/engine_ledger.cpp
@@ -124,13 +124,25 @@
 {
     return std::any_of(reports_.begin(), reports_.end(), [&](const auto& entry) {
         const auto& held = entry.second;
-        return held.valid(now) &&
-               std::any_of(held.loads.begin(), held.loads.end(), [&](const engine_load& load) {
-                   return load.engine == engine && load.model == model && now - held.received < load.left;
-               });
+        return std::any_of(held.loads.begin(), held.loads.end(), [&](const engine_load& load) {
+            return load.engine == engine && load.model == model && held.in_progress(load, now);
+        });
     });
 }
 
+std::size_t engine_ledger::engines_loading_elsewhere(time_point now) const
+{
+    std::set<std::string> loading;
+    for (const auto& [vm, held] : reports_) {
+        for (const auto& load : held.loads) {
+            if (held.in_progress(load, now)) {
+                loading.insert(load.engine);
+            }
+        }
+    }
+    return loading.size();
+}
+
 // A gateway whose batch has just been accepted needs time for its first report, and this gateway may have
 // just begun to exchange reports with it.
 std::set<std::string> engine_ledger::silent_reporters(time_point now) const
--- a/src/policy/engine_ledger.hpp
+++ b/src/policy/engine_ledger.hpp
@@ -72,6 +72,8 @@
     double events_elsewhere(const std::string& engine, time_point now) const;
     /// Whether the engine is loading weights of the model by the order of another gateway.
     bool is_loading(const std::string& engine, const std::string& model, time_point now) const;
+    /// Engines that load weights by the order of another gateway.
+    std::size_t engines_loading_elsewhere(time_point now) const;
     /// Expected reporters without a valid report that have been expected for `report_validity`.
     std::set<std::string> silent_reporters(time_point now) const;
     /// The slots of an engine that this gateway may use: all, or its fair share while reporters are silent.
@@ -88,6 +90,10 @@
         std::vector<engine_load> loads;
 
         bool valid(time_point now) const { return now - received < report_validity; }
+        bool in_progress(const engine_load& load, time_point now) const
+        {
+            return valid(now) && now - received < load.left;
+        }
     };
     struct observation {
         int elsewhere = 0;
--- a/tests/gateway/engines/engine_exchange_tests.cpp
+++ b/tests/gateway/engines/engine_exchange_tests.cpp
@@ -40,6 +40,8 @@
 }
 
 struct shared_engines : batch_deployment {
+    int submitted = 0; ///< items
+
     void set_engines(int events, milliseconds interval, int max_streams)
     {
         modify_store([&](standins::fake_store&) {
@@ -64,6 +66,18 @@
             return static_cast<int>(engine.started_requests.size());
         });
     }
+    int items_started()
+    {
+        return inspect_store<int>([&](standins::fake_store&) {
+            std::set<std::string> ids;
+            for (const auto* engine : {&one, &two}) {
+                for (const auto& seen : engine->started_requests) {
+                    ids.insert(seen.attempt_id);
+                }
+            }
+            return static_cast<int>(ids.size());
+        });
+    }
     std::string owner_of(const std::string& id)
     {
         return inspect_store<std::string>([&](standins::fake_store& store) {
@@ -76,6 +90,7 @@
         for (int number = 0; number < 10; ++number) {
             auto id = prefix + std::to_string(number);
             EXPECT_EQ(status_of(gateways.front()->address(), batch_of(id, items)), 202);
+            submitted += items;
             if (owner_of(id) == vm) {
                 return id;
             }
@@ -191,33 +206,36 @@
 TEST(engine_exchange, keeps_items_away_from_an_engine_that_loads)
 {
     shared_engines all;
-    all.set_engines(100, milliseconds(20), 0);
+    all.set_engines(1000, milliseconds(20), 0);
     all.modify_store([&](standins::fake_store&) {
-        all.one.load_time = milliseconds(800);
+        all.one.version = 2;
         all.two.load_time = milliseconds(800);
     });
-    all.add_gateway("a");
-    all.add_gateway("b");
+    all.put_replica(all.one, "lm", "ready");
+    auto& first = all.add_gateway("a");
+    auto& second = all.add_gateway("b");
     all.wait_until_met(2);
     for (const std::string owner : {"a", "b"}) { // one of them orders the loads
         all.submit_to_owner("x" + owner, owner, 1);
     }
-    const auto loads_at = [&](const standins::fake_replica& engine) {
-        return all.inspect_store<bool>([&](standins::fake_store&) { return !engine.orders.empty(); });
-    };
+    // An item without a model is not kept away from any load.
+    EXPECT_TRUE(deployment::eventually([&] { return all.items_started() == all.submitted; }));
     all.modify_store([](standins::fake_store& store) {
         store.put("versions", "m", {{"Model", "m"}, {"Version", 2}});
     });
-    EXPECT_TRUE(deployment::eventually([&] { return loads_at(all.one) || loads_at(all.two); }));
-    std::this_thread::sleep_for(milliseconds(100));
+    const auto knows = [](running_gateway& served) {
+        return metric(served, "engines_loading_elsewhere") == 1;
+    };
+    EXPECT_TRUE(deployment::eventually([&] { return knows(first) || knows(second); }));
     for (const std::string owner : {"a", "b"}) {
         auto request = batch_of("m" + owner, 3);
         auto body = json::parse(request.body);
         body["Model"] = "m";
         request.body = body.dump();
-        EXPECT_EQ(all.status_of(all.gateways.front()->address(), request), 202);
+        EXPECT_EQ(all.status_of(first.address(), request), 202);
+        all.submitted += 3;
     }
-    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_TRUE(deployment::eventually([&] { return all.items_started() == all.submitted; }));
     EXPECT_EQ(all.refused(), 0);
 }
 
--- a/tests/policy/engine_ledger_tests.cpp
+++ b/tests/policy/engine_ledger_tests.cpp
@@ -162,6 +162,8 @@
     EXPECT_FALSE(ledger.is_loading("e", "m", start + milliseconds{900}));
     EXPECT_FALSE(ledger.is_loading("e", "other", start));
     EXPECT_FALSE(ledger.is_loading("f", "m", start));
+    EXPECT_EQ(ledger.engines_loading_elsewhere(start + milliseconds{899}), 1U);
+    EXPECT_EQ(ledger.engines_loading_elsewhere(start + milliseconds{900}), 0U);
 }
 
 // Guards against a step that gets half of the slots while the first reports are on their way.
