Read what a peer sends without a bound that its text may pass

Callers would see: a gateway that doesn't reach the store follows nothing any more, configurations and replicas that leave included, since another writer left one entry with a dense field that nobody reads.

A gateway reads an entry of [[], [], ...], or several dense ones apart, and sends them on compact and in one message, which costs more for each byte. The peer discarded the message, with all that stood beside the entry.

Evidence: odd_entries.dense_one_that_is_sent_on_reaches_a_gateway_without_the_store, an entry of 300 KB, fails with the bound in the peer (neither the entry nor the next replica is known within 10 s) and passes now; json_memory.documents_that_were_read_are_read_by_peers alike. odd_entries.* pass (8), json_tests pass (29).

A message of a process of this project is read with a bound that no text reaches: its sender holds the document already, so it is not the text that makes it grow.

--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -192,7 +192,7 @@
 {
     net::http_response response;
     response.body = "{}";
-    auto read = accepted_batch_from_json(parse_json(request.body));
+    auto read = accepted_batch_from_json(parse_peer_json(request.body));
     if (!ok(read)) {
         observe::log(observe::log_level::warning, "accepted_call_refused",
                      {{"why", describe(failure(read))}});
@@ -284,7 +284,7 @@
 net::http_response batch_service::serve_body(const net::http_request& request) const
 {
     net::http_response response;
-    const auto wanted = parse_json(request.body);
+    const auto wanted = parse_peer_json(request.body);
     const auto body = runner_.find_body(string_or_empty(wanted, "batch"), string_or_empty(wanted, "item"));
     response.body = body ? json{{"body", *body}}.dump() : "{}";
     return response;
--- a/src/gateway/batch_service_speculative.cpp
+++ b/src/gateway/batch_service_speculative.cpp
@@ -112,7 +112,7 @@
 net::http_response batch_service::serve_speculative(const net::http_request& request)
 {
     net::http_response response;
-    const auto body = parse_json(request.body);
+    const auto body = parse_peer_json(request.body);
     const auto batch = string_or_empty(body, "id");
     if (member_or_null(body, "header").is_null() && !batch.empty()) {
         response.body = json{{"runs", speculative_until_.contains(batch)}}.dump();
--- a/src/gateway/callers/relay_messages.cpp
+++ b/src/gateway/callers/relay_messages.cpp
@@ -115,7 +115,7 @@
 
 result<relayed_request> relayed_request_from_text(std::string_view text)
 {
-    return decode<relayed_request>(parse_json(text), malformed("cannot decode a relayed request"),
+    return decode<relayed_request>(parse_peer_json(text), malformed("cannot decode a relayed request"),
                                    request_from_json);
 }
 
@@ -137,7 +137,7 @@
 
 result<relayed_answer> relayed_answer_from_text(std::string_view text)
 {
-    return decode<relayed_answer>(parse_json(text), malformed("cannot decode a hub's answer"),
+    return decode<relayed_answer>(parse_peer_json(text), malformed("cannot decode a hub's answer"),
                                   answer_from_json);
 }
 
--- a/src/gateway/engines/engine_exchange.cpp
+++ b/src/gateway/engines/engine_exchange.cpp
@@ -283,7 +283,7 @@
     net::http_response response;
     const auto report = request.body.size() > max_body_bytes
                             ? result<policy::engine_report>(malformed("engine report larger than 64 KB"))
-                            : engine_report_from_json(parse_json(request.body));
+                            : engine_report_from_json(parse_peer_json(request.body));
     const auto applied = apply(report);
     if (!ok(applied) && failure(applied).code == error_code::invalid_argument) {
         observe::log(observe::log_level::warning, "engine_report_refused",
--- a/src/gateway/feed_sync.cpp
+++ b/src/gateway/feed_sync.cpp
@@ -330,7 +330,7 @@
 net::task<net::http_response> feed_sync::serve(const net::http_request& request)
 {
     net::http_response response;
-    const auto read = internal::sync_request_from_json(parse_json(request.body));
+    const auto read = internal::sync_request_from_json(parse_peer_json(request.body));
     if (!ok(read)) {
         observe::log(observe::log_level::warning, "news_call_refused", {{"why", describe(failure(read))}});
         response.status = 400;
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -119,7 +119,7 @@
     }
     pool->release(connection, idle_time);
     const auto& response = std::get<net::http_response>(answer);
-    auto parsed = parse_json(response.body);
+    auto parsed = parse_peer_json(response.body);
     if (response.status != 200 || parsed.is_discarded()) {
         co_return unavailable(run_state::in_doubt,
                               "the peer answered with status " + std::to_string(response.status));
@@ -130,7 +130,7 @@
 net::task<net::http_response> peer_relay::serve(const net::http_request& request)
 {
     net::http_response response;
-    auto wanted = store_call_from_json(parse_json(request.body));
+    auto wanted = store_call_from_json(parse_peer_json(request.body));
     if (!ok(wanted)) {
         observe::log(observe::log_level::warning, "relay_call_refused", {{"why", describe(failure(wanted))}});
         response.status = 400;
--- a/src/gateway/result_reader.cpp
+++ b/src/gateway/result_reader.cpp
@@ -176,7 +176,7 @@
 net::task<net::http_response> result_reader::serve(const net::http_request& request)
 {
     net::http_response response;
-    const auto wanted = owner_read_from_json(parse_json(request.body));
+    const auto wanted = owner_read_from_json(parse_peer_json(request.body));
     if (!ok(wanted)) {
         observe::log(observe::log_level::warning, "results_call_refused",
                      {{"why", describe(failure(wanted))}});
--- a/src/gateway/usage_exchange.cpp
+++ b/src/gateway/usage_exchange.cpp
@@ -123,7 +123,7 @@
 {
     net::http_response response;
     response.body = "{}";
-    const auto message = internal::counts_message_from_json(parse_json(request.body));
+    const auto message = internal::counts_message_from_json(parse_peer_json(request.body));
     if (!ok(message)) {
         observe::log(observe::log_level::warning, "usage_counts_refused",
                      {{"why", describe(failure(message))}});
@@ -140,7 +140,7 @@
 net::http_response usage_exchange::serve_window(const net::http_request& request) const
 {
     net::http_response response;
-    const auto wanted = integer_or(parse_json(request.body), "window", -1);
+    const auto wanted = integer_or(parse_peer_json(request.body), "window", -1);
     if (wanted < 0) {
         response.status = 400;
         response.body = "expected the number of a window";
--- a/src/json/parse.cpp
+++ b/src/json/parse.cpp
@@ -3,6 +3,7 @@
 #include "json/internal/bounded_builder.hpp"
 #include "json/internal/text_repair.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace vanillagauge {
@@ -33,6 +34,16 @@
     return parse_within(text, max_depth, max_json_memory(text.size()), wanted).document;
 }
 
+// A list that one process reads in parts, or with white space, costs more for each byte once it is sent on
+// whole and compact. A peer that refused it would refuse all else in that message with it. No text takes as
+// much as the bound, so it only stops a miscount.
+json parse_peer_json(std::string_view text)
+{
+    constexpr std::size_t most_memory_per_byte = 64;
+    return parse_within(text, max_json_depth, std::max(min_json_memory, text.size() * most_memory_per_byte))
+        .document;
+}
+
 // Further passes only where the first fails: usable documents cost no more than they did. Dense parts are
 // kept in a document that stays within its memory.
 repaired_json parse_repaired_json(std::string_view text, std::size_t max_depth)
--- a/src/json/parse.hpp
+++ b/src/json/parse.hpp
@@ -34,11 +34,14 @@
 };
 
 /// The document; `is_discarded()` if the text is not JSON, nests deeper, has a number beyond a double's range
-/// or takes more than `max_json_memory`. Of an object, only the
-/// wanted members are built; none: all.
+/// or takes more than `max_json_memory`. Of an object, only the wanted members are built; none: all.
 nlohmann::json parse_json(std::string_view text, std::size_t max_depth = max_json_depth,
                           const std::vector<json_member>& wanted = {});
 
+/// A document of another process of this project, which holds it already: `parse_json` without its bound on
+/// memory, which depends on white space and on what else stands in a message.
+nlohmann::json parse_peer_json(std::string_view text);
+
 /// A document of which unusable parts were replaced by null.
 struct repaired_json {
     nlohmann::json document;
--- a/tests/gateway/odd_entries_tests.cpp
+++ b/tests/gateway/odd_entries_tests.cpp
@@ -93,6 +93,16 @@
     }
 };
 
+/// An array that takes too much memory for its text only without its white space.
+std::string spaced_array(std::size_t bytes)
+{
+    std::string text = "[[]";
+    while (text.size() < bytes) {
+        text += ", []";
+    }
+    return text + "]";
+}
+
 std::vector<std::string> unusable_specifications(const json& registration)
 {
     return {with_field(registration, "Address", nested(200000)),
@@ -132,6 +142,23 @@
         [&] { return all.all_count("store_entries_unreadable_total", static_cast<double>(odd.size())); }));
 }
 
+// Guards against an entry that one gateway reads and its peers refuse, with all else that it sends them.
+TEST(odd_entries, dense_one_that_is_sent_on_reaches_a_gateway_without_the_store)
+{
+    gateways_with_odd_entries all;
+    all.add_gateways();
+    auto& cut_off = all.add_gateway_at_second("e");
+    EXPECT_TRUE(deployment::eventually([&] { return replicas_known(cut_off) == 2; }));
+    all.modify_store([](standins::fake_store& store) { store.faults.second_silent = true; });
+    constexpr std::size_t dense_bytes = 300'000;
+    all.put_text("dense",
+                 with_field(all.sound.entry("plain", "", "ready"), "Extra", spaced_array(dense_bytes)));
+    EXPECT_TRUE(deployment::eventually([&] { return replicas_known(cut_off) == 3; }));
+    all.add_replica("r3", "plain");
+    EXPECT_TRUE(deployment::eventually([&] { return replicas_known(cut_off) == 4; }));
+    EXPECT_TRUE(all.none_counts("store_entries_unreadable_total"));
+}
+
 // Guards against a sound replica that isn't used, since its entry has an odd field that no one reads.
 TEST(odd_entries, unknown_odd_field_costs_nothing)
 {
--- a/tests/json/memory_tests.cpp
+++ b/tests/json/memory_tests.cpp
@@ -110,6 +110,15 @@
     }
 }
 
+// Guards against a peer that refuses what another process has read with white space.
+TEST(json_memory, documents_that_were_read_are_read_by_peers)
+{
+    const auto document = parse_json(repeated("[] ", megabyte));
+    ASSERT_FALSE(document.is_discarded());
+    EXPECT_TRUE(parse_json(document.dump()).is_discarded());
+    EXPECT_EQ(parse_peer_json(document.dump()), document);
+}
+
 // Guards against a dense part of one entry that makes a whole list unreadable.
 TEST(json_memory, dense_part_costs_only_itself)
 {
