Count what the storage of an array's elements takes beside them

Cause: an array that has elements takes 8 bytes more than was counted, the header and rounding of its storage.

They are counted with the first element.

--- a/src/json/internal/bounded_builder.cpp
+++ b/src/json/internal/bounded_builder.cpp
@@ -124,7 +124,7 @@
     }
     auto& parent = *open_.back().built;
     if (parent.is_array()) {
-        memory_ += element_cost;
+        memory_ += element_cost + (parent.empty() ? first_element_cost : 0);
         parent.push_back(std::move(value));
         return parent.back();
     }
--- a/src/json/internal/memory_cost.hpp
+++ b/src/json/internal/memory_cost.hpp
@@ -16,6 +16,9 @@
 
 /// Bytes of an element in its array.
 inline constexpr std::size_t element_cost = sizeof(nlohmann::json);
+/// Bytes that the elements' storage takes beside them, beyond the overhead that an empty array is counted
+/// with.
+inline constexpr std::size_t first_element_cost = 8;
 /// Bytes of a member in its object, without the characters of a long key.
 inline constexpr std::size_t member_cost =
     sizeof(nlohmann::json::object_t::value_type) + node_header + allocation_overhead;
--- a/src/json/internal/text_repair.cpp
+++ b/src/json/internal/text_repair.cpp
@@ -167,7 +167,11 @@
     }
     auto& around = levels_.back();
     around.memory += bytes;
-    around.memory += around.is_object ? member_cost + characters_cost(around.key.size()) : element_cost;
+    if (around.is_object) {
+        around.memory += member_cost + characters_cost(around.key.size());
+        return;
+    }
+    around.memory += element_cost + (around.index == 0 ? first_element_cost : 0);
 }
 
 void text_repair::next_element()
