Play clients that do not behave against a real gateway

Users lost a process to clients that send trailers without end. Each kind of client is an entry of its own: real gateway, small crowd at one of its listening addresses, 64 MB and 300 (or 1,200) descriptors in the test's own settings and limits. Checked are the process's life, its peak of memory and descriptors, and one ordinary request beside the crowd and one afterwards, by a client that comes again; no times and no shares.

--- /dev/null
+++ b/tests/client_crowds/crowd_kinds.cpp
@@ -0,0 +1,107 @@
+#include "crowd_kinds.hpp"
+
+namespace vanillagauge::client_crowds {
+namespace {
+
+constexpr std::size_t kilobyte = 1024;
+constexpr std::size_t few = 8;
+constexpr std::size_t more_than_descriptors = 400;
+
+/// The limits for a crowd that is to take memory rather than descriptors.
+constexpr process_bounds many_descriptors{.descriptors = 1200};
+
+std::string text_of(std::size_t bytes)
+{
+    return std::string(bytes, 'x');
+}
+
+std::string open_head(std::size_t number, const std::string& target)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: c" + std::to_string(number) +
+           "\r\nDeadline-Ms: 20000\r\n";
+}
+
+/// A request up to and with this text behind its head.
+auto request_with(const std::string& fields, const std::string& body,
+                  const std::string& target = "/first/run")
+{
+    return [=](std::size_t number) { return open_head(number, target) + fields + "\r\n" + body; };
+}
+
+std::string repeated(const std::string& text, std::size_t bytes)
+{
+    std::string all;
+    while (all.size() < bytes) {
+        all += text;
+    }
+    return all;
+}
+
+const std::string chunked = "Transfer-Encoding: chunked\r\n";
+
+std::map<std::string, crowd_kind> make_kinds()
+{
+    constexpr std::size_t sent_mb = 24;
+    constexpr std::size_t piece_bytes = 64 * kilobyte;
+    const auto endless = [](std::function<std::string(std::size_t)> opening, std::string piece) {
+        return crowd_kind{.clients = few,
+                          .opening = std::move(opening),
+                          .piece = std::move(piece),
+                          .piece_bytes_in_all = sent_mb * megabyte};
+    };
+    std::map<std::string, crowd_kind> kinds;
+    kinds["trailer_fields"] = endless(request_with(chunked, "1\r\nx\r\n0\r\n"),
+                                      repeated("X-Trailer: " + text_of(kilobyte) + "\r\n", piece_bytes));
+    kinds["trailer_line"] =
+        endless(request_with(chunked, "1\r\nx\r\n0\r\nX-Trailer: "), text_of(piece_bytes));
+    kinds["chunk_extension"] = endless(request_with(chunked, "1;x="), text_of(piece_bytes));
+    kinds["small_chunks"] = endless(request_with(chunked, ""),
+                                    repeated("1;x=" + text_of(4 * kilobyte) + "\r\nx\r\n", piece_bytes));
+    kinds["request_line"] = endless([](std::size_t) { return "POST /"; }, text_of(piece_bytes));
+    kinds["header_line"] =
+        endless([](std::size_t number) { return open_head(number, "/first/run") + "X-Long: "; },
+                text_of(piece_bytes));
+    kinds["pipelined"] = endless([](std::size_t) { return std::string{}; },
+                                 repeated(open_head(0, "/first/run") + "\r\n", piece_bytes));
+    kinds["heads_stopped"] = {.clients = 1000, .bounds = many_descriptors, .opening = [](std::size_t number) {
+                                  return open_head(number, "/first/run") +
+                                         "X-Long: " + text_of(60 * kilobyte);
+                              }};
+    kinds["heads_waiting"] = {
+        .clients = 1000,
+        .bounds = many_descriptors,
+        .opening = request_with("X-Long: " + text_of(60 * kilobyte) + "\r\n", "", "/first/wait")};
+    kinds["heads_then_idle"] = {.clients = 1000,
+                                .bounds = many_descriptors,
+                                .opening = request_with("X-Long: " + text_of(60 * kilobyte) + "\r\n", "")};
+    kinds["bodies_stopped"] = {.clients = 60,
+                               .opening = request_with("Content-Length: 4000000\r\n", text_of(3'900'000))};
+    kinds["small_bodies_stopped"] = {.clients = more_than_descriptors,
+                                     .opening =
+                                         request_with("Content-Length: 61440\r\n", text_of(59 * kilobyte))};
+    kinds["chunks_stopped"] = {.clients = more_than_descriptors,
+                               .opening = request_with(chunked, "5\r\nhello\r\n")};
+    kinds["silent"] = {.clients = more_than_descriptors, .opening = [](std::size_t) { return ""; }};
+    kinds["expect_continue"] = {.clients = more_than_descriptors,
+                                .opening =
+                                    request_with("Content-Length: 1000\r\nExpect: 100-continue\r\n", "")};
+    kinds["kept_idle"] = {.clients = more_than_descriptors, .opening = request_with("", "")};
+    kinds["waiting"] = {.clients = more_than_descriptors, .opening = request_with("", "", "/first/wait")};
+    kinds["cancelled"] = {
+        .clients = more_than_descriptors, .opening = request_with("", "", "/first/wait"), .closes = true};
+    kinds["answers_unread"] = {
+        .clients = 150, .bounds = many_descriptors, .opening = request_with("", "", "/first/large")};
+    kinds["streams_unread"] = {
+        .clients = 150, .bounds = many_descriptors, .opening = request_with("", "", "/stream/large")};
+    return kinds;
+}
+
+} // namespace
+
+const std::map<std::string, crowd_kind>& all_kinds()
+{
+    static const auto kinds = make_kinds();
+    return kinds;
+}
+
+} // namespace vanillagauge::client_crowds
--- a/tests/odd_entries/gateways.cpp
+++ b/tests/odd_entries/gateways.cpp
@@ -90,10 +90,10 @@
     static reserved_ports ports;
     for (std::size_t number = 0; number < fronts; ++number) {
         places_.push_back({"front-" + std::to_string(number), ports.take(), ports.take(), ports.take(),
-                           ports.take(), ports.take()});
+                           ports.take(), ports.take(), ports.take()});
     }
     for (std::size_t number = 0; number < storages; ++number) {
-        places_.push_back({"storage-" + std::to_string(number), {}, {}, {}, ports.take(), ports.take()});
+        places_.push_back({"storage-" + std::to_string(number), {}, {}, {}, {}, ports.take(), ports.take()});
     }
     for (auto& place : places_) {
         write_settings(place, store);
@@ -138,7 +138,7 @@
     settings["gateway"] = {{"relay_listen", place.relay},
                            {"front_listen", place.front},
                            {"ready_listen", place.ready},
-                           {"metrics_listen", ""},
+                           {"metrics_listen", place.metrics},
                            {"directory_listen", place.directory},
                            {"model_order_holder", place.vm},
                            {"stop_grace_s", 8},
--- a/tests/odd_entries/gateways.hpp
+++ b/tests/odd_entries/gateways.hpp
@@ -18,6 +18,7 @@
     std::string front; ///< empty: a machine that serves no callers
     std::string ready;
     std::string directory;
+    std::string metrics;
     std::string peer;
     std::string relay;
     pid_t process = -1;      ///< negative while it does not run
