Bound trailers and chunk extensions by the limit on headers

Callers saw a process end: clients sent trailers without end behind a chunked body, and it ran out of memory.

Cause: Beast's parser takes in a chunk's header, and all trailers, only as a whole, and its limit on headers counts the head alone; the connection's buffer had no largest size.

Change: a connection's buffer holds at most a head of the limit and one read; what does not fit gets 431. The extensions of all chunks of one body count together, so that many short ones are bounded too.

It is enough because every byte that a client sends is now in the buffer, in a head or in a body, and each of these has a largest size.

--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -16,6 +16,7 @@
 
 /// Limits of one connection.
 struct service_limits {
+    /// Of a head, of the extensions of all chunks of a body, and of its trailers.
     std::size_t header_bytes = 16U << 10U;
     std::size_t body_bytes = 32U << 20U;
     milliseconds header_time{10000}; ///< from the first byte of a request to the end of its headers
--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -37,6 +37,9 @@
 /// The most that one read adds to a body.
 constexpr std::size_t read_bytes = 64U << 10U;
 
+/// The first read of a request, which holds most heads as a whole.
+constexpr std::size_t first_read_bytes = 4096;
+
 /// Bounds what the system holds for a reader that stalls; unbounded, it grows to some megabytes a connection.
 /// The system doubles the value for its own overhead.
 constexpr int send_buffer_bytes = 128 << 10;
@@ -93,9 +96,15 @@
     return static_cast<std::uint32_t>(std::min(limits.header_bytes, most));
 }
 
+/// The most that is buffered. The parser takes in a head, a chunk's header and the trailers only as a whole.
+std::size_t buffer_limit_of(const service_limits& limits)
+{
+    return std::size_t{header_limit_of(limits)} + first_read_bytes;
+}
+
 int error_status(const error_code& why, bool in_body)
 {
-    if (why == http::error::header_limit) {
+    if (why == http::error::header_limit || why == http::error::buffer_overflow) {
         return 431;
     }
     if (why == http::error::body_limit) {
@@ -121,7 +130,7 @@
     stream_.expires_after(limits.idle_time);
     error_code failure;
     stage_ = stage::idle;
-    const auto size = co_await stream_.async_read_some(buffer_.prepare(4096),
+    const auto size = co_await stream_.async_read_some(buffer_.prepare(first_read_bytes),
                                                        asio::redirect_error(asio::use_awaitable, failure));
     stage_ = stage::reading;
     closed_idle_ = closed_idle_ && size == 0;
@@ -157,6 +166,7 @@
 {
     message.header_limit(header_limit_of(limits));
     message.body_limit(limits.body_bytes);
+    buffer_.max_size(std::max(buffer_.size(), buffer_limit_of(limits)));
     stream_.expires_after(limits.header_time);
     error_code failure;
     co_await http::async_read_header(stream_, buffer_, message,
@@ -182,6 +192,14 @@
                                          byte_reservation& room)
 {
     stream_.expires_after(limits.body_time);
+    std::size_t extension_bytes = 0;
+    auto count_extensions = [&](std::uint64_t, beast::string_view extensions, error_code& refused) {
+        extension_bytes += extensions.size();
+        if (extension_bytes > limits.header_bytes) {
+            refused = http::error::header_limit;
+        }
+    };
+    message.on_chunk_header(count_extensions);
     error_code failure;
     while (message.chunked() && !message.is_done() && !failure) {
         auto& body = message.get().body();
--- a/src/wire/internal/http_connection.cpp
+++ b/src/wire/internal/http_connection.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::size_t max_timeout_digits = 9;
 
+/// The most that one read adds to what has not been parsed yet.
+constexpr std::size_t read_block = 64U << 10U;
+
 std::string to_text(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -52,7 +55,8 @@
 
 http_connection::http_connection(socket peer, const server_context& context)
     : live_(context.live), socket_(std::move(peer)), read_timer_(socket_.get_executor()),
-      write_timer_(socket_.get_executor()), context_(context)
+      write_timer_(socket_.get_executor()), context_(context),
+      buffer_(context.limits.header_bytes + read_block)
 {
 }
 
@@ -242,6 +246,11 @@
         reject_request(body_too_large(context_.limits), 0);
         return;
     }
+    if (failed == http::error::buffer_overflow) {
+        reject_request(not_run_error(code::too_large, "expected shorter trailers and chunk extensions"),
+                       number(status::request_header_fields_too_large));
+        return;
+    }
     if (failed) {
         reject_request(
             not_run_error(code::incomplete, "expected the complete body, found: " + failed.message()),
--- a/tests/wire/input_limits_tests.cpp
+++ b/tests/wire/input_limits_tests.cpp
@@ -230,6 +230,23 @@
     expect_error(exchange(head("X-Long: " + std::string(100000, 'a') + "\r\n")), 431, "too_large");
 }
 
+// Guards against trailers, and extensions of a chunk, that the process keeps without end.
+TEST_F(input_limits, trailers_over_the_limit_are_refused)
+{
+    std::string bytes = head(json_type + "Transfer-Encoding: chunked\r\n") + "2\r\n{}\r\n0\r\n";
+    for (int index = 0; index < 2000; ++index) {
+        bytes += "X-Trailer: " + std::string(100, 'a') + "\r\n";
+    }
+    expect_error(exchange(bytes), 431, "too_large");
+}
+
+TEST_F(input_limits, chunk_extension_over_the_limit_is_refused)
+{
+    expect_error(
+        exchange(head(json_type + "Transfer-Encoding: chunked\r\n") + "2;x=" + std::string(200000, 'a')), 431,
+        "too_large");
+}
+
 TEST_F(input_limits, incomplete_headers_time_out)
 {
     expect_error(exchange("POST " + call_path + " HTTP/1.1\r\nHost: a\r\n"), 408, "deadline_exceeded");
