Keep one account of connections and of what they hold

Callers found no way into a front that silent clients had filled: 2,500 connections took all 600 descriptors, those for replicas, the store and peers too. Stopped heads and bodies added up to more memory than a small machine has.

Cause: a service took connections until accept failed, only the bodies of callers' requests were in a budget, and each address had limits of its own or none.

Change: one net::connection_account for all addresses of a gateway, whose limits follow from its descriptors (new setting gateway.file_descriptors, the system's limit where lower) and its memory. A new connection closes the one that has waited longest for its client, at the address that has most; memory is taken from connections that moved no byte for two seconds. Heads have a budget, at every address; peers' bodies are in the callers' one; ready, directory and metrics take bodies of 16 KB. A refused upload is read on for a bounded number of bytes, and keeps no head meanwhile.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -89,6 +89,7 @@
         "advice_time_ms": {"type": "number", "minimum": 100, "maximum": 600000},
         "cpu_share": {"type": "number", "minimum": 0},
         "memory_mb": {"type": "number", "minimum": 0},
+        "file_descriptors": {"type": "number", "minimum": 0},
         "duties_address": {"$ref": "#/definitions/optional_address"},
         "usage_window_s": {"type": "number", "minimum": 0},
         "usage_due_s": {"type": "number", "minimum": 0},
@@ -136,6 +137,7 @@
 
 /// In cores; more would overflow a count of thousandths.
 constexpr double max_cpu_share = 1024;
+constexpr double max_file_descriptors = 1U << 24U;
 /// More would overflow a count of bytes.
 constexpr double max_memory_mb = 1U << 24U;
 
@@ -169,6 +171,8 @@
     parsed.cpu_share = std::min(parsed.cpu_share, max_cpu_share);
     parsed.memory_bytes =
         static_cast<std::size_t>(std::min(found->value("memory_mb", 0.0), max_memory_mb) * bytes_per_mb);
+    parsed.file_descriptors =
+        static_cast<std::size_t>(std::min(found->value("file_descriptors", 0.0), max_file_descriptors));
     read(*found, "max_direct_pairs", parsed.max_direct_pairs);
     parsed.stop_grace = read_duration(*found, "stop_grace_s", seconds{1}, parsed.stop_grace);
     parsed.order_lease =
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -31,20 +31,21 @@
 
 /// Listen addresses of vg-gateway, and time limits set by the operator.
 struct gateway_settings {
-    std::string front_listen;       ///< for callers; empty: this VM serves none
-    std::string ready_listen;       ///< for the platform's readiness checks; empty: none
-    std::string directory_listen;   ///< for callers that look up addresses; empty: none
-    std::string relay_listen;       ///< for other gateways; empty: vg-gateway cannot run here
-    std::string metrics_listen;     ///< for metrics; empty: none
-    std::string model_order_holder; ///< holder name for orders to load weights; empty: the VM's name
-    milliseconds stop_grace{8000};  ///< from SIGTERM to SIGKILL
-    milliseconds order_lease{3000}; ///< minimum time between orders of two holders
-    milliseconds advice_time{2000}; ///< how long callers may cache an address
-    double cpu_share = 0;           ///< processor of this VM in cores; 0: unknown
-    std::size_t memory_bytes = 0;   ///< at which the process is killed; 0: unknown
-    std::string duties_address;     ///< of the platform's calls for one gateway at a time; empty: none
-    milliseconds usage_window{0};   ///< usage is reported by windows of this length; 0: not at all
-    milliseconds usage_due{10000};  ///< from a window's end until its report is due
+    std::string front_listen;         ///< for callers; empty: this VM serves none
+    std::string ready_listen;         ///< for the platform's readiness checks; empty: none
+    std::string directory_listen;     ///< for callers that look up addresses; empty: none
+    std::string relay_listen;         ///< for other gateways; empty: vg-gateway cannot run here
+    std::string metrics_listen;       ///< for metrics; empty: none
+    std::string model_order_holder;   ///< holder name for orders to load weights; empty: the VM's name
+    milliseconds stop_grace{8000};    ///< from SIGTERM to SIGKILL
+    milliseconds order_lease{3000};   ///< minimum time between orders of two holders
+    milliseconds advice_time{2000};   ///< how long callers may cache an address
+    double cpu_share = 0;             ///< processor of this VM in cores; 0: unknown
+    std::size_t memory_bytes = 0;     ///< at which the process is killed; 0: unknown
+    std::size_t file_descriptors = 0; ///< open at once; 0: what the system allows the process
+    std::string duties_address;       ///< of the platform's calls for one gateway at a time; empty: none
+    milliseconds usage_window{0};     ///< usage is reported by windows of this length; 0: not at all
+    milliseconds usage_due{10000};    ///< from a window's end until its report is due
     /// Plain requests of a service with more pairs of gateway and replica are relayed through hubs.
     std::size_t max_direct_pairs = 64;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/listening.hpp"
 #include "gateway/callers/request_relay.hpp"
+#include "gateway/connection_limits.hpp"
 #include "gateway/engines/engine_exchange.hpp"
 #include "gateway/untrusted_json.hpp"
 #include "net/http_service.hpp"
@@ -66,6 +67,8 @@
     config::settings settings;
     store_schema schema;
     observe::metrics counts;
+    connection_reporter connection_reports{counts};
+    std::shared_ptr<net::connection_account> connections;
     fleet_view fleet;
     peer_relay relay;
     member_registry members;
@@ -117,6 +120,7 @@
 gateway::state::state(wire::event_loop& events, const config::settings& chosen, object_store& store,
                       duty_platform& platform, const target_protocol& protocol, store_schema known)
     : event_loop(events), loop(events.context()), settings(chosen), schema(std::move(known)),
+      connections(std::make_shared<net::connection_account>(connection_limits(chosen.gateway))),
       fleet(events, settings), relay(loop, store, fleet), members(loop, relay, fleet), targets(loop),
       engines(fleet.self()), forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
       hubs(
@@ -151,8 +155,12 @@
           [this](const net::http_request& request, net::responder& answer) {
               return serve_peer(request, answer);
           },
-          [this](const net::http_request& request, std::string_view why) { report_escape({}, request, why); })
+          [this](const net::http_request& request, std::string_view why) { report_escape({}, request, why); },
+          {}, connections)
 {
+    connections->set_observer([this](net::account_event event) {
+        connection_reports.on_event(event, connections->connections(), steady::now());
+    });
     targets.set_refresher([this](time_point until) { return feeds.refresh(schema.replicas, until); });
     forwarding.set_relay(&hubs);
     forwarding.set_run_recorder([this](const std::string& organisation, usage::wall_time began) {
@@ -450,6 +458,7 @@
     if (std::exchange(known.platform, changed.platform) != changed.platform) {
         state_->feeds.restart_watches();
     }
+    state_->connections->set_limits(connection_limits(changed.gateway));
     known.gateway.advice_time = changed.gateway.advice_time;
     known.gateway.stop_grace = changed.gateway.stop_grace;
     observe::log(observe::log_level::info, "reloaded",
@@ -504,6 +513,11 @@
     return state_->ready();
 }
 
+const std::shared_ptr<net::connection_account>& gateway::connections() const
+{
+    return state_->connections;
+}
+
 std::size_t gateway::batches_running() const
 {
     return state_->runner.running();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -81,6 +81,8 @@
     milliseconds configuration_age() const;
     bool ready() const;
     std::size_t batches_running() const;
+    /// Of all connections that this process has accepted.
+    const std::shared_ptr<net::connection_account>& connections() const;
     /// Gateways that accept callers; empty if none does.
     gateway_addresses addresses() const;
     /// Where this gateway serves its peers.
--- a/src/net/byte_budget.cpp
+++ b/src/net/byte_budget.cpp
@@ -25,10 +25,15 @@
     return body_bytes <= small_body_bytes ? total_ : total_ - total_ / small_share_divisor;
 }
 
-bool byte_budget::take(std::size_t bytes, std::size_t body_bytes)
+bool byte_budget::has_room(std::size_t bytes, std::size_t body_bytes) const
 {
     const auto limit = limit_for(body_bytes);
-    if (held_ > limit || bytes > limit - held_) {
+    return held_ <= limit && bytes <= limit - held_;
+}
+
+bool byte_budget::take(std::size_t bytes, std::size_t body_bytes)
+{
+    if (!has_room(bytes, body_bytes)) {
         return false;
     }
     held_ += bytes;
@@ -73,6 +78,9 @@
     if (budget_ && !budget_->take(bytes - bytes_, bytes)) {
         return false;
     }
+    if (bytes_ == 0) {
+        since_ = steady::now();
+    }
     bytes_ = bytes;
     return true;
 }
--- a/src/net/byte_budget.hpp
+++ b/src/net/byte_budget.hpp
@@ -1,4 +1,4 @@
-/// How much memory the bodies of requests may take in one process.
+/// How much memory the messages of clients may take in one process.
 #ifndef VANILLAGAUGE_NET_BYTE_BUDGET_HPP
 #define VANILLAGAUGE_NET_BYTE_BUDGET_HPP
 
@@ -22,6 +22,8 @@
 
     /// Holds so many bytes more of a body that then has `body_bytes`; false, and nothing held, without room.
     bool take(std::size_t bytes, std::size_t body_bytes);
+    /// Whether `take` would succeed.
+    bool has_room(std::size_t bytes, std::size_t body_bytes) const;
     /// `held` is how long a body of so many bytes took room.
     void give_back(std::size_t bytes, duration held);
     /// When room for a body of so many bytes is expected, by how long the last large bodies took theirs.
@@ -52,11 +54,13 @@
     bool grow_to(std::size_t bytes);
     void release();
     std::size_t bytes() const { return bytes_; }
+    /// Null: everything has room.
+    byte_budget* budget() const { return budget_.get(); }
 
 private:
     std::shared_ptr<byte_budget> budget_;
     std::size_t bytes_ = 0;
-    time_point since_ = steady::now();
+    time_point since_{}; ///< when it took its first bytes
 };
 
 } // namespace vanillagauge::net
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -71,6 +71,11 @@
     return connection_.client_disconnected();
 }
 
+bool responder::take_room(std::size_t bytes)
+{
+    return connection_.take_answer_room(bytes);
+}
+
 std::uint64_t responder::connection_number() const
 {
     return connection_.number();
@@ -82,9 +87,10 @@
 }
 
 http_service::http_service(loop& context, std::function<service_limits()> limits, http_handler handler,
-                           escape_observer on_escape, body_admission bodies)
+                           escape_observer on_escape, body_admission bodies,
+                           std::shared_ptr<connection_account> account)
     : state_(std::make_shared<state>(context, std::move(limits), std::move(handler), std::move(on_escape),
-                                     std::move(bodies)))
+                                     std::move(bodies), std::move(account)))
 {
 }
 
@@ -144,8 +150,12 @@
     return state_->in_flight;
 }
 
+// A connection that is closed unread tells its client that no request of it has run.
 void http_service::state::start_connection(asio::ip::tcp::socket socket)
 {
+    if (account && !account->admit(this)) {
+        return;
+    }
     const auto connection = std::make_shared<service_connection>(std::move(socket), shared_from_this());
     start(context, service_connection::serve(connection));
 }
@@ -161,6 +171,9 @@
         }
         else if (owner->acceptor.is_open()) {
             // Usually out of file descriptors; the delay keeps the loop from spinning until one is free.
+            if (owner->account) {
+                owner->account->free_descriptor();
+            }
             co_await sleep_for(owner->context, milliseconds(50));
         }
     }
--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -3,6 +3,7 @@
 #define VANILLAGAUGE_NET_HTTP_SERVICE_HPP
 
 #include "net/byte_budget.hpp"
+#include "net/connection_account.hpp"
 #include "net/http_message.hpp"
 #include "net/task.hpp"
 
@@ -47,6 +48,9 @@
     void on_client_disconnect(std::function<void()> callback);
     bool answered() const { return answered_; }
     bool begun() const { return begun_; }
+    /// Takes room for so many bytes of the response in all; false if there is none. A response that takes
+    /// none is counted once it is sent.
+    bool take_room(std::size_t bytes);
     /// Numbers the service's connections from 1 in the order in which they were accepted.
     std::uint64_t connection_number() const;
 
@@ -68,17 +72,19 @@
     /// The refusal of a request, which has no body, and when room for so many bytes is expected.
     using refusal = std::function<http_response(const http_request&, std::size_t bytes, duration wait)>;
 
-    std::shared_ptr<byte_budget> budget{}; ///< null: there is room for all
-    refusal refuse{};                      ///< set where there is a budget
+    std::shared_ptr<byte_budget> budget{}; ///< null: the account's, or room for all without one
+    refusal refuse{};                      ///< null: 503 without a time
 };
 
-/// Runs on one loop; the handler runs as one task per request. An exception that escapes the handler ends its
-/// request with 500, or by a reset once the response has begun; std::bad_alloc ends the process.
+/// Runs on one loop; the handler runs as one task per request. `account` bounds the connections and the
+/// memory of all services that share it. An exception that escapes the handler ends its request with 500, or
+/// by a reset once the response has begun; std::bad_alloc ends the process.
 class http_service {
 public:
     /// `limits` is called for each request, so that the limits may change.
     http_service(loop& context, std::function<service_limits()> limits, http_handler handler,
-                 escape_observer on_escape = nullptr, body_admission bodies = {});
+                 escape_observer on_escape = nullptr, body_admission bodies = {},
+                 std::shared_ptr<connection_account> account = nullptr);
     ~http_service();
     http_service(const http_service&) = delete;
     http_service& operator=(const http_service&) = delete;
--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -30,16 +30,18 @@
 
 namespace {
 
-/// How long to read on after the last response: closing a socket with unread bytes resets the connection,
-/// which can destroy the response before the client has read it.
-constexpr milliseconds linger_time{1000};
-
 /// The most that one read adds to a body.
 constexpr std::size_t read_bytes = 64U << 10U;
 
 /// The first read of a request, which holds most heads as a whole.
 constexpr std::size_t first_read_bytes = 4096;
 
+/// A head is held by the parser, in its fields, and in the request that is passed on.
+constexpr std::size_t head_copies = 4;
+
+/// Responses up to this size need no room: the number of connections bounds them.
+constexpr std::size_t small_response_bytes = 4096;
+
 /// Bounds what the system holds for a reader that stalls; unbounded, it grows to some megabytes a connection.
 /// The system doubles the value for its own overhead.
 constexpr int send_buffer_bytes = 128 << 10;
@@ -102,6 +104,17 @@
     return std::size_t{header_limit_of(limits)} + first_read_bytes;
 }
 
+/// The bytes of a parsed head.
+std::size_t head_bytes(const http::request_parser<http::string_body>& parser)
+{
+    const auto& message = parser.get();
+    std::size_t all = message.target().size();
+    for (const auto& field : message) {
+        all += field.name_string().size() + field.value().size();
+    }
+    return all;
+}
+
 int error_status(const error_code& why, bool in_body)
 {
     if (why == http::error::header_limit || why == http::error::buffer_overflow) {
@@ -124,15 +137,20 @@
 
 task<bool> service_connection::wait_for_request(const service_limits& limits)
 {
+    entry_.wait_for_client(steady::now());
     if (buffer_.size() > 0) {
         co_return true;
     }
+    if (buffer_.capacity() > first_read_bytes) {
+        buffer_.shrink_to_fit();
+    }
     stream_.expires_after(limits.idle_time);
     error_code failure;
     stage_ = stage::idle;
     const auto size = co_await stream_.async_read_some(buffer_.prepare(first_read_bytes),
                                                        asio::redirect_error(asio::use_awaitable, failure));
     stage_ = stage::reading;
+    entry_.wait_for_client(steady::now());
     closed_idle_ = closed_idle_ && size == 0;
     buffer_.commit(size);
     co_return !failure && size > 0;
@@ -145,51 +163,72 @@
     if (status == 0 || is_disconnect(why)) {
         co_return;
     }
+    stage_ = stage::responding;
     co_await write_text(status_line(status) + "Content-Length: 0\r\n" + connection_fields());
-    co_await linger(linger_time);
 }
 
 // The client may be sending the body still: reading on, and dropping what comes, lets it see the refusal.
-task<void> service_connection::refuse_body(parser& message, std::size_t bytes, duration body_time,
-                                           byte_reservation& room)
+task<void> service_connection::refuse_body(parser& message, std::size_t bytes, const service_limits& limits)
 {
     keep_alive_ = false;
+    stage_ = stage::responding;
     std::string().swap(message.get().body());
-    room.release();
-    const auto wait = owner_->bodies.budget->expected_wait(bytes);
-    co_await write_response(owner_->bodies.refuse(to_head(message), bytes, wait));
-    co_await linger(body_time);
+    body_room_.release();
+    http_response refused;
+    refused.status = static_cast<int>(http::status::service_unavailable);
+    if (owner_->bodies.refuse) {
+        const auto wait = owner_->bodies.budget->expected_wait(bytes);
+        refused = owner_->bodies.refuse(to_head(message), bytes, wait);
+    }
+    co_await write_response(std::move(refused));
+    unread_.time = limits.body_time;
+    unread_.bytes += limits.body_bytes;
 }
 
-task<bool> service_connection::read_request(parser& message, const service_limits& limits,
-                                            byte_reservation& room)
+task<error_code> service_connection::read_head(parser& message, const service_limits& limits)
+{
+    error_code failure;
+    buffer_.consume(message.put(buffer_.data(), failure));
+    if (failure != http::error::need_more) {
+        co_return failure;
+    }
+    if (!hold(head_room_, buffer_limit_of(limits), owner_->account.get())) {
+        give_up();
+        co_return asio::error::operation_aborted;
+    }
+    failure = {};
+    co_await http::async_read_header(stream_, buffer_, message,
+                                     asio::redirect_error(asio::use_awaitable, failure));
+    co_return failure;
+}
+
+task<bool> service_connection::read_request(parser& message, const service_limits& limits)
 {
     message.header_limit(header_limit_of(limits));
     message.body_limit(limits.body_bytes);
     buffer_.max_size(std::max(buffer_.size(), buffer_limit_of(limits)));
     stream_.expires_after(limits.header_time);
-    error_code failure;
-    co_await http::async_read_header(stream_, buffer_, message,
-                                     asio::redirect_error(asio::use_awaitable, failure));
+    const auto failure = co_await read_head(message, limits);
     if (failure) {
         co_await reject(failure, false);
         co_return false;
     }
+    head_room_.release();
     const auto length = static_cast<std::size_t>(message.content_length().value_or(0));
-    if (!room.grow_to(length)) {
-        co_await refuse_body(message, length, limits.body_time, room);
+    auto* account = owner_->account.get();
+    if (!hold(head_room_, head_copies * head_bytes(message), account) || !hold(body_room_, length, account)) {
+        co_await refuse_body(message, length, limits);
         co_return false;
     }
     if (message.get()[http::field::expect] == "100-continue") {
         co_await write_text("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    co_return co_await read_body(message, limits, room);
+    co_return co_await read_body(message, limits);
 }
 
 // A string that grows holds its old bytes beside their copies; with the capacity that is reserved here, both
 // fit into the room that was taken.
-task<bool> service_connection::read_body(parser& message, const service_limits& limits,
-                                         byte_reservation& room)
+task<bool> service_connection::read_body(parser& message, const service_limits& limits)
 {
     stream_.expires_after(limits.body_time);
     std::size_t extension_bytes = 0;
@@ -200,12 +239,15 @@
         }
     };
     message.on_chunk_header(count_extensions);
+    buffer_.max_size(std::max(buffer_.size(), first_read_bytes));
     error_code failure;
-    while (message.chunked() && !message.is_done() && !failure) {
+    while (!message.is_done() && !failure) {
+        entry_.wait_for_client(steady::now());
         auto& body = message.get().body();
-        const auto next = next_room(body.size(), room.bytes(), limits.body_bytes);
-        if (!room.grow_to(next)) {
-            co_await refuse_body(message, next, limits.body_time, room);
+        const auto next =
+            message.chunked() ? next_room(body.size(), body_room_.bytes(), limits.body_bytes) : 0;
+        if (!hold(body_room_, next, owner_->account.get())) {
+            co_await refuse_body(message, next, limits);
             co_return false;
         }
         if (next > small_body_bytes) {
@@ -213,10 +255,16 @@
         }
         co_await http::async_read_some(stream_, buffer_, message,
                                        asio::redirect_error(asio::use_awaitable, failure));
-    }
-    if (!message.chunked()) {
-        co_await http::async_read(stream_, buffer_, message,
-                                  asio::redirect_error(asio::use_awaitable, failure));
+        const auto longest = buffer_limit_of(limits);
+        if (failure == http::error::buffer_overflow && buffer_.max_size() < longest) {
+            // a chunk's header, or trailers, that are longer than the buffer
+            if (!hold(head_room_, head_room_.bytes() + longest, owner_->account.get())) {
+                co_await refuse_body(message, longest, limits);
+                co_return false;
+            }
+            buffer_.max_size(longest);
+            failure = {};
+        }
     }
     if (failure) {
         co_await reject(failure, true);
@@ -241,21 +289,22 @@
         if (!co_await wait_for_request(limits)) {
             break;
         }
-        byte_reservation room(owner_->bodies.budget);
         parser message;
-        if (!co_await read_request(message, limits, room)) {
+        if (!co_await read_request(message, limits)) {
             break;
         }
         keep_alive_ = message.keep_alive();
         auto request = to_head(message);
         request.body = std::move(message.get().body());
         co_await handle(request);
+        release_rooms();
     }
+    release_rooms();
     if (closed_idle_) {
         co_await close_unread();
     }
     else if (!aborted_) {
-        co_await linger(linger_time);
+        co_await linger();
     }
 }
 
@@ -263,6 +312,7 @@
 {
     ++owner_->in_flight;
     stage_ = stage::handling;
+    entry_.serve();
     ++watched_request_;
     watch_client();
     if (owner_->failure_response) {
@@ -367,16 +417,66 @@
     if (aborted_ || client_disconnected_) {
         co_return false;
     }
+    if (!take_answer_room(head.size() + body.size())) {
+        abort();
+        co_return false;
+    }
+    entry_.wait_for_client(steady::now());
     stream_.expires_after(owner_->limits().write_time);
     const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
     error_code failure;
     co_await asio::async_write(stream_, parts, asio::redirect_error(asio::use_awaitable, failure));
+    entry_.serve();
     if (failure) {
         abort();
     }
     co_return !failure;
 }
 
+bool service_connection::take_answer_room(std::size_t bytes)
+{
+    return bytes <= small_response_bytes || hold(answer_room_, bytes, owner_->account.get());
+}
+
+void service_connection::release_rooms()
+{
+    head_room_.release();
+    body_room_.release();
+    answer_room_.release();
+}
+
+connection_actions service_connection::actions()
+{
+    return {[this] { give_up(); },
+            [this](const byte_budget& budget) {
+                const auto rooms = {&head_room_, &body_room_, &answer_room_};
+                return std::any_of(rooms.begin(), rooms.end(), [&budget](const byte_reservation* room) {
+                    return room->budget() == &budget && room->bytes() > 0;
+                });
+            }};
+}
+
+// A client that has sent part of a request is told that it will not run; if that does not fit into the
+// system's buffer, the end of the connection says as much.
+void service_connection::give_up()
+{
+    release_rooms();
+    if (in_request()) {
+        abort();
+        return;
+    }
+    if (stage_ == stage::reading) {
+        const auto text = status_line(static_cast<int>(http::status::request_timeout)) +
+                          "Content-Length: 0\r\nConnection: close\r\n\r\n";
+        error_code ignored;
+        stream_.socket().non_blocking(true, ignored);
+        stream_.socket().write_some(asio::buffer(text), ignored);
+    }
+    aborted_ = true;
+    keep_alive_ = false;
+    stream_.close();
+}
+
 std::string service_connection::connection_fields()
 {
     // A pipelined request that is already buffered is served too.
@@ -455,9 +555,10 @@
 // while a request that was read and dropped might have.
 task<void> service_connection::close_unread()
 {
+    entry_.wait_for_close();
     error_code failure;
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
-    asio::steady_timer over(owner_->context, linger_time);
+    asio::steady_timer over(owner_->context, unread_.time);
     over.async_wait([self = shared_from_this()](const error_code& cancelled) {
         if (!cancelled) {
             error_code ignored;
@@ -469,15 +570,19 @@
     stream_.close();
 }
 
-task<void> service_connection::linger(duration longest)
+task<void> service_connection::linger()
 {
+    entry_.wait_for_close();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
     error_code failure;
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
-    stream_.expires_after(longest);
+    stream_.expires_after(unread_.time);
     std::array<char, 4096> waste{};
-    while (!failure) {
-        co_await stream_.async_read_some(asio::buffer(waste),
-                                         asio::redirect_error(asio::use_awaitable, failure));
+    std::size_t dropped = 0;
+    while (!failure && dropped < unread_.bytes) {
+        dropped += co_await stream_.async_read_some(asio::buffer(waste),
+                                                    asio::redirect_error(asio::use_awaitable, failure));
     }
     stream_.close();
 }
--- a/src/net/internal/service_connection.hpp
+++ b/src/net/internal/service_connection.hpp
@@ -17,10 +17,15 @@
 
 struct http_service::state : std::enable_shared_from_this<http_service::state> {
     state(loop& shared_context, std::function<service_limits()> limits_source, http_handler request_handler,
-          escape_observer observer, body_admission admission)
+          escape_observer observer, body_admission admission,
+          std::shared_ptr<connection_account> shared_account)
         : context(shared_context), acceptor(shared_context), limits(std::move(limits_source)),
-          handler(std::move(request_handler)), on_escape(std::move(observer)), bodies(std::move(admission))
+          handler(std::move(request_handler)), on_escape(std::move(observer)), bodies(std::move(admission)),
+          account(std::move(shared_account))
     {
+        if (account && !bodies.budget) {
+            bodies.budget = account->bodies();
+        }
     }
 
     loop& context;
@@ -29,6 +34,7 @@
     http_handler handler;
     escape_observer on_escape;
     body_admission bodies;
+    std::shared_ptr<connection_account> account; ///< null: nothing is bounded
     bool draining = false;
     std::set<service_connection*> connections;
     std::size_t in_flight = 0;
@@ -44,7 +50,9 @@
 class service_connection : public std::enable_shared_from_this<service_connection> {
 public:
     service_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<http_service::state> owner)
-        : stream_(std::move(socket)), owner_(std::move(owner)), number_(++owner_->accepted)
+        : stream_(std::move(socket)), owner_(std::move(owner)), number_(++owner_->accepted),
+          head_room_(owner_->account ? owner_->account->heads() : nullptr), body_room_(owner_->bodies.budget),
+          answer_room_(owner_->bodies.budget), entry_(owner_->account, owner_.get(), actions())
     {
         owner_->connections.insert(this);
     }
@@ -71,6 +79,8 @@
     std::uint64_t number() const { return number_; }
     bool client_disconnected() const { return client_disconnected_; }
     void on_client_disconnect(std::function<void()> callback);
+    /// Takes room for so many bytes of the response in all.
+    bool take_answer_room(std::size_t bytes);
 
 private:
     enum class stage {
@@ -81,12 +91,24 @@
         aborted,    ///< abort_request sent the response
     };
 
+    /// How long, and how much, to read on after the last response: closing a socket with unread bytes resets
+    /// the connection, which can destroy the response before the client has read it.
+    struct unread_limit {
+        duration time = milliseconds{1000};
+        std::size_t bytes = std::size_t{1} << 20U;
+    };
+
     boost::beast::tcp_stream stream_;
     std::shared_ptr<http_service::state> owner_;
     std::uint64_t number_;
     boost::beast::flat_buffer buffer_;
+    byte_reservation head_room_; ///< of the request's head
+    byte_reservation body_room_; ///< of its body
+    byte_reservation answer_room_;
+    connection_entry entry_;
     std::function<void()> on_disconnect_;
     std::uint64_t watched_request_ = 0; ///< number of the request watched for a disconnect
+    unread_limit unread_;
     stage stage_ = stage::reading;
     bool closed_idle_ = false; ///< closed locally without a request
     bool keep_alive_ = true;
@@ -95,10 +117,12 @@
 
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     task<void> serve_requests();
-    task<bool> read_request(parser& message, const service_limits& limits, byte_reservation& room);
+    task<bool> read_request(parser& message, const service_limits& limits);
+    /// Reads the head, where there is room for one that has not come as a whole.
+    task<boost::system::error_code> read_head(parser& message, const service_limits& limits);
     /// Reads the rest of the message, where there is room for it.
-    task<bool> read_body(parser& message, const service_limits& limits, byte_reservation& room);
-    task<void> refuse_body(parser& message, std::size_t bytes, duration body_time, byte_reservation& room);
+    task<bool> read_body(parser& message, const service_limits& limits);
+    task<void> refuse_body(parser& message, std::size_t bytes, const service_limits& limits);
     task<bool> wait_for_request(const service_limits& limits);
     task<void> reject(const boost::system::error_code& why, bool in_body);
     task<void> handle(http_request& request);
@@ -106,8 +130,12 @@
     task<bool> write_all(std::string_view head, std::string_view body);
     /// The head of a complete response.
     std::string response_head(const http_response& response);
-    /// Reads on until the client closes or the time is over.
-    task<void> linger(duration longest);
+    /// Reads on until the client closes or all of `unread_` is over.
+    task<void> linger();
+    connection_actions actions();
+    /// Closes the connection for the sake of others.
+    void give_up();
+    void release_rooms();
     task<void> close_unread();
     bool in_request() const { return stage_ == stage::handling || stage_ == stage::responding; }
     void notify_disconnect();
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -3,6 +3,7 @@
 #define VANILLAGAUGE_NET_NET_HPP
 
 #include "net/async_condition.hpp"
+#include "net/connection_account.hpp"
 #include "net/connection_pool.hpp"
 #include "net/event_stream.hpp"
 #include "net/http_client.hpp"
--- a/tests/config/gateway_template_tests.cpp
+++ b/tests/config/gateway_template_tests.cpp
@@ -19,7 +19,7 @@
       "InternalPorts": [7300, 7315], "Seeds": ["10.1.0.10:8262", "10.2.0.14:8262"],
       "ListenAddresses": {"Front": "10.1.0.10:8263", "Ready": "10.1.0.10:8268",
                           "Control": "10.1.0.10:8262", "Directory": "10.1.0.10:8260"},
-      "Limits": {"CpuShare": 0.25, "MemoryMb": 260},
+      "Limits": {"CpuShare": 0.25, "MemoryMb": 260, "FileDescriptors": 4100},
       "Bounds": {"GraceS": 8, "LeaseMs": 3000, "UsageWindowS": 5, "UsageLateS": 2.5},
       "Platform": {"Address": "10.200.1.7:8266"}, "Cloud": {"Address": "10.200.1.8:8266"}
     })");
@@ -55,6 +55,7 @@
     EXPECT_EQ(all.gateway.usage_due, milliseconds(2500));
     EXPECT_EQ(all.gateway.cpu_share, 0.25);
     EXPECT_EQ(all.gateway.memory_bytes, std::size_t{260} << 20U);
+    EXPECT_EQ(all.gateway.file_descriptors, 4100U);
 }
 
 class optional_field : public testing::TestWithParam<const char*> {};
@@ -73,9 +74,10 @@
                          testing::Values("/Zone", "/DataDirectory", "/Seeds", "/ListenAddresses",
                                          "/ListenAddresses/Front", "/ListenAddresses/Ready",
                                          "/ListenAddresses/Control", "/ListenAddresses/Directory", "/Limits",
-                                         "/Limits/CpuShare", "/Limits/MemoryMb", "/Bounds", "/Bounds/GraceS",
-                                         "/Bounds/LeaseMs", "/Bounds/UsageWindowS", "/Bounds/UsageLateS",
-                                         "/Cloud", "/Cloud/Address"));
+                                         "/Limits/CpuShare", "/Limits/MemoryMb", "/Limits/FileDescriptors",
+                                         "/Bounds", "/Bounds/GraceS", "/Bounds/LeaseMs",
+                                         "/Bounds/UsageWindowS", "/Bounds/UsageLateS", "/Cloud",
+                                         "/Cloud/Address"));
 
 class numeric_field : public testing::TestWithParam<const char*> {};
 
@@ -89,8 +91,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(each, numeric_field,
-                         testing::Values("/Limits/CpuShare", "/Limits/MemoryMb", "/Bounds/GraceS",
-                                         "/Bounds/LeaseMs", "/Bounds/UsageWindowS", "/Bounds/UsageLateS"));
+                         testing::Values("/Limits/CpuShare", "/Limits/MemoryMb", "/Limits/FileDescriptors",
+                                         "/Bounds/GraceS", "/Bounds/LeaseMs", "/Bounds/UsageWindowS",
+                                         "/Bounds/UsageLateS"));
 
 TEST(gateway_template, missing_figures_take_defaults)
 {
@@ -107,6 +110,7 @@
     EXPECT_EQ(gateway.usage_due, defaults.usage_due);
     EXPECT_EQ(gateway.cpu_share, defaults.cpu_share);
     EXPECT_EQ(gateway.memory_bytes, defaults.memory_bytes);
+    EXPECT_EQ(gateway.file_descriptors, defaults.file_descriptors);
 }
 
 // Guards against durations and counts that overflow.
@@ -122,6 +126,7 @@
     EXPECT_EQ(gateway_with("/Bounds/GraceS", 1e300).stop_grace, year);
     EXPECT_EQ(gateway_with("/Limits/CpuShare", 1e300).cpu_share, 1024);
     EXPECT_EQ(gateway_with("/Limits/MemoryMb", 1e300).memory_bytes, std::size_t{1} << 44U);
+    EXPECT_EQ(gateway_with("/Limits/FileDescriptors", 1e300).file_descriptors, std::size_t{1} << 24U);
 }
 
 TEST(gateway_template, seeds_may_be_empty)
--- a/tests/config/settings_tests.cpp
+++ b/tests/config/settings_tests.cpp
@@ -44,6 +44,16 @@
     EXPECT_EQ(value(parsed).gateway.memory_bytes, std::size_t{260} << 20U);
 }
 
+TEST(settings, reads_the_descriptors)
+{
+    const auto text = replaced(
+        valid,
+        "\"vm\":", R"("gateway": {"relay_listen": "127.0.0.1:7300", "file_descriptors": 4100}, "vm":)");
+    const auto parsed = parse_settings(text, "vm.json");
+    ASSERT_TRUE(ok(parsed)) << failure(parsed).detail;
+    EXPECT_EQ(value(parsed).gateway.file_descriptors, 4100U);
+}
+
 TEST(settings, reads_how_usage_is_reported)
 {
     const auto text =
