Take room for a response before it is read from its replica

Callers that asked for large answers and read none of them took a gateway beyond its memory: 150 answers of 1 MB, 220 MB of 64 on the code as it stood.

Cause: an answer is held whole until its caller has read it, up to 64 MB each, in no budget. Counting it when it is written, as the account of connections does, is too late: by then it has been read (72 MB of 64).

Change: the forwarder takes room from its caller's connection before a body grows, for the old and the new copy; so does a gateway that reads an answer from a hub. Without room, stalled readers are given up, else the request fails with 502: it has run, so no promise is given.

The way over a hub has no play of its own.

--- a/src/gateway/callers/forwarder_relay.cpp
+++ b/src/gateway/callers/forwarder_relay.cpp
@@ -46,12 +46,15 @@
         sent.http.fields.set(observe::traceparent_header, observe::traceparent(current.span.context()));
     }
     const auto attempts = sent.attempts;
-    const connection_observer on_connected = [&current](std::shared_ptr<net::http_connection> connection) {
+    relay_callbacks caller;
+    caller.on_connected = [&current](std::shared_ptr<net::http_connection> connection) {
         current.connection = std::move(connection);
         return !current.client_gone;
     };
+    caller.take_room = room_for(current);
     current.span.set_attribute("hub", hub->vm);
-    auto ended = co_await relay_->send(*hub, std::move(sent), current.deadline, on_connected);
+    auto asking = relay_->send(*hub, std::move(sent), current.deadline, caller);
+    auto ended = co_await std::move(asking);
     current.connection.reset();
     attempt_outcome outcome;
     if (auto* answer = std::get_if<relayed_answer>(&ended)) {
--- a/src/gateway/callers/request_relay.cpp
+++ b/src/gateway/callers/request_relay.cpp
@@ -23,6 +23,9 @@
 /// The forwarder's limit on a replica's response, in base64, with its fields.
 constexpr std::size_t max_answer_bytes = 88U << 20U;
 
+/// While an answer is read, its text may be held twice; then it is held as text, parsed and decoded.
+constexpr std::size_t answer_copies = 3;
+
 const char* cause_of(const net::http_failure& failed)
 {
     switch (failed.kind) {
@@ -32,6 +35,8 @@
         return "malformed";
     case net::failure_kind::cancelled:
         return "cancelled";
+    case net::failure_kind::no_room:
+        return "no room";
     case net::failure_kind::refused:
     case net::failure_kind::closed:
         break;
@@ -50,7 +55,8 @@
 }
 
 // Each part of the body has its own deadline, since a hub that is alive writes at least each 100 ms.
-net::task<net::http_result<std::string>> read_answer(net::http_connection& connection, time_point until)
+net::task<net::http_result<std::string>> read_answer(net::http_connection& connection, time_point until,
+                                                     net::room_taker take_room)
 {
     std::string text;
     while (true) {
@@ -63,6 +69,9 @@
         if (text.size() > max_answer_bytes) {
             co_return net::http_failure{net::failure_kind::malformed, true, "the answer exceeds the limit"};
         }
+        if (take_room && !take_room(answer_copies * text.size())) {
+            co_return net::http_failure{net::failure_kind::no_room, true, "no memory for the answer"};
+        }
         if (piece.last) {
             co_return text;
         }
@@ -116,7 +125,7 @@
 }
 
 net::task<relay_outcome> request_relay::exchange(relay_hub hub, relayed_request request, time_point until,
-                                                 connection_observer on_connected)
+                                                 relay_callbacks caller)
 {
     auto& known = pools_[hub.address];
     if (!known) {
@@ -129,7 +138,7 @@
         co_return relay_failure{"unreachable", false};
     }
     const auto connection = std::get<std::shared_ptr<net::http_connection>>(taken);
-    if (!on_connected(connection)) {
+    if (!caller.on_connected(connection)) {
         co_return relay_failure{"cancelled", false};
     }
     request.time_left = milliseconds_between(steady::now(), until);
@@ -151,7 +160,8 @@
     if (const auto* failed = std::get_if<net::http_failure>(&read)) {
         co_return relay_failure{cause_of(*failed)};
     }
-    const auto body = co_await read_answer(*connection, until);
+    auto reading = read_answer(*connection, until, caller.take_room);
+    const auto body = co_await std::move(reading);
     const auto* failed_body = std::get_if<net::http_failure>(&body);
     if (std::get<net::response_head>(read).status != 200) {
         if (failed_body == nullptr) {
@@ -176,16 +186,18 @@
 // Load pattern: a hub that is killed or cut off has a few requests of each gateway. They go on at once, and
 // the later ones do not wait for it.
 net::task<relay_outcome> request_relay::send(relay_hub hub, relayed_request request, time_point until,
-                                             connection_observer on_connected)
+                                             relay_callbacks caller)
 {
     const auto id = request.attempt_id;
     const auto began = steady::now();
     std::shared_ptr<net::http_connection> used;
-    const connection_observer observe_connection = [&](std::shared_ptr<net::http_connection> connection) {
+    relay_callbacks observed = caller;
+    observed.on_connected = [&](std::shared_ptr<net::http_connection> connection) {
         used = connection;
-        return on_connected(std::move(connection));
+        return caller.on_connected(std::move(connection));
     };
-    auto outcome = co_await exchange(hub, std::move(request), until, observe_connection);
+    auto asking = exchange(hub, std::move(request), until, observed);
+    auto outcome = co_await std::move(asking);
     const auto* failed = std::get_if<relay_failure>(&outcome);
     const std::string cause = failed != nullptr ? failed->cause : "answered";
     if (failed != nullptr) {
@@ -193,7 +205,8 @@
             used->close(); // so that the hub cancels the request
         }
         const auto now = steady::now();
-        const bool hub_failed = cause != "cancelled" && cause != "declined" && cause != "unencodable";
+        const bool hub_failed =
+            cause != "cancelled" && cause != "declined" && cause != "unencodable" && cause != "no room";
         if (hub_failed && now < until) {
             choice_.exclude(hub.vm, now);
             pools_.erase(hub.address);
--- a/src/gateway/callers/request_relay.hpp
+++ b/src/gateway/callers/request_relay.hpp
@@ -36,6 +36,12 @@
 /// Told of the connection before anything is sent on it; returns whether the caller still waits.
 using connection_observer = std::function<bool(std::shared_ptr<net::http_connection>)>;
 
+/// Of the gateway that has the caller.
+struct relay_callbacks {
+    connection_observer on_connected;
+    net::room_taker take_room{}; ///< for the answer; null: all has room
+};
+
 class request_relay {
 public:
     /// `refresh` waits until the configuration is young enough to decide by. All must outlive it.
@@ -48,7 +54,7 @@
     std::optional<relay_hub> choose(const std::string& service) const;
     /// Asks the hub to run the request before `until`. The request's `time_left` is set when it is sent.
     net::task<relay_outcome> send(relay_hub hub, relayed_request request, time_point until,
-                                  connection_observer on_connected);
+                                  relay_callbacks caller);
     /// Serves as a hub: 400 for a malformed request; 409, without running it, for one that the other gateway
     /// is to send itself; else the head of the response follows at once, and the outcome as its body.
     net::task<void> serve(const net::http_request& request, net::responder& answer);
@@ -67,7 +73,7 @@
     std::map<std::string, std::shared_ptr<net::connection_pool>> pools_; ///< by the hub's address
 
     net::task<relay_outcome> exchange(relay_hub hub, relayed_request request, time_point until,
-                                      connection_observer on_connected);
+                                      relay_callbacks caller);
     result<accepted_request> accept(relayed_request request) const;
     net::task<void> run(std::shared_ptr<served_run> served, accepted_request accepted);
 };
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -134,6 +134,7 @@
     /// None if this gateway is to send the request itself.
     net::task<std::optional<attempt_outcome>> run_at_hub(call& current);
     bool may_relay(const call& current) const;
+    static net::room_taker room_for(const call& current);
     net::task<attempt_outcome> attempt(call& current, target_ref at, time_point until);
     net::task<attempt_outcome> stream(call& current, target_ref at, time_point until);
     net::task<attempt_outcome> open_answer(call& current, target_ref at, time_point until,
--- a/src/gateway/forwarder_attempts.cpp
+++ b/src/gateway/forwarder_attempts.cpp
@@ -66,6 +66,15 @@
 
 } // namespace
 
+// What the caller has not read counts as held by its connection. An item's text is held by its batch.
+net::room_taker forwarder::room_for(const call& current)
+{
+    if (current.answer == nullptr) {
+        return nullptr;
+    }
+    return [answer = current.answer](std::size_t bytes) { return answer->take_room(bytes); };
+}
+
 // A call of an item is made again for as long as its batch is open: it is owed, and is never the request that
 // crashes its replicas.
 result<done> forwarder::check_crashes(const call& current) const
@@ -179,7 +188,8 @@
     net::response_head head;
     auto outcome = co_await open_answer(current, at, until, connection, head);
     if (std::holds_alternative<net::http_response>(outcome.result)) {
-        auto body = co_await connection->read_body(max_response_bytes, until);
+        auto reading = connection->read_body(max_response_bytes, until, room_for(current));
+        auto body = co_await std::move(reading);
         if (const auto* failed = std::get_if<net::http_failure>(&body)) {
             outcome.result = connection_error(*failed, current.repeatable());
         }
@@ -216,7 +226,8 @@
         }
     }
     else if (response != nullptr) {
-        auto body = co_await connection->read_body(max_response_bytes, until);
+        auto reading = connection->read_body(max_response_bytes, until, room_for(current));
+        auto body = co_await std::move(reading);
         if (auto* text = std::get_if<std::string>(&body)) {
             response->body = std::move(*text);
             complete = true;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -72,6 +72,8 @@
         return "closed";
     case failure_kind::malformed:
         return "malformed";
+    case failure_kind::no_room:
+        return "no room";
     case failure_kind::cancelled:
         break;
     }
@@ -219,6 +221,13 @@
 }
 
 task<http_result<std::string>> http_connection::read_body(std::size_t max_bytes, time_point deadline)
+{
+    return read_body(max_bytes, deadline, nullptr);
+}
+
+// A string that grows holds its old bytes beside their copies, so room is taken for both.
+task<http_result<std::string>> http_connection::read_body(std::size_t max_bytes, time_point deadline,
+                                                          room_taker take_room)
 {
     std::string body;
     while (true) {
@@ -227,10 +236,18 @@
             co_return std::move(*failure);
         }
         auto& piece = std::get<body_piece>(read);
-        body += piece.bytes;
-        if (body.size() > max_bytes) {
+        const auto size = body.size() + piece.bytes.size();
+        if (size > max_bytes) {
             co_return http_failure{failure_kind::malformed, true, "response body exceeds the size limit"};
         }
+        if (size > body.capacity()) {
+            const auto grown = std::max(size, std::min(2 * body.capacity(), max_bytes));
+            if (take_room && !take_room(body.capacity() + grown)) {
+                co_return http_failure{failure_kind::no_room, true, "no memory for the response's body"};
+            }
+            body.reserve(grown);
+        }
+        body += piece.bytes;
         if (piece.last) {
             co_return body;
         }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +23,7 @@
     closed,    ///< closed or reset by the peer
     malformed, ///< the bytes received are not a valid HTTP response
     cancelled, ///< closed locally
+    no_room,   ///< the response has no room here
 };
 
 const char* name(failure_kind kind);
@@ -58,6 +60,9 @@
 template <class Value>
 using http_result = std::variant<Value, http_failure>;
 
+/// Takes room for so many bytes in all; false if there is none.
+using room_taker = std::function<bool(std::size_t bytes)>;
+
 struct body_reader;
 
 /// Every operation has its own deadline, because a peer can stop responding without closing the connection.
@@ -79,6 +84,9 @@
     task<http_result<body_piece>> read_piece(time_point deadline);
     /// Reads the complete body; `malformed` if it exceeds `max_bytes`.
     task<http_result<std::string>> read_body(std::size_t max_bytes, time_point deadline);
+    /// As above; `no_room` if `take_room` refuses the body.
+    task<http_result<std::string>> read_body(std::size_t max_bytes, time_point deadline,
+                                             room_taker take_room);
     /// Pending operations fail with `cancelled`.
     void close();
 
