Bound what the calls between machines may take

A gateway ended for lack of memory, or took no connection any more, through its address for calls between machines: 8 connections that sent DATA without end took 210 MB of 64, 8 with 3,000 open streams each 134 MB, and 400 silent ones all 300 descriptors, so that callers got no answer.

Cause: the HTTP/2 server appended what came to its stream while nghttp2 opened the window again, counted neither streams nor their heads, and had no limit on connections nor on their idleness.

Change: the sessions of a server share a budget for the messages of both ways, an eighth of the memory in vg-gateway; one that goes beyond it is closed. A further connection closes the idle one that has been silent longest.

Calls are made again on a new connection, as after any loss of one.

--- a/src/gateway/connection_limits.hpp
+++ b/src/gateway/connection_limits.hpp
@@ -5,6 +5,7 @@
 #include "config/settings.hpp"
 #include "net/connection_account.hpp"
 #include "observe/metrics.hpp"
+#include "wire/peer_server.hpp"
 
 #include <cstdint>
 
@@ -12,6 +13,8 @@
 
 /// By the settings, and by the system's own limit on descriptors.
 net::account_limits connection_limits(const config::gateway_settings& settings);
+/// Of the calls between machines, which have an address of their own.
+wire::peer_limits peer_limits(const config::gateway_settings& settings);
 
 /// Counts the account's events, and logs at most one line a second.
 class connection_reporter {
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -68,10 +68,11 @@
 } // namespace
 
 struct fleet_view::state {
-    state(wire::event_loop& where, const config::settings& settings, std::uint64_t incarnation)
+    state(wire::event_loop& where, const config::settings& settings, std::uint64_t incarnation,
+          const wire::peer_limits& limits)
         : loop(where), keeper(self_of(settings, incarnation), steady::now()),
           exchange(keeper, where, settings), calls(node::access_of(settings.tokens)),
-          service(keeper, exchange), server(where, calls), chosen(settings)
+          service(keeper, exchange), server(where, calls, limits), chosen(settings)
     {
         calls.mount(service, wire::role::peer);
     }
@@ -118,9 +119,11 @@
     std::map<std::size_t, std::vector<std::string>> watchers;           ///< by count
 };
 
-fleet_view::fleet_view(wire::event_loop& loop, const config::settings& settings)
+fleet_view::fleet_view(wire::event_loop& loop, const config::settings& settings,
+                       const wire::peer_limits& limits)
     : vm_(settings.vm), incarnation_(node::new_incarnation()),
-      state_(std::make_unique<state>(loop, settings, incarnation_)), snapshot_(std::make_unique<snapshot>())
+      state_(std::make_unique<state>(loop, settings, incarnation_, limits)),
+      snapshot_(std::make_unique<snapshot>())
 {
 }
 
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -5,6 +5,7 @@
 #include "config/settings.hpp"
 #include "fleet/membership.hpp"
 #include "wire/event_loop.hpp"
+#include "wire/peer_server.hpp"
 
 #include <functional>
 #include <memory>
@@ -27,7 +28,8 @@
 /// For use on the loop's thread only, except for construction, `open` and `close`.
 class fleet_view {
 public:
-    fleet_view(wire::event_loop& loop, const config::settings& settings);
+    fleet_view(wire::event_loop& loop, const config::settings& settings,
+               const wire::peer_limits& limits = {});
     ~fleet_view();
     fleet_view(const fleet_view&) = delete;
     fleet_view& operator=(const fleet_view&) = delete;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,6 +69,7 @@
     observe::metrics counts;
     connection_reporter connection_reports{counts};
     std::shared_ptr<net::connection_account> connections;
+    wire::peer_limits limits_of_peers();
     fleet_view fleet;
     peer_relay relay;
     member_registry members;
@@ -121,8 +122,9 @@
                       duty_platform& platform, const target_protocol& protocol, store_schema known)
     : event_loop(events), loop(events.context()), settings(chosen), schema(std::move(known)),
       connections(std::make_shared<net::connection_account>(connection_limits(chosen.gateway))),
-      fleet(events, settings), relay(loop, store, fleet), members(loop, relay, fleet), targets(loop),
-      engines(fleet.self()), forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
+      fleet(events, settings, limits_of_peers()), relay(loop, store, fleet), members(loop, relay, fleet),
+      targets(loop), engines(fleet.self()),
+      forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
       hubs(
           loop, forwarding, fleet, targets, counts, [this]() -> const configuration& { return current; },
           [this] { return feeds.refresh(schema.configurations, steady::now() + max_refresh_time); },
@@ -168,6 +170,18 @@
     });
 }
 
+wire::peer_limits gateway::state::limits_of_peers()
+{
+    auto limits = peer_limits(settings.gateway);
+    limits.on_closed = [this](wire::closing_cause cause) {
+        const auto event = cause == wire::closing_cause::memory
+                               ? net::account_event::given_up_for_memory
+                               : net::account_event::given_up_for_connections;
+        connection_reports.on_event(event, connections->connections(), steady::now());
+    };
+    return limits;
+}
+
 void gateway::state::replicas_changed()
 {
     forwarding.refresh(steady::now());
--- a/src/net/connection_account.cpp
+++ b/src/net/connection_account.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t file_share_divisor = 4;
 
 /// Of the other descriptors, a request that is passed on takes a second one; a fifth is left for the store,
-/// for other processes and for background work.
+/// for the calls of other machines and for background work.
 constexpr std::size_t accepted_numerator = 2;
 constexpr std::size_t accepted_denominator = 5;
 
@@ -41,10 +41,14 @@
 
 } // namespace
 
+std::size_t sockets_within(std::size_t descriptors)
+{
+    return descriptors - std::min(file_descriptors, descriptors / file_share_divisor);
+}
+
 account_limits limits_within(const process_resources& resources)
 {
-    const auto files = std::min(file_descriptors, resources.descriptors / file_share_divisor);
-    const auto sockets = resources.descriptors - files;
+    const auto sockets = sockets_within(resources.descriptors);
     const auto by_descriptors =
         connections_within(resources.descriptors, sockets / accepted_denominator * accepted_numerator);
     const auto by_memory = connections_within(
--- a/src/net/connection_account.hpp
+++ b/src/net/connection_account.hpp
@@ -26,6 +26,9 @@
     std::size_t body_bytes = 0;  ///< of requests' and responses' bodies
 };
 
+/// The descriptors that are not kept for files.
+std::size_t sockets_within(std::size_t descriptors);
+
 /// The part of a process's resources that its clients may take.
 account_limits limits_within(const process_resources& resources);
 
--- a/src/wire/internal/http2_session.cpp
+++ b/src/wire/internal/http2_session.cpp
@@ -12,6 +12,10 @@
 constexpr std::uint32_t max_streams = 10000;
 constexpr std::uint32_t window_bytes = 4U << 20U;
 
+/// Of a stream and of a header beside their text, here and in nghttp2.
+constexpr std::size_t stream_bytes = 1024;
+constexpr std::size_t header_bytes = 128;
+
 nghttp2_nv to_nv(const std::pair<std::string, std::string>& header)
 {
     // nghttp2 copies name and value and does not modify them.
@@ -38,24 +42,34 @@
 
     static int on_begin_headers(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user)
     {
-        self(user).streams_[frame->hd.stream_id];
-        return 0;
+        auto& session = self(user);
+        return session.hold(session.streams_[frame->hd.stream_id], stream_bytes)
+                   ? 0
+                   : NGHTTP2_ERR_CALLBACK_FAILURE;
     }
 
     static int on_header(nghttp2_session* /*session*/, const nghttp2_frame* frame, const std::uint8_t* key,
                          std::size_t key_size, const std::uint8_t* text, std::size_t text_size,
                          std::uint8_t /*flags*/, void* user)
     {
+        auto& entry = self(user).streams_[frame->hd.stream_id];
+        if (!self(user).hold(entry, header_bytes + key_size + text_size)) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
         std::string header_name(reinterpret_cast<const char*>(key), key_size);
         std::string header_text(reinterpret_cast<const char*>(text), text_size);
-        self(user).streams_[frame->hd.stream_id].headers[std::move(header_name)] = std::move(header_text);
+        entry.headers[std::move(header_name)] = std::move(header_text);
         return 0;
     }
 
     static int on_data(nghttp2_session* /*session*/, std::uint8_t /*flags*/, std::int32_t stream,
                        const std::uint8_t* bytes, std::size_t size, void* user)
     {
-        self(user).streams_[stream].received.append(reinterpret_cast<const char*>(bytes), size);
+        auto& entry = self(user).streams_[stream];
+        if (!self(user).hold(entry, size)) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
+        entry.received.append(reinterpret_cast<const char*>(bytes), size);
         return 0;
     }
 
@@ -71,8 +85,12 @@
     static int on_stream_close(nghttp2_session* /*session*/, std::int32_t stream, std::uint32_t /*code*/,
                                void* user)
     {
-        self(user).events_.on_stream_close(stream);
-        self(user).streams_.erase(stream);
+        auto& session = self(user);
+        session.events_.on_stream_close(stream);
+        if (auto* closed = session.find(stream)) {
+            session.release(*closed);
+        }
+        session.streams_.erase(stream);
         return 0;
     }
 
@@ -91,8 +109,9 @@
     }
 };
 
-http2_session::http2_session(boost::asio::ip::tcp::socket socket, side which, events handlers)
-    : socket_(std::move(socket)), side_(which), events_(std::move(handlers))
+http2_session::http2_session(boost::asio::ip::tcp::socket socket, side which, events handlers,
+                             std::shared_ptr<message_budget> budget)
+    : socket_(std::move(socket)), side_(which), events_(std::move(handlers)), budget_(std::move(budget))
 {
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
@@ -112,9 +131,29 @@
 
 http2_session::~http2_session()
 {
+    for (auto& [number, stream] : streams_) {
+        release(stream);
+    }
     nghttp2_session_del(session_);
 }
 
+bool http2_session::hold(http2_stream& stream, std::size_t bytes)
+{
+    if (budget_ && !budget_->take(bytes)) {
+        return false;
+    }
+    stream.counted += bytes;
+    return true;
+}
+
+void http2_session::release(http2_stream& stream)
+{
+    const auto counted = std::exchange(stream.counted, 0);
+    if (budget_) {
+        budget_->give_back(counted);
+    }
+}
+
 void http2_session::start()
 {
     boost::system::error_code ignored;
@@ -149,6 +188,10 @@
     if (closed_ || entry == nullptr) {
         return;
     }
+    if (!hold(*entry, body.size())) {
+        close();
+        return;
+    }
     entry->outgoing = std::move(body);
     const auto list = to_nvs(headers);
     nghttp2_data_provider provider{};
--- a/src/wire/internal/http2_session.hpp
+++ b/src/wire/internal/http2_session.hpp
@@ -18,6 +18,31 @@
 
 namespace vanillagauge::wire::internal {
 
+/// What the sessions of one server hold of messages, on both ways. Used on the loop's thread only.
+class message_budget {
+public:
+    message_budget(std::size_t total, std::function<void()> on_refusal)
+        : total_(total), on_refusal_(std::move(on_refusal))
+    {
+    }
+
+    bool take(std::size_t bytes)
+    {
+        if (bytes > total_ - held_) {
+            on_refusal_();
+            return false;
+        }
+        held_ += bytes;
+        return true;
+    }
+    void give_back(std::size_t bytes) { held_ -= bytes; }
+
+private:
+    std::size_t total_;
+    std::function<void()> on_refusal_;
+    std::size_t held_ = 0;
+};
+
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
 /// Data received and to be sent on one stream.
@@ -26,6 +51,7 @@
     std::string received;
     std::string outgoing;
     std::size_t sent = 0;
+    std::size_t counted = 0; ///< in the budget
 };
 
 class http2_session : public std::enable_shared_from_this<http2_session> {
@@ -38,7 +64,9 @@
         std::function<void()> on_close; ///< the connection is closed; called once
     };
 
-    http2_session(boost::asio::ip::tcp::socket socket, side which, events handlers);
+    /// A message without room in the budget closes the session; without a budget, all have room.
+    http2_session(boost::asio::ip::tcp::socket socket, side which, events handlers,
+                  std::shared_ptr<message_budget> budget = nullptr);
     ~http2_session();
     http2_session(const http2_session&) = delete;
     http2_session& operator=(const http2_session&) = delete;
@@ -54,12 +82,14 @@
 
     http2_stream* find(std::int32_t stream);
     time_point last_received() const { return last_received_; }
+    bool idle() const { return streams_.empty(); }
 
 private:
     static constexpr std::size_t read_block = 16U << 10U;
     boost::asio::ip::tcp::socket socket_;
     side side_;
     events events_;
+    std::shared_ptr<message_budget> budget_;
     nghttp2_session* session_ = nullptr;
     std::map<std::int32_t, http2_stream> streams_;
     std::array<std::uint8_t, read_block> block_{};
@@ -69,6 +99,9 @@
     time_point last_received_ = steady::now();
 
     friend struct http2_callbacks;
+    /// Counts so many bytes more of the stream's messages; false without room.
+    bool hold(http2_stream& stream, std::size_t bytes);
+    void release(http2_stream& stream);
     void read();
     void flush();
 };
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -8,13 +8,16 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace vanillagauge::wire {
 namespace {
 
 using boost::asio::ip::tcp;
 using internal::http2_session;
+using internal::message_budget;
 
 constexpr milliseconds accept_retry_delay{50};
 
@@ -41,18 +44,46 @@
     tcp::acceptor acceptor;
     boost::asio::steady_timer accept_retry_timer;
     std::set<std::shared_ptr<http2_session>> sessions;
+    std::size_t max_sessions;
+    std::function<void(closing_cause)> on_closed;
+    std::shared_ptr<message_budget> budget;
 
-    state(event_loop& shared_loop, const dispatcher& served)
+    state(event_loop& shared_loop, const dispatcher& served, const peer_limits& limits)
         : loop(shared_loop), calls(served), acceptor(shared_loop.context()),
-          accept_retry_timer(shared_loop.context())
+          accept_retry_timer(shared_loop.context()), max_sessions(limits.connections),
+          on_closed(limits.on_closed), budget(std::make_shared<message_budget>(limits.message_bytes, [this] {
+              if (on_closed) {
+                  on_closed(closing_cause::memory);
+              }
+          }))
     {
     }
 
+    // A client that has a call in flight is not closed for another one, unless all have.
+    void close_one()
+    {
+        const auto sooner = [](const auto& one, const auto& other) {
+            const auto rank = [](const auto& session) {
+                return std::pair(!session->idle(), session->last_received());
+            };
+            return rank(one) < rank(other);
+        };
+        const auto first = std::min_element(sessions.begin(), sessions.end(), sooner);
+        const auto given_up = *first; // its end takes it out of the set
+        given_up->close();
+        if (on_closed) {
+            on_closed(closing_cause::connections);
+        }
+    }
+
     void accept()
     {
         auto self = shared_from_this();
         acceptor.async_accept([self](const boost::system::error_code& failed, tcp::socket socket) {
             if (!failed) {
+                if (self->sessions.size() >= self->max_sessions) {
+                    self->close_one();
+                }
                 self->start_session(std::move(socket));
                 self->accept();
             }
@@ -93,7 +124,7 @@
             }
         };
         auto session = std::make_shared<http2_session>(std::move(socket), http2_session::side::server,
-                                                       std::move(handlers));
+                                                       std::move(handlers), budget);
         *session_ref = session;
         sessions.insert(session);
         session->start();
@@ -142,8 +173,8 @@
     }
 };
 
-peer_server::peer_server(event_loop& loop, const dispatcher& calls)
-    : state_(std::make_shared<state>(loop, calls))
+peer_server::peer_server(event_loop& loop, const dispatcher& calls, const peer_limits& limits)
+    : state_(std::make_shared<state>(loop, calls, limits))
 {
 }
 
--- a/tests/client_crowds/crowd.cpp
+++ b/tests/client_crowds/crowd.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 crowd::crowd(net::loop& loop, const crowd_kind& kind, const std::string& address)
-    : loop_(loop), kind_(kind), address_(parse(address))
+    : kind_(kind), address_(parse(address))
 {
     for (std::size_t number = 0; number < kind.clients; ++number) {
         clients_.push_back(std::make_shared<client>(loop));
--- a/tests/client_crowds/crowd.hpp
+++ b/tests/client_crowds/crowd.hpp
@@ -33,7 +33,6 @@
         time_point progressed_at = steady::now();
     };
 
-    net::loop& loop_;
     const crowd_kind& kind_;
     boost::asio::ip::tcp::endpoint address_;
     std::vector<std::shared_ptr<client>> clients_;
--- a/tests/client_crowds/crowd_kinds.cpp
+++ b/tests/client_crowds/crowd_kinds.cpp
@@ -1,5 +1,7 @@
 #include "crowd_kinds.hpp"
 
+#include <cstdint>
+
 namespace vanillagauge::client_crowds {
 namespace {
 
@@ -37,6 +39,55 @@
     return all;
 }
 
+/// A frame of HTTP/2 (RFC 9113, section 4.1).
+std::string http2_frame(char type, char flags, std::uint32_t stream, const std::string& payload)
+{
+    std::string frame;
+    for (const int shift : {16, 8, 0}) {
+        frame += static_cast<char>(payload.size() >> shift & 0xffU);
+    }
+    frame += type;
+    frame += flags;
+    for (const int shift : {24, 16, 8, 0}) {
+        frame += static_cast<char>(stream >> shift & 0xffU);
+    }
+    return frame + payload;
+}
+
+/// The head of a POST with one more field, in HPACK's form without indexing (RFC 7541, section 6.2.2).
+std::string http2_head(std::uint32_t stream, std::size_t value_bytes)
+{
+    constexpr char headers = 1;
+    constexpr char end_headers = 4;
+    constexpr std::size_t short_length = 127;
+    std::string block = "\x83\x86\x84";
+    block += "\x01\x01h"; // :authority
+    block += std::string("\x00\x06x-long", 8);
+    const auto rest = value_bytes - short_length;
+    block += "\x7f";
+    block += static_cast<char>((rest & 0x7fU) | 0x80U);
+    block += static_cast<char>(rest >> 7U);
+    block += text_of(value_bytes);
+    return http2_frame(headers, end_headers, stream, block);
+}
+
+std::string http2_preface()
+{
+    constexpr char settings = 4;
+    constexpr char acknowledged = 1;
+    return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + http2_frame(settings, 0, 0, "") +
+           http2_frame(settings, acknowledged, 0, "");
+}
+
+std::string http2_heads(std::size_t streams)
+{
+    std::string all;
+    for (std::size_t number = 0; number < streams; ++number) {
+        all += http2_head(static_cast<std::uint32_t>(2 * number + 1), 4 * kilobyte);
+    }
+    return all;
+}
+
 const std::string chunked = "Transfer-Encoding: chunked\r\n";
 
 std::map<std::string, crowd_kind> make_kinds()
@@ -63,6 +114,11 @@
                 text_of(piece_bytes));
     kinds["pipelined"] = endless([](std::size_t) { return std::string{}; },
                                  repeated(open_head(0, "/first/run") + "\r\n", piece_bytes));
+    constexpr char data = 0;
+    kinds["http2_data"] = endless([](std::size_t) { return http2_preface() + http2_head(1, kilobyte); },
+                                  repeated(http2_frame(data, 0, 1, text_of(16 * kilobyte)), piece_bytes));
+    kinds["http2_heads"] = {.clients = few,
+                            .opening = [](std::size_t) { return http2_preface() + http2_heads(3000); }};
     kinds["heads_stopped"] = {.clients = 1000, .bounds = many_descriptors, .opening = [](std::size_t number) {
                                   return open_head(number, "/first/run") +
                                          "X-Long: " + text_of(60 * kilobyte);
--- a/tests/client_crowds/main.cpp
+++ b/tests/client_crowds/main.cpp
@@ -33,11 +33,9 @@
 /// The address of that name.
 const std::string& address_of(const gateway_place& place, const std::string& name)
 {
-    const std::map<std::string, const std::string*> addresses{{"front", &place.front},
-                                                              {"ready", &place.ready},
-                                                              {"directory", &place.directory},
-                                                              {"metrics", &place.metrics},
-                                                              {"relay", &place.relay}};
+    const std::map<std::string, const std::string*> addresses{
+        {"front", &place.front},     {"ready", &place.ready}, {"directory", &place.directory},
+        {"metrics", &place.metrics}, {"peer", &place.peer},   {"relay", &place.relay}};
     const auto found = addresses.find(name);
     if (found == addresses.end()) {
         throw std::invalid_argument("no such address: " + name);
--- a/tests/net/connection_account_tests.cpp
+++ b/tests/net/connection_account_tests.cpp
@@ -87,8 +87,10 @@
 
 TEST_F(connection_accounts, refuse_at_a_full_address_where_each_request_is_served)
 {
+    constexpr std::size_t count = 9;
     std::vector<std::unique_ptr<connection>> served;
-    for (int count = 0; count < 9; ++count) {
+    served.reserve(count);
+    while (served.size() < count) {
         served.push_back(std::make_unique<connection>(account_, front_));
     }
     EXPECT_FALSE(account_->admit(&front_));
