Limit what the items of batches take

A client that may submit batches took a gateway to 447 MB of 64 with 140 MB of them, and to 569 MB with more: whatever it accepted was held until its end, and each submission several times while it was stored.

Change: items have a limit, a quarter of the memory. A submission without room gets 503 with a Retry-After before anything of it is stored; an owner loads a batch that others accepted for it once there is room, and until then it waits in the store. The first batch always has room, however large.

--- a/src/gateway/batch.cpp
+++ b/src/gateway/batch.cpp
@@ -207,6 +207,25 @@
         });
 }
 
+std::size_t bytes_of(const batch_item& item)
+{
+    std::size_t all =
+        sizeof item + item.id.size() + item.path.size() + item.body_base64.size() + item.group.size();
+    for (const auto& field : item.fields) {
+        all += sizeof field + field.name.size() + field.value.size();
+    }
+    return item.scoring ? all + item.scoring->body_base64.size() : all;
+}
+
+std::size_t bytes_of(const std::vector<batch_item>& items)
+{
+    std::size_t all = 0;
+    for (const auto& item : items) {
+        all += bytes_of(item);
+    }
+    return all;
+}
+
 std::vector<json> to_parts(const std::vector<batch_item>& items, std::size_t max_bytes)
 {
     constexpr std::size_t other_bytes = 400; // ids, field names and JSON punctuation of an item
--- a/src/gateway/batch.hpp
+++ b/src/gateway/batch.hpp
@@ -105,6 +105,13 @@
 
 nlohmann::json to_json(const batch_header& header);
 nlohmann::json to_json(const result_segment& segment);
+/// The memory that an item takes.
+std::size_t bytes_of(const batch_item& item);
+std::size_t bytes_of(const std::vector<batch_item>& items);
+
+/// Leaves room for JSON overhead within the store's limit of 1 MB for one value.
+constexpr std::size_t max_part_bytes = 800U << 10U;
+
 /// Splits the items into parts of at most `max_bytes`; an item larger than that gets a part of its own.
 std::vector<nlohmann::json> to_parts(const std::vector<batch_item>& items, std::size_t max_bytes);
 
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -80,9 +80,34 @@
 {
 }
 
+std::size_t batch_runner::item_bytes() const
+{
+    std::size_t all = 0;
+    for (const auto& [id, items] : cached_items_) {
+        all += bytes_of(items);
+    }
+    for (const auto& [id, batch] : active_) {
+        for (std::size_t index = 0; batch && index < batch->progress.items().size(); ++index) {
+            all += bytes_of(batch->progress.items()[index].item);
+        }
+    }
+    return all;
+}
+
+bool batch_runner::has_room(std::size_t bytes, std::size_t held_by_others) const
+{
+    if (item_limit_ == 0) {
+        return true;
+    }
+    const auto held = item_bytes() + held_by_others;
+    return held == 0 || held + bytes <= item_limit_;
+}
+
 void batch_runner::cache_items(const std::string& batch, std::vector<batch_item> items)
 {
-    cached_items_[batch] = std::move(items);
+    if (has_room(bytes_of(items))) {
+        cached_items_[batch] = std::move(items);
+    }
 }
 
 const batch_header* batch_runner::find(const std::string& batch) const
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -31,7 +31,15 @@
                  const target_registry& targets, engine_view& engines, const target_protocol& protocol,
                  item_scorer& scorer, observe::metrics& counts, const trainer_schedules& trainers);
 
-    /// Caches the items of a batch that is being accepted here, so that they need not be read back.
+    /// What the items of batches may take here; 0: no limit. A batch beyond it waits in the store, unless it
+    /// is the only one.
+    void set_item_limit(std::size_t bytes) { item_limit_ = bytes; }
+    /// Whether so many bytes of items, beside those held here and by others, are within the limit. The first
+    /// ones always are.
+    bool has_room(std::size_t bytes, std::size_t held_by_others = 0) const;
+    void count_refusal() { counts_.add("batches_refused_total"); }
+    /// Caches the items of a batch that is being accepted here, so that they need not be read back; not those
+    /// without room.
     void cache_items(const std::string& batch, std::vector<batch_item> items);
     /// The batch's header in the store is new or has changed.
     void update_header(const batch_header& header);
@@ -88,9 +96,14 @@
     std::deque<batch_run_ref> recent_; ///< ended, with their published results
     std::set<std::string> finished_;   ///< all results published, not yet ended by their trainers
     time_point started_;
+    std::size_t item_limit_ = 0;
     bool starts_batches_ = true;
     bool view_complete_ = false;
 
+    /// Of the batches that run here or are about to.
+    std::size_t item_bytes() const;
+    /// Waits until there is room for the batch's items; false once the batch has ended.
+    net::task<bool> wait_for_room(std::string batch, std::size_t bytes);
     bool owned_here(const batch_header& header) const;
     /// Whether the batch is known to have been ended by its trainer.
     bool has_ended(const std::string& batch) const;
--- a/src/gateway/batch_runner_takeover.cpp
+++ b/src/gateway/batch_runner_takeover.cpp
@@ -89,6 +89,19 @@
     }
 }
 
+// Guards against an owner that runs out of memory, and all its batches with it, as other gateways accept
+// batches for it.
+net::task<bool> batch_runner::wait_for_room(std::string batch, std::size_t bytes)
+{
+    while (!has_room(bytes)) {
+        co_await net::sleep_for(loop_, store_retry_delay);
+        if (has_ended(batch)) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
 net::task<void> batch_runner::load_and_run(batch_header header)
 {
     const bool accepted_here =
@@ -100,6 +113,10 @@
         co_return;
     }
     const bool fresh = cached_items_.contains(header.id);
+    if (!fresh && !co_await wait_for_room(header.id, header.parts * max_part_bytes)) {
+        active_.erase(header.id);
+        co_return;
+    }
     auto items = co_await load_items(header);
     while (!ok(items)) {
         observe::log(observe::log_level::warning, "batch_items_unread",
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -17,6 +17,12 @@
 /// Retry delay sent to a client whose batch could not be stored.
 constexpr milliseconds store_retry_after{500};
 
+/// A submission's items are held as such, as text for the store and in the calls that store them.
+constexpr std::size_t submission_copies = 3;
+
+/// Of a batch that has no room; batches end over seconds.
+constexpr milliseconds full_retry_after{1000};
+
 /// Bodies are requested rarely and of few batches; an item list takes about 200 KB.
 constexpr std::size_t max_cached = 1;
 
@@ -34,6 +40,11 @@
     return done{};
 }
 
+error batch_full()
+{
+    return {error_code::unavailable, run_state::not_run, "no memory for the batch", full_retry_after};
+}
+
 /// A batch as stored, from the gateway that accepted or ended it.
 struct accepted_batch {
     stored_object object;
@@ -94,8 +105,17 @@
     if (const auto* known = runner_.find(submission.header.id)) {
         co_return check_same_submitter(*known, submission.header);
     }
+    const auto bytes = submission_copies * bytes_of(submission.items);
+    if (!runner_.has_room(bytes, pending_bytes_)) {
+        runner_.count_refusal();
+        auto refusing = to_refusal(batch_full(), submission.header);
+        auto refused = co_await std::move(refusing);
+        co_return refused;
+    }
     const auto current = std::make_shared<attempt>(loop_);
     current->submission = std::move(submission);
+    current->bytes = bytes;
+    pending_bytes_ += bytes;
     auto& header = current->submission.header;
     header.total = current->submission.items.size();
     header.work = expected_output(current->submission.items);
@@ -117,10 +137,21 @@
         co_return stored;
     }
     auto reason = failure(stored);
-    if (reason.ran == run_state::not_run) {
-        const bool may_run = current->speculative || co_await runs_speculatively(header);
-        reason.ran = may_run ? run_state::in_doubt : run_state::not_run;
+    if (current->speculative) {
+        reason.ran = std::max(reason.ran, run_state::in_doubt);
+    }
+    auto refusing = to_refusal(std::move(reason), header);
+    auto refused = co_await std::move(refusing);
+    co_return refused;
+}
+
+net::task_of<done> batch_service::to_refusal(error reason, batch_header header)
+{
+    if (reason.ran != run_state::not_run) {
+        co_return reason;
     }
+    const bool may_run = co_await runs_speculatively(header);
+    reason.ran = may_run ? run_state::in_doubt : run_state::not_run;
     co_return reason;
 }
 
@@ -130,6 +161,7 @@
     if (!current->outcome) {
         current->outcome = std::move(stored);
     }
+    pending_bytes_ -= current->bytes;
     current->changed.notify();
 }
 
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -70,10 +70,13 @@
     const fleet_view& fleet_;
     result_reader results_;
     std::list<cached_items> cache_; ///< newest first
+    std::size_t pending_bytes_ = 0; ///< of the submissions that are being stored
 
     struct attempt;                                       ///< an attempt to store a submission
     std::map<std::string, time_point> speculative_until_; ///< speculative batches running here
 
+    /// A refusal is none while a peer may be running the batch.
+    net::task_of<done> to_refusal(error reason, batch_header header);
     net::task<void> resolve_attempt(std::shared_ptr<attempt> current);
     net::task_of<done> store_batch(std::shared_ptr<attempt> current, time_point until);
     net::task<void> speculate_when_slow(std::shared_ptr<attempt> current);
--- a/src/gateway/connection_limits.cpp
+++ b/src/gateway/connection_limits.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t peer_socket_divisor = 5;
 constexpr std::size_t peer_memory_divisor = 8;
 constexpr std::size_t least_peers = 8;
+constexpr std::size_t item_memory_divisor = 4;
 constexpr std::size_t least_message_bytes = std::size_t{1} << 20U;
 
 /// Of the system; 0 if it sets none.
@@ -48,6 +49,11 @@
     return net::limits_within(resources_of(settings));
 }
 
+std::size_t batch_item_limit(const config::gateway_settings& settings)
+{
+    return settings.memory_bytes / item_memory_divisor;
+}
+
 wire::peer_limits peer_limits(const config::gateway_settings& settings)
 {
     const auto resources = resources_of(settings);
--- a/src/gateway/connection_limits.hpp
+++ b/src/gateway/connection_limits.hpp
@@ -13,6 +13,8 @@
 
 /// By the settings, and by the system's own limit on descriptors.
 net::account_limits connection_limits(const config::gateway_settings& settings);
+/// What the items of batches may take; 0: no limit.
+std::size_t batch_item_limit(const config::gateway_settings& settings);
 /// Of the calls between machines, which have an address of their own.
 wire::peer_limits peer_limits(const config::gateway_settings& settings);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -160,6 +160,7 @@
           [this](const net::http_request& request, std::string_view why) { report_escape({}, request, why); },
           {}, connections)
 {
+    runner.set_item_limit(batch_item_limit(settings.gateway));
     connections->set_observer([this](net::account_event event) {
         connection_reports.on_event(event, connections->connections(), steady::now());
     });
@@ -473,6 +474,7 @@
         state_->feeds.restart_watches();
     }
     state_->connections->set_limits(connection_limits(changed.gateway));
+    state_->runner.set_item_limit(batch_item_limit(changed.gateway));
     known.gateway.advice_time = changed.gateway.advice_time;
     known.gateway.stop_grace = changed.gateway.stop_grace;
     observe::log(observe::log_level::info, "reloaded",
--- a/src/gateway/internal/batch_attempt.hpp
+++ b/src/gateway/internal/batch_attempt.hpp
@@ -17,11 +17,9 @@
     std::optional<result<done>> outcome{};
     net::async_condition changed;
     bool speculative = false; ///< the batch may run before it is stored
+    std::size_t bytes = 0;    ///< counted in `pending_bytes_` until the attempt is over
 };
 
-/// Leaves room for JSON overhead within the store's limit of 1 MB for one value.
-constexpr std::size_t max_part_bytes = 800U << 10U;
-
 /// Limits the retries of a write whose outcome is not known. The client waits a few seconds.
 constexpr milliseconds resolve_timeout{3000};
 constexpr milliseconds retry_interval{150};
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -69,8 +69,8 @@
             return rank(one) < rank(other);
         };
         const auto first = std::min_element(sessions.begin(), sessions.end(), sooner);
-        const auto given_up = *first; // its end takes it out of the set
-        given_up->close();
+        const auto given_up = sessions.extract(first);
+        given_up.value()->close();
         if (on_closed) {
             on_closed(closing_cause::connections);
         }
--- a/tests/client_crowds/crowd_kinds.cpp
+++ b/tests/client_crowds/crowd_kinds.cpp
@@ -88,6 +88,21 @@
     return all;
 }
 
+/// So many batches, each of one item with this text as its body in base64, which replicas never finish.
+std::string batches(std::size_t client, std::size_t count, std::size_t body_bytes)
+{
+    std::string all;
+    for (std::size_t number = 0; number < count; ++number) {
+        const auto id = "b" + std::to_string(client) + "x" + std::to_string(number);
+        const auto body = R"({"Items":[{"Id":")" + id +
+                          R"(i","Path":"/batch/wait","Headers":{},"Tokens":10,"Body":")" +
+                          std::string(body_bytes, 'A') + R"("}]})";
+        all += "POST /batch/submit HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
+               "\r\nDeadline-Ms: 20000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    return all;
+}
+
 const std::string chunked = "Transfer-Encoding: chunked\r\n";
 
 std::map<std::string, crowd_kind> make_kinds()
@@ -114,6 +129,9 @@
                 text_of(piece_bytes));
     kinds["pipelined"] = endless([](std::size_t) { return std::string{}; },
                                  repeated(open_head(0, "/first/run") + "\r\n", piece_bytes));
+    kinds["batches"] = {.clients = 20, .bounds = many_descriptors, .opening = [](std::size_t number) {
+                            return batches(number, 8, 900 * kilobyte);
+                        }};
     constexpr char data = 0;
     kinds["http2_data"] = endless([](std::size_t) { return http2_preface() + http2_head(1, kilobyte); },
                                   repeated(http2_frame(data, 0, 1, text_of(16 * kilobyte)), piece_bytes));
