Name the source that cases 5 and 6 of the review need to link

review/build-2.sh no longer linked: src/net notes what it read by observe::note_input, whose source its list lacks. With it, case-5 and case-6 are built. Nothing else is changed there.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,7 +12,7 @@
 }
 export -f compile
 export out
-shared=(src/base/*.cpp src/net/*.cpp src/net/internal/*.cpp standins/users/fake_store.cpp standins/users/fake_replica.cpp
+shared=(src/base/*.cpp src/observe/last_inputs.cpp src/net/*.cpp src/net/internal/*.cpp standins/users/fake_store.cpp standins/users/fake_replica.cpp
     review/outside_2.cpp)
 cases=(review/[56]/play.cpp) # not case.cpp, which review/build.sh takes for its own
 running=()
