--- a/src/gateway/batch_runner_takeover.cpp
+++ b/src/gateway/batch_runner_takeover.cpp
@@ -113,7 +113,11 @@
         co_return;
     }
     const bool fresh = cached_items_.contains(header.id);
-    if (!fresh && !co_await wait_for_room(header.id, header.parts * max_part_bytes)) {
+    bool has_place = fresh;
+    if (!fresh) {
+        has_place = co_await wait_for_room(header.id, header.parts * max_part_bytes);
+    }
+    if (!has_place) {
         active_.erase(header.id);
         co_return;
     }
