Play ended batches, unread bytes and all crowds at once

Three kinds of clients that the earlier plays left out, before any change of the product:

- batches_ended: batches that end as soon as they are accepted.
A front keeps the last twelve, whatever they take.
- everything: a hundred clients of each kind that takes memory, all at once.
Each limit holds, their sum is more than the process has.
- unread: clients whose body is read, so that the system takes more of what follows, and then a request that waits with 8 MB behind it.
What has arrived unread counts with the process's memory.

--- a/tests/client_crowds/crowd_kinds.cpp
+++ b/tests/client_crowds/crowd_kinds.cpp
@@ -1,6 +1,7 @@
 #include "crowd_kinds.hpp"
 
 #include <cstdint>
+#include <vector>
 
 namespace vanillagauge::client_crowds {
 namespace {
@@ -88,21 +89,61 @@
     return all;
 }
 
+std::string submission(const std::string& id, std::size_t items, std::size_t body_bytes)
+{
+    std::string body = R"({"Items":[)";
+    for (std::size_t item = 0; item < items; ++item) {
+        body += (item > 0 ? R"(,{"Id":")" : R"({"Id":")") + id + "i" +
+                (item > 0 ? std::to_string(item) : "") +
+                R"(","Path":"/batch/wait","Headers":{},"Tokens":10,"Body":")" + std::string(body_bytes, 'A') +
+                R"("})";
+    }
+    body += "]}";
+    return "POST /batch/submit HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
+           "\r\nDeadline-Ms: 20000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string batch_name(std::size_t client, std::size_t number)
+{
+    return "b" + std::to_string(client) + "x" + std::to_string(number);
+}
+
 /// So many batches, each of one item with this text as its body in base64, which replicas never finish.
 std::string batches(std::size_t client, std::size_t count, std::size_t body_bytes)
 {
     std::string all;
     for (std::size_t number = 0; number < count; ++number) {
-        const auto id = "b" + std::to_string(client) + "x" + std::to_string(number);
-        const auto body = R"({"Items":[{"Id":")" + id +
-                          R"(i","Path":"/batch/wait","Headers":{},"Tokens":10,"Body":")" +
-                          std::string(body_bytes, 'A') + R"("}]})";
-        all += "POST /batch/submit HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id +
-               "\r\nDeadline-Ms: 20000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        all += submission(batch_name(client, number), 1, body_bytes);
     }
     return all;
 }
 
+/// So many batches, each of which is ended as soon as it has been accepted.
+std::string ended_batches(std::size_t client, std::size_t count, std::size_t items, std::size_t body_bytes)
+{
+    std::string all;
+    for (std::size_t number = 0; number < count; ++number) {
+        const auto id = batch_name(client, number);
+        all += submission(id, items, body_bytes);
+        all += "DELETE /api/lots/" + id + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    return all;
+}
+
+/// A hundred clients of each kind that is to take memory, all at once.
+crowd_kind everything(const std::map<std::string, crowd_kind>& kinds)
+{
+    constexpr std::size_t clients_of_each = 100;
+    std::vector<std::function<std::string(std::size_t)>> openings;
+    for (const auto* name : {"batches", "bodies_stopped", "heads_stopped", "heads_waiting", "answers_unread",
+                             "streams_unread"}) {
+        openings.push_back(kinds.at(name).opening);
+    }
+    return {.clients = clients_of_each * openings.size(),
+            .bounds = many_descriptors,
+            .opening = [openings](std::size_t number) { return openings[number % openings.size()](number); }};
+}
+
 const std::string chunked = "Transfer-Encoding: chunked\r\n";
 
 std::map<std::string, crowd_kind> make_kinds()
@@ -167,6 +208,21 @@
         .clients = 150, .bounds = many_descriptors, .opening = request_with("", "", "/first/large")};
     kinds["streams_unread"] = {
         .clients = 150, .bounds = many_descriptors, .opening = request_with("", "", "/stream/large")};
+    kinds["batches_ended"] = {.clients = 4, .bounds = many_descriptors, .opening = [](std::size_t number) {
+                                  return ended_batches(number, 6, 5, 790 * kilobyte);
+                              }};
+    // A body that is read makes the system take more of what follows.
+    kinds["unread"] = {.clients = 150,
+                       .bounds = many_descriptors,
+                       .opening =
+                           [](std::size_t number) {
+                               return open_head(number, "/first/run") + "Content-Length: 4000000\r\n\r\n" +
+                                      text_of(4'000'000) + open_head(number, "/first/wait") + "\r\n";
+                           },
+                       .piece = text_of(piece_bytes),
+                       .piece_bytes_in_all = 8 * megabyte,
+                       .counts_unread = true};
+    kinds["everything"] = everything(kinds);
     return kinds;
 }
 
--- a/tests/client_crowds/crowd_kinds.hpp
+++ b/tests/client_crowds/crowd_kinds.hpp
@@ -27,6 +27,8 @@
     std::string piece{};
     std::size_t piece_bytes_in_all = 0;
     bool closes = false; ///< once all is sent, instead of staying
+    /// What has arrived at the address and has not been read counts with the process's memory.
+    bool counts_unread = false;
 };
 
 /// By name. No client reads what it gets.
--- a/tests/client_crowds/main.cpp
+++ b/tests/client_crowds/main.cpp
@@ -2,6 +2,7 @@
 /// The process is to live, to stay within its memory and its descriptors, and to answer an ordinary request
 /// both while the crowd stands and afterwards.
 #include "../odd_entries/gateways.hpp"
+#include "base/address.hpp"
 #include "crowd.hpp"
 #include "crowd_replica.hpp"
 #include "net/http_client.hpp"
@@ -10,10 +11,13 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <optional>
+#include <sstream>
 #include <stdexcept>
 
 namespace {
@@ -96,6 +100,38 @@
     return static_cast<std::size_t>(std::distance(begin(files), end(files)));
 }
 
+/// The number behind the colon, in hexadecimal; 0 if there is none.
+std::size_t number_behind_colon(const std::string& text)
+{
+    const auto colon = text.find(':');
+    std::size_t number = 0;
+    if (colon != std::string::npos) {
+        std::from_chars(text.data() + colon + 1, text.data() + text.size(), number, 16);
+    }
+    return number;
+}
+
+/// What has arrived at the port and has not been read, by the system's table of IPv4 connections (proc(5),
+/// /proc/net/tcp).
+std::size_t unread_bytes(std::size_t port)
+{
+    std::ifstream table("/proc/net/tcp");
+    std::size_t all = 0;
+    for (std::string line; std::getline(table, line);) {
+        std::istringstream fields(line);
+        std::string index;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues; // to send and to read
+        fields >> index >> local >> remote >> state >> queues;
+        if (number_behind_colon(local) == port) {
+            all += number_behind_colon(queues);
+        }
+    }
+    return all;
+}
+
 class play {
 public:
     play(net::loop& loop, const std::string& program, const crowd_kind& kind,
@@ -116,6 +152,7 @@
 
     net::task<void> run(std::string address_name)
     {
+        port_ = value(parse_endpoint(address_of(place(), address_name))).port;
         net::start(loop_, watch_process());
         const bool before = co_await answers("before");
         crowd clients(loop_, kind_, address_of(place(), address_name));
@@ -139,6 +176,7 @@
     standins::fake_store store_;
     crowd_replica replica_;
     std::unique_ptr<gateways> gateways_;
+    std::size_t port_ = 0; ///< of the crowd's address
     std::size_t ends_ = 0;
     std::size_t memory_ = 0;      ///< at its peak, in bytes
     std::size_t descriptors_ = 0; ///< at its peak
@@ -172,7 +210,8 @@
     {
         while (!over_) {
             gateways_->check();
-            memory_ = std::max(memory_, gateways::peak_memory(place()));
+            const auto unread = kind_.counts_unread ? unread_bytes(port_) : 0;
+            memory_ = std::max(memory_, gateways::peak_memory(place()) + unread);
             descriptors_ = std::max(descriptors_, open_descriptors(place().process));
             co_await net::sleep_for(loop_, poll_interval);
         }
