Count what batches take in one budget, until the last of them leaves memory

Cause: the limit on items counted those of batches that run, not what else holds them. A submission was held up to nine times: its body, the items, all parts as JSON, the part that is tried again, the call's own copy, its text, the store's answer; a run kept the decoded body for as long as its stream lasts; the last twelve ended batches kept their items, whatever they took; several batches that waited for room were all let in at once; a speculative batch asked for none; the items of a batch whose header the store refused stayed cached for good.

Change: items travel with the room that they take, from the submission to the run and on to the ended batches, which leave memory when room is short. What is left while a part is stored, four times the part, is counted. An owner that waits for room logs batch_waits_for_memory and counts it; batch_item_bytes is on the metrics page.

--- a/src/gateway/batch.cpp
+++ b/src/gateway/batch.cpp
@@ -226,12 +226,12 @@
     return all;
 }
 
-std::vector<json> to_parts(const std::vector<batch_item>& items, std::size_t max_bytes)
+std::vector<item_range> part_ranges(const std::vector<batch_item>& items, std::size_t max_bytes)
 {
     constexpr std::size_t other_bytes = 400; // ids, field names and JSON punctuation of an item
-    std::vector<json> parts;
-    std::size_t filled = max_bytes;
-    for (const auto& item : items) {
+    std::vector<item_range> parts;
+    for (std::size_t index = 0; index < items.size(); ++index) {
+        const auto& item = items[index];
         auto size = item.body_base64.size() + item.path.size() + other_bytes;
         for (const auto& field : item.fields) {
             size += field.name.size() + field.value.size();
@@ -239,12 +239,29 @@
         if (item.scoring) {
             size += item.scoring->body_base64.size() + item.scoring->path.size() + other_bytes;
         }
-        if (parts.empty() || filled + size > max_bytes) {
-            parts.push_back({{"items", json::array()}});
-            filled = 0;
+        if (parts.empty() || parts.back().bytes + size > max_bytes) {
+            parts.push_back({index, index, 0});
         }
-        filled += size;
-        parts.back()["items"].push_back(to_json(item));
+        parts.back().end = index + 1;
+        parts.back().bytes += size;
+    }
+    return parts;
+}
+
+json to_part(const std::vector<batch_item>& items, const item_range& range)
+{
+    json part{{"items", json::array()}};
+    for (std::size_t index = range.first; index < range.end; ++index) {
+        part["items"].push_back(to_json(items[index]));
+    }
+    return part;
+}
+
+std::vector<json> to_parts(const std::vector<batch_item>& items, std::size_t max_bytes)
+{
+    std::vector<json> parts;
+    for (const auto& range : part_ranges(items, max_bytes)) {
+        parts.push_back(to_part(items, range));
     }
     return parts;
 }
--- a/src/gateway/batch.hpp
+++ b/src/gateway/batch.hpp
@@ -112,7 +112,17 @@
 /// Leaves room for JSON overhead within the store's limit of 1 MB for one value.
 constexpr std::size_t max_part_bytes = 800U << 10U;
 
+/// Items that are stored as one object.
+struct item_range {
+    std::size_t first = 0;
+    std::size_t end = 0; ///< one past the last
+    std::size_t bytes = 0;
+};
+
 /// Splits the items into parts of at most `max_bytes`; an item larger than that gets a part of its own.
+std::vector<item_range> part_ranges(const std::vector<batch_item>& items, std::size_t max_bytes);
+nlohmann::json to_part(const std::vector<batch_item>& items, const item_range& range);
+/// All parts at once.
 std::vector<nlohmann::json> to_parts(const std::vector<batch_item>& items, std::size_t max_bytes);
 
 /// `invalid_argument` if the object cannot be decoded.
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -80,34 +80,28 @@
 {
 }
 
-std::size_t batch_runner::item_bytes() const
+// The results of an ended batch can be read back from the store.
+item_room batch_runner::room_for(std::size_t bytes)
 {
-    std::size_t all = 0;
-    for (const auto& [id, items] : cached_items_) {
-        all += bytes_of(items);
-    }
-    for (const auto& [id, batch] : active_) {
-        for (std::size_t index = 0; batch && index < batch->progress.items().size(); ++index) {
-            all += bytes_of(batch->progress.items()[index].item);
+    auto room = std::make_unique<net::byte_reservation>(item_budget_);
+    while (!room->grow_or_be_first(bytes)) {
+        if (recent_.empty()) {
+            return nullptr;
         }
+        recent_.pop_front();
     }
-    return all;
+    return room;
 }
 
-bool batch_runner::has_room(std::size_t bytes, std::size_t held_by_others) const
+void batch_runner::cache_items(const std::string& batch, held_items items)
 {
-    if (item_limit_ == 0) {
-        return true;
-    }
-    const auto held = item_bytes() + held_by_others;
-    return held == 0 || held + bytes <= item_limit_;
+    cached_items_[batch] = std::move(items);
 }
 
-void batch_runner::cache_items(const std::string& batch, std::vector<batch_item> items)
+held_items batch_runner::take_cached(const std::string& batch)
 {
-    if (has_room(bytes_of(items))) {
-        cached_items_[batch] = std::move(items);
-    }
+    auto found = cached_items_.extract(batch);
+    return found ? std::move(found.mapped()) : held_items{};
 }
 
 const batch_header* batch_runner::find(const std::string& batch) const
@@ -157,7 +151,7 @@
 
 // Guards against a store outage that delays a step by seconds, which its trainer cannot make up. If the batch
 // is never stored, only engine time is lost: nothing is published or accepted before it is stored.
-void batch_runner::run_speculative(const batch_header& header, std::vector<batch_item> items)
+void batch_runner::run_speculative(const batch_header& header, held_items items)
 {
     if (!starts_batches_ || active_.contains(header.id) || finished_.contains(header.id)) {
         return;
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -12,6 +12,7 @@
 #include "gateway/target_protocol.hpp"
 #include "gateway/target_registry.hpp"
 #include "net/async_condition.hpp"
+#include "net/byte_budget.hpp"
 #include "observe/metrics.hpp"
 
 #include <deque>
@@ -24,6 +25,14 @@
 
 namespace vanillagauge::gateway {
 
+/// The memory that items of batches may take, given back at its end.
+using item_room = std::unique_ptr<net::byte_reservation>;
+
+struct held_items {
+    std::vector<batch_item> items;
+    item_room room; ///< null: there are no items
+};
+
 class batch_runner {
 public:
     /// All must outlive it.
@@ -31,21 +40,21 @@
                  const target_registry& targets, engine_view& engines, const target_protocol& protocol,
                  item_scorer& scorer, observe::metrics& counts, const trainer_schedules& trainers);
 
-    /// What the items of batches may take here; 0: no limit. A batch beyond it waits in the store, unless it
-    /// is the only one.
-    void set_item_limit(std::size_t bytes) { item_limit_ = bytes; }
-    /// Whether so many bytes of items, beside those held here and by others, are within the limit. The first
-    /// ones always are.
-    bool has_room(std::size_t bytes, std::size_t held_by_others = 0) const;
+    /// Bounds the items of batches here. A batch beyond it waits in the store.
+    void set_item_budget(std::shared_ptr<net::byte_budget> budget) { item_budget_ = std::move(budget); }
+    /// Takes room for so many bytes of items, for which ended batches leave memory where needed; null if
+    /// there is none. The only items always have room.
+    item_room room_for(std::size_t bytes);
     void count_refusal() { counts_.add("batches_refused_total"); }
-    /// Caches the items of a batch that is being accepted here, so that they need not be read back; not those
-    /// without room.
-    void cache_items(const std::string& batch, std::vector<batch_item> items);
+    /// Caches the items of a batch that is being accepted here, so that they need not be read back.
+    void cache_items(const std::string& batch, held_items items);
+    /// Those that are cached, which are no longer then.
+    held_items take_cached(const std::string& batch);
     /// The batch's header in the store is new or has changed.
     void update_header(const batch_header& header);
     /// Runs a batch that may not be stored yet; results are published once `update_header` confirms that this
     /// gateway owns it.
-    void run_speculative(const batch_header& header, std::vector<batch_item> items);
+    void run_speculative(const batch_header& header, held_items items);
     /// Ends a batch started by `run_speculative` that was never stored.
     void drop_speculative(const std::string& batch);
     /// Membership may have changed: starts batches of failed owners that now belong to this gateway.
@@ -91,19 +100,19 @@
     const trainer_schedules& trainers_;
     unfinished_texts unfinished_texts_;
     std::map<std::string, batch_header> headers_;
-    std::map<std::string, std::vector<batch_item>> cached_items_;
+    std::map<std::string, held_items> cached_items_;
     std::map<std::string, batch_run_ref> active_;
     std::deque<batch_run_ref> recent_; ///< ended, with their published results
     std::set<std::string> finished_;   ///< all results published, not yet ended by their trainers
     time_point started_;
-    std::size_t item_limit_ = 0;
+    std::shared_ptr<net::byte_budget> item_budget_ = std::make_shared<net::byte_budget>();
     bool starts_batches_ = true;
     bool view_complete_ = false;
 
-    /// Of the batches that run here or are about to.
-    std::size_t item_bytes() const;
-    /// Waits until there is room for the batch's items; false once the batch has ended.
-    net::task<bool> wait_for_room(std::string batch, std::size_t bytes);
+    /// Waits until there is room for the batch's items; null if the batch has ended before.
+    net::task<item_room> wait_for_room(std::string batch, std::size_t bytes);
+    /// The items from the cache or from the store; no room if the batch has ended before.
+    net::task<held_items> load_items(batch_header header, held_items cached);
     bool owned_here(const batch_header& header) const;
     /// Whether the batch is known to have been ended by its trainer.
     bool has_ended(const std::string& batch) const;
@@ -111,7 +120,6 @@
     void confirm_speculative(const batch_run_ref& batch, const batch_header& header);
     net::task<void> load_and_run(batch_header header);
     net::task<bool> claim(batch_header& header);
-    net::task_of<std::vector<batch_item>> load_items(const batch_header& header);
     net::task<bool> load_results(batch_run& batch);
     net::task<void> load_texts(batch_run_ref batch);
     void resume_scoring(const batch_run_ref& batch);
@@ -122,6 +130,8 @@
     void place_items();
     bool place_items_of(const batch_run_ref& batch, const std::vector<target_ref>& engines);
     net::task<void> run_item(batch_run_ref batch, std::size_t index, target_ref engine);
+    net::task<net::http_result<done>> send_item(batch_run_ref batch, std::size_t index,
+                                                std::shared_ptr<item_run> run, attempt_request sent);
     net::task<void> read_answer(batch_run_ref batch, std::size_t index, target_ref engine,
                                 std::shared_ptr<item_run> run);
     net::task<bool> read_events(batch_run_ref batch, std::size_t index, std::shared_ptr<item_run> run);
--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -212,6 +212,16 @@
     batch->changed.notify();
 }
 
+// The request ends with this task: its body would be held beside the item for as long as the stream lasts.
+net::task<net::http_result<done>> batch_runner::send_item(batch_run_ref batch, std::size_t index,
+                                                          std::shared_ptr<item_run> run, attempt_request sent)
+{
+    const auto& progress = batch->progress;
+    const auto request =
+        protocol_.replica_request(item_request(progress.header(), progress.items()[index].item), sent);
+    co_return co_await run->connection->send(request, steady::now() + connect_timeout);
+}
+
 // Several runs may generate one text, each requested to resume after the last event received here. A response
 // that does not continue the text is dropped together with its connection.
 net::task<void> batch_runner::read_answer(batch_run_ref batch, std::size_t index, target_ref engine,
@@ -225,9 +235,8 @@
     sent.replica_id = engine->info.id;
     sent.organisation = progress.header().organisation;
     sent.resume_after = progress.items()[index].last_event;
-    const auto request = protocol_.replica_request(item_request(progress.header(), item), sent);
     auto& connection = *run->connection;
-    const auto written = co_await connection.send(request, steady::now() + connect_timeout);
+    const auto written = co_await send_item(batch, index, run, sent);
     net::http_result<net::response_head> read = net::http_failure{};
     if (std::holds_alternative<done>(written)) {
         read = co_await connection.read_head(steady::now() + first_event_timeout);
--- a/src/gateway/batch_runner_takeover.cpp
+++ b/src/gateway/batch_runner_takeover.cpp
@@ -11,17 +11,6 @@
 
 } // namespace
 
-net::task_of<std::vector<batch_item>> batch_runner::load_items(const batch_header& header)
-{
-    const auto cached = cached_items_.find(header.id);
-    if (cached != cached_items_.end()) {
-        auto items = std::move(cached->second);
-        cached_items_.erase(cached);
-        co_return items;
-    }
-    co_return co_await read_items(store_, header);
-}
-
 net::task<bool> batch_runner::load_results(batch_run& batch)
 {
     const auto page = co_await read_segments(store_, batch.progress.header().id, {});
@@ -91,19 +80,49 @@
 
 // Guards against an owner that runs out of memory, and all its batches with it, as other gateways accept
 // batches for it.
-net::task<bool> batch_runner::wait_for_room(std::string batch, std::size_t bytes)
+net::task<item_room> batch_runner::wait_for_room(std::string batch, std::size_t bytes)
 {
-    while (!has_room(bytes)) {
+    auto room = room_for(bytes);
+    if (!room) {
+        counts_.add("batches_waited_for_memory_total");
+        observe::log(observe::log_level::warning, "batch_waits_for_memory",
+                     {{"batch", batch}, {"bytes", static_cast<std::int64_t>(bytes)}});
+    }
+    while (!room && !has_ended(batch)) {
         co_await net::sleep_for(loop_, store_retry_delay);
-        if (has_ended(batch)) {
-            co_return false;
+        room = room_for(bytes);
+    }
+    co_return room;
+}
+
+net::task<held_items> batch_runner::load_items(batch_header header, held_items cached)
+{
+    if (cached.room) {
+        co_return std::move(cached);
+    }
+    held_items held;
+    held.room = co_await wait_for_room(header.id, header.parts * max_part_bytes);
+    while (held.room) {
+        auto items = co_await read_items(store_, header);
+        if (ok(items)) {
+            held.items = std::move(value(items));
+            held.room->shrink_to(bytes_of(held.items));
+            break;
+        }
+        observe::log(observe::log_level::warning, "batch_items_unread",
+                     {{"batch", header.id}, {"why", describe(failure(items))}});
+        co_await net::sleep_for(loop_, store_retry_delay);
+        if (has_ended(header.id)) {
+            held.room.reset();
         }
     }
-    co_return true;
+    co_return held;
 }
 
 net::task<void> batch_runner::load_and_run(batch_header header)
 {
+    auto cached = take_cached(header.id);
+    const bool fresh = cached.room != nullptr;
     const bool accepted_here =
         header.owner_vm == fleet_.self() && header.owner_incarnation == fleet_.incarnation();
     if (!accepted_here && !co_await claim(header)) {
@@ -112,27 +131,12 @@
         active_.erase(header.id);
         co_return;
     }
-    const bool fresh = cached_items_.contains(header.id);
-    bool has_place = fresh;
-    if (!fresh) {
-        has_place = co_await wait_for_room(header.id, header.parts * max_part_bytes);
-    }
-    if (!has_place) {
+    auto held = co_await load_items(header, std::move(cached));
+    if (!held.room) {
         active_.erase(header.id);
         co_return;
     }
-    auto items = co_await load_items(header);
-    while (!ok(items)) {
-        observe::log(observe::log_level::warning, "batch_items_unread",
-                     {{"batch", header.id}, {"why", describe(failure(items))}});
-        co_await net::sleep_for(loop_, store_retry_delay);
-        if (has_ended(header.id)) {
-            active_.erase(header.id);
-            co_return;
-        }
-        items = co_await load_items(header);
-    }
-    const auto batch = std::make_shared<batch_run>(loop_, store_, header, std::move(value(items)));
+    const auto batch = std::make_shared<batch_run>(loop_, store_, header, std::move(held));
     bool loaded = fresh;
     while (!loaded && !has_ended(header.id)) {
         loaded = co_await load_results(*batch);
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -17,8 +17,8 @@
 /// Retry delay sent to a client whose batch could not be stored.
 constexpr milliseconds store_retry_after{500};
 
-/// A submission's items are held as such, as text for the store and in the calls that store them.
-constexpr std::size_t submission_copies = 3;
+/// A part that is being stored is held as JSON, as text, in the store's answer and in what is read of it.
+constexpr std::size_t storing_copies = 4;
 
 /// Of a batch that has no room; batches end over seconds.
 constexpr milliseconds full_retry_after{1000};
@@ -78,12 +78,13 @@
 
 // A creation without a response may have taken effect, or may do so later; repeating it under the same name
 // shows which. `not_run` errors guarantee that none of the tries wrote anything.
-net::task_of<stored_object> batch_service::create_with_retry(std::string kind, std::string name, json value,
-                                                             time_point until)
+net::task_of<stored_object> batch_service::create_with_retry(std::string kind, std::string name,
+                                                             std::function<json()> make, time_point until)
 {
     auto ran = run_state::not_run;
     while (true) {
-        auto created = co_await store_.create(kind, name, value);
+        auto value = make();
+        auto created = co_await store_.create(kind, name, std::move(value));
         if (ok(created) || failure(created).code == error_code::conflict) {
             co_return created;
         }
@@ -105,8 +106,8 @@
     if (const auto* known = runner_.find(submission.header.id)) {
         co_return check_same_submitter(*known, submission.header);
     }
-    const auto bytes = submission_copies * bytes_of(submission.items);
-    if (!runner_.has_room(bytes, pending_bytes_)) {
+    auto room = storing_room(submission.items);
+    if (!room) {
         runner_.count_refusal();
         auto refusing = to_refusal(batch_full(), submission.header);
         auto refused = co_await std::move(refusing);
@@ -114,8 +115,7 @@
     }
     const auto current = std::make_shared<attempt>(loop_);
     current->submission = std::move(submission);
-    current->bytes = bytes;
-    pending_bytes_ += bytes;
+    current->room = std::move(room);
     auto& header = current->submission.header;
     header.total = current->submission.items.size();
     header.work = expected_output(current->submission.items);
@@ -145,6 +145,15 @@
     co_return refused;
 }
 
+item_room batch_service::storing_room(const std::vector<batch_item>& items)
+{
+    std::size_t largest_part = 0;
+    for (const auto& part : part_ranges(items, max_part_bytes)) {
+        largest_part = std::max(largest_part, part.bytes);
+    }
+    return runner_.room_for(bytes_of(items) + storing_copies * largest_part);
+}
+
 net::task_of<done> batch_service::to_refusal(error reason, batch_header header)
 {
     if (reason.ran != run_state::not_run) {
@@ -161,23 +170,36 @@
     if (!current->outcome) {
         current->outcome = std::move(stored);
     }
-    pending_bytes_ -= current->bytes;
+    std::vector<batch_item>().swap(current->submission.items);
+    current->room.reset();
     current->changed.notify();
 }
 
-net::task_of<done> batch_service::store_batch(std::shared_ptr<attempt> current, time_point until)
+net::task_of<done> batch_service::store_items(std::shared_ptr<attempt> current, time_point until)
 {
     auto& header = current->submission.header;
-    auto parts = to_parts(current->submission.items, max_part_bytes);
+    const auto& items = current->submission.items;
+    const auto parts = part_ranges(items, max_part_bytes);
     header.parts = parts.size();
     for (std::size_t part = 0; part < parts.size(); ++part) {
-        const auto stored =
-            co_await create_with_retry(item_kind, part_name(header.id, part), std::move(parts[part]), until);
+        const auto make = [&items, &range = parts[part]] { return to_part(items, range); };
+        const auto stored = co_await create_with_retry(item_kind, part_name(header.id, part), make, until);
         if (!ok(stored) && failure(stored).code != error_code::conflict) {
             co_return error{error_code::unavailable, run_state::not_run, describe(failure(stored)),
                             store_retry_after};
         }
     }
+    co_return done{};
+}
+
+net::task_of<done> batch_service::store_batch(std::shared_ptr<attempt> current, time_point until)
+{
+    auto& header = current->submission.header;
+    auto& items = current->submission.items;
+    auto items_stored = co_await store_items(current, until);
+    if (!ok(items_stored)) {
+        co_return items_stored;
+    }
     current->storing_header = true;
     // What runs the batch speculatively keeps it.
     const bool placed = header.owner_vm != fleet_.self() || runner_.runs(header.id);
@@ -186,18 +208,30 @@
         header.owner_vm = owner->vm;
         header.owner_incarnation = owner->incarnation;
     }
-    if (header.owner_vm == fleet_.self()) {
-        runner_.cache_items(header.id, current->submission.items);
+    if (header.owner_vm == fleet_.self() && !runner_.runs(header.id) && current->room) {
+        current->room->shrink_to(bytes_of(items));
+        held_items kept{std::move(items), std::move(current->room)};
+        runner_.cache_items(header.id, std::move(kept));
     }
-    auto created = co_await create_with_retry(batch_kind, header.id, to_json(header), until);
+    const auto make = [&header] { return to_json(header); };
+    auto created = co_await create_with_retry(batch_kind, header.id, make, until);
     if (ok(created)) {
         if (owner) {
-            json sent = to_parts(current->submission.items, max_part_bytes);
-            net::start(loop_, send_to_owner(value(created), std::move(sent), owner->relay_address));
+            json sent = to_parts(items, max_part_bytes);
+            net::start(loop_, send_to_owner(value(created), std::move(sent), std::move(current->room),
+                                            owner->relay_address));
         }
         headers_.apply_own_write(std::move(value(created)));
+        if (!runner_.runs(header.id)) {
+            runner_.take_cached(header.id);
+        }
         co_return done{};
     }
+    // A gateway that runs the batch all the same reads its items back.
+    if (auto unused = runner_.take_cached(header.id); unused.room) {
+        items = std::move(unused.items);
+        current->room = std::move(unused.room);
+    }
     if (failure(created).code == error_code::conflict) {
         const auto existing = header_from_json(header.id, parse_json(failure(created).current), {});
         co_return ok(existing) ? check_same_submitter(value(existing), header) : result<done>(done{});
@@ -209,7 +243,8 @@
 
 // Without it the owner learns of the batch, or of its end, from its feed, most of a second later: it reads
 // the items back, or keeps engines busy for nobody.
-net::task<void> batch_service::send_to_owner(stored_object stored, json parts, std::string address)
+net::task<void> batch_service::send_to_owner(stored_object stored, json parts, item_room room,
+                                             std::string address)
 {
     json body{{"object", gateway::to_json(stored)}, {"parts", std::move(parts)}};
     const auto reply = co_await store_.call_peer(std::move(address), accepted_path, std::move(body),
@@ -218,6 +253,7 @@
         observe::log(observe::log_level::warning, "owner_not_told",
                      {{"batch", stored.name}, {"why", describe(failure(reply))}});
     }
+    room.reset();
 }
 
 net::http_response batch_service::serve_accepted(const net::http_request& request)
@@ -233,10 +269,16 @@
         return response;
     }
     auto& accepted = value(read);
-    if (!accepted.items.empty() && !runner_.runs(accepted.object.name)) {
-        runner_.cache_items(accepted.object.name, std::move(accepted.items));
+    const auto name = accepted.object.name;
+    if (!accepted.items.empty() && !runner_.runs(name)) {
+        if (auto room = runner_.room_for(bytes_of(accepted.items))) {
+            runner_.cache_items(name, {std::move(accepted.items), std::move(room)});
+        }
     }
     headers_.apply_own_write(std::move(accepted.object));
+    if (!runner_.runs(name)) {
+        runner_.take_cached(name);
+    }
     return response;
 }
 
@@ -277,14 +319,20 @@
         return entry.batch == header.id;
     });
     if (cached != cache_.end()) {
-        co_return cached->items;
+        co_return cached->held.items;
+    }
+    cache_.resize(std::min(cache_.size(), max_cached - 1));
+    auto room = runner_.room_for(header.parts * max_part_bytes);
+    if (!room) {
+        co_return batch_full();
     }
     auto read = co_await read_items(store_, header);
     if (!ok(read)) {
         co_return failure(read);
     }
     auto& items = value(read);
-    cache_.push_front({header.id, items});
+    room->shrink_to(bytes_of(items));
+    cache_.push_front({header.id, {items, std::move(room)}});
     if (cache_.size() > max_cached) {
         cache_.pop_back();
     }
@@ -360,7 +408,7 @@
     }
     const auto* owner = fleet_.find_peer(value(header).owner_vm);
     if (owner != nullptr && owner->vm != fleet_.self()) {
-        net::start(loop_, send_to_owner(value(ended), json::array(), owner->relay_address));
+        net::start(loop_, send_to_owner(value(ended), json::array(), nullptr, owner->relay_address));
     }
     headers_.apply_own_write(std::move(value(ended)));
     co_return done{};
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -9,6 +9,7 @@
 #include "gateway/peer_relay.hpp"
 #include "gateway/result_reader.hpp"
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -61,7 +62,7 @@
 private:
     struct cached_items {
         std::string batch;
-        std::vector<batch_item> items;
+        held_items held;
     };
     net::loop& loop_;
     peer_relay& store_;
@@ -70,24 +71,30 @@
     const fleet_view& fleet_;
     result_reader results_;
     std::list<cached_items> cache_; ///< newest first
-    std::size_t pending_bytes_ = 0; ///< of the submissions that are being stored
 
     struct attempt;                                       ///< an attempt to store a submission
     std::map<std::string, time_point> speculative_until_; ///< speculative batches running here
 
+    /// Room for the items and for what storing them takes; null if there is none.
+    item_room storing_room(const std::vector<batch_item>& items);
     /// A refusal is none while a peer may be running the batch.
     net::task_of<done> to_refusal(error reason, batch_header header);
     net::task<void> resolve_attempt(std::shared_ptr<attempt> current);
     net::task_of<done> store_batch(std::shared_ptr<attempt> current, time_point until);
+    net::task_of<done> store_items(std::shared_ptr<attempt> current, time_point until);
     net::task<void> speculate_when_slow(std::shared_ptr<attempt> current);
     std::optional<gateway_peer> other_owner(const batch_header& header) const;
     net::task<bool> runs_speculatively(const batch_header& header);
-    net::task<void> send_to_owner(stored_object stored, nlohmann::json parts, std::string address);
+    /// `room` is that of the parts; null if there are none.
+    net::task<void> send_to_owner(stored_object stored, nlohmann::json parts, item_room room,
+                                  std::string address);
     net::task<void> send_speculative(std::shared_ptr<attempt> current);
-    void run_speculative(batch_submission submission);
-    net::task<void> resolve_speculative(batch_submission submission);
-    net::task_of<stored_object> create_with_retry(std::string kind, std::string name, nlohmann::json value,
-                                                  time_point until);
+    /// False, and nothing is run, where there is no room for it.
+    bool run_speculative(batch_submission submission);
+    net::task<void> resolve_speculative(std::shared_ptr<attempt> current);
+    /// `make` makes the value of each try: one that is kept for the next try would be held twice meanwhile.
+    net::task_of<stored_object> create_with_retry(std::string kind, std::string name,
+                                                  std::function<nlohmann::json()> make, time_point until);
     net::task_of<batch_header> find(std::string batch);
     net::task_of<std::string> body_from_owner(const batch_header& header, const std::string& item);
     net::task_of<std::vector<batch_item>> items_of(batch_header header);
--- a/src/gateway/batch_service_speculative.cpp
+++ b/src/gateway/batch_service_speculative.cpp
@@ -130,34 +130,44 @@
         response.status = 503;
         return response;
     }
-    run_speculative(std::move(value(read)));
+    if (!run_speculative(std::move(value(read)))) {
+        response.status = 503;
+    }
     return response;
 }
 
-void batch_service::run_speculative(batch_submission submission)
+bool batch_service::run_speculative(batch_submission submission)
 {
     auto& header = submission.header;
     if (headers_.objects().contains(header.id)) {
-        return;
+        return true;
     }
-    const bool runs = speculative_until_.contains(header.id);
-    speculative_until_[header.id] = steady::now() + speculation_timeout;
-    if (runs) {
-        return;
+    const auto until = steady::now() + speculation_timeout;
+    if (const auto running = speculative_until_.find(header.id); running != speculative_until_.end()) {
+        running->second = until;
+        return true;
+    }
+    const auto current = std::make_shared<attempt>(loop_);
+    current->room = storing_room(submission.items);
+    held_items held{submission.items, runner_.room_for(bytes_of(submission.items))};
+    if (!current->room || !held.room) {
+        runner_.count_refusal();
+        return false;
     }
+    speculative_until_[header.id] = until;
     header.owner_vm = fleet_.self();
     header.owner_incarnation = fleet_.incarnation();
-    runner_.run_speculative(header, submission.items);
-    net::start(loop_, resolve_speculative(std::move(submission)));
+    runner_.run_speculative(header, std::move(held));
+    current->submission = std::move(submission);
+    net::start(loop_, resolve_speculative(current));
+    return true;
 }
 
-net::task<void> batch_service::resolve_speculative(batch_submission submission)
+net::task<void> batch_service::resolve_speculative(std::shared_ptr<attempt> current)
 {
-    const auto id = submission.header.id;
-    const auto current = std::make_shared<attempt>(loop_);
+    const auto id = current->submission.header.id;
     // After this the trainer has most probably abandoned the batch, and would not end it if it were stored.
-    const auto last = steady::now() + submission.header.result_time;
-    current->submission = std::move(submission);
+    const auto last = steady::now() + current->submission.header.result_time;
     while (!headers_.objects().contains(id) && steady::now() < std::min(last, speculative_until_[id])) {
         // A short check detects a recovered store sooner than a hanging write.
         const auto reachable = co_await store_.ping(batch_kind, store_check_timeout);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,6 +69,7 @@
     observe::metrics counts;
     connection_reporter connection_reports{counts};
     std::shared_ptr<net::connection_account> connections;
+    std::shared_ptr<net::byte_budget> batch_memory;
     wire::peer_limits limits_of_peers();
     fleet_view fleet;
     peer_relay relay;
@@ -122,6 +123,7 @@
                       duty_platform& platform, const target_protocol& protocol, store_schema known)
     : event_loop(events), loop(events.context()), settings(chosen), schema(std::move(known)),
       connections(std::make_shared<net::connection_account>(connection_limits(chosen.gateway))),
+      batch_memory(std::make_shared<net::byte_budget>(batch_item_limit(chosen.gateway))),
       fleet(events, settings, limits_of_peers()), relay(loop, store, fleet), members(loop, relay, fleet),
       targets(loop), engines(fleet.self()),
       forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
@@ -160,7 +162,7 @@
           [this](const net::http_request& request, std::string_view why) { report_escape({}, request, why); },
           {}, connections)
 {
-    runner.set_item_limit(batch_item_limit(settings.gateway));
+    runner.set_item_budget(batch_memory);
     connections->set_observer([this](net::account_event event) {
         connection_reports.on_event(event, connections->connections(), steady::now());
     });
@@ -474,7 +476,7 @@
         state_->feeds.restart_watches();
     }
     state_->connections->set_limits(connection_limits(changed.gateway));
-    state_->runner.set_item_limit(batch_item_limit(changed.gateway));
+    state_->batch_memory->set_total(batch_item_limit(changed.gateway));
     known.gateway.advice_time = changed.gateway.advice_time;
     known.gateway.stop_grace = changed.gateway.stop_grace;
     observe::log(observe::log_level::info, "reloaded",
@@ -601,6 +603,7 @@
                                static_cast<double>(age.count()));
         }
     }
+    state_->counts.set("batch_item_bytes", static_cast<double>(held.batch_memory->held()));
     held.trainers.record(state_->counts);
     return node::build_info("vg-gateway") + " 1\n" + held.counts.page();
 }
--- a/src/gateway/internal/batch_attempt.hpp
+++ b/src/gateway/internal/batch_attempt.hpp
@@ -12,12 +12,12 @@
 struct batch_service::attempt {
     explicit attempt(net::loop& loop) : changed(loop) {}
 
-    batch_submission submission;
+    batch_submission submission{};
     bool storing_header = false; ///< the header, with its owner, is being written
     std::optional<result<done>> outcome{};
     net::async_condition changed;
     bool speculative = false; ///< the batch may run before it is stored
-    std::size_t bytes = 0;    ///< counted in `pending_bytes_` until the attempt is over
+    item_room room{};         ///< of the items, and of what storing them takes
 };
 
 /// Limits the retries of a write whose outcome is not known. The client waits a few seconds.
--- a/src/gateway/internal/batch_run.hpp
+++ b/src/gateway/internal/batch_run.hpp
@@ -23,13 +23,15 @@
 };
 
 struct batch_runner::batch_run {
-    batch_run(net::loop& loop, object_store& store, const batch_header& header, std::vector<batch_item> items)
-        : progress(header, std::move(items)), changed(loop), last_publish(steady::now()),
+    batch_run(net::loop& loop, object_store& store, const batch_header& header, held_items held)
+        : room(std::move(held.room)), progress(header, std::move(held.items)), changed(loop),
+          last_publish(steady::now()),
           due(last_publish + (header.accepted + header.result_time - std::chrono::system_clock::now())),
           texts(store, header.id), expires_at(header.accepted + header.max_age)
     {
     }
 
+    item_room room; ///< of the items
     batch_progress progress;
     net::async_condition changed;
     std::map<std::size_t, std::shared_ptr<item_run>> item_runs;               ///< by item index
--- a/src/gateway/peer_relay.cpp
+++ b/src/gateway/peer_relay.cpp
@@ -99,6 +99,7 @@
     if (!ok(text)) {
         co_return failure(text);
     }
+    body = json(); // held as text from here on
     auto& pool = pools_[address];
     if (!pool) {
         pool = std::make_unique<net::connection_pool>(loop_, address);
--- a/src/net/byte_budget.cpp
+++ b/src/net/byte_budget.cpp
@@ -25,10 +25,21 @@
     return body_bytes <= small_body_bytes ? total_ : total_ - total_ / small_share_divisor;
 }
 
-bool byte_budget::has_room(std::size_t bytes, std::size_t body_bytes) const
+const byte_budget* byte_budget::lacking(std::size_t bytes, std::size_t body_bytes) const
 {
     const auto limit = limit_for(body_bytes);
-    return held_ <= limit && bytes <= limit - held_;
+    if (held_ > limit || bytes > limit - held_) {
+        return this;
+    }
+    return whole_ ? whole_->lacking(bytes, body_bytes) : nullptr;
+}
+
+void byte_budget::add(std::size_t bytes)
+{
+    held_ += bytes;
+    if (whole_) {
+        whole_->add(bytes);
+    }
 }
 
 bool byte_budget::take(std::size_t bytes, std::size_t body_bytes)
@@ -36,13 +47,16 @@
     if (!has_room(bytes, body_bytes)) {
         return false;
     }
-    held_ += bytes;
+    add(bytes);
     return true;
 }
 
 void byte_budget::give_back(std::size_t bytes, duration held)
 {
     held_ -= bytes;
+    if (whole_) {
+        whole_->give_back(bytes, held);
+    }
     if (bytes > small_body_bytes) {
         mean_hold_ += (held - mean_hold_) / mean_divisor;
     }
@@ -53,23 +67,42 @@
 {
     const auto limit = limit_for(body_bytes);
     const auto room = limit - std::min(held_, limit);
+    const auto for_whole = whole_ ? whole_->expected_wait(body_bytes) : duration{0};
     if (body_bytes <= room) {
-        return duration{0};
+        return for_whole;
     }
     const auto missing = static_cast<double>(body_bytes - room);
     const auto part = std::min(missing / static_cast<double>(std::max<std::size_t>(held_, 1)), 1.0);
     const auto wait = std::chrono::duration_cast<duration>(mean_hold_ * part);
-    return std::min<duration>(wait, max_expected_wait);
+    return std::max(for_whole, std::min<duration>(wait, max_expected_wait));
 }
 
-void byte_reservation::release()
+void byte_reservation::shrink_to(std::size_t bytes)
 {
-    const auto bytes = std::exchange(bytes_, 0);
-    if (budget_ && bytes > 0) {
-        budget_->give_back(bytes, steady::now() - since_);
+    if (bytes >= bytes_) {
+        return;
+    }
+    const auto given_back = bytes_ - bytes;
+    bytes_ = bytes;
+    if (budget_) {
+        budget_->give_back(given_back, steady::now() - since_);
     }
 }
 
+bool byte_reservation::grow_or_be_first(std::size_t bytes)
+{
+    if (grow_to(bytes)) {
+        return true;
+    }
+    if (budget_->held() > 0) {
+        return false;
+    }
+    budget_->add(bytes);
+    bytes_ = bytes;
+    since_ = steady::now();
+    return true;
+}
+
 bool byte_reservation::grow_to(std::size_t bytes)
 {
     if (bytes <= bytes_) {
--- a/src/net/byte_budget.hpp
+++ b/src/net/byte_budget.hpp
@@ -17,13 +17,25 @@
 /// left; a large one leaves a quarter of the total to the small ones. Not thread-safe.
 class byte_budget {
 public:
-    /// A total of 0 is no limit.
-    explicit byte_budget(std::size_t total = 0) : total_(total) {}
+    /// A total of 0 is no limit. What is held here is held of the whole too, if there is one.
+    explicit byte_budget(std::size_t total = 0, std::shared_ptr<byte_budget> whole = nullptr)
+        : total_(total), whole_(std::move(whole))
+    {
+    }
 
     /// Holds so many bytes more of a body that then has `body_bytes`; false, and nothing held, without room.
     bool take(std::size_t bytes, std::size_t body_bytes);
+    /// Holds so many bytes more, whether there is room or not.
+    void add(std::size_t bytes);
     /// Whether `take` would succeed.
-    bool has_room(std::size_t bytes, std::size_t body_bytes) const;
+    bool has_room(std::size_t bytes, std::size_t body_bytes) const
+    {
+        return lacking(bytes, body_bytes) == nullptr;
+    }
+    /// The budget without room for so many bytes more: this one or the whole; null if there is room.
+    const byte_budget* lacking(std::size_t bytes, std::size_t body_bytes) const;
+    /// Whether what is held here is held of the other one too.
+    bool counts_in(const byte_budget& other) const { return this == &other || whole_.get() == &other; }
     /// `held` is how long a body of so many bytes took room.
     void give_back(std::size_t bytes, duration held);
     /// When room for a body of so many bytes is expected, by how long the last large bodies took theirs.
@@ -34,6 +46,7 @@
 
 private:
     std::size_t total_;
+    std::shared_ptr<byte_budget> whole_;
     std::size_t held_ = 0;
     duration mean_hold_ = milliseconds{500}; ///< of large bodies, newer ones counting more
 
@@ -52,7 +65,11 @@
 
     /// Takes room for a body of so many bytes in all; false, and as much held as before, if there is none.
     bool grow_to(std::size_t bytes);
-    void release();
+    /// As `grow_to`, but where the budget holds nothing yet, everything has room.
+    bool grow_or_be_first(std::size_t bytes);
+    /// Gives back all but so many bytes.
+    void shrink_to(std::size_t bytes);
+    void release() { shrink_to(0); }
     std::size_t bytes() const { return bytes_; }
     /// Null: everything has room.
     byte_budget* budget() const { return budget_.get(); }
--- a/src/net/http_service.cpp
+++ b/src/net/http_service.cpp
@@ -76,6 +76,11 @@
     return connection_.take_answer_room(bytes);
 }
 
+void responder::release_body()
+{
+    connection_.release_body_room();
+}
+
 std::uint64_t responder::connection_number() const
 {
     return connection_.number();
--- a/src/net/http_service.hpp
+++ b/src/net/http_service.hpp
@@ -51,6 +51,8 @@
     /// Takes room for so many bytes of the response in all; false if there is none. A response that takes
     /// none is counted once it is sent.
     bool take_room(std::size_t bytes);
+    /// The request's body is held no longer: its room is free for others.
+    void release_body();
     /// Numbers the service's connections from 1 in the order in which they were accepted.
     std::uint64_t connection_number() const;
 
--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -451,7 +451,7 @@
             [this](const byte_budget& budget) {
                 const auto rooms = {&head_room_, &body_room_, &answer_room_};
                 return std::any_of(rooms.begin(), rooms.end(), [&budget](const byte_reservation* room) {
-                    return room->budget() == &budget && room->bytes() > 0;
+                    return room->bytes() > 0 && room->budget()->counts_in(budget);
                 });
             }};
 }
--- a/src/net/internal/service_connection.hpp
+++ b/src/net/internal/service_connection.hpp
@@ -81,6 +81,7 @@
     void on_client_disconnect(std::function<void()> callback);
     /// Takes room for so many bytes of the response in all.
     bool take_answer_room(std::size_t bytes);
+    void release_body_room() { body_room_.release(); }
 
 private:
     enum class stage {
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -279,6 +279,26 @@
     EXPECT_EQ(runs(), item_count);
 }
 
+// The store takes the items of each batch and refuses its header. Their room must be there again, or no batch
+// is accepted any more.
+TEST(batches, give_their_room_back_where_their_header_is_refused)
+{
+    batch_deployment cluster;
+    auto& served = cluster.ready_gateway("a");
+    cluster.modify_store([](standins::fake_store& store) {
+        store.faults.scripted_kind = "batches";
+        store.faults.script.assign(3, standins::write_fault::refuse);
+    });
+    for (const auto* id : {"b1", "b2", "b3"}) {
+        EXPECT_EQ(cluster.status_of(served.address(), make_batch(id)), 503);
+    }
+    const auto held = [&served] { return value_of(served, "batch_item_bytes"); };
+    EXPECT_TRUE(deployment::eventually([&] { return held() == 0; })) << *held();
+    EXPECT_TRUE(
+        deployment::eventually([&] { return cluster.status_of(served.address(), make_batch("b1")) == 202; }));
+    EXPECT_GT(held(), 0);
+}
+
 // The store does not respond to a submission and then refuses the next ones. One gateway already runs the
 // batch speculatively, so none may guarantee that it does not run.
 TEST(batches, run_speculatively_are_not_refused_anywhere)
--- a/tests/gateway/deployment.hpp
+++ b/tests/gateway/deployment.hpp
@@ -67,14 +67,20 @@
     std::string address_;
 };
 
+/// The value of a series of the metrics page; none if the page does not have it.
+inline std::optional<double> value_of(running_gateway& served, const std::string& series)
+{
+    const auto page = "\n" + served.query<std::string>([](gateway& asked) { return asked.metrics_page(); });
+    const auto line = "\n" + series + " ";
+    const auto at = page.find(line);
+    return at == std::string::npos ? std::nullopt : std::optional{std::stod(page.substr(at + line.size()))};
+}
+
 /// The value of a gauge for one kind; none if the page does not have it.
 inline std::optional<double> gauge_of(running_gateway& served, const std::string& name,
                                       const std::string& kind)
 {
-    const auto page = served.query<std::string>([](gateway& asked) { return asked.metrics_page(); });
-    const auto series = name + "{kind=\"" + kind + "\"} ";
-    const auto at = page.find(series);
-    return at == std::string::npos ? std::nullopt : std::optional{std::stod(page.substr(at + series.size()))};
+    return value_of(served, name + "{kind=\"" + kind + "\"}");
 }
 
 /// How many replicas the gateway's copy of the store has.
--- a/tests/net/byte_budget_tests.cpp
+++ b/tests/net/byte_budget_tests.cpp
@@ -89,6 +89,48 @@
     EXPECT_LE(budget.expected_wait(3 * large), seconds{5});
 }
 
+// Guards against budgets that each have room while their sum is more than the process has.
+TEST(byte_budget, has_no_room_where_the_whole_has_none)
+{
+    const auto whole = std::make_shared<byte_budget>(4 * large);
+    byte_budget one(4 * large, whole);
+    byte_budget other(4 * large, whole);
+    EXPECT_TRUE(one.take(2 * large, 2 * large));
+    EXPECT_FALSE(other.take(2 * large, 2 * large));
+    EXPECT_EQ(other.lacking(2 * large, 2 * large), whole.get());
+    EXPECT_EQ(other.held(), 0U);
+    EXPECT_GT(other.expected_wait(2 * large), duration{0});
+    one.give_back(2 * large, milliseconds{10});
+    EXPECT_EQ(whole->held(), 0U);
+    EXPECT_TRUE(other.take(2 * large, 2 * large));
+}
+
+TEST(byte_reservation, gives_back_a_part)
+{
+    const auto whole = std::make_shared<byte_budget>(4 * large);
+    const auto budget = std::make_shared<byte_budget>(4 * large, whole);
+    byte_reservation held(budget);
+    ASSERT_TRUE(held.grow_to(2 * large));
+    held.shrink_to(large);
+    held.shrink_to(3 * large);
+    EXPECT_EQ(held.bytes(), large);
+    EXPECT_EQ(budget->held(), large);
+    EXPECT_EQ(whole->held(), large);
+}
+
+// Guards against a single message inside the limits that never has room.
+TEST(byte_reservation, has_room_for_anything_where_nothing_is_held)
+{
+    const auto budget = std::make_shared<byte_budget>(large);
+    byte_reservation first(budget);
+    byte_reservation second(budget);
+    EXPECT_TRUE(first.grow_or_be_first(8 * large));
+    EXPECT_FALSE(second.grow_or_be_first(large));
+    first.release();
+    EXPECT_TRUE(second.grow_or_be_first(2 * large));
+    EXPECT_EQ(budget->held(), 2 * large);
+}
+
 TEST(byte_reservation, gives_back_all_that_it_grew_to)
 {
     const auto budget = std::make_shared<byte_budget>(4 * large);
