Bound what clients make a process hold together

What callers would see: a front that many kinds of clients meet at once takes more than its memory, though each limit holds: heads an eighth, bodies half, items a quarter, and what the process takes at rest.

Cause: each kind of memory had a budget of its own, and nothing looked at the sum.

Change: heads, bodies, responses and items count in one whole, half of the memory, beside their own limits. Where the whole lacks room, a stalled connection is given up for whatever it holds; where its own budget does, only for that.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -123,7 +123,8 @@
                       duty_platform& platform, const target_protocol& protocol, store_schema known)
     : event_loop(events), loop(events.context()), settings(chosen), schema(std::move(known)),
       connections(std::make_shared<net::connection_account>(connection_limits(chosen.gateway))),
-      batch_memory(std::make_shared<net::byte_budget>(batch_item_limit(chosen.gateway))),
+      batch_memory(
+          std::make_shared<net::byte_budget>(batch_item_limit(chosen.gateway), connections->whole())),
       fleet(events, settings, limits_of_peers()), relay(loop, store, fleet), members(loop, relay, fleet),
       targets(loop), engines(fleet.self()),
       forwarding(loop, targets, protocol, counts, crashes, settings.failure_domain),
@@ -604,6 +605,7 @@
         }
     }
     state_->counts.set("batch_item_bytes", static_cast<double>(held.batch_memory->held()));
+    state_->counts.set("client_memory_bytes", static_cast<double>(held.connections->whole()->held()));
     held.trainers.record(state_->counts);
     return node::build_info("vg-gateway") + " 1\n" + held.counts.page();
 }
--- a/src/net/connection_account.cpp
+++ b/src/net/connection_account.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t head_memory_divisor = 8;
 constexpr std::size_t body_memory_divisor = 2;
 
+/// What all of these may take together.
+constexpr std::size_t whole_memory_divisor = 2;
+
 /// An address with fewer connections takes one more whatever the others hold.
 constexpr std::size_t least_connections = 8;
 
@@ -58,6 +61,7 @@
     limits.connections = strictest == std::numeric_limits<std::size_t>::max() ? 0 : strictest;
     limits.head_bytes = resources.memory_bytes / head_memory_divisor;
     limits.body_bytes = resources.memory_bytes / body_memory_divisor;
+    limits.all_bytes = resources.memory_bytes / whole_memory_divisor;
     return limits;
 }
 
@@ -82,6 +86,7 @@
 void connection_account::set_limits(const account_limits& limits)
 {
     max_connections_ = limits.connections;
+    whole_->set_total(limits.all_bytes);
     heads_->set_total(limits.head_bytes);
     bodies_->set_total(limits.body_bytes);
 }
@@ -128,12 +133,13 @@
     next_search_ = now + search_pause;
     for (auto& [id, address] : addresses_) {
         auto next = address.waiting.begin();
-        while (next != address.waiting.end() && !budget.has_room(bytes, body_bytes)) {
+        const byte_budget* lacking = nullptr;
+        while (next != address.waiting.end() && (lacking = budget.lacking(bytes, body_bytes)) != nullptr) {
             auto& entry = **next++; // giving it up takes it out of the list
             if (now - entry.since_ < stall_time) {
                 break;
             }
-            if (entry.actions_.holds(budget)) {
+            if (entry.actions_.holds(*lacking)) {
                 give_up(entry, account_event::given_up_for_memory);
             }
         }
--- a/src/net/connection_account.hpp
+++ b/src/net/connection_account.hpp
@@ -24,6 +24,7 @@
     std::size_t connections = 0; ///< accepted ones that are open at once
     std::size_t head_bytes = 0;  ///< of requests' heads that are being read or served
     std::size_t body_bytes = 0;  ///< of requests' and responses' bodies
+    std::size_t all_bytes = 0;   ///< of these, and of what else is held of the whole
 };
 
 /// The descriptors that are not kept for files.
@@ -45,7 +46,7 @@
 struct connection_actions {
     /// Closes the connection and gives its memory back.
     std::function<void()> give_up;
-    /// Whether it holds memory of that budget.
+    /// Whether it holds memory that counts in that budget.
     std::function<bool(const byte_budget&)> holds;
 };
 
@@ -72,6 +73,8 @@
     /// Gives up stalled connections until the budget has room for so many bytes of a body of that size.
     void make_room(byte_budget& budget, std::size_t bytes, std::size_t body_bytes, time_point now);
 
+    /// What all that clients make the process hold is counted in.
+    const std::shared_ptr<byte_budget>& whole() const { return whole_; }
     const std::shared_ptr<byte_budget>& heads() const { return heads_; }
     const std::shared_ptr<byte_budget>& bodies() const { return bodies_; }
     std::size_t connections() const { return count_; }
@@ -86,8 +89,9 @@
     };
 
     std::size_t max_connections_ = 0;
-    std::shared_ptr<byte_budget> heads_ = std::make_shared<byte_budget>();
-    std::shared_ptr<byte_budget> bodies_ = std::make_shared<byte_budget>();
+    std::shared_ptr<byte_budget> whole_ = std::make_shared<byte_budget>();
+    std::shared_ptr<byte_budget> heads_ = std::make_shared<byte_budget>(0, whole_);
+    std::shared_ptr<byte_budget> bodies_ = std::make_shared<byte_budget>(0, whole_);
     std::map<address_id, listening_address> addresses_;
     std::size_t count_ = 0;
     time_point next_search_{};
--- a/tests/net/connection_account_tests.cpp
+++ b/tests/net/connection_account_tests.cpp
@@ -22,7 +22,9 @@
                                               given_up = true;
                                               room.release();
                                           },
-                                          [this](const byte_budget&) { return room.bytes() > 0; }})
+                                          [this](const byte_budget& budget) {
+                                              return room.bytes() > 0 && room.budget()->counts_in(budget);
+                                          }})
     {
     }
 
@@ -115,6 +117,26 @@
     EXPECT_EQ(events_, std::vector{account_event::given_up_for_memory});
 }
 
+TEST_F(connection_accounts, give_up_stalled_ones_for_memory_of_another_kind)
+{
+    account_->set_limits({.head_bytes = megabyte, .body_bytes = megabyte, .all_bytes = megabyte});
+    connection upload(account_, front_);
+    ASSERT_TRUE(upload.room.grow_to(megabyte / 2));
+    upload.entry.wait_for_client(now_);
+    account_->make_room(*account_->heads(), megabyte / 2, megabyte / 2, now_ + seconds{3});
+    EXPECT_TRUE(upload.given_up);
+}
+
+TEST_F(connection_accounts, keep_stalled_ones_whose_memory_would_not_help)
+{
+    connection upload(account_, front_);
+    ASSERT_TRUE(upload.room.grow_to(megabyte / 2));
+    upload.entry.wait_for_client(now_);
+    ASSERT_TRUE(account_->heads()->take(megabyte / 2, megabyte / 2));
+    account_->make_room(*account_->heads(), megabyte / 2, megabyte / 2, now_ + seconds{3});
+    EXPECT_FALSE(upload.given_up);
+}
+
 // Guards against uploads that end each other's connections where a refusal would do.
 TEST_F(connection_accounts, keep_those_that_move_bytes_where_memory_is_short)
 {
@@ -142,6 +164,7 @@
     const auto limits = limits_within({.descriptors = 4100, .memory_bytes = 110 * megabyte});
     EXPECT_EQ(limits.connections, 1560U);
     EXPECT_EQ(limits.body_bytes, 55 * megabyte);
+    EXPECT_EQ(limits.all_bytes, 55 * megabyte);
     EXPECT_EQ(limits_within({.descriptors = 300}).connections, 90U);
 }
 
