Give large blocks back to the system once they are freed

What callers would see: after a burst of large bodies a process keeps their memory, so that the next burst takes it over what its machine has.

Cause: the allocator raises its threshold for blocks of their own (M_MMAP_THRESHOLD) whenever a larger one is freed, up to 32 MB. Bodies, answers and parts of batches then come from its heap, whose holes do not go back to the system: a process within its budgets may take a third more.

Change: the threshold stays at 128 KB, in every program.

--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -8,6 +8,8 @@
 
 #include <tclap/CmdLine.h>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -19,6 +21,9 @@
 constexpr milliseconds settings_wait{1000};
 constexpr milliseconds settings_retry_interval{50};
 
+/// Blocks of this size or more go back to the system as soon as they are freed.
+constexpr int returned_block_bytes = 128 << 10;
+
 struct arguments {
     std::string settings_file;
     bool check = false;
@@ -76,6 +81,8 @@
 {
     // Before anything else: SIGHUP while the settings are read would terminate the program.
     block_stop_signals();
+    // Left alone, the allocator raises this as large blocks are freed, and keeps later ones for itself.
+    ::mallopt(M_MMAP_THRESHOLD, returned_block_bytes);
     observe::report_crashes(program);
     auto parsed = parse_arguments(program, argc, argv);
     if (const auto* end = std::get_if<exit_now>(&parsed)) {
