Bound what the system takes for a connection whose bytes are not read

What callers would see: clients that send a body and then a request that waits, with more behind it, make the system hold a megabyte and more a connection that the process never asked for; on its machine these bytes count as the process's.

Cause: without SO_RCVBUF the system lets the window grow with what a connection has read, here up to 32 MB.

Change: 64 KB are asked for, which the system doubles, as 128 KB are for what is sent; at every address of net::http_service.

Not in any budget still: up to 128 KB a connection, by reading.

--- a/src/net/internal/service_connection.cpp
+++ b/src/net/internal/service_connection.cpp
@@ -46,6 +46,10 @@
 /// The system doubles the value for its own overhead.
 constexpr int send_buffer_bytes = 128 << 10;
 
+/// Bounds what has arrived and is not read, which counts with the process's memory; unbounded, it grows to
+/// megabytes a connection once its client has sent as much.
+constexpr int receive_buffer_bytes = 64 << 10;
+
 std::string status_line(int status)
 {
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
@@ -284,6 +288,7 @@
     internal::fail_when_silent(stream_.socket());
     error_code ignored;
     stream_.socket().set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
+    stream_.socket().set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
     while (keep_alive_ && !aborted_) {
         const auto limits = owner_->limits();
         if (!co_await wait_for_request(limits)) {
