Leave what a process takes at rest out of what its clients may take

What callers would see: on a small machine the whole of what clients hold, half of the memory, and what the process takes at rest (17 to 24 MB) leave little for connections and copies of a moment; ended batches could leave the largest body no room on a machine of 88 MB.

Change: the whole is three quarters of what the memory is beyond 24 MB, at least a quarter of it.

--- a/src/net/connection_account.cpp
+++ b/src/net/connection_account.cpp
@@ -24,8 +24,14 @@
 constexpr std::size_t head_memory_divisor = 8;
 constexpr std::size_t body_memory_divisor = 2;
 
-/// What all of these may take together.
-constexpr std::size_t whole_memory_divisor = 2;
+/// What a process takes that serves nobody.
+constexpr std::size_t rest_bytes = std::size_t{24} << 20U;
+
+/// Of the memory beyond it, what all of these may take together; the rest is for connections and for copies
+/// of a moment. At least a part of the whole memory.
+constexpr std::size_t whole_numerator = 3;
+constexpr std::size_t whole_denominator = 4;
+constexpr std::size_t least_whole_divisor = 4;
 
 /// An address with fewer connections takes one more whatever the others hold.
 constexpr std::size_t least_connections = 8;
@@ -42,6 +48,12 @@
     return total == 0 ? std::numeric_limits<std::size_t>::max() : std::max(connections, least_connections);
 }
 
+std::size_t whole_within(std::size_t memory_bytes)
+{
+    const auto beyond_rest = memory_bytes - std::min(memory_bytes, rest_bytes);
+    return std::max(beyond_rest / whole_denominator * whole_numerator, memory_bytes / least_whole_divisor);
+}
+
 } // namespace
 
 std::size_t sockets_within(std::size_t descriptors)
@@ -61,7 +73,7 @@
     limits.connections = strictest == std::numeric_limits<std::size_t>::max() ? 0 : strictest;
     limits.head_bytes = resources.memory_bytes / head_memory_divisor;
     limits.body_bytes = resources.memory_bytes / body_memory_divisor;
-    limits.all_bytes = resources.memory_bytes / whole_memory_divisor;
+    limits.all_bytes = whole_within(resources.memory_bytes);
     return limits;
 }
 
--- a/tests/net/connection_account_tests.cpp
+++ b/tests/net/connection_account_tests.cpp
@@ -164,10 +164,18 @@
     const auto limits = limits_within({.descriptors = 4100, .memory_bytes = 110 * megabyte});
     EXPECT_EQ(limits.connections, 1560U);
     EXPECT_EQ(limits.body_bytes, 55 * megabyte);
-    EXPECT_EQ(limits.all_bytes, 55 * megabyte);
+    EXPECT_EQ(limits.all_bytes, (110 - 24) * megabyte * 3 / 4);
     EXPECT_EQ(limits_within({.descriptors = 300}).connections, 90U);
 }
 
+// Guards against a single request inside the limits that is refused since ended batches are in memory.
+TEST(connection_limits, leave_room_for_the_largest_body_beside_some_batches)
+{
+    connection_account account(limits_within({.descriptors = 4100, .memory_bytes = 88 * megabyte}));
+    account.whole()->add(4 * megabyte);
+    EXPECT_TRUE(account.bodies()->take(32 * megabyte, 32 * megabyte));
+}
+
 TEST(connection_limits, are_none_where_the_resources_are_unknown)
 {
     const auto limits = limits_within({});
