Refuse a batch for lack of memory only where none has accepted it

What callers see: a trainer whose batch another gateway has accepted (its answer was lost, or came late) submits it again at a gateway that has no memory for it and does not know of it yet. It gets 503, which promises that no part of it runs, while it does.

Change: a submission without room is looked up in the store: 202 if it is there, 503 with a Retry-After only if the store says that it is not, 502, which promises nothing, if the store does not answer. Other requests get 503 as before, since each of their attempts has an id of its own.

--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -109,7 +109,7 @@
     auto room = storing_room(submission.items);
     if (!room) {
         runner_.count_refusal();
-        auto refusing = to_refusal(batch_full(), submission.header);
+        auto refusing = refuse_for_memory(submission.header);
         auto refused = co_await std::move(refusing);
         co_return refused;
     }
@@ -154,6 +154,23 @@
     return runner_.room_for(bytes_of(items) + storing_copies * largest_part);
 }
 
+// Another gateway may have accepted the batch a moment ago, which this one's feed does not show yet.
+net::task_of<done> batch_service::refuse_for_memory(batch_header header)
+{
+    const auto stored = co_await store_.read(batch_kind, header.id);
+    if (ok(stored)) {
+        const auto existing = header_from_json(header.id, value(stored).value, value(stored).status);
+        co_return ok(existing) ? check_same_submitter(value(existing), header) : result<done>(done{});
+    }
+    auto reason = batch_full();
+    if (failure(stored).code != error_code::not_found) {
+        reason.ran = run_state::in_doubt;
+    }
+    auto refusing = to_refusal(std::move(reason), std::move(header));
+    auto refused = co_await std::move(refusing);
+    co_return refused;
+}
+
 net::task_of<done> batch_service::to_refusal(error reason, batch_header header)
 {
     if (reason.ran != run_state::not_run) {
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -77,6 +77,8 @@
 
     /// Room for the items and for what storing them takes; null if there is none.
     item_room storing_room(const std::vector<batch_item>& items);
+    /// Success if the batch is stored already.
+    net::task_of<done> refuse_for_memory(batch_header header);
     /// A refusal is none while a peer may be running the batch.
     net::task_of<done> to_refusal(error reason, batch_header header);
     net::task<void> resolve_attempt(std::shared_ptr<attempt> current);
--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -279,6 +279,49 @@
     EXPECT_EQ(runs(), item_count);
 }
 
+// Another gateway has accepted a batch, which this one does not know of yet, and this one has no memory for
+// it. It may not answer 503, which promises that no part of the batch runs.
+TEST(batches, without_room_are_refused_only_where_none_has_accepted_them)
+{
+    batch_deployment cluster;
+    auto settings = make_settings("a", cluster.store_address(), {});
+    settings.gateway.memory_bytes = 32U << 10U;
+    auto& served = *cluster.gateways.emplace_back(std::make_unique<running_gateway>(std::move(settings)));
+    ASSERT_TRUE(deployment::eventually([&] { return served.ready(); }));
+    ASSERT_EQ(cluster.status_of(served.address(), make_batch("b0", 9)), 202);
+    EXPECT_EQ(cluster.status_of(served.address(), make_batch("b1", 9)), 503);
+    cluster.modify_store([](standins::fake_store& store) {
+        store.faults.lose_watches = true;
+        batch_header accepted;
+        accepted.owner_vm = "b";
+        store.put("batches", "b1", to_json(accepted));
+        store.faults.held_kind = "batches";
+    });
+    EXPECT_EQ(cluster.status_of(served.address(), make_batch("b1", 9)), 502);
+    cluster.modify_store([](standins::fake_store& store) { store.faults.held_kind.clear(); });
+    const auto status = [&](const std::string& id) {
+        return cluster.status_of(served.address(), make_batch(id, 9));
+    };
+    EXPECT_TRUE(deployment::eventually([&] { return status("b1") == 202; }));
+    EXPECT_EQ(status("b2"), 503);
+}
+
+// The body of a batch has no room here, so it is not read; another gateway may have accepted the batch
+// before.
+TEST(batches, whose_body_has_no_room_may_run_elsewhere)
+{
+    batch_deployment cluster;
+    auto settings = make_settings("a", cluster.store_address(), {});
+    settings.gateway.memory_bytes = 32U << 10U;
+    auto& served = *cluster.gateways.emplace_back(std::make_unique<running_gateway>(std::move(settings)));
+    ASSERT_TRUE(deployment::eventually([&] { return served.ready(); }));
+    auto batch = make_batch("b1");
+    batch.body.append(64U << 10U, ' ');
+    EXPECT_EQ(cluster.status_of(served.address(), batch), 502);
+    batch.target = "/safe/run";
+    EXPECT_EQ(cluster.status_of(served.address(), batch), 503);
+}
+
 // The store takes the items of each batch and refuses its header. Their room must be there again, or no batch
 // is accepted any more.
 TEST(batches, give_their_room_back_where_their_header_is_refused)
