Cache a submission's items, and take them back, in functions of their own

The linter could not see that items are moved into the cache or sent to another owner, never both. Behaviour is the same: ten tests of batches and the crowds batches and batches_ended passed after it.

--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -192,6 +192,25 @@
     current->changed.notify();
 }
 
+void batch_service::cache_items(attempt& current)
+{
+    auto& items = current.submission.items;
+    if (current.room) {
+        current.room->shrink_to(bytes_of(items));
+        runner_.cache_items(current.submission.header.id, {std::move(items), std::move(current.room)});
+    }
+}
+
+// A gateway that runs the batch all the same reads its items from the store.
+void batch_service::take_items_back(attempt& current)
+{
+    auto unused = runner_.take_cached(current.submission.header.id);
+    if (unused.room) {
+        current.submission.items = std::move(unused.items);
+        current.room = std::move(unused.room);
+    }
+}
+
 net::task_of<done> batch_service::store_items(std::shared_ptr<attempt> current, time_point until)
 {
     auto& header = current->submission.header;
@@ -212,7 +231,6 @@
 net::task_of<done> batch_service::store_batch(std::shared_ptr<attempt> current, time_point until)
 {
     auto& header = current->submission.header;
-    auto& items = current->submission.items;
     auto items_stored = co_await store_items(current, until);
     if (!ok(items_stored)) {
         co_return items_stored;
@@ -225,16 +243,14 @@
         header.owner_vm = owner->vm;
         header.owner_incarnation = owner->incarnation;
     }
-    if (header.owner_vm == fleet_.self() && !runner_.runs(header.id) && current->room) {
-        current->room->shrink_to(bytes_of(items));
-        held_items kept{std::move(items), std::move(current->room)};
-        runner_.cache_items(header.id, std::move(kept));
+    if (header.owner_vm == fleet_.self() && !runner_.runs(header.id)) {
+        cache_items(*current);
     }
     const auto make = [&header] { return to_json(header); };
     auto created = co_await create_with_retry(batch_kind, header.id, make, until);
     if (ok(created)) {
         if (owner) {
-            json sent = to_parts(items, max_part_bytes);
+            json sent = to_parts(current->submission.items, max_part_bytes);
             net::start(loop_, send_to_owner(value(created), std::move(sent), std::move(current->room),
                                             owner->relay_address));
         }
@@ -244,11 +260,7 @@
         }
         co_return done{};
     }
-    // A gateway that runs the batch all the same reads its items back.
-    if (auto unused = runner_.take_cached(header.id); unused.room) {
-        items = std::move(unused.items);
-        current->room = std::move(unused.room);
-    }
+    take_items_back(*current);
     if (failure(created).code == error_code::conflict) {
         const auto existing = header_from_json(header.id, parse_json(failure(created).current), {});
         co_return ok(existing) ? check_same_submitter(value(existing), header) : result<done>(done{});
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -83,6 +83,10 @@
     net::task_of<done> to_refusal(error reason, batch_header header);
     net::task<void> resolve_attempt(std::shared_ptr<attempt> current);
     net::task_of<done> store_batch(std::shared_ptr<attempt> current, time_point until);
+    /// Leaves the items to the runner, which runs the batch once its header is stored.
+    void cache_items(attempt& current);
+    /// After a header that was not stored.
+    void take_items_back(attempt& current);
     net::task_of<done> store_items(std::shared_ptr<attempt> current, time_point until);
     net::task<void> speculate_when_slow(std::shared_ptr<attempt> current);
     std::optional<gateway_peer> other_owner(const batch_header& header) const;
