Bound how many batches run at a gateway, and place the items of all of them once

What callers saw: 200 clients that submit batches of one tiny item without end, 1 MB in all, hang a front: no ordinary request is answered for 60 s, beside them or afterwards.

Cause: each batch, woken every 50 ms, placed the items of all batches, so the work grew with the square of their number; nothing bounded that number. 1,782 were accepted.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -93,7 +93,8 @@
         "duties_address": {"$ref": "#/definitions/optional_address"},
         "usage_window_s": {"type": "number", "minimum": 0},
         "usage_due_s": {"type": "number", "minimum": 0},
-        "max_direct_pairs": {"type": "integer", "minimum": 0, "maximum": 1000000}
+        "max_direct_pairs": {"type": "integer", "minimum": 0, "maximum": 1000000},
+        "running_batches": {"type": "integer", "minimum": 1, "maximum": 1000000}
       }
     }
   }
@@ -174,6 +175,7 @@
     parsed.file_descriptors =
         static_cast<std::size_t>(std::min(found->value("file_descriptors", 0.0), max_file_descriptors));
     read(*found, "max_direct_pairs", parsed.max_direct_pairs);
+    read(*found, "running_batches", parsed.running_batches);
     parsed.stop_grace = read_duration(*found, "stop_grace_s", seconds{1}, parsed.stop_grace);
     parsed.order_lease =
         read_duration(*found, "order_lease_ms", milliseconds{1}, parsed.order_lease, order_lease_range);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -48,6 +48,7 @@
     milliseconds usage_due{10000};    ///< from a window's end until its report is due
     /// Plain requests of a service with more pairs of gateway and replica are relayed through hubs.
     std::size_t max_direct_pairs = 64;
+    std::size_t running_batches = 128; ///< batches that run at this gateway at a time
 };
 
 /// How vg-entry balances load. `plain` (round robin, no limits, unlimited retries) is a baseline for
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -169,7 +169,7 @@
 {
     if (header.owner_vm == fleet_.self() && header.owner_incarnation == fleet_.incarnation()) {
         batch->stored = true;
-        batch->changed.notify();
+        wake(*batch);
         return;
     }
     end(batch, "owned by another gateway");
@@ -195,7 +195,7 @@
 
 void batch_runner::start(const batch_header& header)
 {
-    if (!starts_batches_) {
+    if (!starts_batches_ || !may_run_more(0)) {
         return;
     }
     active_[header.id] = nullptr;
@@ -262,8 +262,9 @@
 
 net::task<void> batch_runner::run_until_done(batch_run_ref batch)
 {
+    placement_wanted_ = true;
     while (!batch->ended) {
-        place_items();
+        place_when_due();
         move_stragglers(*batch);
         expire_items(*batch);
         save_texts(batch);
@@ -297,7 +298,7 @@
                   {"listed", static_cast<std::int64_t>(progress.published())},
                   {"items", static_cast<std::int64_t>(progress.header().total)}});
     counts_.add("batches_done_total");
-    batch->changed.notify();
+    wake(*batch);
     active_.erase(progress.header().id);
     if (batch->stored) {
         unfinished_texts_.save(progress);
@@ -324,11 +325,17 @@
 {
     for (const auto& [id, batch] : active_) {
         if (batch) {
-            batch->changed.notify();
+            wake(*batch);
         }
     }
 }
 
+void batch_runner::wake(batch_run& batch)
+{
+    placement_wanted_ = true;
+    batch.changed.notify();
+}
+
 // Terminates items older than the route allows, so that the trainer does not wait for them for ever.
 void batch_runner::expire_items(batch_run& batch)
 {
@@ -391,7 +398,7 @@
         progress.finish_write();
     }
     batch->publishing = false;
-    batch->changed.notify();
+    wake(*batch);
 }
 
 } // namespace vanillagauge::gateway
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -16,6 +16,7 @@
 #include "observe/metrics.hpp"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,6 +41,13 @@
                  const target_registry& targets, engine_view& engines, const target_protocol& protocol,
                  item_scorer& scorer, observe::metrics& counts, const trainer_schedules& trainers);
 
+    /// How many batches run here at a time; further ones wait in the store.
+    void set_running_limit(std::size_t batches) { running_limit_ = batches; }
+    /// Whether one more batch may run, beside so many that are not stored yet.
+    bool may_run_more(std::size_t being_stored) const
+    {
+        return active_.size() + being_stored < running_limit_;
+    }
     /// Bounds the items of batches here. A batch beyond it waits in the store.
     void set_item_budget(std::shared_ptr<net::byte_budget> budget) { item_budget_ = std::move(budget); }
     /// Takes room for so many bytes of items, for which ended batches leave memory where needed; null if
@@ -105,6 +113,9 @@
     std::deque<batch_run_ref> recent_; ///< ended, with their published results
     std::set<std::string> finished_;   ///< all results published, not yet ended by their trainers
     time_point started_;
+    std::size_t running_limit_ = std::numeric_limits<std::size_t>::max();
+    bool placement_wanted_ = false; ///< since something has changed
+    time_point placed_at_{};
     std::shared_ptr<net::byte_budget> item_budget_ = std::make_shared<net::byte_budget>();
     bool starts_batches_ = true;
     bool view_complete_ = false;
@@ -127,7 +138,11 @@
     net::task<void> write_texts(batch_run_ref batch);
     void resume_texts(const batch_run_ref& batch);
     net::task<void> run_until_done(batch_run_ref batch);
+    /// Places items where something has changed or some time has passed.
+    void place_when_due();
     void place_items();
+    /// The batch has changed: places items, and goes on with it.
+    void wake(batch_run& batch);
     bool place_items_of(const batch_run_ref& batch, const std::vector<target_ref>& engines);
     net::task<void> run_item(batch_run_ref batch, std::size_t index, target_ref engine);
     net::task<net::http_result<done>> send_item(batch_run_ref batch, std::size_t index,
--- a/src/gateway/batch_runner_items.cpp
+++ b/src/gateway/batch_runner_items.cpp
@@ -69,7 +69,7 @@
     }
     --engine->streams;
     batch->item_runs.erase(index);
-    batch->changed.notify();
+    wake(*batch);
 }
 
 std::vector<policy::engine_use> batch_runner::engine_uses() const
@@ -209,7 +209,7 @@
             co_await net::sleep_for(loop_, scoring_retry_delay);
         }
     }
-    batch->changed.notify();
+    wake(*batch);
 }
 
 // The request ends with this task: its body would be held beside the item for as long as the stream lasts.
--- a/src/gateway/batch_runner_order.cpp
+++ b/src/gateway/batch_runner_order.cpp
@@ -15,8 +15,24 @@
     });
 }
 
+/// Between two placements without a change, which an engine's pause or an item's may have ended.
+constexpr milliseconds placement_pause{5};
+
 } // namespace
 
+// Guards against batches that each place the items of all: the work would grow with the square of their
+// number, until nothing else is served.
+void batch_runner::place_when_due()
+{
+    const auto now = steady::now();
+    if (!placement_wanted_ && now - placed_at_ < placement_pause) {
+        return;
+    }
+    placement_wanted_ = false;
+    placed_at_ = now;
+    place_items();
+}
+
 void batch_runner::place_items()
 {
     const auto now = std::chrono::system_clock::now();
--- a/src/gateway/batch_runner_reads.cpp
+++ b/src/gateway/batch_runner_reads.cpp
@@ -54,7 +54,7 @@
         co_return false;
     }
     progress.apply_segment(value(segment));
-    batch->changed.notify();
+    wake(*batch);
     observe::log(observe::log_level::info, "segment_of_other_owner",
                  {{"batch", progress.header().id}, {"first", static_cast<std::int64_t>(end)}});
     co_return true;
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -45,6 +45,11 @@
     return {error_code::unavailable, run_state::not_run, "no memory for the batch", full_retry_after};
 }
 
+error too_many_batches()
+{
+    return {error_code::unavailable, run_state::not_run, "too many batches run", full_retry_after};
+}
+
 /// A batch as stored, from the gateway that accepted or ended it.
 struct accepted_batch {
     stored_object object;
@@ -106,16 +111,18 @@
     if (const auto* known = runner_.find(submission.header.id)) {
         co_return check_same_submitter(*known, submission.header);
     }
-    auto room = storing_room(submission.items);
+    const bool may_run = runner_.may_run_more(being_stored_);
+    auto room = may_run ? storing_room(submission.items) : item_room{};
     if (!room) {
         runner_.count_refusal();
-        auto refusing = refuse_for_memory(submission.header);
+        auto refusing = refuse_unless_stored(submission.header, may_run ? batch_full() : too_many_batches());
         auto refused = co_await std::move(refusing);
         co_return refused;
     }
     const auto current = std::make_shared<attempt>(loop_);
     current->submission = std::move(submission);
     current->room = std::move(room);
+    ++being_stored_;
     auto& header = current->submission.header;
     header.total = current->submission.items.size();
     header.work = expected_output(current->submission.items);
@@ -155,14 +162,13 @@
 }
 
 // Another gateway may have accepted the batch a moment ago, which this one's feed does not show yet.
-net::task_of<done> batch_service::refuse_for_memory(batch_header header)
+net::task_of<done> batch_service::refuse_unless_stored(batch_header header, error reason)
 {
     const auto stored = co_await store_.read(batch_kind, header.id);
     if (ok(stored)) {
         const auto existing = header_from_json(header.id, value(stored).value, value(stored).status);
         co_return ok(existing) ? check_same_submitter(value(existing), header) : result<done>(done{});
     }
-    auto reason = batch_full();
     if (failure(stored).code != error_code::not_found) {
         reason.ran = run_state::in_doubt;
     }
@@ -187,6 +193,7 @@
     if (!current->outcome) {
         current->outcome = std::move(stored);
     }
+    --being_stored_;
     std::vector<batch_item>().swap(current->submission.items);
     current->room.reset();
     current->changed.notify();
--- a/src/gateway/batch_service.hpp
+++ b/src/gateway/batch_service.hpp
@@ -72,13 +72,15 @@
     result_reader results_;
     std::list<cached_items> cache_; ///< newest first
 
+    std::size_t being_stored_ = 0; ///< submissions
+
     struct attempt;                                       ///< an attempt to store a submission
     std::map<std::string, time_point> speculative_until_; ///< speculative batches running here
 
     /// Room for the items and for what storing them takes; null if there is none.
     item_room storing_room(const std::vector<batch_item>& items);
-    /// Success if the batch is stored already.
-    net::task_of<done> refuse_for_memory(batch_header header);
+    /// Refuses a batch that has no room here; success if it is stored already.
+    net::task_of<done> refuse_unless_stored(batch_header header, error reason);
     /// A refusal is none while a peer may be running the batch.
     net::task_of<done> to_refusal(error reason, batch_header header);
     net::task<void> resolve_attempt(std::shared_ptr<attempt> current);
--- a/src/gateway/batch_service_speculative.cpp
+++ b/src/gateway/batch_service_speculative.cpp
@@ -150,7 +150,7 @@
     const auto current = std::make_shared<attempt>(loop_);
     current->room = storing_room(submission.items);
     held_items held{submission.items, runner_.room_for(bytes_of(submission.items))};
-    if (!current->room || !held.room) {
+    if (!runner_.may_run_more(0) || !current->room || !held.room) {
         runner_.count_refusal();
         return false;
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,6 +164,7 @@
           {}, connections)
 {
     runner.set_item_budget(batch_memory);
+    runner.set_running_limit(settings.gateway.running_batches);
     connections->set_observer([this](net::account_event event) {
         connection_reports.on_event(event, connections->connections(), steady::now());
     });
@@ -604,6 +605,7 @@
                                static_cast<double>(age.count()));
         }
     }
+    state_->counts.set("batches_running", static_cast<double>(held.runner.running()));
     state_->counts.set("batch_item_bytes", static_cast<double>(held.batch_memory->held()));
     state_->counts.set("client_memory_bytes", static_cast<double>(held.connections->whole()->held()));
     held.trainers.record(state_->counts);
--- a/tests/client_crowds/crowd_kinds.cpp
+++ b/tests/client_crowds/crowd_kinds.cpp
@@ -118,6 +118,20 @@
     return all;
 }
 
+/// So many reads, each under names of its own.
+std::string reads_under_names(std::size_t client, std::size_t count)
+{
+    std::string all;
+    for (std::size_t number = 0; number < count; ++number) {
+        const auto name = std::to_string(client) + "x" + std::to_string(number);
+        all += "GET /first/" + name + "?q=" + name + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: n" + name +
+               "\r\nDeadline-Ms: 20000\r\nModel: m" + name + "\r\nPrompt-Prefix: " + std::to_string(number) +
+               "a:20\r\ntraceparent: t" + name + "\r\n\r\n";
+        all += "GET /api/lots/" + name + " HTTP/1.1\r\nHost: h" + name + "\r\n\r\n";
+    }
+    return all;
+}
+
 /// So many batches, each of which is ended as soon as it has been accepted.
 std::string ended_batches(std::size_t client, std::size_t count, std::size_t items, std::size_t body_bytes)
 {
@@ -222,6 +236,12 @@
                        .piece = text_of(piece_bytes),
                        .piece_bytes_in_all = 8 * megabyte,
                        .counts_unread = true};
+    kinds["small_batches"] = {.clients = 200, .bounds = many_descriptors, .opening = [](std::size_t number) {
+                                  return batches(number, 50, 4);
+                              }};
+    kinds["names"] = {.clients = 200, .bounds = many_descriptors, .opening = [](std::size_t number) {
+                          return reads_under_names(number, 200);
+                      }};
     kinds["everything"] = everything(kinds);
     return kinds;
 }
--- a/tests/config/settings_tests.cpp
+++ b/tests/config/settings_tests.cpp
@@ -54,6 +54,15 @@
     EXPECT_EQ(value(parsed).gateway.file_descriptors, 4100U);
 }
 
+TEST(settings, reads_how_many_batches_run)
+{
+    const auto text = replaced(
+        valid, "\"vm\":", R"("gateway": {"relay_listen": "127.0.0.1:7300", "running_batches": 9}, "vm":)");
+    const auto parsed = parse_settings(text, "vm.json");
+    ASSERT_TRUE(ok(parsed)) << failure(parsed).detail;
+    EXPECT_EQ(value(parsed).gateway.running_batches, 9U);
+}
+
 TEST(settings, reads_how_usage_is_reported)
 {
     const auto text =
