--- a/tests/client_crowds/crowd_kinds.cpp
+++ b/tests/client_crowds/crowd_kinds.cpp
@@ -239,6 +239,9 @@
     kinds["small_batches"] = {.clients = 200, .bounds = many_descriptors, .opening = [](std::size_t number) {
                                   return batches(number, 50, 4);
                               }};
+    kinds["batch_headers"] = {.clients = 200,
+                              .bounds = {.memory_mb = 48, .descriptors = 1200},
+                              .opening = [](std::size_t number) { return ended_batches(number, 100, 1, 4); }};
     kinds["names"] = {.clients = 200, .bounds = many_descriptors, .opening = [](std::size_t number) {
                           return reads_under_names(number, 200);
                       }};
