--- a/tests/gateway/batch_tests.cpp
+++ b/tests/gateway/batch_tests.cpp
@@ -322,6 +322,23 @@
     EXPECT_EQ(cluster.status_of(served.address(), batch), 503);
 }
 
+// Guards against a gateway that serves nobody else, since any number of batches runs there.
+TEST(batches, beyond_those_that_may_run_are_refused_until_one_ends)
+{
+    batch_deployment cluster;
+    auto settings = make_settings("a", cluster.store_address(), {});
+    settings.gateway.running_batches = 1;
+    auto& served = *cluster.gateways.emplace_back(std::make_unique<running_gateway>(std::move(settings)));
+    ASSERT_TRUE(deployment::eventually([&] { return served.ready(); }));
+    ASSERT_EQ(cluster.status_of(served.address(), make_batch("b1", 9)), 202);
+    EXPECT_EQ(cluster.status_of(served.address(), make_batch("b2")), 503);
+    EXPECT_EQ(cluster.status_of(served.address(), make_batch("b1", 9)), 202) << "it is known here";
+    EXPECT_EQ(cluster.status_of(served.address(), make_end("b1")), 200);
+    EXPECT_TRUE(
+        deployment::eventually([&] { return cluster.status_of(served.address(), make_batch("b2")) == 202; }));
+    expect_complete(cluster.read_all({served.address()}, "b2"));
+}
+
 // The store takes the items of each batch and refuses its header. Their room must be there again, or no batch
 // is accepted any more.
 TEST(batches, give_their_room_back_where_their_header_is_refused)
