Check who submitted a stored batch, and drop unused items, in one place each

Found on reading the change again: two places of batch_service compared a stored header with a submission and took one that cannot be read for stored; two dropped the cached items of a batch that its header has not made run here. Each is one function now. Behaviour is the same.

--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -104,6 +104,13 @@
     return found ? std::move(found.mapped()) : held_items{};
 }
 
+void batch_runner::drop_unused_items(const std::string& batch)
+{
+    if (!runs(batch)) {
+        cached_items_.erase(batch);
+    }
+}
+
 const batch_header* batch_runner::find(const std::string& batch) const
 {
     const auto found = headers_.find(batch);
--- a/src/gateway/batch_runner.hpp
+++ b/src/gateway/batch_runner.hpp
@@ -58,6 +58,8 @@
     void cache_items(const std::string& batch, held_items items);
     /// Those that are cached, which are no longer then.
     held_items take_cached(const std::string& batch);
+    /// Drops the cached items of a batch whose header has not made it run here.
+    void drop_unused_items(const std::string& batch);
     /// The batch's header in the store is new or has changed.
     void update_header(const batch_header& header);
     /// Runs a batch that may not be stored yet; results are published once `update_header` confirms that this
--- a/src/gateway/batch_service.cpp
+++ b/src/gateway/batch_service.cpp
@@ -40,6 +40,12 @@
     return done{};
 }
 
+/// A header that cannot be read shows that the batch is stored, no more.
+result<done> check_same_submitter(const result<batch_header>& stored, const batch_header& submitted)
+{
+    return ok(stored) ? check_same_submitter(value(stored), submitted) : result<done>(done{});
+}
+
 error batch_full()
 {
     return {error_code::unavailable, run_state::not_run, "no memory for the batch", full_retry_after};
@@ -167,7 +173,7 @@
     const auto stored = co_await store_.read(batch_kind, header.id);
     if (ok(stored)) {
         const auto existing = header_from_json(header.id, value(stored).value, value(stored).status);
-        co_return ok(existing) ? check_same_submitter(value(existing), header) : result<done>(done{});
+        co_return check_same_submitter(existing, header);
     }
     if (failure(stored).code != error_code::not_found) {
         reason.ran = run_state::in_doubt;
@@ -262,15 +268,13 @@
                                             owner->relay_address));
         }
         headers_.apply_own_write(std::move(value(created)));
-        if (!runner_.runs(header.id)) {
-            runner_.take_cached(header.id);
-        }
+        runner_.drop_unused_items(header.id);
         co_return done{};
     }
     take_items_back(*current);
     if (failure(created).code == error_code::conflict) {
         const auto existing = header_from_json(header.id, parse_json(failure(created).current), {});
-        co_return ok(existing) ? check_same_submitter(value(existing), header) : result<done>(done{});
+        co_return check_same_submitter(existing, header);
     }
     auto reason = failure(created);
     reason.retry_after = store_retry_after;
@@ -312,9 +316,7 @@
         }
     }
     headers_.apply_own_write(std::move(accepted.object));
-    if (!runner_.runs(name)) {
-        runner_.take_cached(name);
-    }
+    runner_.drop_unused_items(name);
     return response;
 }
 
