Take no response for one whose status no response has

Played here, clients got what a broken answer had in its body, or behind its head, as the replica's answer: callers of plain requests and of streams, items' texts and scores alike.

Cause: read_head took every status below 200 for an interim response, 000 to 099 and 101 too, and read the next bytes on the connection, the body of the broken answer or what stood behind it, as the final one; also the body that a 1xx announces. Statuses above 599 were final ones.

Evidence: tests/gateway/broken_responses_tests.cpp, real gateways, two replicas of each service.

Why this works: a head is judged once, by net::defect_of, before anyone uses it. Final statuses are 200 to 599, interim ones 100 and 102 to 199 without a body (RFC 9110, 15); any other head makes the response malformed, and the connection is closed, so the request stays in doubt and nothing behind the head is read. Interim responses without a body are skipped as before (net: behind_interim).

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -54,10 +54,26 @@
            code != http::error::partial_message;
 }
 
+using response_parser = http::response_parser<http::buffer_body>;
+
+response_head head_of(const response_parser& parser)
+{
+    const auto& message = parser.get();
+    response_head head;
+    head.status = static_cast<int>(message.result_int());
+    for (const auto& field : message) {
+        const auto field_name = field.name_string();
+        const auto value = field.value();
+        head.fields.add({field_name.data(), field_name.size()}, {value.data(), value.size()});
+    }
+    head.keep_alive = parser.keep_alive();
+    return head;
+}
+
 } // namespace
 
 struct body_reader {
-    http::response_parser<http::buffer_body> parser;
+    response_parser parser;
     std::array<char, piece_bytes> piece{};
 };
 
@@ -174,31 +190,25 @@
 // An interim response says nothing about the request, and a faulty peer may send them without end.
 task<http_result<response_head>> http_connection::read_head(time_point deadline)
 {
-    auto failure = co_await read_one_head(deadline);
-    if (failure == beast::error::timeout && buffer_.size() == 0 && silence_) {
-        silence_->since = std::max(silence_->since, sent_at_);
-    }
-    int interim = 0;
-    while (!failure && reader_->parser.get().result_int() < 200) {
-        if (++interim > max_interim_responses) {
-            co_return http_failure{failure_kind::malformed, true, "too many interim responses"};
+    for (int interim = 0; interim <= max_interim_responses; ++interim) {
+        const auto failure = co_await read_one_head(deadline);
+        if (failure == beast::error::timeout && interim == 0 && buffer_.size() == 0 && silence_) {
+            silence_->since = std::max(silence_->since, sent_at_);
+        }
+        if (failure) {
+            co_return to_failure(failure);
+        }
+        auto head = head_of(reader_->parser);
+        if (const auto defect = defect_of(head)) {
+            close();
+            co_return http_failure{failure_kind::malformed, true, name(*defect)};
+        }
+        if (!is_interim(head)) {
+            observe::note_input("response of", address_);
+            co_return head;
         }
-        failure = co_await read_one_head(deadline);
-    }
-    if (failure) {
-        co_return to_failure(failure);
-    }
-    observe::note_input("response of", address_);
-    response_head head;
-    const auto& message = reader_->parser.get();
-    head.status = static_cast<int>(message.result_int());
-    for (const auto& field : message) {
-        const auto field_name = field.name_string();
-        const auto value = field.value();
-        head.fields.add({field_name.data(), field_name.size()}, {value.data(), value.size()});
     }
-    head.keep_alive = reader_->parser.keep_alive();
-    co_return head;
+    co_return http_failure{failure_kind::malformed, true, "too many interim responses"};
 }
 
 task<http_result<body_piece>> http_connection::read_piece(time_point deadline)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -4,6 +4,7 @@
 
 #include "net/exchange_history.hpp"
 #include "net/http_message.hpp"
+#include "net/response_head.hpp"
 #include "net/task.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,12 +35,6 @@
     std::string detail{};
 };
 
-struct response_head {
-    int status = 0;
-    http_fields fields{};
-    bool keep_alive = false; ///< the connection may be reused once the body has been read completely
-};
-
 /// What ends a connection whose peer is silent.
 enum class silence_limit {
     deadline,   ///< the deadlines of the operations only
@@ -80,6 +75,7 @@
     task<http_result<done>> send(const http_request& request, time_point deadline);
     /// As `send`, with another body than the request's, which is not copied.
     task<http_result<done>> send(const http_request& head, std::string_view body, time_point deadline);
+    /// The head of the final response; `malformed` if it cannot be relied on.
     task<http_result<response_head>> read_head(time_point deadline);
     task<http_result<body_piece>> read_piece(time_point deadline);
     /// Reads the complete body; `malformed` if it exceeds `max_bytes`.
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -9,6 +9,7 @@
 #include "net/http_client.hpp"
 #include "net/http_message.hpp"
 #include "net/http_service.hpp"
+#include "net/response_head.hpp"
 #include "net/task.hpp"
 
 #endif
--- /dev/null
+++ b/src/net/response_head.cpp
@@ -0,0 +1,48 @@
+#include "net/response_head.hpp"
+
+namespace vanillagauge::net {
+namespace {
+
+constexpr int first_interim = 100;
+constexpr int switching_protocols = 101; // is final, and was not asked for
+constexpr int first_final = 200;
+constexpr int last_final = 599;
+
+bool is_final(int status)
+{
+    return status >= first_final && status <= last_final;
+}
+
+} // namespace
+
+const char* name(head_defect defect)
+{
+    switch (defect) {
+    case head_defect::status:
+        return "a status that no response has";
+    case head_defect::framed_interim:
+        break;
+    }
+    return "an interim response with a body";
+}
+
+bool is_interim(const response_head& head)
+{
+    return head.status >= first_interim && head.status < first_final && head.status != switching_protocols;
+}
+
+// Where the peer and this reader differ on where a response ends, the bytes of its body are read as the next
+// response.
+std::optional<head_defect> defect_of(const response_head& head)
+{
+    if (!is_interim(head) && !is_final(head.status)) {
+        return head_defect::status;
+    }
+    const bool framed = head.fields.contains("Content-Length") || head.fields.contains("Transfer-Encoding");
+    if (is_interim(head) && framed) {
+        return head_defect::framed_interim;
+    }
+    return std::nullopt;
+}
+
+} // namespace vanillagauge::net
--- /dev/null
+++ b/tests/gateway/broken_responses_tests.cpp
@@ -0,0 +1,231 @@
+// Replicas whose responses are not valid HTTP, or not in the way that a response may be written.
+#include "batch_deployment.hpp"
+#include "cut_replicas.hpp"
+#include "response_checks.hpp"
+
+namespace vanillagauge::gateway {
+namespace {
+
+using nlohmann::json;
+
+/// What a caller must not get.
+const std::string wrong_body = "not the replica's body";
+
+/// Makes a response of the replica's fields, each a line that ends with CRLF, and a body.
+using response_maker = std::function<std::string(const std::string& fields, const std::string& body)>;
+
+struct broken_case {
+    std::string name;
+    response_maker make;
+};
+
+void PrintTo(const broken_case& broken, std::ostream* out)
+{
+    *out << broken.name;
+}
+
+std::string case_name(const testing::TestParamInfo<broken_case>& info)
+{
+    return info.param.name;
+}
+
+/// An event whose data no replica has made.
+std::string wrong_events()
+{
+    return "id: 1\ndata: " + wrong_body + "\n\n";
+}
+
+/// Both replicas of a service break the first responses to what is planned.
+class breaking_replicas {
+public:
+    breaking_replicas(deployment& all, const std::string& service, broken_case broken)
+        : broken_(std::move(broken))
+    {
+        for (const auto* id : {"b1", "b2"}) {
+            auto& added = *peers_.emplace_back(std::make_unique<scripted_peer>(
+                [this](const scripted_request& request) { return respond(request); }));
+            all.put_replica_at(added.address(), service, service + "-" + id);
+        }
+    }
+
+    /// Breaks so many responses to the request with this id.
+    void plan(const std::string& id, int times)
+    {
+        const std::lock_guard lock(mutex_);
+        left_[id] = times;
+    }
+    int runs(const std::string& id)
+    {
+        const std::lock_guard lock(mutex_);
+        return runs_[id];
+    }
+
+private:
+    broken_case broken_;
+    std::mutex mutex_;
+    std::map<std::string, int> left_;
+    std::map<std::string, int> runs_;
+    std::vector<std::unique_ptr<scripted_peer>> peers_{}; ///< last: their threads call `respond`
+
+    scripted_response respond(const scripted_request& request)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto id = request.field("Attempt-Id");
+        ++runs_[id];
+        const bool streams = !request.field("Token-Counts").empty();
+        if (left_[id] > 0) {
+            --left_[id];
+            return {broken_.make(replica_fields(id), streams ? wrong_events() : wrong_body),
+                    connection_end::fin};
+        }
+        const auto body = streams ? events_after(id, 0) : plain_body(id);
+        return {response_text(streams ? framing::chunked : framing::length, replica_fields(id), body)};
+    }
+};
+
+struct broken_responses : testing::TestWithParam<broken_case> {
+    deployment all;
+    breaking_replicas plain{all, "plain", GetParam()};
+    breaking_replicas engines{all, "lm", GetParam()};
+    running_gateway& served = all.add_gateway("a");
+
+    broken_responses()
+    {
+        EXPECT_TRUE(deployment::eventually([this] {
+            return served.ready() &&
+                   all.status_of(served.address(), make_request("/safe/warm", "warm")) == 200;
+        }));
+    }
+
+    net::http_result<net::http_response> ask(const std::string& path, const std::string& id)
+    {
+        return all.send(served.address(), make_request(path + id, id));
+    }
+    net::http_result<net::http_response> ask_for_stream(const std::string& path, const std::string& id)
+    {
+        return all.send(served.address(), make_stream_request(id, path + id));
+    }
+    void check_request_that_runs_once()
+    {
+        SCOPED_TRACE("a request that runs once");
+        plain.plan("a1", 1);
+        expect_in_doubt(ask("/once/", "a1"));
+        EXPECT_EQ(plain.runs("a1"), 1);
+    }
+    void check_request_that_may_run_again()
+    {
+        SCOPED_TRACE("a request that may run again");
+        plain.plan("a2", 1);
+        expect_success(ask("/safe/", "a2"), "a2", plain_body("a2"));
+        EXPECT_EQ(plain.runs("a2"), 2);
+    }
+    void check_stream_that_is_not_resumed()
+    {
+        SCOPED_TRACE("a stream that is not resumed");
+        engines.plan("a3", 1);
+        expect_in_doubt(ask_for_stream("/talk/", "a3"));
+        EXPECT_EQ(engines.runs("a3"), 1);
+    }
+    void check_stream_that_may_be_resumed()
+    {
+        SCOPED_TRACE("a stream that may be resumed");
+        engines.plan("a4", 1);
+        expect_success(ask_for_stream("/tale/", "a4"), "a4", events_after("a4", 0));
+        EXPECT_EQ(engines.runs("a4"), 2);
+    }
+    void check_item_and_score()
+    {
+        SCOPED_TRACE("an item and its score");
+        auto request = make_batch("b1", 1, true);
+        auto batch = json::parse(request.body);
+        batch["Items"] = json::array({batch["Items"][0]});
+        batch["DesiredCount"] = 1;
+        request.body = batch.dump();
+        engines.plan("b1-i0", 1);
+        plain.plan("b1-s0", 1);
+        EXPECT_EQ(all.status_of(served.address(), std::move(request)), 202);
+        const auto result = only_result("b1");
+        EXPECT_EQ(result.value("State", ""), "completed") << result;
+        EXPECT_EQ(result.value("Text", ""), "b1-i0-1\nb1-i0-2\nb1-i0-3") << result;
+        EXPECT_EQ(result.value("Score", ""), "stamp-of-b1-s0") << result;
+        EXPECT_EQ(engines.runs("b1-i0"), 2);
+        EXPECT_EQ(plain.runs("b1-s0"), 2);
+    }
+    json only_result(const std::string& batch)
+    {
+        json results;
+        EXPECT_TRUE(deployment::eventually([&] {
+            const auto page = all.body_of(served.address(), make_read(batch, 0));
+            results = page.is_object() ? page.value("Results", json::array()) : json::array();
+            return !results.empty();
+        }));
+        return results.empty() ? json::object() : results[0];
+    }
+};
+
+// Guards against a response that cannot be one, which a client gets as the replica's.
+TEST_P(broken_responses, reach_no_client)
+{
+    check_request_that_runs_once();
+    check_request_that_may_run_again();
+    check_stream_that_is_not_resumed();
+    check_stream_that_may_be_resumed();
+    check_item_and_score();
+}
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+std::string with_status(const std::string& status, const std::string& text)
+{
+    return replaced(text, "200 OK", status + " Some reason");
+}
+
+response_maker status_of(framing how, const std::string& status)
+{
+    return [=](const std::string& fields, const std::string& body) {
+        return with_status(status, response_text(how, fields, body));
+    };
+}
+
+/// The body is a whole response itself.
+response_maker status_around_a_response(const std::string& status)
+{
+    return [=](const std::string& fields, const std::string& body) {
+        const auto inner = response_text(framing::length, fields, body);
+        return with_status(status, response_text(framing::length, fields, inner));
+    };
+}
+
+/// A head, and a whole response behind it.
+response_maker status_before_a_response(const std::string& status)
+{
+    return [=](const std::string& fields, const std::string& body) {
+        const auto head = with_status(status, response_text(framing::connection, fields, ""));
+        return head + response_text(framing::length, fields, body);
+    };
+}
+
+/// Statuses that no final response can have: below 200, but for interim ones, or above 599.
+std::vector<broken_case> broken_statuses()
+{
+    std::vector<broken_case> cases;
+    for (const std::string status : {"000", "099", "101", "600", "999"}) {
+        cases.push_back({status, status_of(framing::length, status)});
+        cases.push_back({status + "_unframed", status_of(framing::connection, status)});
+    }
+    for (const std::string status : {"000", "001", "099", "100", "101", "103", "199"}) {
+        cases.push_back({status + "_around_a_response", status_around_a_response(status)});
+    }
+    for (const std::string status : {"000", "099", "101"}) {
+        cases.push_back({status + "_before_a_response", status_before_a_response(status)});
+    }
+    return cases;
+}
+
+INSTANTIATE_TEST_SUITE_P(status, broken_responses, testing::ValuesIn(broken_statuses()), case_name);
+
+} // namespace
+} // namespace vanillagauge::gateway
