Take no response in a transfer coding other than chunked

Cause: the parser looks for chunked as the last coding and reads every other body to the end of its connection. The field concerns one connection, so it is not passed on.

Evidence: broken_codings in tests/gateway/broken_responses_tests.cpp. With the check switched off all seven cases fail, each in plain requests, streams, items and scores; with it they pass.

Why this works: no request asks for a coding (TE is not passed on either), so a response that names any but chunked, once, is not the answer to it. It is malformed as by a wrong status, and the request stays in doubt.

--- a/src/net/response_head.cpp
+++ b/src/net/response_head.cpp
@@ -1,5 +1,7 @@
 #include "net/response_head.hpp"
 
+#include <algorithm>
+
 namespace vanillagauge::net {
 namespace {
 
@@ -13,6 +15,15 @@
     return status >= first_final && status <= last_final;
 }
 
+/// Whether the body is sent as it is, or in chunks and nothing else (RFC 9112, section 6.1).
+bool has_known_coding(const http_fields& fields)
+{
+    const auto& all = fields.all();
+    return std::all_of(all.begin(), all.end(), [](const http_field& field) {
+        return !names_equal(field.name, "Transfer-Encoding") || names_equal(field.value, "chunked");
+    });
+}
+
 } // namespace
 
 const char* name(head_defect defect)
@@ -21,9 +32,11 @@
     case head_defect::status:
         return "a status that no response has";
     case head_defect::framed_interim:
+        return "an interim response with a body";
+    case head_defect::coding:
         break;
     }
-    return "an interim response with a body";
+    return "a transfer coding other than chunked";
 }
 
 bool is_interim(const response_head& head)
@@ -42,6 +55,9 @@
     if (is_interim(head) && framed) {
         return head_defect::framed_interim;
     }
+    if (!has_known_coding(head.fields)) {
+        return head_defect::coding;
+    }
     return std::nullopt;
 }
 
--- a/src/net/response_head.hpp
+++ b/src/net/response_head.hpp
@@ -18,6 +18,7 @@
 enum class head_defect {
     status,         ///< neither an interim nor a final one
     framed_interim, ///< an interim response that announces a body
+    coding,         ///< the body is in a transfer coding that no request asks for
 };
 
 const char* name(head_defect defect);
--- a/tests/gateway/broken_responses_tests.cpp
+++ b/tests/gateway/broken_responses_tests.cpp
@@ -299,5 +299,30 @@
 
 INSTANTIATE_TEST_SUITE_P(field_name, broken_responses, testing::ValuesIn(broken_field_names()), case_name);
 
+response_maker transfer_coding(framing how, const std::string& codings)
+{
+    return [=](const std::string& fields, const std::string& body) {
+        if (how == framing::chunked) {
+            return replaced(response_text(how, fields, body), "chunked", codings);
+        }
+        return response_text(how, fields + "Transfer-Encoding: " + codings + "\r\n", body);
+    };
+}
+
+/// Bodies in a transfer coding that no gateway has asked for.
+std::vector<broken_case> broken_codings()
+{
+    return {{"gzip", transfer_coding(framing::connection, "gzip")},
+            {"empty", transfer_coding(framing::connection, "")},
+            {"identity_with_length", transfer_coding(framing::length, "identity")},
+            {"gzip_and_chunked", transfer_coding(framing::chunked, "gzip, chunked")},
+            {"gzip_and_chunked_in_two_lines",
+             transfer_coding(framing::chunked, "gzip\r\nTransfer-Encoding: chunked")},
+            {"chunked_and_gzip", transfer_coding(framing::chunked, "chunked, gzip")},
+            {"chunked_twice", transfer_coding(framing::chunked, "chunked, chunked")}};
+}
+
+INSTANTIATE_TEST_SUITE_P(transfer_coding, broken_responses, testing::ValuesIn(broken_codings()), case_name);
+
 } // namespace
 } // namespace vanillagauge::gateway
