--- a/src/net/response_head.cpp
+++ b/src/net/response_head.cpp
@@ -24,6 +24,12 @@
     });
 }
 
+bool has_sound_names(const http_fields& fields)
+{
+    const auto& all = fields.all();
+    return std::all_of(all.begin(), all.end(), [](const http_field& field) { return is_token(field.name); });
+}
+
 } // namespace
 
 const char* name(head_defect defect)
@@ -34,9 +40,11 @@
     case head_defect::framed_interim:
         return "an interim response with a body";
     case head_defect::coding:
+        return "a transfer coding other than chunked";
+    case head_defect::field_name:
         break;
     }
-    return "a transfer coding other than chunked";
+    return "the name of a field is no token";
 }
 
 bool is_interim(const response_head& head)
@@ -58,6 +66,9 @@
     if (!has_known_coding(head.fields)) {
         return head_defect::coding;
     }
+    if (!has_sound_names(head.fields)) {
+        return head_defect::field_name;
+    }
     return std::nullopt;
 }
 
--- a/src/net/response_head.hpp
+++ b/src/net/response_head.hpp
@@ -19,6 +19,7 @@
     status,         ///< neither an interim nor a final one
     framed_interim, ///< an interim response that announces a body
     coding,         ///< the body is in a transfer coding that no request asks for
+    field_name,     ///< that is no token
 };
 
 const char* name(head_defect defect);
--- a/src/wire/http_channel.cpp
+++ b/src/wire/http_channel.cpp
@@ -1,5 +1,6 @@
 #include "wire/http_channel.hpp"
 
+#include "net/response_head.hpp"
 #include "vanillagauge.pb.h"
 #include "wire/internal/callback_gate.hpp"
 
@@ -72,6 +73,18 @@
     return config;
 }
 
+/// Why a response cannot be used. The library takes interim responses for final ones, and shows the names of
+/// fields without the blanks around them.
+std::optional<net::head_defect> defect_of(const http_response& response)
+{
+    net::response_head head;
+    head.status = response.status_code();
+    for (const auto& [field_name, value] : response.headers()) {
+        head.fields.add(field_name, value);
+    }
+    return net::is_interim(head) ? net::head_defect::status : net::defect_of(head);
+}
+
 /// A cpprestsdk client with its connection pool.
 struct pooled_client {
     http_client client;
@@ -250,6 +263,10 @@
             response_ = answer.get();
             record_progress();
             client_->last_answer = steady::now();
+            if (const auto defect = defect_of(response_)) {
+                abort({error_code::incomplete, run_state::in_doubt, net::name(*defect)}, false);
+                return;
+            }
             const bool succeeded = response_.status_code() == web::http::status_codes::OK;
             if (succeeded && chunk_) {
                 read_some();
