Look for a body's framing in interim responses only

Every final response had its fields searched for Content-Length and Transfer-Encoding, for a check of interim ones. Behaviour is the same.

--- a/src/net/response_head.cpp
+++ b/src/net/response_head.cpp
@@ -15,6 +15,11 @@
     return status >= first_final && status <= last_final;
 }
 
+bool announces_body(const http_fields& fields)
+{
+    return fields.contains("Content-Length") || fields.contains("Transfer-Encoding");
+}
+
 /// Whether the body is sent as it is, or in chunks and nothing else (RFC 9112, section 6.1).
 bool has_known_coding(const http_fields& fields)
 {
@@ -59,8 +64,7 @@
     if (!is_interim(head) && !is_final(head.status)) {
         return head_defect::status;
     }
-    const bool framed = head.fields.contains("Content-Length") || head.fields.contains("Transfer-Encoding");
-    if (is_interim(head) && framed) {
+    if (is_interim(head) && announces_body(head.fields)) {
         return head_defect::framed_interim;
     }
     if (!has_known_coding(head.fields)) {
