Play broken responses with the replicas that cut them, and read one item in one place

Found on reading the change again: breaking_replicas repeated cut_replicas, which now sends any planned response; a cut is one of them. Four checks that differed in the replicas and the path are two. The batch of one item and its only result stood in two files and are in batch_deployment.hpp. The assertions are the same.

--- a/tests/gateway/batch_deployment.hpp
+++ b/tests/gateway/batch_deployment.hpp
@@ -55,6 +55,17 @@
     return request;
 }
 
+/// The first item of a batch, so that one connection to the only engine carries all of its runs.
+inline net::http_request make_one_item(const std::string& id, bool scored = false)
+{
+    auto request = make_batch(id, 1, scored);
+    auto body = nlohmann::json::parse(request.body);
+    body["DesiredCount"] = 1;
+    body["Items"] = nlohmann::json::array({body["Items"][0]});
+    request.body = body.dump();
+    return request;
+}
+
 inline net::http_request make_end(const std::string& id)
 {
     net::http_request request;
@@ -64,6 +75,18 @@
     return request;
 }
 
+/// The first result of a batch, once it is published; an empty object after ten seconds.
+inline nlohmann::json only_result(deployment& all, const running_gateway& served, const std::string& batch)
+{
+    nlohmann::json found;
+    EXPECT_TRUE(deployment::eventually([&] {
+        const auto page = all.body_of(served.address(), make_read(batch, 0));
+        found = page.is_object() ? page.value("Results", nlohmann::json::array()) : nlohmann::json::array();
+        return !found.empty();
+    }));
+    return found.empty() ? nlohmann::json::object() : found[0];
+}
+
 struct batch_deployment : deployment {
     standins::fake_replica& one = add_replica("e1", "lm");
     standins::fake_replica& two = add_replica("e2", "lm");
--- a/tests/gateway/broken_responses_tests.cpp
+++ b/tests/gateway/broken_responses_tests.cpp
@@ -6,8 +6,6 @@
 namespace vanillagauge::gateway {
 namespace {
 
-using nlohmann::json;
-
 /// What a caller must not get.
 const std::string wrong_body = "not the replica's body";
 
@@ -35,58 +33,10 @@
     return "id: 1\ndata: " + wrong_body + "\n\n";
 }
 
-/// Both replicas of a service break the first responses to what is planned.
-class breaking_replicas {
-public:
-    breaking_replicas(deployment& all, const std::string& service, broken_case broken)
-        : broken_(std::move(broken))
-    {
-        for (const auto* id : {"b1", "b2"}) {
-            auto& added = *peers_.emplace_back(std::make_unique<scripted_peer>(
-                [this](const scripted_request& request) { return respond(request); }));
-            all.put_replica_at(added.address(), service, service + "-" + id);
-        }
-    }
-
-    /// Breaks so many responses to the request with this id.
-    void plan(const std::string& id, int times)
-    {
-        const std::lock_guard lock(mutex_);
-        left_[id] = times;
-    }
-    int runs(const std::string& id)
-    {
-        const std::lock_guard lock(mutex_);
-        return runs_[id];
-    }
-
-private:
-    broken_case broken_;
-    std::mutex mutex_;
-    std::map<std::string, int> left_;
-    std::map<std::string, int> runs_;
-    std::vector<std::unique_ptr<scripted_peer>> peers_{}; ///< last: their threads call `respond`
-
-    scripted_response respond(const scripted_request& request)
-    {
-        const std::lock_guard lock(mutex_);
-        const auto id = request.field("Attempt-Id");
-        ++runs_[id];
-        const bool streams = !request.field("Token-Counts").empty();
-        if (left_[id] > 0) {
-            --left_[id];
-            return {broken_.make(replica_fields(id), streams ? wrong_events() : wrong_body),
-                    connection_end::fin};
-        }
-        const auto body = streams ? events_after(id, 0) : plain_body(id);
-        return {response_text(streams ? framing::chunked : framing::length, replica_fields(id), body)};
-    }
-};
-
 struct broken_responses : testing::TestWithParam<broken_case> {
     deployment all;
-    breaking_replicas plain{all, "plain", GetParam()};
-    breaking_replicas engines{all, "lm", GetParam()};
+    cut_replicas plain{all, "plain"};
+    cut_replicas engines{all, "lm"};
     running_gateway& served = all.add_gateway("a");
 
     broken_responses()
@@ -97,79 +47,54 @@
         }));
     }
 
-    net::http_result<net::http_response> ask(const std::string& path, const std::string& id)
+    /// Breaks the first response to the request with this id.
+    void plan(cut_replicas& replicas, const std::string& id)
     {
-        return all.send(served.address(), make_request(path + id, id));
-    }
-    net::http_result<net::http_response> ask_for_stream(const std::string& path, const std::string& id)
+        const auto body = &replicas == &engines ? wrong_events() : wrong_body;
+        replicas.plan(id,
+                      [=, make = GetParam().make](const std::string& fields,
+                                                  const std::string& /*sound*/) -> scripted_response {
+                          return {make(fields, body), connection_end::fin};
+                      });
+    }
+    void check_left_in_doubt(cut_replicas& replicas, net::http_request request)
     {
-        return all.send(served.address(), make_stream_request(id, path + id));
+        const std::string id(request.fields.find("Attempt-Id"));
+        SCOPED_TRACE(request.target);
+        plan(replicas, id);
+        expect_in_doubt(all.send(served.address(), std::move(request)));
+        EXPECT_EQ(replicas.runs(id), 1);
     }
-    void check_request_that_runs_once()
+    void check_replaced(cut_replicas& replicas, net::http_request request, const std::string& sound_body)
     {
-        SCOPED_TRACE("a request that runs once");
-        plain.plan("a1", 1);
-        expect_in_doubt(ask("/once/", "a1"));
-        EXPECT_EQ(plain.runs("a1"), 1);
-    }
-    void check_request_that_may_run_again()
-    {
-        SCOPED_TRACE("a request that may run again");
-        plain.plan("a2", 1);
-        expect_success(ask("/safe/", "a2"), "a2", plain_body("a2"));
-        EXPECT_EQ(plain.runs("a2"), 2);
-    }
-    void check_stream_that_is_not_resumed()
-    {
-        SCOPED_TRACE("a stream that is not resumed");
-        engines.plan("a3", 1);
-        expect_in_doubt(ask_for_stream("/talk/", "a3"));
-        EXPECT_EQ(engines.runs("a3"), 1);
-    }
-    void check_stream_that_may_be_resumed()
-    {
-        SCOPED_TRACE("a stream that may be resumed");
-        engines.plan("a4", 1);
-        expect_success(ask_for_stream("/tale/", "a4"), "a4", events_after("a4", 0));
-        EXPECT_EQ(engines.runs("a4"), 2);
+        const std::string id(request.fields.find("Attempt-Id"));
+        SCOPED_TRACE(request.target);
+        plan(replicas, id);
+        expect_success(all.send(served.address(), std::move(request)), id, sound_body);
+        EXPECT_EQ(replicas.runs(id), 2);
     }
     void check_item_and_score()
     {
         SCOPED_TRACE("an item and its score");
-        auto request = make_batch("b1", 1, true);
-        auto batch = json::parse(request.body);
-        batch["Items"] = json::array({batch["Items"][0]});
-        batch["DesiredCount"] = 1;
-        request.body = batch.dump();
-        engines.plan("b1-i0", 1);
-        plain.plan("b1-s0", 1);
-        EXPECT_EQ(all.status_of(served.address(), std::move(request)), 202);
-        const auto result = only_result("b1");
+        plan(engines, "b1-i0");
+        plan(plain, "b1-s0");
+        EXPECT_EQ(all.status_of(served.address(), make_one_item("b1", true)), 202);
+        const auto result = only_result(all, served, "b1");
         EXPECT_EQ(result.value("State", ""), "completed") << result;
         EXPECT_EQ(result.value("Text", ""), "b1-i0-1\nb1-i0-2\nb1-i0-3") << result;
         EXPECT_EQ(result.value("Score", ""), "stamp-of-b1-s0") << result;
         EXPECT_EQ(engines.runs("b1-i0"), 2);
         EXPECT_EQ(plain.runs("b1-s0"), 2);
     }
-    json only_result(const std::string& batch)
-    {
-        json results;
-        EXPECT_TRUE(deployment::eventually([&] {
-            const auto page = all.body_of(served.address(), make_read(batch, 0));
-            results = page.is_object() ? page.value("Results", json::array()) : json::array();
-            return !results.empty();
-        }));
-        return results.empty() ? json::object() : results[0];
-    }
 };
 
 // Guards against a response that cannot be one, which a client gets as the replica's.
 TEST_P(broken_responses, reach_no_client)
 {
-    check_request_that_runs_once();
-    check_request_that_may_run_again();
-    check_stream_that_is_not_resumed();
-    check_stream_that_may_be_resumed();
+    check_left_in_doubt(plain, make_request("/once/1", "a1"));
+    check_replaced(plain, make_request("/safe/1", "a2"), plain_body("a2"));
+    check_left_in_doubt(engines, make_stream_request("a3", "/talk/1"));
+    check_replaced(engines, make_stream_request("a4", "/tale/1"), events_after("a4", 0));
     check_item_and_score();
 }
 
--- a/tests/gateway/cut_replicas.hpp
+++ b/tests/gateway/cut_replicas.hpp
@@ -1,13 +1,15 @@
-/// Replicas that cut responses at planned places.
+/// Replicas that cut or break responses as planned.
 #ifndef VANILLAGAUGE_TESTS_GATEWAY_CUT_REPLICAS_HPP
 #define VANILLAGAUGE_TESTS_GATEWAY_CUT_REPLICAS_HPP
 
 #include "../scripted_peer.hpp"
 #include "deployment.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 
 namespace vanillagauge::gateway {
 
@@ -20,6 +22,9 @@
     bool kept = false; ///< only on a connection that has carried another request
 };
 
+/// Makes a response of the replica's fields, each a line that ends with CRLF, and a body.
+using planned_response = std::function<scripted_response(const std::string& fields, const std::string& body)>;
+
 inline std::string plain_body(const std::string& id)
 {
     return "response to " + id;
@@ -57,14 +62,18 @@
     /// Cuts the first response to the request with this id.
     void plan(const std::string& id, planned_cut cut)
     {
-        const std::lock_guard lock(mutex_);
-        cuts_[id] = cut;
+        const auto make = [cut](const std::string& fields, const std::string& body) -> scripted_response {
+            return {response_text(cut.how, fields, body).substr(0, cut.bytes), cut.end};
+        };
+        add(id, {make, cut.kept});
     }
-    /// Whether the response to this id was cut.
+    /// Makes the first response to the request with this id.
+    void plan(const std::string& id, planned_response make) { add(id, {std::move(make), std::nullopt}); }
+    /// Whether the planned response to this id was sent.
     bool played(const std::string& id)
     {
         const std::lock_guard lock(mutex_);
-        return !cuts_.contains(id);
+        return !planned_.contains(id);
     }
     int runs(const std::string& id)
     {
@@ -79,12 +88,23 @@
     }
 
 private:
+    struct plan_entry {
+        planned_response make;
+        std::optional<bool> kept; ///< none: on any connection
+    };
+
     std::mutex mutex_;
-    std::map<std::string, planned_cut> cuts_;
+    std::map<std::string, plan_entry> planned_;
     std::map<std::string, int> runs_;
     bool keeping_ = true;
     std::vector<std::unique_ptr<scripted_peer>> peers_{}; ///< last: their threads call `respond`
 
+    void add(const std::string& id, plan_entry planned)
+    {
+        const std::lock_guard lock(mutex_);
+        planned_[id] = std::move(planned);
+    }
+
     scripted_response respond(const scripted_request& request)
     {
         const std::lock_guard lock(mutex_);
@@ -93,12 +113,11 @@
         const bool streams = !request.field("Token-Counts").empty();
         const auto after = request.field("Last-Event-Id");
         const auto body = streams ? events_after(id, after.empty() ? 0 : std::stoi(after)) : plain_body(id);
-        const auto cut = cuts_.find(id);
-        if (cut != cuts_.end() && cut->second.kept == request.kept) {
-            const auto played = cut->second;
-            cuts_.erase(cut);
-            const auto whole = response_text(played.how, replica_fields(id), body);
-            return {whole.substr(0, played.bytes), played.end};
+        const auto found = planned_.find(id);
+        if (found != planned_.end() && found->second.kept.value_or(request.kept) == request.kept) {
+            const auto make = std::move(found->second.make);
+            planned_.erase(found);
+            return make(replica_fields(id), body);
         }
         const auto how = streams ? framing::chunked : framing::length;
         if (keeping_) {
--- a/tests/gateway/late_copy_tests.cpp
+++ b/tests/gateway/late_copy_tests.cpp
@@ -7,17 +7,6 @@
 using nlohmann::json;
 using standins::replica_fault;
 
-/// The first item of a batch, so that one connection to the only engine carries all of its runs.
-net::http_request make_one_item(const std::string& id, bool scored = false)
-{
-    auto request = make_batch(id, 1, scored);
-    auto body = json::parse(request.body);
-    body["DesiredCount"] = 1;
-    body["Items"] = json::array({body["Items"][0]});
-    request.body = body.dump();
-    return request;
-}
-
 struct late_copies : testing::Test {
     deployment cluster;
     standins::fake_replica& engine = cluster.add_replica("e1", "lm");
@@ -36,13 +25,7 @@
     }
     json only_result(const std::string& id)
     {
-        json found;
-        EXPECT_TRUE(deployment::eventually([&] {
-            const auto page = cluster.body_of(served.address(), make_read(id, 0));
-            found = page.is_object() ? page.value("Results", json::array()) : json::array();
-            return !found.empty();
-        }));
-        return found.empty() ? json::object() : found[0];
+        return vanillagauge::gateway::only_result(cluster, served, id);
     }
     std::size_t runs_at(standins::fake_replica& replica)
     {
