--- a/tests/gateway/broken_responses_tests.cpp
+++ b/tests/gateway/broken_responses_tests.cpp
@@ -150,6 +150,25 @@
     return cases;
 }
 
+// Guards against a sound response that is refused for the interim ones before it.
+TEST(interim_responses, are_skipped)
+{
+    deployment all;
+    cut_replicas plain(all, "plain");
+    auto& served = all.add_gateway("a");
+    EXPECT_TRUE(deployment::eventually([&] { return served.ready() && replicas_known(served) == 2; }));
+    for (const std::string status : {"100", "102", "103", "199"}) {
+        SCOPED_TRACE(status);
+        const auto interim = "HTTP/1.1 " + status + " Some reason\r\nName: value\r\n\r\n";
+        plain.plan(status, [&](const std::string& fields, const std::string& body) -> scripted_response {
+            return {interim + interim + response_text(framing::length, fields, body)};
+        });
+        expect_success(all.send(served.address(), make_request("/once/1", status)), status,
+                       plain_body(status));
+        EXPECT_EQ(plain.runs(status), 1);
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(status, broken_responses, testing::ValuesIn(broken_statuses()), case_name);
 
 response_maker name_in_first_line(const std::string& field_name)
